Lay the foundation: build, common modules, HTTP, log client, records

Cause: there is no code yet. Found while testing: libwebsockets spins on a readable socket during an answer, so reading is off while an answer waits; a killed connection needs lws_cancel_service().

--- /dev/null
+++ b/common/list.c
@@ -0,0 +1,47 @@
+#include "common/list.h"
+
+void
+list_init(struct list *list)
+{
+	list->prev = list;
+	list->next = list;
+}
+
+void
+list_insert(struct list *position, struct list *item)
+{
+	item->prev = position;
+	item->next = position->next;
+	position->next->prev = item;
+	position->next = item;
+}
+
+void
+list_append(struct list *head, struct list *item)
+{
+	list_insert(head->prev, item);
+}
+
+void
+list_remove(struct list *item)
+{
+	item->prev->next = item->next;
+	item->next->prev = item->prev;
+	list_init(item);
+}
+
+bool
+list_empty(const struct list *head)
+{
+	return head->next == head;
+}
+
+size_t
+list_length(const struct list *head)
+{
+	size_t count = 0;
+
+	for (const struct list *at = head->next; at != head; at = at->next)
+		count++;
+	return count;
+}
--- /dev/null
+++ b/include/common/list.h
@@ -0,0 +1,45 @@
+/** @file
+ * Intrusive doubly linked list. A list head and a member are both
+ * struct list; an initialised head points at itself.
+ */
+#ifndef COMMON_LIST_H
+#define COMMON_LIST_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+struct list {
+	struct list *prev;
+	struct list *next;
+};
+
+/** Makes an empty head, or an unlinked member. */
+void list_init(struct list *list);
+/** Inserts an item directly behind a position. */
+void list_insert(struct list *position, struct list *item);
+/** Inserts an item at the end of the list. */
+void list_append(struct list *head, struct list *item);
+/** Unlinks an item; harmless on one that is initialised but unlinked. */
+void list_remove(struct list *item);
+bool list_empty(const struct list *head);
+/** Returns the number of items, by walking the list. */
+size_t list_length(const struct list *head);
+
+/** Returns the structure that embeds a list member. */
+#define list_entry(item, type, member) \
+	((type *)(void *)((char *)(item)-offsetof(type, member)))
+
+/** Walks a list; the current item must not be removed in the body. */
+#define list_for_each(pos, head, type, member) \
+	for (type *pos = list_entry((head)->next, type, member); \
+	     &pos->member != (head); \
+	     pos = list_entry(pos->member.next, type, member))
+
+/** Walks a list; the current item may be removed in the body. */
+#define list_for_each_safe(pos, tmp, head, type, member) \
+	for (type *pos = list_entry((head)->next, type, member), \
+		  *tmp = list_entry(pos->member.next, type, member); \
+	     &pos->member != (head); \
+	     pos = tmp, tmp = list_entry(pos->member.next, type, member))
+
+#endif
--- /dev/null
+++ b/include/common/refusal.h
@@ -0,0 +1,86 @@
+/** @file
+ * Every reason for which a request is refused or an attempt is retried.
+ * Each has a name, an HTTP status and a counter.
+ */
+#ifndef COMMON_REFUSAL_H
+#define COMMON_REFUSAL_H
+
+/** Whether the request that an error answers has run. */
+enum run_state {
+	RUN_NOT_RUN, /**< nothing was sent and nothing will be */
+	RUN_RAN,     /**< it ran; the outcome is known */
+	RUN_UNKNOWN, /**< it may have run */
+};
+
+/* name, text, HTTP status, seconds after which to try again (0: do not) */
+#define REFUSAL_LIST(X) \
+	X(MALFORMED, "malformed_request", 400, 0) \
+	X(TOO_LARGE, "request_too_large", 413, 0) \
+	X(UNAUTHORIZED, "unauthorized", 401, 0) \
+	X(FORBIDDEN, "forbidden", 403, 0) \
+	X(UNKNOWN_PATH, "unknown_path", 404, 0) \
+	X(UNKNOWN_PROGRAM, "unknown_program", 404, 0) \
+	X(UNKNOWN_MODEL, "unknown_model", 404, 0) \
+	X(UNKNOWN_SERVICE, "unknown_service", 404, 0) \
+	X(UNKNOWN_WORKSPACE, "unknown_workspace", 403, 0) \
+	X(PROGRAM_ENDED, "program_ended", 409, 0) \
+	X(TURN_OUT_OF_ORDER, "turn_out_of_order", 409, 0) \
+	X(TURN_IN_PROGRESS, "turn_in_progress", 409, 1) \
+	X(HISTORY_MISMATCH, "history_mismatch", 409, 0) \
+	X(KEY_REUSED, "idempotency_key_reused", 409, 0) \
+	X(BUDGET_EXCEEDED, "budget_exceeded", 402, 0) \
+	X(TURN_LIMIT, "turn_limit", 429, 0) \
+	X(PROGRAM_TIME_LIMIT, "program_time_limit", 429, 0) \
+	X(WORKSPACE_LIMIT, "workspace_limit", 429, 2) \
+	X(OVERLOADED, "overloaded", 503, 5) \
+	X(DEADLINE, "deadline_exceeded", 504, 0) \
+	X(NO_SERVER, "no_server_available", 503, 2) \
+	X(QUARANTINED, "request_quarantined", 422, 0) \
+	X(NOT_OWNER, "not_owner", 503, 1) \
+	X(RECOVERING, "recovering", 503, 1) \
+	X(NO_CONFIG, "configuration_not_loaded", 503, 1) \
+	X(LOG_UNAVAILABLE, "log_unavailable", 503, 3) \
+	X(LOG_BACKLOG, "log_backlog_full", 503, 3) \
+	X(DRAINING, "draining", 503, 1) \
+	X(OUTCOME_UNKNOWN, "outcome_unknown", 502, 0) \
+	X(SERVER_FAILED, "server_failed", 502, 1) \
+	X(SERVER_REFUSED, "server_refused", 502, 1) \
+	X(RETRY_BUDGET, "retry_budget_spent", 503, 2)
+
+enum refusal {
+#define REFUSAL_ENUM(name, text, status, after_s) REFUSAL_##name,
+	REFUSAL_LIST(REFUSAL_ENUM)
+#undef REFUSAL_ENUM
+	    REFUSAL_COUNT,
+};
+
+#define RETRY_LIST(X) \
+	X(CONNECT_FAILED, "connect_failed") \
+	X(SERVER_CUT, "server_cut") \
+	X(SERVER_ERROR, "server_error") \
+	X(SERVER_BUSY, "server_busy") \
+	X(TIMEOUT, "timeout") \
+	X(HEDGE, "hedge") \
+	X(LOG_APPEND, "log_append") \
+	X(LOG_READ, "log_read") \
+	X(CLAIM_LOST, "claim_lost") \
+	X(RELEASE, "release")
+
+enum retry {
+#define RETRY_ENUM(name, text) RETRY_##name,
+	RETRY_LIST(RETRY_ENUM)
+#undef RETRY_ENUM
+	    RETRY_COUNT,
+};
+
+/** Returns the reason as callers see it, e.g. "budget_exceeded". */
+const char *refusal_name(enum refusal reason);
+/** Returns the HTTP status that goes with the reason. */
+int refusal_http_status(enum refusal reason);
+/** Returns the delay in seconds after which to try again; 0: never. */
+int refusal_retry_after_s(enum refusal reason);
+const char *retry_name(enum retry reason);
+/** Returns "not run", "ran" or "outcome unknown". */
+const char *run_state_name(enum run_state state);
+
+#endif
--- /dev/null
+++ b/include/member/member.h
@@ -0,0 +1,55 @@
+/** @file
+ * Entry VMs as this VM sees them: the platform's lagging list, put together
+ * with what was observed and with operators' drains.
+ */
+#ifndef MEMBER_MEMBER_H
+#define MEMBER_MEMBER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "record/record.h"
+
+enum member_state {
+	MEMBER_LIVE,
+	MEMBER_LEAVING, /**< finishes its work, takes no more */
+	MEMBER_GONE,
+};
+
+struct member {
+	char vm[NAME_BYTES];
+	char address[NAME_BYTES]; /**< IP address for callers */
+	int port;
+	char peer_address[NAME_BYTES]; /**< IP address for daemons */
+	int peer_port;
+	char failure_domain[NAME_BYTES];
+	char region[NAME_BYTES];
+	enum member_state listed; /**< as the platform's list says */
+	bool draining;            /**< says so itself, or an operator does */
+	int64_t heard_us;         /**< last sign of life; 0: none yet */
+	uint64_t config_version;  /**< in force there */
+};
+
+struct members {
+	struct member *items;
+	size_t count;
+	int64_t listed_us; /**< when the list was last read */
+};
+
+/** Returns what is believed of a member at a time: its own signs of life
+ * weigh more than the list. */
+enum member_state member_state(const struct member *member, int64_t now_us);
+struct member *members_find(struct members *members, const char *vm);
+/** Adds a member, or returns the one of that name. */
+struct member *members_add(struct members *members, const char *vm);
+void members_reset(struct members *members);
+/** Returns the live member that should own a shard (rendezvous hashing), or
+ * NULL when none is live. */
+const struct member *members_shard_owner(
+    const struct members *members, uint32_t shard, int64_t now_us);
+/** Returns the k-th choice for a shard, in the same order. */
+const struct member *members_shard_choice(const struct members *members,
+    uint32_t shard, size_t choice, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/include/record/record.h
@@ -0,0 +1,188 @@
+/** @file
+ * Records of guavakeel's streams in the platform log.
+ *
+ * The wire form is a MessagePack array [format, type, id, shard, epoch, seq,
+ * body]; body is a map with integer keys. Readers skip keys and types that
+ * they do not know, so that two program versions can share a stream.
+ */
+#ifndef RECORD_RECORD_H
+#define RECORD_RECORD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/buf.h"
+#include "common/error.h"
+#include "common/hash.h"
+
+enum {
+	RECORD_FORMAT = 1,
+	NAME_BYTES = 64, /**< VM, workspace, server, tool, model, key */
+	PROGRAM_ID_BYTES = 40,
+};
+
+enum record_type {
+	RECORD_NONE = 0,
+	RECORD_CLAIM = 1,   /**< a VM takes a shard */
+	RECORD_RELEASE = 2, /**< the owner gives a shard up */
+	RECORD_PROGRAM_BEGIN = 3,
+	RECORD_TURN = 4,    /**< end of a repeatable call */
+	RECORD_RESERVE = 5, /**< budget that may be spent from now on */
+	RECORD_INTENT = 6,  /**< a non-idempotent call may be sent */
+	RECORD_OUTCOME = 7, /**< what became of an intent */
+	RECORD_PROGRAM_END = 8,
+	RECORD_KV_RELEASED = 9, /**< a server confirmed it holds nothing */
+	RECORD_CRASH = 10,      /**< a server died while it ran a request */
+	RECORD_QUARANTINE_LIFT = 11,
+	RECORD_SNAPSHOT = 12, /**< part of a shard's state */
+	RECORD_CONFIG_PATCH = 13,
+	RECORD_CONFIG_SNAPSHOT = 14,
+};
+
+/** A view of bytes that belong to the decoded input. */
+struct record_bytes {
+	const uint8_t *data;
+	size_t len;
+};
+
+struct record_claim {
+	char vm[NAME_BYTES];
+	char address[NAME_BYTES]; /**< "IP:port" for callers */
+};
+
+struct record_release {
+	char next_vm[NAME_BYTES]; /**< who should claim next; may be "" */
+};
+
+struct record_program_begin {
+	char program[PROGRAM_ID_BYTES];
+	char workspace[NAME_BYTES];
+	char parent[PROGRAM_ID_BYTES]; /**< "" for a top-level program */
+	char key[NAME_BYTES];          /**< idempotency key of the begin */
+	uint64_t budget_tokens;
+	uint64_t reserve_tokens; /**< first lump */
+	int64_t begun_wall_us;
+	bool urgent;
+};
+
+struct record_turn {
+	char program[PROGRAM_ID_BYTES];
+	char key[NAME_BYTES];
+	char server[NAME_BYTES]; /**< where its KV cache is; "" for tools */
+	uint64_t turn;           /**< 1, 2, ... */
+	uint64_t spent_tokens;
+	uint64_t prompt_tokens; /**< length of the history after the turn */
+	struct digest digest;   /**< chain value after the turn */
+	struct record_bytes content; /**< JSON array of new messages */
+};
+
+struct record_reserve {
+	char program[PROGRAM_ID_BYTES];
+	uint64_t tokens;
+};
+
+struct record_intent {
+	char program[PROGRAM_ID_BYTES];
+	char key[NAME_BYTES];
+	char tool[NAME_BYTES];
+	uint64_t turn;
+	struct digest arguments; /**< digest of the request body */
+};
+
+enum outcome {
+	OUTCOME_OPEN = 0,    /**< no outcome yet */
+	OUTCOME_DONE = 1,    /**< ran; the answer is kept */
+	OUTCOME_NOT_RUN = 2, /**< surely never sent */
+	OUTCOME_UNKNOWN = 3, /**< sent, no answer */
+};
+
+struct record_outcome {
+	char program[PROGRAM_ID_BYTES];
+	char key[NAME_BYTES];
+	uint32_t outcome;            /**< enum outcome */
+	uint32_t status;             /**< HTTP status of the answer */
+	char settled_by[NAME_BYTES]; /**< operator; "" by the owner */
+	struct record_bytes answer;
+};
+
+struct record_program_end {
+	char program[PROGRAM_ID_BYTES];
+	char reason[NAME_BYTES];
+};
+
+struct record_kv_released {
+	char program[PROGRAM_ID_BYTES];
+	char server[NAME_BYTES];
+};
+
+struct record_crash {
+	char server[NAME_BYTES];
+	char workspace[NAME_BYTES];
+	uint64_t fingerprint; /**< hash of the request's content */
+	uint64_t incident;    /**< one crash of one server */
+	uint32_t running;     /**< requests the server had in flight */
+	int64_t wall_us;
+};
+
+struct record_quarantine_lift {
+	uint64_t fingerprint;
+	char operator_name[NAME_BYTES];
+};
+
+struct record_snapshot {
+	uint64_t part; /**< 0, 1, ... */
+	uint64_t parts;
+	uint64_t upto; /**< first offset that it does not cover */
+	struct record_bytes state;
+};
+
+struct record_config_patch {
+	uint64_t base; /**< version that the patch changes */
+	char operator_name[NAME_BYTES];
+	char comment[4 * NAME_BYTES];
+	int64_t wall_us;
+	struct record_bytes patch; /**< JSON merge patch (RFC 7396) */
+};
+
+struct record_config_snapshot {
+	uint64_t version;
+	struct record_bytes state; /**< JSON, see config/fold.h */
+};
+
+struct record {
+	enum record_type type;
+	uint32_t format;
+	uint64_t id; /**< random; the same for each copy of a record */
+	uint32_t shard;
+	uint64_t epoch;
+	uint64_t seq; /**< 1, 2, ... within an epoch of a shard */
+	union {
+		struct record_claim claim;
+		struct record_release release;
+		struct record_program_begin program_begin;
+		struct record_turn turn;
+		struct record_reserve reserve;
+		struct record_intent intent;
+		struct record_outcome outcome;
+		struct record_program_end program_end;
+		struct record_kv_released kv_released;
+		struct record_crash crash;
+		struct record_quarantine_lift quarantine_lift;
+		struct record_snapshot snapshot;
+		struct record_config_patch config_patch;
+		struct record_config_snapshot config_snapshot;
+	};
+};
+
+/** Appends the wire form. */
+void record_encode(const struct record *record, struct buf *out);
+/** Decodes a wire form. Views in the record point into data. A type that this
+ * version does not know decodes with an empty body.
+ * Errors: ERROR_INVALID with what is wrong. */
+bool record_decode(
+    const uint8_t *data, size_t len, struct record *record, struct error *err);
+/** Returns "claim", "turn", ..., or "unknown". */
+const char *record_type_name(enum record_type type);
+
+#endif
--- /dev/null
+++ b/include/route/sched.h
@@ -0,0 +1,144 @@
+/** @file
+ * Scheduling of model calls on backend servers: order of waiting calls,
+ * choice of server, KV cache during pauses, retries, admission. No I/O; the
+ * daemon and `guavakeel experiment` use the same code.
+ */
+#ifndef ROUTE_SCHED_H
+#define ROUTE_SCHED_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/counter.h"
+#include "common/rng.h"
+#include "config/config.h"
+
+struct sched;
+
+struct sched_options {
+	const char *region;         /**< of this VM */
+	const char *failure_domain; /**< of this VM */
+	struct counters *counters;
+	uint64_t seed;
+};
+
+struct sched_call {
+	uint64_t call; /**< handle of the daemon */
+	char program[PROGRAM_ID_BYTES];
+	char workspace[NAME_BYTES];
+	char model[NAME_BYTES];
+	char adapter[NAME_BYTES];
+	uint64_t fingerprint;           /**< hash of the request's content */
+	uint64_t turn;                  /**< 1 for the program's first */
+	uint64_t history_tokens;        /**< prompt that earlier turns had */
+	uint64_t new_tokens;            /**< prompt added by this turn */
+	uint64_t max_tokens;            /**< longest answer */
+	int64_t program_begun_us;       /**< local time of its begin */
+	uint64_t program_served_tokens; /**< work done for it so far */
+	int64_t deadline_us;            /**< local time; INT64_MAX: none */
+	bool urgent;
+	bool child; /**< of a sub-agent */
+};
+
+enum sched_verdict {
+	SCHED_QUEUED,
+	SCHED_REFUSED, /**< see *reason; nothing was sent */
+};
+
+/** A call and the server that it should be sent to now. */
+struct sched_dispatch {
+	uint64_t call;
+	char server[NAME_BYTES];
+	uint32_t attempt; /**< 1, 2, ... */
+	bool hedge;       /**< a second copy of a slow call */
+	uint64_t expected_cached_tokens;
+};
+
+/** How an attempt ended. */
+enum sched_result {
+	SCHED_DONE,        /**< whole answer */
+	SCHED_CANCELLED,   /**< by the caller or a faster copy */
+	SCHED_NOT_STARTED, /**< could not connect */
+	SCHED_BUSY,        /**< the server refused it */
+	SCHED_FAILED,      /**< the server answered an error */
+	SCHED_CUT,         /**< the connection broke */
+	SCHED_TIMED_OUT,
+};
+
+/** What to do after a failed attempt. */
+enum sched_next {
+	SCHED_RETRY,   /**< queued again; a dispatch follows */
+	SCHED_GIVE_UP, /**< refuse with *reason */
+};
+
+/** Report of a backend server; arrives late. */
+struct sched_load {
+	uint32_t running;
+	uint32_t waiting;
+	uint64_t kv_used_tokens;
+	uint64_t kv_tokens;
+	uint64_t waiting_prefill_tokens;
+	int64_t measured_us; /**< local time of the measurement, if known */
+};
+
+enum sched_cache_event {
+	SCHED_CACHE_STORED,
+	SCHED_CACHE_EVICTED,
+	SCHED_CACHE_CLEARED, /**< the server restarted, or events were lost */
+};
+
+/** What to do with a program's KV cache when a call has ended. */
+enum sched_pause {
+	SCHED_PAUSE_KEEP,
+	SCHED_PAUSE_DROP,
+	SCHED_PAUSE_EXPORT, /**< export now, import at the next turn */
+};
+
+struct sched *sched_create(const struct sched_options *options);
+void sched_destroy(struct sched *sched);
+/** Takes the servers, models and limits of a configuration version. */
+void sched_set_config(struct sched *sched, const struct config *config);
+
+/** Queues a model call, or refuses it. */
+enum sched_verdict sched_submit(struct sched *sched,
+    const struct sched_call *call, int64_t now_us, enum refusal *reason);
+/** Takes the next call that has a server now; false: none. */
+bool sched_next(
+    struct sched *sched, int64_t now_us, struct sched_dispatch *dispatch);
+/** Returns when sched_next() or sched_expired() may have something without
+ * any other event; INT64_MAX: never. */
+int64_t sched_next_us(const struct sched *sched);
+/** Takes the next queued call that is past its deadline; it is forgotten. */
+bool sched_expired(
+    struct sched *sched, int64_t now_us, uint64_t *call, enum refusal *reason);
+/** The first token of an attempt has come. */
+void sched_first_token(
+    struct sched *sched, uint64_t call, const char *server, int64_t now_us);
+/** An attempt is over. For SCHED_DONE and SCHED_CANCELLED the call is
+ * forgotten; else the result tells whether it is tried again. cached_tokens:
+ * what the server found in its cache; prompt_tokens: length of the history
+ * after the turn. */
+enum sched_next sched_attempt_end(struct sched *sched, uint64_t call,
+    const char *server, enum sched_result result, uint64_t prompt_tokens,
+    uint64_t cached_tokens, int64_t now_us, enum refusal *reason);
+/** Forgets a call that waits or runs. */
+void sched_cancel(struct sched *sched, uint64_t call, int64_t now_us);
+
+/** A call of the program ended with a request for this tool (or ""). */
+enum sched_pause sched_pause_begin(struct sched *sched, const char *program,
+    const char *workspace, const char *tool, int64_t now_us);
+/** The program is over: forget its cache and its history of pauses. */
+void sched_program_end(struct sched *sched, const char *program);
+
+void sched_handle_load(struct sched *sched, const char *server,
+    const struct sched_load *load, int64_t now_us);
+void sched_handle_cache_event(struct sched *sched, const char *server,
+    enum sched_cache_event event, const char *program, uint64_t tokens,
+    int64_t now_us);
+/** Health as probes see it, and leaving as list or operator say. */
+void sched_handle_health(
+    struct sched *sched, const char *server, bool healthy, int64_t now_us);
+void sched_set_leaving(struct sched *sched, const char *server, bool leaving);
+
+#endif
--- /dev/null
+++ b/net/net.c
@@ -0,0 +1,216 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/diag.h"
+#include "common/memory.h"
+#include "net/internal.h"
+
+enum {
+	DEFAULT_HEADER_BYTES = 8192,
+	DEFAULT_BODY_BYTES = 8 << 20,
+	DEFAULT_SEND_QUEUE_BYTES = 4 << 20,
+	DEFAULT_CONNECTIONS = 1024,
+	KEEPALIVE_S = 60,
+	IO_TIMEOUT_S = 30,
+	PEER_CHECK_MS = 250,
+};
+
+static const struct lws_protocols server_protocols[] = {
+    {.name = "http", .callback = http_server_callback},
+    {0},
+};
+
+static const struct lws_protocols client_protocols[] = {
+    {.name = "http-client", .callback = http_client_callback},
+    {0},
+};
+
+static void
+forward_log(int level, const char *line)
+{
+	size_t len = strlen(line);
+
+	diag(level == LLL_ERR ? LOG_WARNING : LOG_DEBUG, NULL,
+	    "libwebsockets: %.*s", (int)(len > 0 ? len - 1 : 0), line);
+}
+
+static void
+options_complete(struct net_options *options)
+{
+	if (options->max_header_bytes == 0)
+		options->max_header_bytes = DEFAULT_HEADER_BYTES;
+	if (options->max_body_bytes == 0)
+		options->max_body_bytes = DEFAULT_BODY_BYTES;
+	if (options->max_send_queue_bytes == 0)
+		options->max_send_queue_bytes = DEFAULT_SEND_QUEUE_BYTES;
+	if (options->max_connections == 0)
+		options->max_connections = DEFAULT_CONNECTIONS;
+}
+
+/* Without TLS, OpenSSL's tables would only cost memory and start-up time. */
+static uint64_t
+tls_option(const struct net *net)
+{
+	bool used =
+	    net->options.tls_certificate != NULL || net->options.tls_ca != NULL;
+
+	return used ? LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT : 0;
+}
+
+static struct lws_context *
+create_context(struct net *net)
+{
+	void *loops[] = {net->loop};
+	struct lws_context_creation_info info = {
+	    .options = LWS_SERVER_OPTION_LIBUV |
+		LWS_SERVER_OPTION_EXPLICIT_VHOSTS | tls_option(net),
+	    .foreign_loops = loops,
+	    .gid = -1,
+	    .uid = -1,
+	    .max_http_header_data =
+		(unsigned short)net->options.max_header_bytes,
+	    .pt_serv_buf_size = 16384,
+	    .fd_limit_per_thread = (unsigned int)net->options.max_connections,
+	};
+
+	lws_set_log_level(LLL_ERR | LLL_WARN, forward_log);
+	return lws_create_context(&info);
+}
+
+static struct lws_vhost *
+create_server(struct net *net)
+{
+	struct lws_context_creation_info info = {
+	    .vhost_name = "server",
+	    .iface = net->options.listen_address,
+	    .port = net->options.listen_port,
+	    .protocols = server_protocols,
+	    .user = net,
+	    .keepalive_timeout = KEEPALIVE_S,
+	    .timeout_secs = IO_TIMEOUT_S,
+	};
+
+	if (net->options.tls_certificate != NULL) {
+		info.ssl_cert_filepath = net->options.tls_certificate;
+		info.ssl_private_key_filepath = net->options.tls_key;
+		info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+	}
+	/* Otherwise an IPv4 address would be widened to all interfaces. */
+	if (strchr(net->options.listen_address, ':') == NULL)
+		info.options |= LWS_SERVER_OPTION_DISABLE_IPV6;
+	return lws_create_vhost(net->context, &info);
+}
+
+static struct lws_vhost *
+create_client(struct net *net)
+{
+	struct lws_context_creation_info info = {
+	    .vhost_name = "client",
+	    .port = CONTEXT_PORT_NO_LISTEN,
+	    .protocols = client_protocols,
+	    .user = net,
+	    .client_ssl_ca_filepath = net->options.tls_ca,
+	    .options = LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS | tls_option(net),
+	};
+
+	return lws_create_vhost(net->context, &info);
+}
+
+void
+net_kill_connection(struct net *net, struct lws *wsi)
+{
+	lws_set_timeout(
+	    wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+	/* From outside a libwebsockets callback, its timer is not rearmed. */
+	lws_cancel_service(net->context);
+}
+
+static void
+handle_peer_timer(uv_timer_t *timer)
+{
+	http_server_check_peers(timer->data);
+}
+
+static void
+start_peer_timer(struct net *net)
+{
+	net->peer_timer = xcalloc(1, sizeof(*net->peer_timer));
+	uv_timer_init(net->loop, net->peer_timer);
+	net->peer_timer->data = net;
+	uv_timer_start(
+	    net->peer_timer, handle_peer_timer, PEER_CHECK_MS, PEER_CHECK_MS);
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+struct net *
+net_create(
+    uv_loop_t *loop, const struct net_options *options, struct error *err)
+{
+	struct net *net = xcalloc(1, sizeof(*net));
+
+	net->loop = loop;
+	net->options = *options;
+	options_complete(&net->options);
+	list_init(&net->exchanges);
+	list_init(&net->calls);
+	net->context = create_context(net);
+	if (net->context == NULL) {
+		error_set(err, ERROR_IO, "cannot create a network context");
+		free(net);
+		return NULL;
+	}
+	net->client = create_client(net);
+	if (net->options.listen_address != NULL)
+		net->server = create_server(net);
+	if (net->client == NULL ||
+	    (net->options.listen_address != NULL && net->server == NULL)) {
+		error_set(err, ERROR_IO, "cannot listen on %s port %d",
+		    net->options.listen_address, net->options.listen_port);
+		lws_context_destroy(net->context);
+		free(net);
+		return NULL;
+	}
+	if (net->server != NULL)
+		start_peer_timer(net);
+	return net;
+}
+
+void
+net_destroy(struct net *net)
+{
+	if (net == NULL)
+		return;
+	net->closing = true;
+	if (net->peer_timer != NULL)
+		uv_close((uv_handle_t *)net->peer_timer, handle_timer_closed);
+	http_server_abort_all(net);
+	http_client_cancel_all(net);
+	lws_context_destroy(net->context);
+	uv_run(net->loop, UV_RUN_NOWAIT);
+	free(net);
+}
+
+void
+net_stop_listening(struct net *net)
+{
+	if (net->server != NULL)
+		lws_vhost_destroy(net->server);
+	net->server = NULL;
+}
+
+int
+net_port(const struct net *net)
+{
+	return net->server != NULL ? lws_get_vhost_listen_port(net->server) : 0;
+}
+
+size_t
+net_open_exchanges(const struct net *net)
+{
+	return list_length(&net->exchanges);
+}
--- /dev/null
+++ b/tests/runner.h
@@ -0,0 +1,35 @@
+/** @file
+ * Runs the tests of one module in this process and reports the result.
+ */
+#ifndef TESTS_RUNNER_H
+#define TESTS_RUNNER_H
+
+#include <check.h>
+#include <stddef.h>
+#include <stdlib.h>
+
+enum {
+	TEST_TIMEOUT_S = 100,
+};
+
+static inline int
+run_tests(const char *module, const TTest **tests, size_t count)
+{
+	Suite *suite = suite_create(module);
+	TCase *cases = tcase_create(module);
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(cases, TEST_TIMEOUT_S);
+	for (size_t i = 0; i < count; i++)
+		tcase_add_test(cases, tests[i]);
+	suite_add_tcase(suite, cases);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+#endif
--- /dev/null
+++ b/tests/test_net.c
@@ -0,0 +1,277 @@
+#include <check.h>
+#include <string.h>
+
+#include "common/buf.h"
+#include "common/memory.h"
+#include "net/http.h"
+#include "tests/runner.h"
+
+/** A server and a client on one loop, and what the client got. */
+struct fixture {
+	uv_loop_t loop;
+	struct net *net;
+	bool done;
+	enum http_result result;
+	int status;
+	struct buf body;
+	int closes;
+	struct http_exchange *held;
+};
+
+static void
+handle_close(void *context)
+{
+	struct fixture *fixture = context;
+
+	fixture->closes++;
+	fixture->held = NULL;
+}
+
+static void
+answer_stream(struct http_exchange *exchange)
+{
+	http_stream_begin(exchange, 200, "text/event-stream", NULL);
+	for (int i = 0; i < 100; i++)
+		ck_assert(http_stream_write(exchange, "data: x\n\n", 9));
+	http_stream_end(exchange);
+}
+
+static void
+handle(void *context, struct http_exchange *exchange,
+    const struct http_request *request)
+{
+	struct fixture *fixture = context;
+	char value[64];
+
+	if (strcmp(request->path, "/stream") == 0) {
+		answer_stream(exchange);
+	} else if (strcmp(request->path, "/hold") == 0) {
+		http_exchange_on_close(exchange, handle_close, fixture);
+		http_stream_begin(exchange, 200, "text/plain", NULL);
+		http_stream_write(exchange, "part", 4);
+		fixture->held = exchange;
+	} else if (strcmp(request->path, "/cut") == 0) {
+		http_abort(exchange);
+	} else if (strcmp(request->path, "/header") == 0) {
+		ck_assert(http_request_header(
+		    request, "x-test", value, sizeof(value)));
+		ck_assert_str_eq(value, "yes");
+		ck_assert(!http_request_header(
+		    request, "x-none", value, sizeof(value)));
+		ck_assert(
+		    http_request_query(request, "b", value, sizeof(value)));
+		http_respond(
+		    exchange, 200, "text/plain", NULL, value, strlen(value));
+	} else {
+		http_respond(exchange, 200, "text/plain", NULL, request->body,
+		    request->body_len);
+	}
+}
+
+static void
+setup(struct fixture *fixture)
+{
+	struct net_options options = {
+	    .listen_address = "127.0.0.1",
+	    .max_body_bytes = 1 << 20,
+	    .handler = handle,
+	    .handler_context = fixture,
+	};
+	struct error err = {0};
+
+	memset(fixture, 0, sizeof(*fixture));
+	uv_loop_init(&fixture->loop);
+	fixture->net = net_create(&fixture->loop, &options, &err);
+	ck_assert_msg(fixture->net != NULL, "%s", err.text);
+}
+
+static void
+teardown(struct fixture *fixture)
+{
+	net_destroy(fixture->net);
+	uv_run(&fixture->loop, UV_RUN_DEFAULT);
+	ck_assert_int_eq(uv_loop_close(&fixture->loop), 0);
+	buf_reset(&fixture->body);
+}
+
+static void
+handle_answer(void *context, const struct http_answer *answer)
+{
+	struct fixture *fixture = context;
+
+	fixture->done = true;
+	fixture->result = answer->result;
+	fixture->status = answer->status;
+	fixture->body.len = 0;
+	buf_append(&fixture->body, answer->body, answer->body_len);
+}
+
+static struct http_call *
+start(struct fixture *fixture, enum http_method method, const char *path,
+    const void *body, size_t len, int64_t timeout_us)
+{
+	static const struct http_header headers[] = {
+	    {"x-test", "yes"},
+	    {NULL, NULL},
+	};
+	struct http_call_params params = {
+	    .address = "127.0.0.1",
+	    .port = net_port(fixture->net),
+	    .method = method,
+	    .path = path,
+	    .headers = headers,
+	    .body = body,
+	    .body_len = len,
+	    .timeout_us = timeout_us,
+	};
+
+	fixture->done = false;
+	return http_fetch(fixture->net, &params, handle_answer, fixture);
+}
+
+static void
+finish(struct fixture *fixture)
+{
+	while (!fixture->done)
+		uv_run(&fixture->loop, UV_RUN_ONCE);
+}
+
+START_TEST(bodies_of_all_sizes_come_back)
+{
+	static const size_t sizes[] = {0, 1, 4095, 4096, 100000, 1 << 20};
+	struct fixture fixture;
+	char *body = xcalloc(1, 1 << 20);
+
+	setup(&fixture);
+	memset(body, 'b', 1 << 20);
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		start(&fixture, HTTP_POST, "/echo", body, sizes[i], 0);
+		finish(&fixture);
+		ck_assert_int_eq(fixture.result, HTTP_RESULT_OK);
+		ck_assert_int_eq(fixture.status, 200);
+		ck_assert_uint_eq(fixture.body.len, sizes[i]);
+		ck_assert_mem_eq(fixture.body.data, body, sizes[i]);
+	}
+	start(&fixture, HTTP_GET, "/echo", NULL, 0, 0);
+	finish(&fixture);
+	ck_assert_int_eq(fixture.result, HTTP_RESULT_OK);
+	teardown(&fixture);
+	free(body);
+}
+END_TEST
+
+START_TEST(too_large_a_body_is_refused)
+{
+	struct fixture fixture;
+	char *body = xcalloc(1, (1 << 20) + 1);
+
+	setup(&fixture);
+	start(&fixture, HTTP_POST, "/echo", body, (1 << 20) + 1, 0);
+	finish(&fixture);
+	ck_assert_int_eq(fixture.status, 413);
+	teardown(&fixture);
+	free(body);
+}
+END_TEST
+
+START_TEST(headers_and_query_reach_the_handler)
+{
+	struct fixture fixture;
+
+	setup(&fixture);
+	start(&fixture, HTTP_GET, "/header?a=1&b=two", NULL, 0, 0);
+	finish(&fixture);
+	ck_assert_int_eq(fixture.status, 200);
+	ck_assert_str_eq(buf_text(&fixture.body), "two");
+	teardown(&fixture);
+}
+END_TEST
+
+START_TEST(a_stream_arrives_whole)
+{
+	struct fixture fixture;
+
+	setup(&fixture);
+	start(&fixture, HTTP_GET, "/stream", NULL, 0, 0);
+	finish(&fixture);
+	ck_assert_int_eq(fixture.result, HTTP_RESULT_OK);
+	ck_assert_uint_eq(fixture.body.len, 900);
+	teardown(&fixture);
+}
+END_TEST
+
+START_TEST(a_refused_connection_was_not_sent)
+{
+	struct fixture fixture;
+	struct http_call_params params = {
+	    .address = "127.0.0.1", .port = 1, .path = "/"};
+
+	setup(&fixture);
+	http_fetch(fixture.net, &params, handle_answer, &fixture);
+	ck_assert(!fixture.done);
+	finish(&fixture);
+	ck_assert_int_eq(fixture.result, HTTP_RESULT_CONNECT_FAILED);
+	teardown(&fixture);
+}
+END_TEST
+
+START_TEST(a_cut_before_the_answer_is_a_cut)
+{
+	struct fixture fixture;
+
+	setup(&fixture);
+	start(&fixture, HTTP_POST, "/cut", "x", 1, 0);
+	finish(&fixture);
+	ck_assert_int_eq(fixture.result, HTTP_RESULT_CUT);
+	teardown(&fixture);
+}
+END_TEST
+
+START_TEST(silence_times_out_and_the_server_hears_of_it)
+{
+	struct fixture fixture;
+
+	setup(&fixture);
+	start(&fixture, HTTP_GET, "/hold", NULL, 0, 50000);
+	finish(&fixture);
+	ck_assert_int_eq(fixture.result, HTTP_RESULT_TIMEOUT);
+	while (fixture.closes == 0)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	ck_assert_uint_eq(net_open_exchanges(fixture.net), 0);
+	teardown(&fixture);
+}
+END_TEST
+
+START_TEST(a_cancelled_call_is_silent)
+{
+	struct fixture fixture;
+	struct http_call *call;
+
+	setup(&fixture);
+	call = start(&fixture, HTTP_GET, "/hold", NULL, 0, 0);
+	while (fixture.held == NULL)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	http_call_cancel(call);
+	while (fixture.closes == 0)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	ck_assert(!fixture.done);
+	teardown(&fixture);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    bodies_of_all_sizes_come_back,
+	    too_large_a_body_is_refused,
+	    headers_and_query_reach_the_handler,
+	    a_stream_arrives_whole,
+	    a_refused_connection_was_not_sent,
+	    a_cut_before_the_answer_is_a_cut,
+	    silence_times_out_and_the_server_hears_of_it,
+	    a_cancelled_call_is_silent,
+	};
+
+	return run_tests("net", tests, sizeof(tests) / sizeof(tests[0]));
+}
