Bound what a declared MessagePack size can allocate; free the network context

Cause: under AddressSanitizer a flipped byte in a record made the library allocate 128 GiB by declared size, and a libwebsockets context on a foreign loop was never freed (316 kB a context). Change: pack_sizes_fit() walks a value before it is unpacked; net_destroy() runs the loop and destroys a second time.

--- a/net/net.c
+++ b/net/net.c
@@ -13,6 +13,7 @@
 	KEEPALIVE_S = 60,
 	IO_TIMEOUT_S = 30,
 	PEER_CHECK_MS = 250,
+	CLOSE_TURNS = 3, /**< loop turns that close all handles */
 };
 
 static const struct lws_protocols server_protocols[] = {
@@ -57,7 +58,7 @@
 	return used ? LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT : 0;
 }
 
-static struct lws_context *
+static void
 create_context(struct net *net)
 {
 	void *loops[] = {net->loop};
@@ -65,6 +66,7 @@
 	    .options = LWS_SERVER_OPTION_LIBUV |
 		LWS_SERVER_OPTION_EXPLICIT_VHOSTS | tls_option(net),
 	    .foreign_loops = loops,
+	    .pcontext = &net->context,
 	    .gid = -1,
 	    .uid = -1,
 	    .max_http_header_data =
@@ -74,7 +76,7 @@
 	};
 
 	lws_set_log_level(LLL_ERR | LLL_WARN, forward_log);
-	return lws_create_context(&info);
+	net->context = lws_create_context(&info);
 }
 
 static struct lws_vhost *
@@ -158,7 +160,7 @@
 	options_complete(&net->options);
 	list_init(&net->exchanges);
 	list_init(&net->calls);
-	net->context = create_context(net);
+	create_context(net);
 	if (net->context == NULL) {
 		error_set(err, ERROR_IO, "cannot create a network context");
 		free(net);
@@ -191,7 +193,12 @@
 	http_server_abort_all(net);
 	http_client_cancel_all(net);
 	lws_context_destroy(net->context);
-	uv_run(net->loop, UV_RUN_NOWAIT);
+	/* On a foreign loop the context is freed by a second call, after the
+	 * loop has closed the context's handles. */
+	for (int i = 0; i < CLOSE_TURNS; i++)
+		uv_run(net->loop, UV_RUN_NOWAIT);
+	if (net->context != NULL)
+		lws_context_destroy(net->context);
 	free(net);
 }
 
--- a/plog/plog.c
+++ b/plog/plog.c
@@ -9,6 +9,7 @@
 #include "common/clock.h"
 #include "common/list.h"
 #include "common/memory.h"
+#include "common/pack.h"
 #include "net/http.h"
 #include "plog/plog.h"
 
@@ -83,12 +84,6 @@
 	free(plog);
 }
 
-static int
-pack_to_buf(void *data, const char *bytes, size_t len)
-{
-	return buf_append(data, bytes, len) ? 0 : -1;
-}
-
 void
 plog_encode_batch(
     const struct plog_record *records, size_t count, struct buf *out)
@@ -222,7 +217,8 @@
 	request_free(request);
 	msgpack_unpacked_init(&unpacked);
 	if (read.status == PLOG_OK || read.status == PLOG_EXPIRED) {
-		if (msgpack_unpack_next(&unpacked, (const char *)answer->body,
+		if (!pack_sizes_fit(answer->body, answer->body_len) ||
+		    msgpack_unpack_next(&unpacked, (const char *)answer->body,
 			answer->body_len, &offset) != MSGPACK_UNPACK_SUCCESS ||
 		    !decode_read(&unpacked.data, &read)) {
 			read.status = PLOG_UNKNOWN;
--- a/record/record.c
+++ b/record/record.c
@@ -2,6 +2,7 @@
 
 #include <msgpack.h>
 
+#include "common/pack.h"
 #include "record/record.h"
 
 enum {
@@ -162,12 +163,6 @@
 	return layout != NULL ? layout->name : "unknown";
 }
 
-static int
-pack_to_buf(void *data, const char *bytes, size_t len)
-{
-	return buf_append(data, bytes, len) ? 0 : -1;
-}
-
 static void
 pack_field(msgpack_packer *packer, const struct field *field,
     const struct record *record)
@@ -365,9 +360,9 @@
 
 	memset(record, 0, sizeof(*record));
 	msgpack_unpacked_init(&unpacked);
-	ok = msgpack_unpack_next(&unpacked, (const char *)data, len, &offset) ==
-		MSGPACK_UNPACK_SUCCESS &&
-	    offset == len;
+	ok = pack_sizes_fit(data, len) &&
+	    msgpack_unpack_next(&unpacked, (const char *)data, len, &offset) ==
+		MSGPACK_UNPACK_SUCCESS;
 	if (!ok)
 		error_set(err, ERROR_INVALID, "not a MessagePack value");
 	else
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -93,6 +93,19 @@
 }
 END_TEST
 
+START_TEST(a_declared_size_allocates_nothing)
+{
+	static const uint8_t wire[] = {0xdd, 0xff, 0xff, 0xff, 0xff};
+	static const uint8_t nested[] = {0x91, 0x91, 0x91, 0x91, 0x91, 0x91,
+	    0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91,
+	    0x91, 0x01};
+	struct record out;
+
+	ck_assert(!record_decode(wire, sizeof(wire), &out, NULL));
+	ck_assert(!record_decode(nested, sizeof(nested), &out, NULL));
+}
+END_TEST
+
 START_TEST(newer_records_are_read)
 {
 	msgpack_sbuffer buffer;
@@ -137,6 +150,7 @@
 	    turn_survives_the_wire,
 	    every_cut_is_an_error,
 	    flipped_bytes_never_crash,
+	    a_declared_size_allocates_nothing,
 	    newer_records_are_read,
 	    each_type_has_a_name,
 	};
