--- /dev/null
+++ b/daemon/attempt.c
@@ -0,0 +1,243 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/memory.h"
+#include "daemon/attempt.h"
+
+enum {
+	ATTEMPT_LINE_BYTES = 1 << 20,
+	FINISH_BYTES = 32,
+};
+
+struct attempt {
+	struct attempt_callbacks callbacks;
+	struct http_call *http;
+	char id[NAME_BYTES];
+	struct buf line;
+	bool done; /**< "[DONE]" has come */
+	bool malformed;
+	bool foreign; /**< an event of another attempt has come */
+	char finish_reason[FINISH_BYTES];
+	struct attempt_usage usage;
+};
+
+static void
+attempt_free(struct attempt *attempt)
+{
+	buf_reset(&attempt->line);
+	free(attempt);
+}
+
+static void
+read_usage(struct attempt *attempt, json_t *usage)
+{
+	json_t *details = json_object_get(usage, "prompt_tokens_details");
+
+	attempt->usage.prompt_tokens = (uint64_t)json_integer_value(
+	    json_object_get(usage, "prompt_tokens"));
+	attempt->usage.completion_tokens = (uint64_t)json_integer_value(
+	    json_object_get(usage, "completion_tokens"));
+	attempt->usage.cached_tokens = (uint64_t)json_integer_value(
+	    json_object_get(details, "cached_tokens"));
+}
+
+static void
+read_choice(struct attempt *attempt, json_t *choice)
+{
+	json_t *delta = json_object_get(choice, "delta");
+	const char *text = json_string_value(json_object_get(delta, "content"));
+	json_t *tools = json_object_get(delta, "tool_calls");
+	const char *finish =
+	    json_string_value(json_object_get(choice, "finish_reason"));
+
+	if (text != NULL && text[0] != '\0')
+		attempt->callbacks.on_text(attempt->callbacks.context, text);
+	if (json_is_array(tools))
+		attempt->callbacks.on_tool_calls(
+		    attempt->callbacks.context, tools);
+	if (finish != NULL)
+		snprintf(attempt->finish_reason, sizeof(attempt->finish_reason),
+		    "%s", finish);
+}
+
+/* Engines that echo the attempt must echo this one. */
+static bool
+is_own_event(const struct attempt *attempt, json_t *event)
+{
+	const char *echo = json_string_value(json_object_get(event, "attempt"));
+
+	return echo == NULL || strcmp(echo, attempt->id) == 0;
+}
+
+static void
+handle_event(struct attempt *attempt, const char *data, size_t len)
+{
+	json_t *event;
+	json_t *usage;
+
+	if (len == 6 && memcmp(data, "[DONE]", 6) == 0) {
+		attempt->done = true;
+		return;
+	}
+	event = json_loadb(data, len, 0, NULL);
+	if (event == NULL) {
+		attempt->malformed = true;
+		return;
+	}
+	if (!is_own_event(attempt, event)) {
+		attempt->foreign = true;
+		json_decref(event);
+		return;
+	}
+	usage = json_object_get(event, "usage");
+	if (json_is_object(usage))
+		read_usage(attempt, usage);
+	read_choice(
+	    attempt, json_array_get(json_object_get(event, "choices"), 0));
+	json_decref(event);
+}
+
+static void
+handle_line(struct attempt *attempt, const char *line, size_t len)
+{
+	if (len > 0 && line[len - 1] == '\r')
+		len--;
+	if (len > 6 && memcmp(line, "data: ", 6) == 0)
+		handle_event(attempt, line + 6, len - 6);
+}
+
+static void
+handle_data(void *context, int status, const uint8_t *data, size_t len)
+{
+	struct attempt *attempt = context;
+	size_t start = 0;
+
+	if (status != 200)
+		return;
+	if (!buf_append(&attempt->line, data, len)) {
+		attempt->malformed = true;
+		return;
+	}
+	for (;;) {
+		const uint8_t *base = attempt->line.data + start;
+		const uint8_t *end =
+		    memchr(base, '\n', attempt->line.len - start);
+
+		if (end == NULL)
+			break;
+		handle_line(attempt, (const char *)base, (size_t)(end - base));
+		start = (size_t)(end - attempt->line.data) + 1;
+	}
+	buf_consume(&attempt->line, start);
+}
+
+static enum sched_result
+attempt_result(
+    const struct attempt *attempt, enum http_result result, int status)
+{
+	switch (result) {
+	case HTTP_RESULT_CONNECT_FAILED:
+		return SCHED_NOT_STARTED;
+	case HTTP_RESULT_TIMEOUT:
+		return SCHED_TIMED_OUT;
+	case HTTP_RESULT_OK:
+		break;
+	default:
+		return attempt->done ? SCHED_DONE : SCHED_CUT;
+	}
+	if (status == 429 || status == 503)
+		return SCHED_BUSY;
+	if (status != 200 || attempt->malformed || attempt->foreign)
+		return SCHED_FAILED;
+	return attempt->done ? SCHED_DONE : SCHED_CUT;
+}
+
+static void
+handle_done(void *context, enum http_result result, int status)
+{
+	struct attempt *attempt = context;
+	struct attempt_callbacks callbacks = attempt->callbacks;
+
+	callbacks.on_end(callbacks.context,
+	    attempt_result(attempt, result, status), status,
+	    attempt->finish_reason, &attempt->usage);
+	attempt_free(attempt);
+}
+
+/* Text that an earlier attempt has already shown to the caller is given to the
+ * engine as the start of the answer, which it continues. */
+static void
+append_partial(struct buf *body, const char *partial)
+{
+	json_t *message;
+	char *text;
+
+	if (partial == NULL || partial[0] == '\0')
+		return;
+	message =
+	    json_pack("{s:s, s:s}", "role", "assistant", "content", partial);
+	text = json_dumps(message, JSON_COMPACT);
+	buf_append_text(body, ",");
+	buf_append_text(body, text);
+	free(text);
+	json_decref(message);
+}
+
+static void
+build_body(const struct attempt_params *params, struct buf *body)
+{
+	bool continues = params->partial != NULL && params->partial[0] != '\0';
+
+	buf_printf(body,
+	    "{\"model\":\"%s\",\"adapter\":\"%s\",\"stream\":true,"
+	    "\"stream_options\":{\"include_usage\":true},"
+	    "\"max_tokens\":%llu,\"program\":\"%s\",\"attempt\":\"%s\","
+	    "\"priority\":%d,\"continue_final_message\":%s,\"messages\":[",
+	    params->model, params->adapter,
+	    (unsigned long long)params->max_tokens, params->program, params->id,
+	    params->urgent ? 0 : 1, continues ? "true" : "false");
+	buf_append(body, params->prompt->data, params->prompt->len);
+	append_partial(body, params->partial);
+	buf_append_text(body, "]}");
+}
+
+struct attempt *
+attempt_start(struct net *net, const struct attempt_params *params,
+    const struct attempt_callbacks *callbacks)
+{
+	struct attempt *attempt = xcalloc(1, sizeof(*attempt));
+	const struct http_header headers[] = {
+	    {"content-type", "application/json"},
+	    {"x-guavakeel-attempt", params->id},
+	    {NULL, NULL},
+	};
+	struct buf body = {0};
+	struct http_call_params http = {
+	    .address = params->server->address,
+	    .port = params->server->port,
+	    .method = HTTP_POST,
+	    .path = "/v1/chat/completions",
+	    .headers = headers,
+	    .timeout_us = params->timeout_us,
+	    .on_data = handle_data,
+	    .on_done = handle_done,
+	    .context = attempt,
+	};
+
+	attempt->callbacks = *callbacks;
+	attempt->line.max = ATTEMPT_LINE_BYTES;
+	snprintf(attempt->id, sizeof(attempt->id), "%s", params->id);
+	build_body(params, &body);
+	http.body = body.data;
+	http.body_len = body.len;
+	attempt->http = http_call_start(net, &http);
+	buf_reset(&body);
+	return attempt;
+}
+
+void
+attempt_cancel(struct attempt *attempt)
+{
+	http_call_cancel(attempt->http);
+	attempt_free(attempt);
+}
--- /dev/null
+++ b/daemon/call.c
@@ -0,0 +1,252 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "common/memory.h"
+#include "daemon/call.h"
+
+struct diag_context
+call_context(const struct call *call)
+{
+	return (struct diag_context){
+	    .program = call->program[0] != '\0' ? call->program : NULL,
+	    .request = call->request,
+	    .config_version = call->daemon->board.config.version,
+	};
+}
+
+/* The caller went away before its answer. */
+static void
+handle_caller_gone(void *context)
+{
+	struct call *call = context;
+
+	call->exchange = NULL;
+	switch (call->kind) {
+	case CALL_MODEL:
+		model_call_caller_gone(call);
+		break;
+	case CALL_TOOL:
+	case CALL_SERVICE:
+		service_call_caller_gone(call);
+		break;
+	default:
+		break;
+	}
+}
+
+struct call *
+call_create(struct daemon *daemon, enum call_kind kind,
+    struct http_exchange *exchange, const struct http_request *request)
+{
+	struct call *call = xcalloc(1, sizeof(*call));
+
+	call->id = ++daemon->board.next_call;
+	call->daemon = daemon;
+	call->kind = kind;
+	call->exchange = exchange;
+	snprintf(call->path, sizeof(call->path), "%s", request->path);
+	call->started_us = daemon->board.now_us;
+	call->deadline_us = INT64_MAX;
+	snprintf(call->request, sizeof(call->request), "%.32s-%" PRIu64,
+	    daemon->settings.vm_name, call->id);
+	http_exchange_on_close(exchange, handle_caller_gone, call);
+	HASH_ADD(hh, daemon->calls, id, sizeof(call->id), call);
+	return call;
+}
+
+void
+call_destroy(struct call *call)
+{
+	switch (call->kind) {
+	case CALL_MODEL:
+		model_call_free(call);
+		break;
+	case CALL_TOOL:
+	case CALL_SERVICE:
+		service_call_free(call);
+		break;
+	default:
+		break;
+	}
+	HASH_DEL(call->daemon->calls, call);
+	free(call);
+}
+
+struct call *
+call_find(struct daemon *daemon, call_id id)
+{
+	struct call *call;
+
+	HASH_FIND(hh, daemon->calls, &id, sizeof(id), call);
+	return call;
+}
+
+void
+answer_exchange(struct http_exchange *exchange, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	http_respond(
+	    exchange, status, "application/json", NULL, text, strlen(text));
+	free(text);
+	json_decref(body);
+}
+
+static json_t *
+error_body(enum refusal reason, enum run_state run, const char *detail,
+    const char *request)
+{
+	int after_s = refusal_retry_after_s(reason);
+	json_t *error = json_pack("{s:s, s:s}", "reason", refusal_name(reason),
+	    "run", run_state_name(run));
+
+	if (detail != NULL)
+		json_object_set_new(error, "detail", json_string(detail));
+	if (request != NULL)
+		json_object_set_new(error, "request", json_string(request));
+	if (after_s > 0)
+		json_object_set_new(
+		    error, "retry_after_s", json_integer(after_s));
+	return json_pack("{s:o}", "error", error);
+}
+
+static void
+respond_error(struct http_exchange *exchange, enum refusal reason,
+    enum run_state run, const char *detail, const char *request)
+{
+	json_t *body = error_body(reason, run, detail, request);
+	char *text = json_dumps(body, JSON_COMPACT);
+	char after[16];
+	struct http_header headers[] = {
+	    {"retry-after", after},
+	    {NULL, NULL},
+	};
+
+	snprintf(after, sizeof(after), "%d", refusal_retry_after_s(reason));
+	http_respond(exchange, refusal_http_status(reason), "application/json",
+	    refusal_retry_after_s(reason) > 0 ? headers : NULL, text,
+	    strlen(text));
+	free(text);
+	json_decref(body);
+}
+
+void
+refuse_exchange(struct daemon *daemon, struct http_exchange *exchange,
+    enum refusal reason, const char *detail)
+{
+	daemon->board.counters.refusals[reason]++;
+	respond_error(exchange, reason, RUN_NOT_RUN, detail, NULL);
+}
+
+/* In a stream that has begun, the error is its last event. */
+static void
+stream_error(struct call *call, enum refusal reason, enum run_state run,
+    const char *detail)
+{
+	json_t *body = error_body(reason, run, detail, call->request);
+	char *text = json_dumps(body, JSON_COMPACT);
+	struct buf event = {0};
+
+	buf_printf(&event, "data: %s\n\n", text);
+	if (http_stream_write(call->exchange, event.data, event.len))
+		http_stream_end(call->exchange);
+	else
+		http_abort(call->exchange);
+	buf_reset(&event);
+	free(text);
+	json_decref(body);
+}
+
+void
+call_refuse(struct call *call, enum refusal reason, enum run_state run,
+    const char *detail)
+{
+	struct diag_context context = call_context(call);
+
+	call->daemon->board.counters.refusals[reason]++;
+	diag(LOG_INFO, &context, "refused: %s (%s)", refusal_name(reason),
+	    run_state_name(run));
+	if (call->exchange != NULL) {
+		if (call->streaming)
+			stream_error(call, reason, run, detail);
+		else
+			respond_error(
+			    call->exchange, reason, run, detail, call->request);
+	}
+	call_destroy(call);
+}
+
+void
+call_answer(struct call *call, int status, json_t *body)
+{
+	struct counters *counters = &call->daemon->board.counters;
+
+	counters->responses_total++;
+	histogram_add(&counters->request_us,
+	    call->daemon->board.now_us - call->started_us);
+	if (call->exchange != NULL)
+		answer_exchange(call->exchange, status, body);
+	else
+		json_decref(body);
+	call_destroy(call);
+}
+
+/* Copies the address of the program's owner, as far as it is known. */
+static void
+owner_address(struct call *call, char *address, size_t size)
+{
+	struct daemon *daemon = call->daemon;
+	const struct member *member;
+	uint32_t shard;
+
+	address[0] = '\0';
+	if (!program_shard(call->program, &shard))
+		return;
+	owner_shard_address(daemon->owner, shard, address, size);
+	if (address[0] != '\0' && strcmp(address, daemon->address) != 0)
+		return;
+	address[0] = '\0';
+	member = members_shard_owner(
+	    &daemon->board.members, shard, daemon->board.now_us);
+	if (member != NULL && strcmp(member->vm, daemon->settings.vm_name) != 0)
+		snprintf(address, size, "%s:%d", member->address, member->port);
+}
+
+void
+call_redirect(struct call *call)
+{
+	char address[2 * NAME_BYTES];
+	char location[2 * HTTP_PATH_BYTES];
+	char *text;
+	json_t *body;
+	const struct http_header headers[] = {
+	    {"location", location},
+	    {NULL, NULL},
+	};
+
+	owner_address(call, address, sizeof(address));
+	if (address[0] == '\0' || call->exchange == NULL) {
+		call_refuse(call, REFUSAL_RECOVERING, RUN_NOT_RUN,
+		    "the program's owner is not known yet");
+		return;
+	}
+	call->daemon->board.counters.refusals[REFUSAL_NOT_OWNER]++;
+	snprintf(location, sizeof(location), "%s://%s%s",
+	    call->daemon->settings.tls_certificate[0] != '\0' ? "https"
+							      : "http",
+	    address, call->path);
+	body = error_body(
+	    REFUSAL_NOT_OWNER, RUN_NOT_RUN, "ask the owner", call->request);
+	json_object_set_new(
+	    json_object_get(body, "error"), "owner", json_string(address));
+	text = json_dumps(body, JSON_COMPACT);
+	http_respond(call->exchange, 307, "application/json", headers, text,
+	    strlen(text));
+	free(text);
+	json_decref(body);
+	call_destroy(call);
+}
--- /dev/null
+++ b/daemon/chat.c
@@ -0,0 +1,142 @@
+/* Parsing of model calls. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "daemon/call.h"
+
+enum {
+	BYTES_PER_TOKEN = 4,
+	DEFAULT_MAX_TOKENS = 512,
+	MAX_MAX_TOKENS = 1 << 20,
+};
+
+/* Serialises the new messages without the array's brackets. */
+static char *
+messages_text(const json_t *messages)
+{
+	char *text = json_dumps(messages, JSON_COMPACT);
+	size_t len = strlen(text);
+
+	memmove(text, text + 1, len - 2);
+	text[len - 2] = '\0';
+	return text;
+}
+
+static const char *
+check_messages(const json_t *messages)
+{
+	size_t index;
+	json_t *message;
+
+	if (!json_is_array(messages) || json_array_size(messages) == 0)
+		return "messages must be a non-empty array";
+	json_array_foreach (messages, index, message) {
+		if (!json_is_string(json_object_get(message, "role")))
+			return "each message needs a role";
+	}
+	return NULL;
+}
+
+/* Fills the call from its body; returns what is wrong, or NULL. */
+static const char *
+parse_chat(struct call *call, json_t *root)
+{
+	const char *model = NULL;
+	const char *adapter = "";
+	json_t *messages = NULL;
+	json_int_t max_tokens = DEFAULT_MAX_TOKENS;
+	int stream = 0;
+	const char *wrong;
+
+	if (json_unpack(root, "{s:s, s?s, s:o, s?I, s?b}", "model", &model,
+		"adapter", &adapter, "messages", &messages, "max_tokens",
+		&max_tokens, "stream", &stream) != 0)
+		return "body must be a JSON object with model and messages";
+	if (strlen(model) >= NAME_BYTES || strlen(adapter) >= NAME_BYTES)
+		return "model or adapter name is too long";
+	if (max_tokens < 1 || max_tokens > MAX_MAX_TOKENS)
+		return "max_tokens is out of range";
+	wrong = check_messages(messages);
+	if (wrong != NULL)
+		return wrong;
+	snprintf(call->model.model, NAME_BYTES, "%s", model);
+	snprintf(call->model.adapter, NAME_BYTES, "%s", adapter);
+	call->model.messages = messages_text(messages);
+	call->model.new_tokens =
+	    strlen(call->model.messages) / BYTES_PER_TOKEN + 1;
+	call->model.max_tokens = (uint64_t)max_tokens;
+	call->model.stream = stream != 0;
+	return NULL;
+}
+
+static const char *
+parse_headers(struct call *call, const struct http_request *request)
+{
+	char value[HTTP_HEADER_VALUE_BYTES];
+
+	if (!http_request_header(request, "x-guavakeel-program", call->program,
+		sizeof(call->program)))
+		return "header x-guavakeel-program is needed";
+	if (http_request_header(
+		request, "x-guavakeel-turn", value, sizeof(value))) {
+		char *end;
+
+		call->turn = strtoull(value, &end, 10);
+		if (*end != '\0' || call->turn == 0)
+			return "header x-guavakeel-turn must be 1 or more";
+	}
+	if (http_request_header(
+		request, "x-guavakeel-digest", value, sizeof(value))) {
+		if (!digest_parse(value, &call->digest))
+			return "header x-guavakeel-digest must be 64 hex digits";
+		call->has_digest = true;
+	}
+	if (http_request_header(
+		request, "x-guavakeel-deadline-ms", value, sizeof(value)))
+		call->deadline_us = call->started_us +
+		    (int64_t)strtoul(value, NULL, 10) * US_PER_MS;
+	http_request_header(request, "x-guavakeel-class", value, sizeof(value));
+	call->urgent = strcmp(value, "urgent") == 0;
+	http_request_header(
+	    request, "idempotency-key", call->key, sizeof(call->key));
+	return NULL;
+}
+
+void
+handle_chat(struct daemon *daemon, struct http_exchange *exchange,
+    const struct http_request *request, const char *rest)
+{
+	char workspace[NAME_BYTES];
+	const char *wrong;
+	struct call *call;
+	json_error_t json_error;
+	json_t *root;
+
+	(void)rest;
+	if (!api_check_workspace(daemon, exchange, request, workspace))
+		return;
+	root = json_loadb(
+	    (const char *)request->body, request->body_len, 0, &json_error);
+	if (root == NULL) {
+		refuse_exchange(
+		    daemon, exchange, REFUSAL_MALFORMED, json_error.text);
+		return;
+	}
+	call = call_create(daemon, CALL_MODEL, exchange, request);
+	memcpy(call->workspace, workspace, sizeof(workspace));
+	wrong = parse_headers(call, request);
+	if (wrong == NULL)
+		wrong = parse_chat(call, root);
+	json_decref(root);
+	if (wrong != NULL)
+		call_refuse(call, REFUSAL_MALFORMED, RUN_NOT_RUN, wrong);
+	else if (config_find_model(
+		     daemon->board.config.current, call->model.model) == NULL)
+		call_refuse(call, REFUSAL_UNKNOWN_MODEL, RUN_NOT_RUN,
+		    "the model is not declared");
+	else
+		model_call_begin(call);
+}
--- /dev/null
+++ b/daemon/chat_reply.c
@@ -0,0 +1,203 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/chat_reply.h"
+
+static bool
+send_event(struct call *call, json_t *event)
+{
+	char *text = json_dumps(event, JSON_COMPACT);
+	struct buf line = {0};
+	bool ok;
+
+	buf_printf(&line, "data: %s\n\n", text);
+	ok = http_stream_write(call->exchange, line.data, line.len);
+	buf_reset(&line);
+	free(text);
+	json_decref(event);
+	return ok;
+}
+
+/* The caller reads too slowly: its connection is cut. */
+static void
+drop_caller(struct call *call)
+{
+	struct http_exchange *exchange = call->exchange;
+
+	call->exchange = NULL;
+	http_abort(exchange);
+}
+
+static void
+begin_stream(struct call *call)
+{
+	if (call->streaming)
+		return;
+	call->streaming = true;
+	http_stream_begin(call->exchange, 200, "text/event-stream", NULL);
+}
+
+static json_t *
+chunk(const struct call *call, json_t *delta, const char *finish_reason)
+{
+	return json_pack("{s:s, s:s, s:s, s:[{s:i, s:o, s:s?}]}", "id",
+	    call->request, "object", "chat.completion.chunk", "model",
+	    call->model.model, "choices", "index", 0, "delta", delta,
+	    "finish_reason", finish_reason);
+}
+
+void
+chat_reply_text(struct call *call, const char *text)
+{
+	if (call->exchange == NULL || !call->model.stream)
+		return;
+	begin_stream(call);
+	if (!send_event(
+		call, chunk(call, json_pack("{s:s}", "content", text), NULL)))
+		drop_caller(call);
+}
+
+/* What guavakeel adds to the standard answer. */
+static json_t *
+extension(const struct call *call, bool durable)
+{
+	char digest[DIGEST_TEXT_BYTES];
+
+	digest_format(&call->digest, digest);
+	return json_pack("{s:s, s:I, s:s, s:b, s:s, s:s}", "program",
+	    call->program, "turn", (json_int_t)call->turn, "digest", digest,
+	    "durable", durable, "server", call->model.server, "request",
+	    call->request);
+}
+
+static json_t *
+usage(const struct call *call)
+{
+	const struct model_call *model = &call->model;
+
+	return json_pack("{s:I, s:I, s:I, s:{s:I}}", "prompt_tokens",
+	    (json_int_t)model->prompt_tokens, "completion_tokens",
+	    (json_int_t)model->answer_tokens, "total_tokens",
+	    (json_int_t)(model->prompt_tokens + model->answer_tokens),
+	    "prompt_tokens_details", "cached_tokens",
+	    (json_int_t)model->cached_tokens);
+}
+
+static json_t *
+assistant_message(const struct call *call)
+{
+	const struct model_call *model = &call->model;
+	json_t *message = json_pack("{s:s, s:s%}", "role", "assistant",
+	    "content",
+	    model->answer.data != NULL ? (const char *)model->answer.data : "",
+	    model->answer.len);
+
+	if (model->tool_calls != NULL)
+		json_object_set(message, "tool_calls", model->tool_calls);
+	return message;
+}
+
+void
+chat_reply_content(const struct call *call, struct buf *content)
+{
+	json_t *message = assistant_message(call);
+	char *text = json_dumps(message, JSON_COMPACT);
+
+	buf_printf(content, "[%s,%s]", call->model.messages, text);
+	free(text);
+	json_decref(message);
+}
+
+static void
+finish_stream(struct call *call, json_t *last)
+{
+	bool ok = send_event(call, last);
+
+	ok = ok && http_stream_write(call->exchange, "data: [DONE]\n\n", 14);
+	if (ok)
+		http_stream_end(call->exchange);
+	else
+		http_abort(call->exchange);
+	call->exchange = NULL;
+}
+
+static void
+count_answer(struct call *call)
+{
+	struct counters *counters = &call->daemon->board.counters;
+
+	counters->responses_total++;
+	histogram_add(&counters->request_us,
+	    call->daemon->board.now_us - call->started_us);
+}
+
+static void
+stream_end(struct call *call, bool durable)
+{
+	struct model_call *model = &call->model;
+	json_t *delta = json_object();
+	json_t *last;
+
+	begin_stream(call);
+	if (model->tool_calls != NULL)
+		json_object_set(delta, "tool_calls", model->tool_calls);
+	last = chunk(call, delta, model->finish_reason);
+	json_object_set_new(last, "usage", usage(call));
+	json_object_set_new(last, "guavakeel", extension(call, durable));
+	finish_stream(call, last);
+}
+
+/* Owns one reference to message. */
+static void
+answer_whole(struct call *call, json_t *message, bool durable)
+{
+	json_t *body =
+	    json_pack("{s:s, s:s, s:s, s:[{s:i, s:o, s:s}], s:o, s:o}", "id",
+		call->request, "object", "chat.completion", "model",
+		call->model.model, "choices", "index", 0, "message", message,
+		"finish_reason", call->model.finish_reason, "usage",
+		usage(call), "guavakeel", extension(call, durable));
+
+	answer_exchange(call->exchange, 200, body);
+	call->exchange = NULL;
+}
+
+void
+chat_reply_end(struct call *call, bool durable)
+{
+	count_answer(call);
+	if (call->exchange != NULL && call->model.stream)
+		stream_end(call, durable);
+	else if (call->exchange != NULL)
+		answer_whole(call, assistant_message(call), durable);
+}
+
+void
+chat_reply_kept(struct call *call, const struct record_bytes *content)
+{
+	json_t *messages =
+	    json_loadb((const char *)content->data, content->len, 0, NULL);
+	size_t count = json_array_size(messages);
+	json_t *message = json_incref(
+	    count > 0 ? json_array_get(messages, count - 1) : json_null());
+	const char *text =
+	    json_string_value(json_object_get(message, "content"));
+
+	json_decref(messages);
+	snprintf(call->model.finish_reason, NAME_BYTES, "stop");
+	if (call->exchange == NULL) {
+		json_decref(message);
+	} else if (call->model.stream) {
+		chat_reply_text(call, text != NULL ? text : "");
+		json_decref(call->model.tool_calls);
+		call->model.tool_calls =
+		    json_incref(json_object_get(message, "tool_calls"));
+		json_decref(message);
+		if (call->exchange != NULL)
+			stream_end(call, true);
+	} else {
+		answer_whole(call, message, true);
+	}
+	count_answer(call);
+}
--- /dev/null
+++ b/daemon/lane_controller.c
@@ -0,0 +1,210 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "common/memory.h"
+#include "daemon/controller.h"
+
+enum {
+	LANE_READ_BYTES = 512 << 10,
+	LANE_WAIT_MS = 1000,
+	LANE_RETRY_US = 200 * US_PER_MS,
+	APPENDS_AT_ONCE = 64,
+};
+
+/** Reader of one lane. */
+struct lane_reader {
+	struct lane_controller *controller;
+	uint32_t lane;
+	struct plog_request *read;
+	int64_t retry_us; /**< not before */
+};
+
+/** An append under way. */
+struct lane_append {
+	struct list link;
+	struct lane_controller *controller;
+	struct plog_request *request;
+	uint64_t number;
+};
+
+struct lane_controller {
+	struct daemon *daemon;
+	struct lane_reader *readers;
+	uint32_t count;
+	struct list appends; /**< of struct lane_append */
+};
+
+static void
+lane_stream(uint32_t lane, char stream[PLOG_STREAM_BYTES])
+{
+	snprintf(stream, PLOG_STREAM_BYTES, "lane-%u", lane);
+}
+
+static void
+deliver(struct lane_reader *reader, const struct plog_record *item)
+{
+	struct daemon *daemon = reader->controller->daemon;
+	struct record record;
+	struct error err = {0};
+
+	if (!record_decode(item->data, item->len, &record, &err)) {
+		diag(LOG_WARNING, NULL, "lane %u, offset %llu: %s",
+		    reader->lane, (unsigned long long)item->offset, err.text);
+		record.type = RECORD_NONE;
+	}
+	owner_handle_record(daemon->owner, reader->lane, item->offset, &record,
+	    daemon->board.now_us);
+}
+
+static void
+handle_read(void *context, const struct plog_read *read)
+{
+	struct lane_reader *reader = context;
+	struct daemon *daemon = reader->controller->daemon;
+	struct board *board = &daemon->board;
+	uint64_t next = 0;
+
+	reader->read = NULL;
+	board->now_us = clock_monotonic_us();
+	if (read->status == PLOG_EXPIRED) {
+		owner_handle_lane_expired(
+		    daemon->owner, reader->lane, read->first, board->now_us);
+		return;
+	}
+	if (read->status != PLOG_OK) {
+		board_note_log(board, false);
+		board->counters.retries[RETRY_LOG_READ]++;
+		reader->retry_us = board->now_us + LANE_RETRY_US;
+		return;
+	}
+	board_note_log(board, true);
+	for (size_t i = 0; i < read->count; i++) {
+		deliver(reader, &read->records[i]);
+		next = read->records[i].offset + 1;
+	}
+	if (read->count == 0 || next >= read->end)
+		owner_handle_lane_end(
+		    daemon->owner, reader->lane, read->end, board->now_us);
+}
+
+static void
+start_read(struct lane_reader *reader)
+{
+	struct daemon *daemon = reader->controller->daemon;
+	char stream[PLOG_STREAM_BYTES];
+	uint64_t from;
+
+	if (reader->read != NULL || reader->retry_us > daemon->board.now_us ||
+	    !owner_lane_position(daemon->owner, reader->lane, &from))
+		return;
+	lane_stream(reader->lane, stream);
+	reader->read = plog_read(daemon->plog, stream, from, LANE_READ_BYTES,
+	    LANE_WAIT_MS, handle_read, reader);
+}
+
+static enum append_result
+append_result_of(enum plog_status status)
+{
+	switch (status) {
+	case PLOG_OK:
+		return APPEND_DONE;
+	case PLOG_NOT_SENT:
+	case PLOG_THROTTLED:
+		return APPEND_NOT_DONE;
+	default:
+		return APPEND_UNKNOWN;
+	}
+}
+
+static void
+handle_appended(void *context, enum plog_status status, uint64_t first_offset)
+{
+	struct lane_append *append = context;
+	struct daemon *daemon = append->controller->daemon;
+
+	(void)first_offset;
+	daemon->board.now_us = clock_monotonic_us();
+	board_note_log(&daemon->board, status == PLOG_OK);
+	if (status != PLOG_OK)
+		daemon->board.counters.retries[RETRY_LOG_APPEND]++;
+	owner_handle_appended(daemon->owner, append->number,
+	    append_result_of(status), daemon->board.now_us);
+	list_remove(&append->link);
+	free(append);
+}
+
+static void
+start_append(
+    struct lane_controller *controller, const struct owner_batch *batch)
+{
+	struct lane_append *append = xcalloc(1, sizeof(*append));
+	struct plog_record *records = xcalloc(batch->count, sizeof(*records));
+	char stream[PLOG_STREAM_BYTES];
+
+	append->controller = controller;
+	append->number = batch->number;
+	for (size_t i = 0; i < batch->count; i++) {
+		records[i].data = batch->items[i].data;
+		records[i].len = batch->items[i].len;
+	}
+	lane_stream(batch->lane, stream);
+	list_append(&controller->appends, &append->link);
+	append->request = plog_append(controller->daemon->plog, stream, records,
+	    batch->count, handle_appended, append);
+	free(records);
+}
+
+void
+lane_controller_pump(struct lane_controller *controller)
+{
+	struct daemon *daemon = controller->daemon;
+	struct owner_batch batch;
+
+	if (controller->count == 0) {
+		uint32_t count = daemon->board.config.current->limits.lanes;
+
+		controller->readers =
+		    xcalloc(count, sizeof(*controller->readers));
+		controller->count = count;
+		for (uint32_t i = 0; i < count; i++) {
+			controller->readers[i].controller = controller;
+			controller->readers[i].lane = i;
+		}
+	}
+	for (uint32_t i = 0; i < controller->count; i++)
+		start_read(&controller->readers[i]);
+	for (int i = 0; i < APPENDS_AT_ONCE; i++) {
+		if (!owner_next_batch(
+			daemon->owner, daemon->board.now_us, &batch))
+			break;
+		start_append(controller, &batch);
+	}
+}
+
+struct lane_controller *
+lane_controller_create(struct daemon *daemon)
+{
+	struct lane_controller *controller = xcalloc(1, sizeof(*controller));
+
+	controller->daemon = daemon;
+	list_init(&controller->appends);
+	return controller;
+}
+
+void
+lane_controller_destroy(struct lane_controller *controller)
+{
+	for (uint32_t i = 0; i < controller->count; i++) {
+		if (controller->readers[i].read != NULL)
+			plog_cancel(controller->readers[i].read);
+	}
+	list_for_each_safe (
+	    append, tmp, &controller->appends, struct lane_append, link) {
+		plog_cancel(append->request);
+		free(append);
+	}
+	free(controller->readers);
+	free(controller);
+}
--- /dev/null
+++ b/daemon/model_call.c
@@ -0,0 +1,372 @@
+/* A model call: admitted by the owner, queued by the scheduler, sent to an
+ * engine, relayed to the caller, recorded. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "common/memory.h"
+#include "daemon/attempt.h"
+#include "daemon/call.h"
+#include "daemon/chat_reply.h"
+#include "daemon/controller.h"
+
+enum {
+	DURABLE_WAIT_US = 2 * US_PER_S, /**< then the caller is told */
+};
+
+void
+model_call_free(struct call *call)
+{
+	struct model_call *model = &call->model;
+
+	if (model->attempt != NULL)
+		attempt_cancel(model->attempt);
+	free(model->messages);
+	buf_reset(&model->prompt);
+	buf_reset(&model->answer);
+	json_decref(model->tool_calls);
+}
+
+/* One token is at least one byte. */
+static uint64_t
+most_tokens(const struct model_call *model)
+{
+	return strlen(model->messages) + model->max_tokens;
+}
+
+static uint64_t
+spent_tokens(const struct call *call)
+{
+	const struct model_call *model = &call->model;
+	uint64_t fresh = model->prompt_tokens > model->history_tokens
+	    ? model->prompt_tokens - model->history_tokens
+	    : 0;
+	uint64_t spent = fresh + model->answer_tokens;
+	uint64_t most = most_tokens(model);
+
+	return spent < most ? spent : most;
+}
+
+static void
+append_items(struct buf *prompt, const void *items, size_t len)
+{
+	if (len == 0)
+		return;
+	if (prompt->len > 0)
+		buf_append_text(prompt, ",");
+	buf_append(prompt, items, len);
+}
+
+/* Pieces of the history are JSON arrays. */
+static void
+build_prompt(struct call *call, const struct owner_answer *answer)
+{
+	struct model_call *model = &call->model;
+
+	buf_reset(&model->prompt);
+	for (size_t i = 0; i < answer->history_count; i++) {
+		const struct record_bytes *piece = &answer->history[i];
+
+		if (piece->len >= 2)
+			append_items(
+			    &model->prompt, piece->data + 1, piece->len - 2);
+	}
+	append_items(&model->prompt, model->messages, strlen(model->messages));
+	model->history_tokens = answer->history_tokens;
+}
+
+static void
+submit(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+	struct model_call *model = &call->model;
+	enum refusal reason = REFUSAL_OVERLOADED;
+	struct sched_call request = {
+	    .call = call->id,
+	    .fingerprint = hash_bytes(model->prompt.data, model->prompt.len, 0),
+	    .turn = call->turn,
+	    .history_tokens = model->history_tokens,
+	    .new_tokens = model->new_tokens,
+	    .max_tokens = model->max_tokens,
+	    .program_begun_us = call->started_us,
+	    .deadline_us = call->deadline_us,
+	    .urgent = call->urgent,
+	};
+
+	snprintf(request.program, sizeof(request.program), "%s", call->program);
+	snprintf(request.workspace, sizeof(request.workspace), "%s",
+	    call->workspace);
+	snprintf(request.model, sizeof(request.model), "%s", model->model);
+	snprintf(
+	    request.adapter, sizeof(request.adapter), "%s", model->adapter);
+	call->state = CALL_WAITING;
+	if (owner_quarantined(daemon->owner, request.fingerprint)) {
+		owner_call_abandon(
+		    daemon->owner, call->id, 0, daemon->board.now_us);
+		call_refuse(call, REFUSAL_QUARANTINED, RUN_NOT_RUN,
+		    "servers died while they ran this request");
+		return;
+	}
+	if (sched_submit(daemon->sched, &request, daemon->board.now_us,
+		&reason) == SCHED_QUEUED)
+		return;
+	owner_call_abandon(daemon->owner, call->id, 0, daemon->board.now_us);
+	call_refuse(call, reason, RUN_NOT_RUN, NULL);
+}
+
+static void
+replay(struct call *call, const struct owner_answer *answer)
+{
+	call->turn = answer->turn;
+	call->digest = answer->digest;
+	chat_reply_kept(call, &answer->kept);
+	call_destroy(call);
+}
+
+void
+model_call_begin(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+	struct owner_answer answer = {0};
+	const struct owner_call request = {
+	    .kind = OWNER_CALL_MODEL,
+	    .program = call->program,
+	    .workspace = call->workspace,
+	    .key = call->key,
+	    .tool = "",
+	    .turn = call->turn,
+	    .digest = call->has_digest ? &call->digest : NULL,
+	    .arguments = digest_chain(
+		NULL, call->model.messages, strlen(call->model.messages)),
+	    .cost_tokens = most_tokens(&call->model),
+	    .wall_us = clock_wall_us(),
+	};
+
+	call->state = CALL_ADMITTING;
+	switch (owner_call_admit(
+	    daemon->owner, call->id, &request, daemon->board.now_us, &answer)) {
+	case OWNER_OK:
+		call->turn = answer.turn + 1;
+		build_prompt(call, &answer);
+		submit(call);
+		break;
+	case OWNER_WAIT:
+	case OWNER_FETCH:
+		break;
+	case OWNER_REPLAY:
+		replay(call, &answer);
+		break;
+	case OWNER_NOT_MINE:
+		call_redirect(call);
+		break;
+	case OWNER_REFUSE:
+		call_refuse(call, answer.reason, answer.run, NULL);
+		break;
+	}
+}
+
+static void
+handle_text(void *context, const char *text)
+{
+	struct call *call = context;
+	struct model_call *model = &call->model;
+	struct counters *counters = &call->daemon->board.counters;
+	int64_t now_us = clock_monotonic_us();
+
+	if (model->answer.len == 0) {
+		sched_first_token(
+		    call->daemon->sched, call->id, model->server, now_us);
+		histogram_add(
+		    &counters->first_token_us, now_us - call->started_us);
+	} else {
+		histogram_add(
+		    &counters->inter_token_us, now_us - model->last_token_us);
+	}
+	model->last_token_us = now_us;
+	model->answer_tokens++;
+	counters->tokens_relayed_total++;
+	buf_append_text(&model->answer, text);
+	chat_reply_text(call, text);
+}
+
+static void
+handle_tool_calls(void *context, json_t *tool_calls)
+{
+	struct call *call = context;
+
+	json_decref(call->model.tool_calls);
+	call->model.tool_calls = json_incref(tool_calls);
+}
+
+/* The answer is whole: record the turn. */
+static void
+record_turn(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+	struct model_call *model = &call->model;
+	struct buf content = {0};
+	struct owner_turn_end end = {
+	    .server = model->server,
+	    .spent_tokens = spent_tokens(call),
+	    .prompt_tokens = model->prompt_tokens + model->answer_tokens,
+	};
+
+	chat_reply_content(call, &content);
+	end.content.data = content.data;
+	end.content.len = content.len;
+	call->state = CALL_RECORDING;
+	call->recording_us = daemon->board.now_us;
+	call->digest =
+	    owner_turn_end(daemon->owner, call->id, &end, daemon->board.now_us);
+	daemon->board.counters.turns_total++;
+	daemon->board.counters.prompt_tokens_total += model->prompt_tokens;
+	daemon->board.counters.cached_tokens_total += model->cached_tokens;
+	buf_reset(&content);
+}
+
+static void
+give_up(struct call *call, enum refusal reason)
+{
+	struct daemon *daemon = call->daemon;
+	bool ran = call->model.answer_tokens > 0;
+
+	owner_call_abandon(
+	    daemon->owner, call->id, spent_tokens(call), daemon->board.now_us);
+	call_refuse(call, reason, ran ? RUN_RAN : RUN_NOT_RUN,
+	    "the turn was not recorded; send it again");
+}
+
+/* The share of the budget that a failed attempt used is not known to the
+ * token; the text that came is counted. */
+static void
+handle_attempt_end(void *context, enum sched_result result, int status,
+    const char *finish_reason, const struct attempt_usage *usage)
+{
+	struct call *call = context;
+	struct daemon *daemon = call->daemon;
+	struct model_call *model = &call->model;
+	struct diag_context log = call_context(call);
+	enum refusal reason = REFUSAL_SERVER_FAILED;
+	enum sched_next next;
+
+	model->attempt = NULL;
+	daemon->board.now_us = clock_monotonic_us();
+	if (result == SCHED_DONE) {
+		model->prompt_tokens = usage->prompt_tokens;
+		model->cached_tokens = usage->cached_tokens;
+	}
+	next = sched_attempt_end(daemon->sched, call->id, model->server, result,
+	    model->prompt_tokens + model->answer_tokens, model->cached_tokens,
+	    daemon->board.now_us, &reason);
+	if (result == SCHED_DONE) {
+		snprintf(model->finish_reason, sizeof(model->finish_reason),
+		    "%s", finish_reason);
+		record_turn(call);
+		return;
+	}
+	diag(LOG_NOTICE, &log, "attempt at %s failed (result %d, status %d)",
+	    model->server, result, status);
+	if (next == SCHED_GIVE_UP)
+		give_up(call, reason);
+	else
+		call->state = CALL_WAITING;
+}
+
+void
+model_call_dispatch(struct call *call, const struct sched_dispatch *dispatch)
+{
+	struct daemon *daemon = call->daemon;
+	struct model_call *model = &call->model;
+	const struct config *config = daemon->board.config.current;
+	char id[2 * NAME_BYTES];
+	const struct attempt_callbacks callbacks = {
+	    .on_text = handle_text,
+	    .on_tool_calls = handle_tool_calls,
+	    .on_end = handle_attempt_end,
+	    .context = call,
+	};
+	struct attempt_params params = {
+	    .server = config_find_server(config, dispatch->server),
+	    .id = id,
+	    .program = call->program,
+	    .model = model->model,
+	    .adapter = model->adapter,
+	    .prompt = &model->prompt,
+	    .partial = buf_text(&model->answer),
+	    .max_tokens = model->max_tokens > model->answer_tokens
+		? model->max_tokens - model->answer_tokens
+		: 1,
+	    .urgent = call->urgent,
+	    .timeout_us = config->limits.call_timeout_us,
+	};
+
+	snprintf(model->server, sizeof(model->server), "%s", dispatch->server);
+	if (params.server == NULL) {
+		enum refusal reason = REFUSAL_NO_SERVER;
+
+		if (sched_attempt_end(daemon->sched, call->id, dispatch->server,
+			SCHED_NOT_STARTED, 0, 0, daemon->board.now_us,
+			&reason) == SCHED_GIVE_UP)
+			give_up(call, reason);
+		return;
+	}
+	snprintf(id, sizeof(id), "%s-%u", call->request, dispatch->attempt);
+	histogram_add(&daemon->board.counters.queue_us,
+	    daemon->board.now_us - call->started_us);
+	daemon->board.counters.attempts_total++;
+	call->state = CALL_RUNNING;
+	model->attempt = attempt_start(daemon->net, &params, &callbacks);
+}
+
+void
+model_call_event(struct call *call, const struct owner_event *event)
+{
+	switch (event->type) {
+	case OWNER_RESERVED:
+	case OWNER_HISTORY_READY:
+		model_call_begin(call);
+		break;
+	case OWNER_TURN_DURABLE:
+		histogram_add(&call->daemon->board.counters.durable_us,
+		    call->daemon->board.now_us - call->recording_us);
+		chat_reply_end(call, true);
+		call_destroy(call);
+		break;
+	case OWNER_NOT_DURABLE:
+		chat_reply_end(call, false);
+		call_destroy(call);
+		break;
+	case OWNER_REFUSED:
+		call_refuse(call, event->reason, event->run, NULL);
+		break;
+	default:
+		break;
+	}
+}
+
+void
+model_call_check_durable(struct call *call, int64_t now_us)
+{
+	if (call->state == CALL_RECORDING && call->exchange != NULL &&
+	    now_us - call->recording_us > DURABLE_WAIT_US)
+		chat_reply_end(call, false);
+}
+
+/* A turn that is being recorded goes on; anything earlier is given up. */
+void
+model_call_caller_gone(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+	int64_t now_us = daemon->board.now_us;
+
+	if (call->state == CALL_RECORDING)
+		return;
+	if (call->state == CALL_ADMITTING)
+		owner_call_detach(daemon->owner, call->id, now_us);
+	else
+		sched_cancel(daemon->sched, call->id, now_us);
+	owner_call_abandon(daemon->owner, call->id, spent_tokens(call), now_us);
+	call_destroy(call);
+}
--- /dev/null
+++ b/daemon/operator_api.c
@@ -0,0 +1,194 @@
+/* Status, metrics, health, drain, and the address answer. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "daemon/call.h"
+#include "daemon/controller.h"
+
+enum {
+	ADDRESSES_TOLD = 3,
+};
+
+void
+handle_metrics(struct daemon *daemon, struct http_exchange *exchange,
+    const struct http_request *request, const char *rest)
+{
+	struct buf out = {0};
+
+	(void)request;
+	(void)rest;
+	counters_render(&daemon->board.counters, &out);
+	http_respond(exchange, 200, "text/plain; version=0.0.4", NULL, out.data,
+	    out.len);
+	buf_reset(&out);
+}
+
+void
+handle_health(struct daemon *daemon, struct http_exchange *exchange,
+    const struct http_request *request, const char *rest)
+{
+	(void)daemon;
+	(void)request;
+	(void)rest;
+	answer_exchange(exchange, 200, json_pack("{s:b}", "alive", 1));
+}
+
+static bool
+is_ready(const struct daemon *daemon)
+{
+	return daemon->owner != NULL && !daemon->board.draining &&
+	    owner_owned_shards(daemon->owner) > 0;
+}
+
+void
+handle_ready(struct daemon *daemon, struct http_exchange *exchange,
+    const struct http_request *request, const char *rest)
+{
+	bool ready = is_ready(daemon);
+
+	(void)request;
+	(void)rest;
+	answer_exchange(exchange, ready ? 200 : 503,
+	    json_pack("{s:b, s:b, s:b}", "ready", ready, "configuration",
+		daemon->board.config.current != NULL, "draining",
+		daemon->board.draining));
+}
+
+void
+handle_status(struct daemon *daemon, struct http_exchange *exchange,
+    const struct http_request *request, const char *rest)
+{
+	const struct board *board = &daemon->board;
+	const struct owner *owner = daemon->owner;
+
+	(void)rest;
+	if (!api_check_operator(daemon, exchange, request))
+		return;
+	answer_exchange(exchange, 200,
+	    json_pack("{s:s, s:s, s:s, s:s, s:I, s:b, s:b, s:b, s:I, s:I, "
+		      "s:I, s:I}",
+		"vm", daemon->settings.vm_name, "address", daemon->address,
+		"failure_domain", daemon->settings.failure_domain, "region",
+		daemon->settings.region, "config_version",
+		(json_int_t)board->config.version, "config_maybe_stale",
+		board->config.maybe_stale, "log_reachable",
+		board->log.reachable, "draining", board->draining, "shards",
+		(json_int_t)(owner != NULL ? owner_owned_shards(owner) : 0),
+		"open_calls", (json_int_t)HASH_COUNT(daemon->calls), "members",
+		(json_int_t)board->members.count, "up_s",
+		(json_int_t)((board->now_us - board->started_us) / US_PER_S)));
+}
+
+void
+handle_program_list(struct daemon *daemon, struct http_exchange *exchange,
+    const struct http_request *request, const char *rest)
+{
+	struct buf out = {0};
+
+	(void)rest;
+	if (!api_check_operator(daemon, exchange, request))
+		return;
+	owner_describe(daemon->owner, &out);
+	http_respond(
+	    exchange, 200, "application/json", NULL, out.data, out.len);
+	buf_reset(&out);
+}
+
+void
+handle_drain(struct daemon *daemon, struct http_exchange *exchange,
+    const struct http_request *request, const char *rest)
+{
+	(void)rest;
+	if (!api_check_operator(daemon, exchange, request))
+		return;
+	if (request->method != HTTP_POST) {
+		refuse_exchange(
+		    daemon, exchange, REFUSAL_MALFORMED, "use POST");
+		return;
+	}
+	answer_exchange(exchange, 202,
+	    json_pack("{s:b, s:I}", "draining", 1, "open_calls",
+		(json_int_t)HASH_COUNT(daemon->calls)));
+	stop_controller_begin(daemon->stop);
+}
+
+static json_t *
+member_address(const struct member *member)
+{
+	char address[2 * NAME_BYTES];
+
+	snprintf(
+	    address, sizeof(address), "%s:%d", member->address, member->port);
+	return json_pack("{s:s, s:s, s:s}", "address", address,
+	    "failure_domain", member->failure_domain, "region", member->region);
+}
+
+/* Live members in random order, nearest first: this VM's region before the
+ * others, so that callers spread over VMs and stay near. */
+static json_t *
+pick_addresses(struct daemon *daemon)
+{
+	struct members *members = &daemon->board.members;
+	json_t *list = json_array();
+	size_t start = members->count > 0
+	    ? (size_t)(daemon->board.next_call++ % members->count)
+	    : 0;
+
+	for (int far = 0; far < 2; far++) {
+		for (size_t i = 0; i < members->count; i++) {
+			const struct member *member =
+			    &members->items[(start + i) % members->count];
+			bool near = strcmp(member->region,
+					daemon->settings.region) == 0;
+
+			if (near == (far == 1) ||
+			    json_array_size(list) >= ADDRESSES_TOLD ||
+			    member_state(member, daemon->board.now_us) !=
+				MEMBER_LIVE)
+				continue;
+			json_array_append_new(list, member_address(member));
+		}
+	}
+	return list;
+}
+
+/* Puts the program's owner first. */
+static void
+put_owner_first(struct daemon *daemon, const char *program, json_t *list)
+{
+	const struct member *owner;
+	uint32_t shard;
+
+	if (!program_shard(program, &shard))
+		return;
+	owner = members_shard_owner(
+	    &daemon->board.members, shard, daemon->board.now_us);
+	if (owner == NULL)
+		return;
+	json_array_insert_new(list, 0, member_address(owner));
+	if (json_array_size(list) > ADDRESSES_TOLD)
+		json_array_remove(list, ADDRESSES_TOLD);
+}
+
+void
+handle_addresses(struct daemon *daemon, struct http_exchange *exchange,
+    const struct http_request *request, const char *rest)
+{
+	const struct config *config = daemon->board.config.current;
+	struct config_limits defaults;
+	char program[PROGRAM_ID_BYTES];
+	json_t *list = pick_addresses(daemon);
+	int64_t ttl_us;
+
+	(void)rest;
+	config_limits_defaults(&defaults);
+	ttl_us = config != NULL ? config->limits.address_ttl_us
+				: defaults.address_ttl_us;
+	if (http_request_query(request, "program", program, sizeof(program)))
+		put_owner_first(daemon, program, list);
+	answer_exchange(exchange, 200,
+	    json_pack("{s:o, s:I}", "addresses", list, "keep_s",
+		(json_int_t)(ttl_us / US_PER_S)));
+}
--- /dev/null
+++ b/daemon/server_controller.c
@@ -0,0 +1,309 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "daemon/controller.h"
+#include "net/http.h"
+
+enum {
+	POLL_INTERVAL_MS = 500,
+	POLL_TIMEOUT_US = 2 * US_PER_S,
+	UNHEALTHY_FAILURES = 3, /**< failed polls in a row */
+};
+
+/** What is known of one backend server's polls. */
+struct server_poll {
+	struct list link;
+	struct server_controller *controller;
+	char server[NAME_BYTES];
+	char address[CONFIG_ADDRESS_BYTES];
+	int port;
+	struct http_call *load_call;
+	struct http_call *event_call;
+	uint64_t next_event;
+	int failures;
+	bool declared; /**< in the configuration in force */
+};
+
+/** An order to release a program's KV cache, under way. */
+struct kv_release {
+	struct list link;
+	struct server_controller *controller;
+	struct http_call *call;
+	char server[NAME_BYTES];
+	char program[PROGRAM_ID_BYTES];
+};
+
+struct server_controller {
+	struct daemon *daemon;
+	uv_timer_t *timer;
+	struct list polls;    /**< of struct server_poll */
+	struct list releases; /**< of struct kv_release */
+};
+
+static uint64_t
+get_number(json_t *object, const char *name)
+{
+	json_int_t value = json_integer_value(json_object_get(object, name));
+
+	return value > 0 ? (uint64_t)value : 0;
+}
+
+static void
+note_health(struct server_poll *poll, bool ok)
+{
+	struct daemon *daemon = poll->controller->daemon;
+
+	poll->failures = ok ? 0 : poll->failures + 1;
+	if (ok || poll->failures >= UNHEALTHY_FAILURES)
+		sched_handle_health(
+		    daemon->sched, poll->server, ok, daemon->board.now_us);
+}
+
+static void
+handle_load(void *context, const struct http_answer *answer)
+{
+	struct server_poll *poll = context;
+	struct daemon *daemon = poll->controller->daemon;
+	json_t *root =
+	    json_loadb((const char *)answer->body, answer->body_len, 0, NULL);
+	const struct sched_load load = {
+	    .running = (uint32_t)get_number(root, "running"),
+	    .waiting = (uint32_t)get_number(root, "waiting"),
+	    .kv_used_tokens = get_number(root, "kv_used_tokens"),
+	    .kv_tokens = get_number(root, "kv_tokens"),
+	    .waiting_prefill_tokens =
+		get_number(root, "waiting_prefill_tokens"),
+	};
+
+	poll->load_call = NULL;
+	daemon->board.now_us = clock_monotonic_us();
+	note_health(poll, root != NULL);
+	if (root != NULL)
+		sched_handle_load(
+		    daemon->sched, poll->server, &load, daemon->board.now_us);
+	json_decref(root);
+}
+
+static enum sched_cache_event
+event_type(json_t *event)
+{
+	const char *type = json_string_value(json_object_get(event, "type"));
+
+	if (type != NULL && strcmp(type, "stored") == 0)
+		return SCHED_CACHE_STORED;
+	if (type != NULL && strcmp(type, "evicted") == 0)
+		return SCHED_CACHE_EVICTED;
+	return SCHED_CACHE_CLEARED;
+}
+
+static void
+take_event(struct server_poll *poll, json_t *event)
+{
+	struct daemon *daemon = poll->controller->daemon;
+	const char *program =
+	    json_string_value(json_object_get(event, "program"));
+	uint64_t number = get_number(event, "number");
+
+	/* A gap: evictions may have been missed, not what is stored. */
+	poll->next_event = number + 1;
+	sched_handle_cache_event(daemon->sched, poll->server, event_type(event),
+	    program != NULL ? program : "", get_number(event, "tokens"),
+	    daemon->board.now_us);
+}
+
+static void
+handle_events(void *context, const struct http_answer *answer)
+{
+	struct server_poll *poll = context;
+	json_t *root =
+	    json_loadb((const char *)answer->body, answer->body_len, 0, NULL);
+	json_t *event;
+	size_t index;
+
+	poll->event_call = NULL;
+	poll->controller->daemon->board.now_us = clock_monotonic_us();
+	json_array_foreach (json_object_get(root, "events"), index, event)
+		take_event(poll, event);
+	json_decref(root);
+}
+
+static void
+start_polls(struct server_poll *poll)
+{
+	struct net *net = poll->controller->daemon->net;
+	char path[HTTP_PATH_BYTES];
+	struct http_call_params params = {
+	    .address = poll->address,
+	    .port = poll->port,
+	    .method = HTTP_GET,
+	    .path = "/v1/load",
+	    .timeout_us = POLL_TIMEOUT_US,
+	};
+
+	if (poll->load_call == NULL)
+		poll->load_call = http_fetch(net, &params, handle_load, poll);
+	snprintf(
+	    path, sizeof(path), "/v1/events?since=%" PRIu64, poll->next_event);
+	params.path = path;
+	if (poll->event_call == NULL)
+		poll->event_call =
+		    http_fetch(net, &params, handle_events, poll);
+}
+
+static void
+handle_timer(uv_timer_t *timer)
+{
+	struct server_controller *controller = timer->data;
+
+	list_for_each (poll, &controller->polls, struct server_poll, link)
+		start_polls(poll);
+}
+
+static void
+poll_destroy(struct server_poll *poll)
+{
+	if (poll->load_call != NULL)
+		http_call_cancel(poll->load_call);
+	if (poll->event_call != NULL)
+		http_call_cancel(poll->event_call);
+	list_remove(&poll->link);
+	free(poll);
+}
+
+static struct server_poll *
+find_poll(struct server_controller *controller, const char *server)
+{
+	list_for_each (poll, &controller->polls, struct server_poll, link) {
+		if (strcmp(poll->server, server) == 0)
+			return poll;
+	}
+	return NULL;
+}
+
+static void
+declare_poll(
+    struct server_controller *controller, const struct config_server *server)
+{
+	struct server_poll *poll = find_poll(controller, server->name);
+
+	if (poll == NULL) {
+		poll = xcalloc(1, sizeof(*poll));
+		poll->controller = controller;
+		snprintf(poll->server, NAME_BYTES, "%s", server->name);
+		list_append(&controller->polls, &poll->link);
+	}
+	snprintf(poll->address, sizeof(poll->address), "%s", server->address);
+	poll->port = server->port;
+	poll->declared = true;
+}
+
+void
+server_controller_reload(struct server_controller *controller)
+{
+	const struct config *config = controller->daemon->board.config.current;
+
+	list_for_each (poll, &controller->polls, struct server_poll, link)
+		poll->declared = false;
+	for (size_t i = 0; i < config->server_count; i++)
+		declare_poll(controller, &config->servers[i]);
+	list_for_each_safe (
+	    poll, tmp, &controller->polls, struct server_poll, link) {
+		if (!poll->declared)
+			poll_destroy(poll);
+	}
+}
+
+static void
+handle_released(void *context, const struct http_answer *answer)
+{
+	struct kv_release *release = context;
+	struct daemon *daemon = release->controller->daemon;
+
+	daemon->board.now_us = clock_monotonic_us();
+	if (answer->result == HTTP_RESULT_OK && answer->status == 200)
+		owner_kv_released(daemon->owner, release->program,
+		    release->server, daemon->board.now_us);
+	else
+		daemon->board.counters.retries[RETRY_RELEASE]++;
+	list_remove(&release->link);
+	free(release);
+}
+
+void
+server_controller_release_kv(struct server_controller *controller,
+    const char *server, const char *program)
+{
+	struct daemon *daemon = controller->daemon;
+	const struct config_server *declared =
+	    config_find_server(daemon->board.config.current, server);
+	struct kv_release *release;
+	char body[2 * NAME_BYTES];
+	struct http_call_params params = {
+	    .method = HTTP_POST,
+	    .path = "/v1/kv/release",
+	    .body = body,
+	    .timeout_us = POLL_TIMEOUT_US,
+	};
+
+	if (declared == NULL) {
+		/* A server that is no longer declared serves no one. */
+		owner_kv_released(
+		    daemon->owner, program, server, daemon->board.now_us);
+		return;
+	}
+	release = xcalloc(1, sizeof(*release));
+	release->controller = controller;
+	snprintf(release->server, NAME_BYTES, "%s", server);
+	snprintf(release->program, PROGRAM_ID_BYTES, "%s", program);
+	params.body_len = (size_t)snprintf(
+	    body, sizeof(body), "{\"program\":\"%s\"}", program);
+	params.address = declared->address;
+	params.port = declared->port;
+	list_append(&controller->releases, &release->link);
+	daemon->board.counters.kv_releases_total++;
+	release->call =
+	    http_fetch(daemon->net, &params, handle_released, release);
+}
+
+struct server_controller *
+server_controller_create(struct daemon *daemon)
+{
+	struct server_controller *controller = xcalloc(1, sizeof(*controller));
+
+	controller->daemon = daemon;
+	list_init(&controller->polls);
+	list_init(&controller->releases);
+	controller->timer = xcalloc(1, sizeof(*controller->timer));
+	uv_timer_init(&daemon->loop, controller->timer);
+	controller->timer->data = controller;
+	uv_timer_start(controller->timer, handle_timer, POLL_INTERVAL_MS,
+	    POLL_INTERVAL_MS);
+	return controller;
+}
+
+static void
+handle_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+void
+server_controller_destroy(struct server_controller *controller)
+{
+	list_for_each_safe (
+	    poll, tmp, &controller->polls, struct server_poll, link)
+		poll_destroy(poll);
+	list_for_each_safe (
+	    release, tmp, &controller->releases, struct kv_release, link) {
+		http_call_cancel(release->call);
+		free(release);
+	}
+	uv_close((uv_handle_t *)controller->timer, handle_closed);
+	free(controller);
+}
--- /dev/null
+++ b/daemon/service_api.c
@@ -0,0 +1,98 @@
+/* Parsing of tool calls and plain-service calls. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/call.h"
+
+static struct call *
+create(struct daemon *daemon, enum call_kind kind,
+    struct http_exchange *exchange, const struct http_request *request,
+    const char *workspace)
+{
+	struct call *call = call_create(daemon, kind, exchange, request);
+
+	snprintf(call->workspace, sizeof(call->workspace), "%s", workspace);
+	http_request_header(request, "x-guavakeel-program", call->program,
+	    sizeof(call->program));
+	http_request_header(
+	    request, "idempotency-key", call->key, sizeof(call->key));
+	call->service.method = request->method;
+	buf_append(&call->service.body, request->body, request->body_len);
+	return call;
+}
+
+/* A call that may not be repeated needs a program, whose owner keeps its
+ * intent, and a key. */
+static void
+begin(struct call *call)
+{
+	if (call->service.once && call->program[0] == '\0')
+		call_refuse(call, REFUSAL_MALFORMED, RUN_NOT_RUN,
+		    "header x-guavakeel-program is needed for this call");
+	else if (call->service.once && call->key[0] == '\0')
+		call_refuse(call, REFUSAL_MALFORMED, RUN_NOT_RUN,
+		    "header idempotency-key is needed for this call");
+	else
+		service_call_begin(call);
+}
+
+void
+handle_tool(struct daemon *daemon, struct http_exchange *exchange,
+    const struct http_request *request, const char *rest)
+{
+	const struct config_tool *tool =
+	    config_find_tool(daemon->board.config.current, rest);
+	char workspace[NAME_BYTES];
+	struct call *call;
+
+	if (!api_check_workspace(daemon, exchange, request, workspace))
+		return;
+	if (tool == NULL) {
+		refuse_exchange(daemon, exchange, REFUSAL_UNKNOWN_SERVICE,
+		    "the tool is not declared");
+		return;
+	}
+	call = create(daemon, CALL_TOOL, exchange, request, workspace);
+	snprintf(call->service.tool, NAME_BYTES, "%s", tool->name);
+	snprintf(call->service.service, NAME_BYTES, "%s", tool->service);
+	snprintf(call->service.path, HTTP_PATH_BYTES, "%s", tool->path);
+	call->service.method = HTTP_POST;
+	call->service.once = !tool->repeatable;
+	call->service.timeout_us = tool->timeout_us;
+	begin(call);
+}
+
+void
+handle_service(struct daemon *daemon, struct http_exchange *exchange,
+    const struct http_request *request, const char *rest)
+{
+	size_t len = strcspn(rest, "/");
+	const struct config_service *service = NULL;
+	char name[NAME_BYTES] = "";
+	char workspace[NAME_BYTES];
+	struct call *call;
+
+	if (!api_check_workspace(daemon, exchange, request, workspace))
+		return;
+	if (len < sizeof(name)) {
+		memcpy(name, rest, len);
+		service =
+		    config_find_service(daemon->board.config.current, name);
+	}
+	if (service == NULL) {
+		refuse_exchange(daemon, exchange, REFUSAL_UNKNOWN_SERVICE,
+		    "the service is not declared");
+		return;
+	}
+	call = create(daemon, CALL_SERVICE, exchange, request, workspace);
+	snprintf(call->service.tool, NAME_BYTES, "%s", name);
+	snprintf(call->service.service, NAME_BYTES, "%s", name);
+	snprintf(call->service.path, HTTP_PATH_BYTES, "%s%s%s",
+	    rest[len] == '/' ? rest + len : "/",
+	    request->query[0] != '\0' ? "?" : "", request->query);
+	call->service.once =
+	    !service->repeatable && request->method != HTTP_GET;
+	call->service.timeout_us = service->timeout_us;
+	begin(call);
+}
--- /dev/null
+++ b/daemon/service_call.c
@@ -0,0 +1,341 @@
+/* A tool call or plain-service call. One that may not be repeated is sent only
+ * after its intent is durable, and then once. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "daemon/call.h"
+
+enum {
+	ANSWER_MAX_BYTES = 1 << 20,
+};
+
+void
+service_call_free(struct call *call)
+{
+	if (call->service.http != NULL)
+		http_call_cancel(call->service.http);
+	buf_reset(&call->service.body);
+	buf_reset(&call->service.answer);
+}
+
+static void
+answer(struct call *call, int status, const void *body, size_t len)
+{
+	struct counters *counters = &call->daemon->board.counters;
+	const struct http_header headers[] = {
+	    {"x-guavakeel-run", "ran"},
+	    {"x-guavakeel-request", call->request},
+	    {NULL, NULL},
+	};
+
+	counters->responses_total++;
+	histogram_add(&counters->request_us,
+	    call->daemon->board.now_us - call->started_us);
+	if (call->exchange != NULL)
+		http_respond(call->exchange, status, "application/json",
+		    headers, body, len);
+	call_destroy(call);
+}
+
+static void send_request(struct call *call);
+
+static bool
+is_recorded(const struct call *call)
+{
+	return call->program[0] != '\0' && !call->unrecorded;
+}
+
+/* A repeatable call has its answer. */
+static void
+finish_repeatable(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+	struct service_call *service = &call->service;
+	const struct owner_turn_end end = {.server = ""};
+
+	if (!is_recorded(call)) {
+		answer(call, service->status, service->answer.data,
+		    service->answer.len);
+		return;
+	}
+	call->state = CALL_RECORDING;
+	call->recording_us = daemon->board.now_us;
+	owner_turn_end(daemon->owner, call->id, &end, daemon->board.now_us);
+}
+
+static void
+fail_repeatable(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+
+	if (is_recorded(call))
+		owner_call_abandon(
+		    daemon->owner, call->id, 0, daemon->board.now_us);
+	call_refuse(call, REFUSAL_SERVER_FAILED, RUN_UNKNOWN,
+	    "the service gave no answer; the call may be repeated");
+}
+
+static void
+finish_once(struct call *call, enum outcome outcome)
+{
+	struct daemon *daemon = call->daemon;
+	struct service_call *service = &call->service;
+	const struct record_bytes kept = {
+	    .data = service->answer.data,
+	    .len = service->answer.len,
+	};
+
+	service->outcome = outcome;
+	call->state = CALL_RECORDING;
+	call->recording_us = daemon->board.now_us;
+	owner_outcome(daemon->owner, call->id, outcome,
+	    (uint32_t)service->status, kept, daemon->board.now_us);
+}
+
+/* Nothing was sent: another endpoint may be tried. */
+static bool
+try_next_endpoint(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+	const struct config_service *service = config_find_service(
+	    daemon->board.config.current, call->service.service);
+
+	if (service == NULL || ++call->service.tries >= service->endpoint_count)
+		return false;
+	call->service.endpoint++;
+	send_request(call);
+	return true;
+}
+
+static void
+handle_answer(void *context, const struct http_answer *http)
+{
+	struct call *call = context;
+	struct service_call *service = &call->service;
+	struct counters *counters = &call->daemon->board.counters;
+
+	service->http = NULL;
+	call->daemon->board.now_us = clock_monotonic_us();
+	service->status = http->status;
+	buf_append(&service->answer, http->body, http->body_len);
+	if (http->result == HTTP_RESULT_CONNECT_FAILED) {
+		counters->retries[RETRY_CONNECT_FAILED]++;
+		if (try_next_endpoint(call))
+			return;
+	}
+	if (http->result == HTTP_RESULT_OK) {
+		if (service->once)
+			finish_once(call, OUTCOME_DONE);
+		else
+			finish_repeatable(call);
+		return;
+	}
+	if (service->once) {
+		finish_once(call,
+		    http->result == HTTP_RESULT_CONNECT_FAILED
+			? OUTCOME_NOT_RUN
+			: OUTCOME_UNKNOWN);
+		return;
+	}
+	counters
+	    ->retries[http->result == HTTP_RESULT_TIMEOUT ? RETRY_TIMEOUT
+							  : RETRY_SERVER_CUT]++;
+	if (!try_next_endpoint(call))
+		fail_repeatable(call);
+}
+
+/* Returns the endpoint to use, skipping those that leave. */
+static const struct config_endpoint *
+choose_endpoint(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+	const struct config_service *service = config_find_service(
+	    daemon->board.config.current, call->service.service);
+
+	if (service == NULL || service->endpoint_count == 0)
+		return NULL;
+	for (size_t i = 0; i < service->endpoint_count; i++) {
+		size_t at =
+		    (call->service.endpoint + i) % service->endpoint_count;
+
+		if (!service->endpoints[at].leaving) {
+			call->service.endpoint = at;
+			return &service->endpoints[at];
+		}
+	}
+	return NULL;
+}
+
+static void
+refuse_without_endpoint(struct call *call)
+{
+	if (call->service.once) {
+		finish_once(call, OUTCOME_NOT_RUN);
+		return;
+	}
+	if (is_recorded(call))
+		owner_call_abandon(call->daemon->owner, call->id, 0,
+		    call->daemon->board.now_us);
+	call_refuse(call, REFUSAL_NO_SERVER, RUN_NOT_RUN, NULL);
+}
+
+static void
+send_request(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+	struct service_call *service = &call->service;
+	const struct config_endpoint *endpoint = choose_endpoint(call);
+	const struct http_header headers[] = {
+	    {"content-type", "application/json"},
+	    {"idempotency-key", call->key},
+	    {"x-guavakeel-attempt", call->request},
+	    {"x-guavakeel-program", call->program},
+	    {NULL, NULL},
+	};
+	struct http_call_params params = {
+	    .method = service->method,
+	    .path = service->path,
+	    .headers = headers,
+	    .body = service->body.data,
+	    .body_len = service->body.len,
+	    .timeout_us = service->timeout_us,
+	    .max_answer_bytes = ANSWER_MAX_BYTES,
+	};
+
+	if (endpoint == NULL) {
+		refuse_without_endpoint(call);
+		return;
+	}
+	params.address = endpoint->address;
+	params.port = endpoint->port;
+	call->state = CALL_RUNNING;
+	service->answer.len = 0;
+	daemon->board.counters.attempts_total++;
+	service->http = http_fetch(daemon->net, &params, handle_answer, call);
+}
+
+static void
+replay(struct call *call, const struct owner_answer *kept)
+{
+	if (!call->service.once) {
+		/* Its answer is not kept; running it again does no harm. */
+		call->unrecorded = true;
+		send_request(call);
+		return;
+	}
+	if (kept->outcome == OUTCOME_DONE)
+		answer(call, (int)kept->kept_status, kept->kept.data,
+		    kept->kept.len);
+	else if (kept->outcome == OUTCOME_NOT_RUN)
+		call_refuse(
+		    call, REFUSAL_SERVER_FAILED, RUN_NOT_RUN, "recorded");
+	else
+		call_refuse(call, REFUSAL_OUTCOME_UNKNOWN, RUN_UNKNOWN,
+		    "an operator can settle it");
+}
+
+void
+service_call_begin(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+	struct owner_answer kept = {0};
+	const struct owner_call request = {
+	    .kind =
+		call->service.once ? OWNER_CALL_ONCE : OWNER_CALL_REPEATABLE,
+	    .program = call->program,
+	    .workspace = call->workspace,
+	    .key = call->key,
+	    .tool = call->service.tool,
+	    .turn = call->turn,
+	    .arguments = digest_chain(
+		NULL, call->service.body.data, call->service.body.len),
+	    .wall_us = clock_wall_us(),
+	};
+
+	call->state = CALL_ADMITTING;
+	call->service.endpoint = (size_t)call->id;
+	if (call->program[0] == '\0') {
+		send_request(call);
+		return;
+	}
+	switch (owner_call_admit(
+	    daemon->owner, call->id, &request, daemon->board.now_us, &kept)) {
+	case OWNER_OK:
+		send_request(call);
+		break;
+	case OWNER_WAIT:
+	case OWNER_FETCH:
+		break;
+	case OWNER_REPLAY:
+		replay(call, &kept);
+		break;
+	case OWNER_NOT_MINE:
+		call_redirect(call);
+		break;
+	case OWNER_REFUSE:
+		call_refuse(call, kept.reason, kept.run, NULL);
+		break;
+	}
+}
+
+static void
+answer_outcome(struct call *call)
+{
+	struct service_call *service = &call->service;
+
+	switch (service->outcome) {
+	case OUTCOME_DONE:
+		answer(call, service->status, service->answer.data,
+		    service->answer.len);
+		break;
+	case OUTCOME_NOT_RUN:
+		call_refuse(call, REFUSAL_NO_SERVER, RUN_NOT_RUN, NULL);
+		break;
+	default:
+		call_refuse(call, REFUSAL_OUTCOME_UNKNOWN, RUN_UNKNOWN,
+		    "look it up later, or ask an operator to settle it");
+		break;
+	}
+}
+
+void
+service_call_event(struct call *call, const struct owner_event *event)
+{
+	switch (event->type) {
+	case OWNER_DISPATCH:
+		send_request(call);
+		break;
+	case OWNER_RESERVED:
+	case OWNER_HISTORY_READY:
+		service_call_begin(call);
+		break;
+	case OWNER_TURN_DURABLE:
+	case OWNER_NOT_DURABLE:
+	case OWNER_OUTCOME_DURABLE:
+		if (call->service.once)
+			answer_outcome(call);
+		else
+			answer(call, call->service.status,
+			    call->service.answer.data,
+			    call->service.answer.len);
+		break;
+	case OWNER_REFUSED:
+		call_refuse(call, event->reason, event->run, NULL);
+		break;
+	default:
+		break;
+	}
+}
+
+/* What was sent goes on, so that its outcome is known. */
+void
+service_call_caller_gone(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+
+	if (call->state != CALL_ADMITTING)
+		return;
+	owner_call_detach(daemon->owner, call->id, daemon->board.now_us);
+}
--- /dev/null
+++ b/daemon/stop_controller.c
@@ -0,0 +1,83 @@
+#include <inttypes.h>
+#include <stdlib.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "common/memory.h"
+#include "daemon/call.h"
+#include "daemon/controller.h"
+
+enum {
+	/** Callers and other VMs learn of the drain before the socket closes.
+	 */
+	STOP_NOTICE_US = 2 * US_PER_S,
+};
+
+struct stop_controller {
+	struct daemon *daemon;
+	bool stopping;
+	bool stopped;
+	int64_t begun_us;
+	uint64_t answers_before;
+};
+
+struct stop_controller *
+stop_controller_create(struct daemon *daemon)
+{
+	struct stop_controller *controller = xcalloc(1, sizeof(*controller));
+
+	controller->daemon = daemon;
+	return controller;
+}
+
+void
+stop_controller_destroy(struct stop_controller *controller)
+{
+	free(controller);
+}
+
+void
+stop_controller_begin(struct stop_controller *controller)
+{
+	struct daemon *daemon = controller->daemon;
+
+	if (controller->stopping)
+		return;
+	controller->stopping = true;
+	controller->begun_us = daemon->board.now_us;
+	controller->answers_before = daemon->board.counters.responses_total;
+	daemon->board.draining = true;
+	diag(LOG_NOTICE, NULL, "draining: %u calls in flight",
+	    HASH_COUNT(daemon->calls));
+	member_controller_assign(daemon);
+}
+
+static bool
+is_finished(const struct stop_controller *controller)
+{
+	const struct daemon *daemon = controller->daemon;
+	int64_t elapsed_us = daemon->board.now_us - controller->begun_us;
+
+	if (elapsed_us > daemon->settings.stop_grace_us)
+		return true;
+	if (elapsed_us < STOP_NOTICE_US || daemon->calls != NULL ||
+	    net_open_exchanges(daemon->net) > 0)
+		return false;
+	return daemon->owner == NULL || owner_owned_shards(daemon->owner) == 0;
+}
+
+void
+stop_controller_pump(struct stop_controller *controller)
+{
+	struct daemon *daemon = controller->daemon;
+
+	if (!controller->stopping || controller->stopped ||
+	    !is_finished(controller))
+		return;
+	controller->stopped = true;
+	diag(LOG_NOTICE, NULL,
+	    "stopped: %" PRIu64 " calls finished during the drain, %u cut",
+	    daemon->board.counters.responses_total - controller->answers_before,
+	    HASH_COUNT(daemon->calls));
+	uv_stop(&daemon->loop);
+}
