Add scheduling of model calls: placement, order, pauses, retries, admission

The daemon and the experiment need one decision code without I/O. Each job is a small module: server table with load estimate, choice of server, queue order, pause policy, admission, retry budget, circuit breaker. The baselines of the experiment are policies of the same code.

test-route: 14 checks pass, plain and under the sanitizers.

--- a/include/route/sched.h
+++ b/include/route/sched.h
@@ -16,11 +16,46 @@
 
 struct sched;
 
+/** Choice of server. */
+enum sched_routing {
+	SCHED_ROUTE_COST, /**< least expected cost of a few candidates */
+	SCHED_ROUTE_RANDOM,
+	SCHED_ROUTE_ROUND_ROBIN,
+	SCHED_ROUTE_LEAST_LOADED,
+	SCHED_ROUTE_TWO_CHOICES,
+	SCHED_ROUTE_AFFINITY, /**< prefix affinity with a load bound */
+};
+
+/** Order of waiting calls, here and in the engine. */
+enum sched_order {
+	SCHED_ORDER_PROGRAM, /**< by program; urgent calls first */
+	SCHED_ORDER_FCFS,
+};
+
+enum sched_keep {
+	SCHED_KEEP_LEARNED, /**< by the tool's pauses so far */
+	SCHED_KEEP_ALWAYS,
+	SCHED_KEEP_NEVER,
+};
+
+/** How decisions are made; all zero: as the product ships. The others are
+ * baselines of `guavakeel experiment`. */
+struct sched_policy {
+	enum sched_routing routing;
+	enum sched_order order;
+	enum sched_keep keep;
+	bool no_admission;   /**< never refuse or hold back a new program */
+	bool no_correction;  /**< ignore own calls newer than a report */
+	bool no_speed;       /**< ignore each server's measured speed */
+	bool no_waste_price; /**< ignore limits.wasted_token_cost_us */
+};
+
 struct sched_options {
 	const char *region;         /**< of this VM */
 	const char *failure_domain; /**< of this VM */
 	struct counters *counters;
 	uint64_t seed;
+	struct sched_policy policy;
 };
 
 struct sched_call {
@@ -53,6 +88,7 @@
 	uint32_t attempt; /**< 1, 2, ... */
 	bool hedge;       /**< a second copy of a slow call */
 	uint64_t expected_cached_tokens;
+	uint32_t priority; /**< for the engine; lower runs first */
 };
 
 /** How an attempt ended. */
@@ -102,43 +138,47 @@
 
 /** Queues a model call, or refuses it. */
 enum sched_verdict sched_submit(struct sched *sched,
-    const struct sched_call *call, int64_t now_us, enum refusal *reason);
+    const struct sched_call *request, int64_t now_us, enum refusal *reason);
 /** Takes the next call that has a server now; false: none. */
 bool sched_next(
     struct sched *sched, int64_t now_us, struct sched_dispatch *dispatch);
-/** Returns when sched_next() or sched_expired() may have something without
- * any other event; INT64_MAX: never. */
+/** Returns when sched_next(), sched_expired() or sched_release_due() may have
+ * something without any other event; INT64_MAX: never. */
 int64_t sched_next_us(const struct sched *sched);
 /** Takes the next queued call that is past its deadline; it is forgotten. */
-bool sched_expired(
-    struct sched *sched, int64_t now_us, uint64_t *call, enum refusal *reason);
+bool sched_expired(struct sched *sched, int64_t now_us, uint64_t *handle,
+    enum refusal *reason);
 /** The first token of an attempt has come. */
 void sched_first_token(
-    struct sched *sched, uint64_t call, const char *server, int64_t now_us);
+    struct sched *sched, uint64_t handle, const char *server, int64_t now_us);
 /** An attempt is over. For SCHED_DONE and SCHED_CANCELLED the call is
  * forgotten; else the result tells whether it is tried again. cached_tokens:
  * what the server found in its cache; prompt_tokens: length of the history
  * after the turn. */
-enum sched_next sched_attempt_end(struct sched *sched, uint64_t call,
-    const char *server, enum sched_result result, uint64_t prompt_tokens,
+enum sched_next sched_attempt_end(struct sched *sched, uint64_t handle,
+    const char *name, enum sched_result result, uint64_t prompt_tokens,
     uint64_t cached_tokens, int64_t now_us, enum refusal *reason);
 /** Forgets a call that waits or runs. */
-void sched_cancel(struct sched *sched, uint64_t call, int64_t now_us);
+void sched_cancel(struct sched *sched, uint64_t handle, int64_t now_us);
 
 /** A call of the program ended with a request for this tool (or ""). */
-enum sched_pause sched_pause_begin(struct sched *sched, const char *program,
+enum sched_pause sched_pause_begin(struct sched *sched, const char *id,
     const char *workspace, const char *tool, int64_t now_us);
+/** Takes the next program whose pause has outlasted what keeping its cache
+ * is worth: order that server to release it. False: none. */
+bool sched_release_due(struct sched *sched, int64_t now_us,
+    char id[PROGRAM_ID_BYTES], char server[NAME_BYTES]);
 /** The program is over: forget its cache and its history of pauses. */
 void sched_program_end(struct sched *sched, const char *program);
 
-void sched_handle_load(struct sched *sched, const char *server,
+void sched_handle_load(struct sched *sched, const char *name,
     const struct sched_load *load, int64_t now_us);
-void sched_handle_cache_event(struct sched *sched, const char *server,
-    enum sched_cache_event event, const char *program, uint64_t tokens,
+void sched_handle_cache_event(struct sched *sched, const char *name,
+    enum sched_cache_event event, const char *id, uint64_t tokens,
     int64_t now_us);
 /** Health as probes see it, and leaving as list or operator say. */
 void sched_handle_health(
-    struct sched *sched, const char *server, bool healthy, int64_t now_us);
-void sched_set_leaving(struct sched *sched, const char *server, bool leaving);
+    struct sched *sched, const char *name, bool healthy, int64_t now_us);
+void sched_set_leaving(struct sched *sched, const char *name, bool leaving);
 
 #endif
--- /dev/null
+++ b/route/admit.c
@@ -0,0 +1,44 @@
+#include "route/admit.h"
+
+enum {
+	ADMIT_WAIT_US = 20 * US_PER_S, /**< longest wait of a new program */
+	ADMIT_QUEUE_MAX = 10000,       /**< calls waiting on one VM */
+};
+
+/** Share of a server's memory above which it begins no programs. */
+static const double ADMIT_PRESSURE = 0.85;
+/** Share of its batch above which it begins no programs. */
+static const double ADMIT_RUNNING = 1.0;
+
+bool
+admit_call(const struct route_queue *queue, const struct sched_policy *policy,
+    const struct route_call *call, int64_t now_us, enum refusal *reason)
+{
+	if (call->request.deadline_us <= now_us) {
+		*reason = REFUSAL_DEADLINE;
+		return false;
+	}
+	if (policy->no_admission)
+		return true;
+	*reason = REFUSAL_OVERLOADED;
+	if (queue->count >= ADMIT_QUEUE_MAX)
+		return false;
+	if (!queue_is_new(call))
+		return true;
+	if (queue_new_wait_us(queue, now_us) > ADMIT_WAIT_US)
+		return false;
+	return call->request.deadline_us - now_us >
+	    queue_new_wait_us(queue, now_us);
+}
+
+bool
+admit_new_at(const struct route_server *server,
+    const struct sched_policy *policy, int64_t waited_us)
+{
+	double room = server->config.max_running * ADMIT_RUNNING;
+
+	if (policy->no_admission || waited_us >= QUEUE_STARVATION_US)
+		return true;
+	return (double)server_calls(server, policy) < room &&
+	    server_pressure(server) < ADMIT_PRESSURE;
+}
--- /dev/null
+++ b/route/event.c
@@ -0,0 +1,129 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "route/internal.h"
+
+static enum sched_pause
+sched_pause_learned(
+    struct sched *sched, struct route_program *program, int64_t now_us)
+{
+	const struct route_server *server = program->holdings[0].server;
+	int64_t memory_us, keep_us;
+
+	if (server == NULL || server->config.kv_tokens == 0)
+		return SCHED_PAUSE_KEEP;
+	memory_us = (int64_t)((double)server->config.kv_tokens * US_PER_S /
+	    server->prefill_tokens_per_s);
+	keep_us = pauses_keep_us(
+	    &sched->pauses, program->tool, memory_us, server_pressure(server));
+	if (keep_us == 0) {
+		program_lose_holding(program, server);
+		return SCHED_PAUSE_DROP;
+	}
+	program->release_us = now_us + keep_us;
+	return SCHED_PAUSE_KEEP;
+}
+
+enum sched_pause
+sched_pause_begin(struct sched *sched, const char *id, const char *workspace,
+    const char *tool, int64_t now_us)
+{
+	struct route_program *program = programs_use(&sched->programs, id);
+
+	snprintf(
+	    program->tool, sizeof(program->tool), "%s/%s", workspace, tool);
+	program->pause_begun_us = now_us;
+	switch (sched->policy.keep) {
+	case SCHED_KEEP_LEARNED:
+		return sched_pause_learned(sched, program, now_us);
+	case SCHED_KEEP_ALWAYS:
+		return SCHED_PAUSE_KEEP;
+	case SCHED_KEEP_NEVER:
+		break;
+	}
+	program_lose_holding(program, program->holdings[0].server);
+	return SCHED_PAUSE_DROP;
+}
+
+bool
+sched_release_due(struct sched *sched, int64_t now_us,
+    char id[PROGRAM_ID_BYTES], char server[NAME_BYTES])
+{
+	if (now_us < sched->released_us + SCHED_RELEASE_US)
+		return false;
+	list_for_each (
+	    program, &sched->programs.used, struct route_program, used) {
+		struct route_holding *holding = &program->holdings[0];
+
+		if (program->release_us > now_us)
+			continue;
+		program->release_us = INT64_MAX;
+		if (holding->server == NULL || holding->tokens == 0)
+			continue;
+		holding->tokens = 0;
+		memcpy(id, program->id, PROGRAM_ID_BYTES);
+		memcpy(server, holding->server->config.name, NAME_BYTES);
+		return true;
+	}
+	sched->released_us = now_us;
+	return false;
+}
+
+void
+sched_program_end(struct sched *sched, const char *program)
+{
+	programs_remove(&sched->programs, program);
+}
+
+void
+sched_handle_load(struct sched *sched, const char *name,
+    const struct sched_load *load, int64_t now_us)
+{
+	struct route_server *server = servers_find(&sched->servers, name);
+
+	if (server != NULL)
+		server_handle_load(server, load, now_us);
+}
+
+void
+sched_handle_cache_event(struct sched *sched, const char *name,
+    enum sched_cache_event event, const char *id, uint64_t tokens,
+    int64_t now_us)
+{
+	struct route_server *server = servers_find(&sched->servers, name);
+	struct route_program *program;
+
+	(void)now_us;
+	if (server == NULL)
+		return;
+	if (event == SCHED_CACHE_CLEARED) {
+		programs_clear_server(&sched->programs, server);
+		return;
+	}
+	program = programs_find(&sched->programs, id);
+	if (program == NULL)
+		return;
+	if (event == SCHED_CACHE_STORED)
+		program_set_holding(program, server, tokens);
+	else
+		program_lose_holding(program, server);
+}
+
+void
+sched_handle_health(
+    struct sched *sched, const char *name, bool healthy, int64_t now_us)
+{
+	struct route_server *server = servers_find(&sched->servers, name);
+
+	if (server != NULL)
+		server_handle_health(server, healthy, now_us);
+}
+
+void
+sched_set_leaving(struct sched *sched, const char *name, bool leaving)
+{
+	struct route_server *server = servers_find(&sched->servers, name);
+
+	if (server != NULL)
+		server->leaving = leaving;
+}
--- /dev/null
+++ b/route/queue.c
@@ -0,0 +1,107 @@
+#include "route/queue.h"
+
+enum {
+	QUEUE_URGENT = 0, /**< priority of urgent and of starving calls */
+	QUEUE_LEVEL_TOKENS = 4096, /**< served tokens of the first level */
+	QUEUE_LEVELS = 16,
+	QUEUE_PROMOTE_US = 100 * US_PER_MS, /**< between two checks */
+};
+
+void
+queue_init(struct route_queue *queue)
+{
+	*queue = (struct route_queue){0};
+	list_init(&queue->calls);
+}
+
+/* Least attained service: each doubling of the work done for a program is a
+ * level. */
+static uint32_t
+queue_level(uint64_t served_tokens)
+{
+	uint64_t left = served_tokens / QUEUE_LEVEL_TOKENS;
+	uint32_t level = 1;
+
+	while (left > 0 && level < QUEUE_LEVELS) {
+		left >>= 1;
+		level++;
+	}
+	return level;
+}
+
+uint32_t
+queue_priority(const struct sched_policy *policy, const struct sched_call *call)
+{
+	if (policy->order == SCHED_ORDER_FCFS)
+		return QUEUE_URGENT;
+	if (call->urgent)
+		return QUEUE_URGENT;
+	return queue_level(call->program_served_tokens);
+}
+
+bool
+queue_is_new(const struct route_call *call)
+{
+	const struct sched_call *request = &call->request;
+
+	return request->turn <= 1 && !request->urgent && !request->child;
+}
+
+void
+queue_insert(struct route_queue *queue, struct route_call *call)
+{
+	struct list *at = queue->calls.prev;
+
+	while (at != &queue->calls) {
+		const struct route_call *other =
+		    list_entry(at, struct route_call, link);
+
+		if (other->priority < call->priority)
+			break;
+		if (other->priority == call->priority &&
+		    other->submitted_us <= call->submitted_us)
+			break;
+		at = at->prev;
+	}
+	list_insert(at, &call->link);
+	queue->count++;
+	queue->new_count += queue_is_new(call);
+}
+
+void
+queue_remove(struct route_queue *queue, struct route_call *call)
+{
+	list_remove(&call->link);
+	queue->count--;
+	queue->new_count -= queue_is_new(call);
+}
+
+void
+queue_promote(struct route_queue *queue, int64_t now_us)
+{
+	if (now_us < queue->promoted_us + QUEUE_PROMOTE_US)
+		return;
+	queue->promoted_us = now_us;
+	list_for_each_safe (call, tmp, &queue->calls, struct route_call, link) {
+		if (call->priority == QUEUE_URGENT ||
+		    now_us - call->submitted_us < QUEUE_STARVATION_US)
+			continue;
+		queue_remove(queue, call);
+		call->priority = QUEUE_URGENT;
+		queue_insert(queue, call);
+	}
+}
+
+int64_t
+queue_new_wait_us(const struct route_queue *queue, int64_t now_us)
+{
+	int64_t longest = 0;
+
+	if (queue->new_count == 0)
+		return 0;
+	list_for_each (call, &queue->calls, struct route_call, link) {
+		if (queue_is_new(call) && now_us - call->submitted_us > longest)
+			longest = now_us - call->submitted_us;
+	}
+	return longest;
+}
--- /dev/null
+++ b/route/sched.c
@@ -0,0 +1,223 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "route/admit.h"
+#include "route/internal.h"
+#include "route/place.h"
+
+enum {
+	SCHED_POLL_US = 20 * US_PER_MS, /**< while calls wait for room */
+	SCHED_MISSES_MAX = 16, /**< calls tried in a row without a server */
+};
+
+struct sched *
+sched_create(const struct sched_options *options)
+{
+	struct sched *sched = xcalloc(1, sizeof(*sched));
+
+	snprintf(sched->region, NAME_BYTES, "%s", options->region);
+	snprintf(
+	    sched->failure_domain, NAME_BYTES, "%s", options->failure_domain);
+	sched->counters = options->counters;
+	sched->policy = options->policy;
+	rng_init(&sched->rng, options->seed);
+	programs_init(&sched->programs);
+	queue_init(&sched->queue);
+	retry_budget_init(&sched->retries);
+	return sched;
+}
+
+void
+sched_forget(struct sched *sched, struct route_call *call)
+{
+	HASH_DEL(sched->calls, call);
+	free(call);
+}
+
+void
+sched_destroy(struct sched *sched)
+{
+	struct route_call *call, *next;
+
+	if (sched == NULL)
+		return;
+	call = sched->calls;
+	HASH_CLEAR(hh, sched->calls);
+	for (; call != NULL; call = next) {
+		next = call->hh.next;
+		free(call);
+	}
+	programs_reset(&sched->programs);
+	pauses_reset(&sched->pauses);
+	servers_reset(&sched->servers);
+	free(sched);
+}
+
+void
+sched_set_config(struct sched *sched, const struct config *config)
+{
+	sched->limits = config->limits;
+	sched->model_count = config->model_count;
+	if (sched->model_count > SCHED_MODELS_MAX)
+		sched->model_count = SCHED_MODELS_MAX;
+	for (size_t i = 0; i < sched->model_count; i++)
+		memcpy(sched->models[i], config->models[i].name, NAME_BYTES);
+	servers_configure(&sched->servers, config);
+}
+
+static bool
+sched_knows_model(const struct sched *sched, const char *name)
+{
+	for (size_t i = 0; i < sched->model_count; i++) {
+		if (strcmp(sched->models[i], name) == 0)
+			return true;
+	}
+	return false;
+}
+
+struct route_call *
+sched_find_call(const struct sched *sched, uint64_t handle)
+{
+	struct route_call *call;
+
+	HASH_FIND(hh, sched->calls, &handle, sizeof(handle), call);
+	return call;
+}
+
+/* The program's next call has come: its pause is over. */
+static void
+sched_end_pause(struct sched *sched, const char *id, int64_t now_us)
+{
+	struct route_program *program = programs_use(&sched->programs, id);
+
+	if (program->pause_begun_us != 0)
+		pauses_learn(&sched->pauses, program->tool,
+		    now_us - program->pause_begun_us);
+	program->pause_begun_us = 0;
+	program->release_us = INT64_MAX;
+}
+
+enum sched_verdict
+sched_submit(struct sched *sched, const struct sched_call *request,
+    int64_t now_us, enum refusal *reason)
+{
+	struct route_call *call;
+
+	if (!sched_knows_model(sched, request->model)) {
+		*reason = REFUSAL_UNKNOWN_MODEL;
+		return SCHED_REFUSED;
+	}
+	call = xcalloc(1, sizeof(*call));
+	call->request = *request;
+	call->submitted_us = now_us;
+	list_init(&call->link);
+	list_init(&call->attempt);
+	if (!admit_call(&sched->queue, &sched->policy, call, now_us, reason)) {
+		free(call);
+		return SCHED_REFUSED;
+	}
+	call->priority = queue_priority(&sched->policy, request);
+	HASH_ADD(hh, sched->calls, request.call, sizeof(uint64_t), call);
+	queue_insert(&sched->queue, call);
+	retry_budget_earn(&sched->retries, sched->limits.retry_share);
+	sched_end_pause(sched, request->program, now_us);
+	return SCHED_QUEUED;
+}
+
+static void
+sched_send(struct sched *sched, struct route_call *call,
+    const struct place_choice *choice, int64_t now_us)
+{
+	struct route_server *server = choice->server;
+	const struct sched_call *request = &call->request;
+
+	queue_remove(&sched->queue, call);
+	call->server = server;
+	call->attempts++;
+	call->sent_us = now_us;
+	call->first_token_us = 0;
+	call->prefill_tokens = (int64_t)(request->history_tokens +
+	    request->new_tokens - choice->cached_tokens);
+	list_append(&server->attempts, &call->attempt);
+	server->own_calls++;
+	server->newer_calls++;
+	server->newer_prefill_tokens += call->prefill_tokens;
+	breaker_sent(&server->breaker);
+	sched->counters->attempts_total++;
+	histogram_add(&sched->counters->queue_us, now_us - call->submitted_us);
+}
+
+bool
+sched_next(struct sched *sched, int64_t now_us, struct sched_dispatch *dispatch)
+{
+	struct place_context context = {
+	    .servers = &sched->servers,
+	    .policy = &sched->policy,
+	    .limits = &sched->limits,
+	    .region = sched->region,
+	    .failure_domain = sched->failure_domain,
+	    .rng = &sched->rng,
+	    .turn = &sched->turn,
+	    .now_us = now_us,
+	};
+	int misses = 0;
+
+	queue_promote(&sched->queue, now_us);
+	list_for_each (call, &sched->queue.calls, struct route_call, link) {
+		struct place_choice choice;
+
+		if (call->not_before_us > now_us)
+			continue;
+		choice = place_call(&context, call,
+		    programs_find(&sched->programs, call->request.program));
+		if (choice.server == NULL) {
+			if (++misses >= SCHED_MISSES_MAX)
+				break;
+			continue;
+		}
+		sched_send(sched, call, &choice, now_us);
+		*dispatch = (struct sched_dispatch){
+		    .call = call->request.call,
+		    .attempt = call->attempts,
+		    .expected_cached_tokens = choice.cached_tokens,
+		    .priority = call->priority,
+		};
+		memcpy(
+		    dispatch->server, choice.server->config.name, NAME_BYTES);
+		return true;
+	}
+	sched->polled_us = now_us;
+	return false;
+}
+
+int64_t
+sched_next_us(const struct sched *sched)
+{
+	int64_t next_us = INT64_MAX;
+
+	if (HASH_COUNT(sched->programs.by_id) > 0)
+		next_us = sched->released_us + SCHED_RELEASE_US;
+	if (sched->queue.count > 0 &&
+	    sched->polled_us + SCHED_POLL_US < next_us)
+		next_us = sched->polled_us + SCHED_POLL_US;
+	return next_us;
+}
+
+bool
+sched_expired(
+    struct sched *sched, int64_t now_us, uint64_t *handle, enum refusal *reason)
+{
+	list_for_each (call, &sched->queue.calls, struct route_call, link) {
+		if (call->request.deadline_us > now_us)
+			continue;
+		*handle = call->request.call;
+		*reason = REFUSAL_DEADLINE;
+		queue_remove(&sched->queue, call);
+		sched_forget(sched, call);
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,455 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "route/sched.h"
+#include "tests/runner.h"
+
+enum {
+	SERVERS = 4,
+	MAX_RUNNING = 4,
+	KV_TOKENS = 100000,
+};
+
+static const int64_t SECOND = US_PER_S;
+
+static struct config_model models[] = {
+    {.name = "m", .prefill_tokens_per_s = 10000}};
+static struct config_server servers[SERVERS];
+static struct counters counters;
+
+/* A configuration of four servers: a and b in region "near", c and d in
+ * region "far". */
+static struct config
+test_config(void)
+{
+	struct config config = {
+	    .models = models,
+	    .model_count = 1,
+	    .servers = servers,
+	    .server_count = SERVERS,
+	    .limits = {.retry_share = 0.1,
+		.max_attempts = 3,
+		.wasted_token_cost_us = 100},
+	};
+
+	for (int i = 0; i < SERVERS; i++) {
+		servers[i] = (struct config_server){
+		    .name = {(char)('a' + i)},
+		    .models = {"m"},
+		    .model_count = 1,
+		    .kv_tokens = KV_TOKENS,
+		    .max_running = MAX_RUNNING,
+		};
+		snprintf(servers[i].region, NAME_BYTES, "%s",
+		    i < 2 ? "near" : "far");
+		memcpy(
+		    servers[i].failure_domain, servers[i].region, NAME_BYTES);
+	}
+	return config;
+}
+
+static struct sched *
+test_sched(struct sched_policy policy)
+{
+	struct sched_options options = {
+	    .region = "near",
+	    .failure_domain = "near",
+	    .counters = &counters,
+	    .seed = 1,
+	    .policy = policy,
+	};
+	struct sched *sched = sched_create(&options);
+	struct config config = test_config();
+
+	memset(&counters, 0, sizeof(counters));
+	sched_set_config(sched, &config);
+	return sched;
+}
+
+static struct sched_call
+test_call(uint64_t handle, const char *program, uint64_t turn)
+{
+	struct sched_call call = {
+	    .call = handle,
+	    .workspace = "w",
+	    .model = "m",
+	    .turn = turn,
+	    .new_tokens = 100,
+	    .max_tokens = 100,
+	    .deadline_us = INT64_MAX,
+	};
+
+	snprintf(call.program, sizeof(call.program), "%s", program);
+	return call;
+}
+
+static enum sched_verdict
+submit(struct sched *sched, const struct sched_call *call, int64_t now_us)
+{
+	enum refusal reason;
+
+	return sched_submit(sched, call, now_us, &reason);
+}
+
+/* Submits a call and takes its dispatch, which must be there. */
+static struct sched_dispatch
+send_call(struct sched *sched, const struct sched_call *call, int64_t now_us)
+{
+	struct sched_dispatch dispatch = {0};
+
+	ck_assert_int_eq(submit(sched, call, now_us), SCHED_QUEUED);
+	ck_assert(sched_next(sched, now_us, &dispatch));
+	ck_assert_uint_eq(dispatch.call, call->call);
+	return dispatch;
+}
+
+static enum sched_next
+end_call(struct sched *sched, const struct sched_dispatch *dispatch,
+    enum sched_result result, uint64_t prompt_tokens, int64_t now_us)
+{
+	enum refusal reason;
+
+	return sched_attempt_end(sched, dispatch->call, dispatch->server,
+	    result, prompt_tokens, dispatch->expected_cached_tokens, now_us,
+	    &reason);
+}
+
+START_TEST(unknown_model_is_refused)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_call call = test_call(1, "p", 1);
+	enum refusal reason;
+
+	snprintf(call.model, sizeof(call.model), "other");
+	ck_assert_int_eq(sched_submit(sched, &call, 0, &reason), SCHED_REFUSED);
+	ck_assert_int_eq(reason, REFUSAL_UNKNOWN_MODEL);
+	sched_destroy(sched);
+}
+END_TEST
+
+START_TEST(later_turns_go_where_the_cache_is)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	int64_t now_us = 1;
+
+	for (int i = 0; i < 20; i++) {
+		struct sched_call call = test_call(1, "p", 1);
+		struct sched_dispatch first, second;
+
+		call.program[1] = (char)('a' + i);
+		first = send_call(sched, &call, now_us);
+		end_call(sched, &first, SCHED_DONE, 50000, now_us + 10);
+		call.turn = 2;
+		call.history_tokens = 50000;
+		second = send_call(sched, &call, now_us + 20);
+		ck_assert_str_eq(first.server, second.server);
+		ck_assert_uint_eq(second.expected_cached_tokens, 50000);
+		end_call(sched, &second, SCHED_DONE, 50100, now_us + 30);
+		sched_program_end(sched, call.program);
+		now_us += US_PER_S;
+	}
+	sched_destroy(sched);
+}
+END_TEST
+
+START_TEST(cleared_cache_is_believed)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_call call = test_call(1, "p", 1);
+	struct sched_dispatch dispatch = send_call(sched, &call, 1);
+
+	end_call(sched, &dispatch, SCHED_DONE, 50000, 10);
+	sched_handle_cache_event(
+	    sched, dispatch.server, SCHED_CACHE_CLEARED, "", 0, 20);
+	call.turn = 2;
+	call.history_tokens = 50000;
+	dispatch = send_call(sched, &call, 30);
+	ck_assert_uint_eq(dispatch.expected_cached_tokens, 0);
+	sched_destroy(sched);
+}
+END_TEST
+
+START_TEST(unusable_servers_get_no_work)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct config config = test_config();
+
+	sched_handle_health(sched, "a", false, 1);
+	sched_set_leaving(sched, "b", true);
+	servers[2].leaving = true;
+	sched_set_config(sched, &config);
+	for (uint64_t i = 1; i <= MAX_RUNNING; i++) {
+		struct sched_call call = test_call(i, "p", 1);
+		struct sched_dispatch dispatch = send_call(sched, &call, 2);
+
+		ck_assert_str_eq(dispatch.server, "d");
+	}
+	sched_destroy(sched);
+}
+END_TEST
+
+START_TEST(urgent_calls_go_first_and_none_starves)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_call old = test_call(1, "old", 2);
+	struct sched_call young = test_call(2, "young", 2);
+	struct sched_call urgent = test_call(3, "urgent", 2);
+	struct sched_dispatch dispatch;
+
+	old.program_served_tokens = 1000000;
+	urgent.urgent = true;
+	submit(sched, &old, 1);
+	submit(sched, &young, 2);
+	submit(sched, &urgent, 3);
+	ck_assert(sched_next(sched, 3, &dispatch));
+	ck_assert_uint_eq(dispatch.call, 3);
+	ck_assert_uint_eq(dispatch.priority, 0);
+	sched_handle_health(sched, "a", true, 4);
+	ck_assert(sched_next(sched, 60 * SECOND, &dispatch));
+	ck_assert_uint_eq(dispatch.call, 1);
+	sched_destroy(sched);
+}
+END_TEST
+
+START_TEST(failed_attempt_is_retried_elsewhere_after_a_delay)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_call call = test_call(1, "p", 1);
+	struct sched_dispatch first = send_call(sched, &call, 1);
+	struct sched_dispatch second;
+
+	ck_assert_int_eq(
+	    end_call(sched, &first, SCHED_CUT, 0, 10), SCHED_RETRY);
+	ck_assert(!sched_next(sched, 10, &second));
+	ck_assert(sched_next_us(sched) < US_PER_S);
+	ck_assert(sched_next(sched, US_PER_S, &second));
+	ck_assert_uint_eq(second.attempt, 2);
+	ck_assert_str_ne(first.server, second.server);
+	ck_assert_uint_eq(counters.retries[RETRY_SERVER_CUT], 1);
+	sched_destroy(sched);
+}
+END_TEST
+
+/* 10 retries saved up at the start, then one for each 10 requests. */
+START_TEST(retries_stay_within_their_budget)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	const uint64_t requests = 500;
+	int64_t now_us = 1;
+	uint64_t retries = 0;
+
+	for (uint64_t i = 1; i <= requests; i++) {
+		struct sched_call call = test_call(i, "p", 2);
+		struct sched_dispatch dispatch;
+
+		now_us += 100 * SECOND;
+		dispatch = send_call(sched, &call, now_us);
+		while (end_call(sched, &dispatch, SCHED_FAILED, 0, now_us) ==
+		    SCHED_RETRY) {
+			retries++;
+			now_us += 100 * SECOND;
+			ck_assert(sched_next(sched, now_us, &dispatch));
+		}
+	}
+	ck_assert_uint_le(retries, 10 + requests / 10);
+	ck_assert_uint_ge(retries, requests / 10);
+	sched_destroy(sched);
+}
+END_TEST
+
+START_TEST(breaker_takes_a_failing_server_out)
+{
+	struct sched *sched =
+	    test_sched((struct sched_policy){.no_waste_price = true});
+	int sent_to_a = 0;
+
+	for (uint64_t i = 1; i <= 200; i++) {
+		struct sched_call call = test_call(i, "p", 1);
+		struct sched_dispatch dispatch;
+		bool bad;
+
+		snprintf(call.program, sizeof(call.program), "p%d", (int)i);
+		dispatch = send_call(sched, &call, 1);
+		bad = strcmp(dispatch.server, "a") == 0;
+		sent_to_a += bad;
+		end_call(
+		    sched, &dispatch, bad ? SCHED_FAILED : SCHED_DONE, 200, 1);
+		sched_cancel(sched, i, 1);
+	}
+	ck_assert_int_eq(sent_to_a, 3);
+	sched_destroy(sched);
+}
+END_TEST
+
+START_TEST(deadline_ends_a_waiting_call)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_call call = test_call(1, "p", 1);
+	enum refusal reason;
+	uint64_t handle;
+
+	call.deadline_us = 100;
+	ck_assert_int_eq(submit(sched, &call, 1), SCHED_QUEUED);
+	ck_assert(!sched_expired(sched, 99, &handle, &reason));
+	ck_assert(sched_expired(sched, 100, &handle, &reason));
+	ck_assert_uint_eq(handle, 1);
+	ck_assert_int_eq(reason, REFUSAL_DEADLINE);
+	ck_assert_int_eq(submit(sched, &call, 100), SCHED_REFUSED);
+	sched_destroy(sched);
+}
+END_TEST
+
+/* All servers full: new programs wait, then are refused; late turns are not
+ * refused. */
+START_TEST(overload_refuses_new_programs_only)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_load full = {.running = MAX_RUNNING,
+	    .waiting = MAX_RUNNING,
+	    .kv_used_tokens = KV_TOKENS,
+	    .kv_tokens = KV_TOKENS,
+	    .measured_us = 1};
+	struct sched_call call = test_call(1, "p", 1);
+	struct sched_dispatch dispatch;
+	enum refusal reason;
+
+	for (int i = 0; i < SERVERS; i++)
+		sched_handle_load(sched, servers[i].name, &full, 1);
+	ck_assert_int_eq(submit(sched, &call, 1), SCHED_QUEUED);
+	ck_assert(!sched_next(sched, 1, &dispatch));
+	call.call = 2;
+	ck_assert_int_eq(
+	    sched_submit(sched, &call, 25 * SECOND, &reason), SCHED_REFUSED);
+	ck_assert_int_eq(reason, REFUSAL_OVERLOADED);
+	call.call = 3;
+	call.turn = 7;
+	ck_assert_int_eq(submit(sched, &call, 25 * SECOND), SCHED_QUEUED);
+	sched_destroy(sched);
+}
+END_TEST
+
+/* Pauses of one tool are short, of the other long: only the first is worth
+ * its memory on a full server. */
+START_TEST(pauses_decide_by_what_was_learned)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_load full = {.kv_used_tokens = KV_TOKENS,
+	    .kv_tokens = KV_TOKENS,
+	    .measured_us = 1};
+	const char *tools[] = {"short", "long"};
+	int64_t pauses_us[] = {SECOND, 1000 * SECOND};
+	enum sched_pause last[2];
+	char program[PROGRAM_ID_BYTES], server[NAME_BYTES];
+	int64_t now_us = 1;
+
+	for (int tool = 0; tool < 2; tool++) {
+		for (uint64_t turn = 2; turn < 12; turn++) {
+			struct sched_call call =
+			    test_call(turn, tools[tool], turn);
+			struct sched_dispatch dispatch =
+			    send_call(sched, &call, now_us);
+
+			end_call(sched, &dispatch, SCHED_DONE, 200, now_us);
+			for (int i = 0; i < SERVERS; i++)
+				sched_handle_load(
+				    sched, servers[i].name, &full, now_us);
+			last[tool] = sched_pause_begin(
+			    sched, tools[tool], "w", tools[tool], now_us);
+			now_us += pauses_us[tool];
+		}
+	}
+	ck_assert_int_eq(last[0], SCHED_PAUSE_KEEP);
+	ck_assert_int_eq(last[1], SCHED_PAUSE_DROP);
+	ck_assert(sched_release_due(sched, now_us, program, server));
+	ck_assert_str_eq(program, "short");
+	ck_assert(!sched_release_due(sched, now_us, program, server));
+	sched_destroy(sched);
+}
+END_TEST
+
+/* Reports are late: without the own calls sent since, all would pile up. */
+START_TEST(own_calls_count_until_reported)
+{
+	struct sched *sched = test_sched((struct sched_policy){
+	    .no_admission = true, .routing = SCHED_ROUTE_LEAST_LOADED});
+	struct sched_load load = {.running = 1, .measured_us = 1};
+	const uint64_t calls = 20;
+	int sent[SERVERS] = {0};
+
+	for (int i = 0; i < SERVERS; i++)
+		sched_handle_load(sched, servers[i].name, &load, 1);
+	for (uint64_t i = 1; i <= calls; i++) {
+		struct sched_call call = test_call(i, "p", 1);
+		struct sched_dispatch dispatch = send_call(sched, &call, 2);
+
+		sent[dispatch.server[0] - 'a']++;
+	}
+	for (int i = 0; i < SERVERS; i++)
+		ck_assert_int_eq(sent[i], 5);
+	sched_destroy(sched);
+}
+END_TEST
+
+START_TEST(flapping_server_stays_out_longer)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_call call = test_call(1, "p", 1);
+	struct sched_dispatch dispatch;
+	int64_t now_us = SECOND;
+
+	for (int i = 1; i < SERVERS; i++)
+		sched_handle_health(sched, servers[i].name, false, now_us);
+	for (int i = 0; i < 3; i++) {
+		sched_handle_health(sched, "a", false, now_us);
+		sched_handle_health(sched, "a", true, now_us + SECOND);
+		now_us += 2 * SECOND;
+	}
+	ck_assert_int_eq(submit(sched, &call, now_us), SCHED_QUEUED);
+	ck_assert(!sched_next(sched, now_us, &dispatch));
+	ck_assert(sched_next(sched, now_us + 4 * SECOND, &dispatch));
+	sched_destroy(sched);
+}
+END_TEST
+
+/* Far servers are used only when the near ones are worse by more than the
+ * delay between the regions. */
+START_TEST(near_servers_are_preferred)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	int near = 0;
+
+	for (uint64_t i = 1; i <= 100; i++) {
+		struct sched_call call = test_call(i, "p", 1);
+		struct sched_dispatch dispatch = send_call(sched, &call, 1);
+
+		near += dispatch.server[0] <= 'b';
+		sched_cancel(sched, i, 1);
+	}
+	ck_assert_int_ge(near, 80);
+	sched_destroy(sched);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    unknown_model_is_refused,
+	    later_turns_go_where_the_cache_is,
+	    cleared_cache_is_believed,
+	    unusable_servers_get_no_work,
+	    urgent_calls_go_first_and_none_starves,
+	    failed_attempt_is_retried_elsewhere_after_a_delay,
+	    retries_stay_within_their_budget,
+	    breaker_takes_a_failing_server_out,
+	    deadline_ends_a_waiting_call,
+	    overload_refuses_new_programs_only,
+	    pauses_decide_by_what_was_learned,
+	    own_calls_count_until_reported,
+	    flapping_server_stays_out_longer,
+	    near_servers_are_preferred,
+	};
+
+	return run_tests("route", tests, sizeof(tests) / sizeof(tests[0]));
+}
