Share the table-driven codec between records and peer messages

Peer messages need the same integer-keyed maps as log records, and lists of structs besides. The field table and its pack and unpack functions move from record/record.c to common/field.c; a list kind is new. struct record_bytes moves to common/field.h, which record.h includes, so that users of record.h see no change.

--- /dev/null
+++ b/common/field.c
@@ -0,0 +1,228 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/field.h"
+#include "common/hash.h"
+#include "common/memory.h"
+
+enum {
+	LIST_MAX_ITEMS = 8192, /* bounds what a short message can allocate */
+};
+
+static void
+pack_list(msgpack_packer *packer, const struct field *field,
+    const struct field_list *list)
+{
+	msgpack_pack_array(packer, list->count);
+	for (size_t i = 0; i < list->count; i++)
+		fields_pack(packer, field->layout,
+		    (const char *)list->items + i * field->item_size);
+}
+
+static void
+pack_field(msgpack_packer *packer, const struct field *field, const void *from)
+{
+	const void *at = (const char *)from + field->offset;
+	const struct record_bytes *bytes = at;
+
+	msgpack_pack_uint64(packer, field->key);
+	switch (field->kind) {
+	case FIELD_UNSIGNED:
+		if (field->size == sizeof(uint32_t))
+			msgpack_pack_uint32(packer, *(const uint32_t *)at);
+		else
+			msgpack_pack_uint64(packer, *(const uint64_t *)at);
+		break;
+	case FIELD_SIGNED:
+		msgpack_pack_int64(packer, *(const int64_t *)at);
+		break;
+	case FIELD_BOOL:
+		if (*(const bool *)at)
+			msgpack_pack_true(packer);
+		else
+			msgpack_pack_false(packer);
+		break;
+	case FIELD_TEXT:
+		msgpack_pack_str_with_body(packer, at, strlen(at));
+		break;
+	case FIELD_DIGEST:
+		msgpack_pack_bin_with_body(packer, at, DIGEST_BYTES);
+		break;
+	case FIELD_BYTES:
+		msgpack_pack_bin_with_body(packer, bytes->data, bytes->len);
+		break;
+	case FIELD_LIST:
+		pack_list(packer, field, at);
+		break;
+	}
+}
+
+void
+fields_pack(
+    msgpack_packer *packer, const struct field_layout *layout, const void *from)
+{
+	size_t count = layout != NULL ? layout->count : 0;
+
+	msgpack_pack_map(packer, count);
+	for (size_t i = 0; i < count; i++)
+		pack_field(packer, &layout->fields[i], from);
+}
+
+static bool
+unpack_unsigned(
+    const struct field *field, const msgpack_object *value, void *at)
+{
+	if (value->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return false;
+	if (field->size == sizeof(uint64_t)) {
+		*(uint64_t *)at = value->via.u64;
+		return true;
+	}
+	if (value->via.u64 > UINT32_MAX)
+		return false;
+	*(uint32_t *)at = (uint32_t)value->via.u64;
+	return true;
+}
+
+static bool
+unpack_signed(const msgpack_object *value, int64_t *at)
+{
+	if (value->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		*at = value->via.i64;
+	else if (value->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	    value->via.u64 <= INT64_MAX)
+		*at = (int64_t)value->via.u64;
+	else
+		return false;
+	return true;
+}
+
+static bool
+unpack_text(const struct field *field, const msgpack_object *value, char *at)
+{
+	if (value->type != MSGPACK_OBJECT_STR ||
+	    value->via.str.size >= field->size ||
+	    memchr(value->via.str.ptr, '\0', value->via.str.size) != NULL)
+		return false;
+	memcpy(at, value->via.str.ptr, value->via.str.size);
+	at[value->via.str.size] = '\0';
+	return true;
+}
+
+static bool
+unpack_digest(const msgpack_object *value, void *at)
+{
+	if (value->type != MSGPACK_OBJECT_BIN ||
+	    value->via.bin.size != DIGEST_BYTES)
+		return false;
+	memcpy(at, value->via.bin.ptr, DIGEST_BYTES);
+	return true;
+}
+
+static bool
+unpack_bytes(const msgpack_object *value, struct record_bytes *bytes)
+{
+	if (value->type != MSGPACK_OBJECT_BIN)
+		return false;
+	bytes->data = (const uint8_t *)value->via.bin.ptr;
+	bytes->len = value->via.bin.size;
+	return true;
+}
+
+static bool
+unpack_list(const struct field *field, const msgpack_object *value,
+    struct field_list *list)
+{
+	/* A key that comes twice is malformed; its first list is freed by the
+	 * caller. */
+	if (value->type != MSGPACK_OBJECT_ARRAY ||
+	    value->via.array.size > LIST_MAX_ITEMS || list->items != NULL)
+		return false;
+	if (value->via.array.size == 0)
+		return true;
+	list->items = xcalloc(value->via.array.size, field->item_size);
+	list->count = value->via.array.size;
+	for (size_t i = 0; i < list->count; i++) {
+		if (!fields_unpack(&value->via.array.ptr[i], field->layout,
+			(char *)list->items + i * field->item_size, NULL))
+			return false;
+	}
+	return true;
+}
+
+static bool
+unpack_field(const struct field *field, const msgpack_object *value, void *to)
+{
+	void *at = (char *)to + field->offset;
+
+	switch (field->kind) {
+	case FIELD_UNSIGNED:
+		return unpack_unsigned(field, value, at);
+	case FIELD_SIGNED:
+		return unpack_signed(value, at);
+	case FIELD_BOOL:
+		if (value->type != MSGPACK_OBJECT_BOOLEAN)
+			return false;
+		*(bool *)at = value->via.boolean;
+		return true;
+	case FIELD_TEXT:
+		return unpack_text(field, value, at);
+	case FIELD_DIGEST:
+		return unpack_digest(value, at);
+	case FIELD_BYTES:
+		return unpack_bytes(value, at);
+	case FIELD_LIST:
+		return unpack_list(field, value, at);
+	}
+	return false;
+}
+
+static const struct field *
+find_field(const struct field_layout *layout, const msgpack_object *key)
+{
+	if (key->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return NULL;
+	for (size_t i = 0; i < layout->count; i++) {
+		if (layout->fields[i].key == key->via.u64)
+			return &layout->fields[i];
+	}
+	return NULL;
+}
+
+bool
+fields_unpack(const msgpack_object *body, const struct field_layout *layout,
+    void *to, struct error *err)
+{
+	if (body->type != MSGPACK_OBJECT_MAP)
+		return error_set(err, ERROR_INVALID, "body is not a map");
+	if (layout == NULL)
+		return true;
+	for (uint32_t i = 0; i < body->via.map.size; i++) {
+		const msgpack_object_kv *pair = &body->via.map.ptr[i];
+		const struct field *field = find_field(layout, &pair->key);
+
+		if (field != NULL && !unpack_field(field, &pair->val, to))
+			return error_set(err, ERROR_INVALID,
+			    "%s: bad value of field %u", layout->name,
+			    (unsigned)field->key);
+	}
+	return true;
+}
+
+void
+fields_free(const struct field_layout *layout, void *from)
+{
+	for (size_t i = 0; layout != NULL && i < layout->count; i++) {
+		const struct field *field = &layout->fields[i];
+		struct field_list *list =
+		    (void *)((char *)from + field->offset);
+
+		if (field->kind != FIELD_LIST)
+			continue;
+		for (size_t k = 0; k < list->count; k++)
+			fields_free(field->layout,
+			    (char *)list->items + k * field->item_size);
+		free(list->items);
+		*list = (struct field_list){0};
+	}
+}
--- a/include/record/record.h
+++ b/include/record/record.h
@@ -14,6 +14,7 @@
 
 #include "common/buf.h"
 #include "common/error.h"
+#include "common/field.h"
 #include "common/hash.h"
 
 enum {
@@ -40,12 +41,6 @@
 	RECORD_CONFIG_SNAPSHOT = 14,
 };
 
-/** A view of bytes that belong to the decoded input. */
-struct record_bytes {
-	const uint8_t *data;
-	size_t len;
-};
-
 struct record_claim {
 	char vm[NAME_BYTES];
 	char address[NAME_BYTES]; /**< "IP:port" for callers */
--- a/record/record.c
+++ b/record/record.c
@@ -2,6 +2,7 @@
 
 #include <msgpack.h>
 
+#include "common/field.h"
 #include "common/pack.h"
 #include "record/record.h"
 
@@ -9,35 +10,7 @@
 	ENVELOPE_ITEMS = 7,
 };
 
-enum field_kind {
-	FIELD_UNSIGNED, /**< uint32_t or uint64_t, by size */
-	FIELD_SIGNED,   /**< int64_t */
-	FIELD_BOOL,
-	FIELD_TEXT, /**< NUL-terminated array */
-	FIELD_DIGEST,
-	FIELD_BYTES, /**< struct record_bytes */
-};
-
-/** Where a member lives, and the key of its wire form. Keys are never reused
- * with another meaning. */
-struct field {
-	uint64_t key;
-	enum field_kind kind;
-	size_t offset;
-	size_t size;
-};
-
-struct layout {
-	const char *name;
-	const struct field *fields;
-	size_t count;
-};
-
-#define F(key, kind, member) \
-	{ \
-		key, kind, offsetof(struct record, member), \
-		    sizeof(((struct record *)0)->member) \
-	}
+#define F(key, kind, member) FIELD(struct record, key, kind, member)
 
 static const struct field claim_fields[] = {
     F(1, FIELD_TEXT, claim.vm),
@@ -123,31 +96,27 @@
     F(2, FIELD_BYTES, config_snapshot.state),
 };
 
-#define LAYOUT(label, table) \
-	{ \
-		label, table, sizeof(table) / sizeof((table)[0]) \
-	}
-
-static const struct layout layouts[] = {
-    [RECORD_CLAIM] = LAYOUT("claim", claim_fields),
-    [RECORD_RELEASE] = LAYOUT("release", release_fields),
-    [RECORD_PROGRAM_BEGIN] = LAYOUT("program_begin", program_begin_fields),
-    [RECORD_TURN] = LAYOUT("turn", turn_fields),
-    [RECORD_RESERVE] = LAYOUT("reserve", reserve_fields),
-    [RECORD_INTENT] = LAYOUT("intent", intent_fields),
-    [RECORD_OUTCOME] = LAYOUT("outcome", outcome_fields),
-    [RECORD_PROGRAM_END] = LAYOUT("program_end", program_end_fields),
-    [RECORD_KV_RELEASED] = LAYOUT("kv_released", kv_released_fields),
-    [RECORD_CRASH] = LAYOUT("crash", crash_fields),
+static const struct field_layout layouts[] = {
+    [RECORD_CLAIM] = FIELD_LAYOUT("claim", claim_fields),
+    [RECORD_RELEASE] = FIELD_LAYOUT("release", release_fields),
+    [RECORD_PROGRAM_BEGIN] =
+	FIELD_LAYOUT("program_begin", program_begin_fields),
+    [RECORD_TURN] = FIELD_LAYOUT("turn", turn_fields),
+    [RECORD_RESERVE] = FIELD_LAYOUT("reserve", reserve_fields),
+    [RECORD_INTENT] = FIELD_LAYOUT("intent", intent_fields),
+    [RECORD_OUTCOME] = FIELD_LAYOUT("outcome", outcome_fields),
+    [RECORD_PROGRAM_END] = FIELD_LAYOUT("program_end", program_end_fields),
+    [RECORD_KV_RELEASED] = FIELD_LAYOUT("kv_released", kv_released_fields),
+    [RECORD_CRASH] = FIELD_LAYOUT("crash", crash_fields),
     [RECORD_QUARANTINE_LIFT] =
-	LAYOUT("quarantine_lift", quarantine_lift_fields),
-    [RECORD_SNAPSHOT] = LAYOUT("snapshot", snapshot_fields),
-    [RECORD_CONFIG_PATCH] = LAYOUT("config_patch", config_patch_fields),
+	FIELD_LAYOUT("quarantine_lift", quarantine_lift_fields),
+    [RECORD_SNAPSHOT] = FIELD_LAYOUT("snapshot", snapshot_fields),
+    [RECORD_CONFIG_PATCH] = FIELD_LAYOUT("config_patch", config_patch_fields),
     [RECORD_CONFIG_SNAPSHOT] =
-	LAYOUT("config_snapshot", config_snapshot_fields),
+	FIELD_LAYOUT("config_snapshot", config_snapshot_fields),
 };
 
-static const struct layout *
+static const struct field_layout *
 layout_of(uint64_t type)
 {
 	if (type == RECORD_NONE || type >= sizeof(layouts) / sizeof(layouts[0]))
@@ -158,52 +127,14 @@
 const char *
 record_type_name(enum record_type type)
 {
-	const struct layout *layout = layout_of(type);
+	const struct field_layout *layout = layout_of(type);
 
 	return layout != NULL ? layout->name : "unknown";
 }
 
-static void
-pack_field(msgpack_packer *packer, const struct field *field,
-    const struct record *record)
-{
-	const void *at = (const char *)record + field->offset;
-	const struct record_bytes *bytes = at;
-
-	msgpack_pack_uint64(packer, field->key);
-	switch (field->kind) {
-	case FIELD_UNSIGNED:
-		if (field->size == sizeof(uint32_t))
-			msgpack_pack_uint32(packer, *(const uint32_t *)at);
-		else
-			msgpack_pack_uint64(packer, *(const uint64_t *)at);
-		break;
-	case FIELD_SIGNED:
-		msgpack_pack_int64(packer, *(const int64_t *)at);
-		break;
-	case FIELD_BOOL:
-		if (*(const bool *)at)
-			msgpack_pack_true(packer);
-		else
-			msgpack_pack_false(packer);
-		break;
-	case FIELD_TEXT:
-		msgpack_pack_str_with_body(packer, at, strlen(at));
-		break;
-	case FIELD_DIGEST:
-		msgpack_pack_bin_with_body(packer, at, DIGEST_BYTES);
-		break;
-	case FIELD_BYTES:
-		msgpack_pack_bin_with_body(packer, bytes->data, bytes->len);
-		break;
-	}
-}
-
 void
 record_encode(const struct record *record, struct buf *out)
 {
-	const struct layout *layout = layout_of(record->type);
-	size_t count = layout != NULL ? layout->count : 0;
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, pack_to_buf);
@@ -214,113 +145,7 @@
 	msgpack_pack_uint32(&packer, record->shard);
 	msgpack_pack_uint64(&packer, record->epoch);
 	msgpack_pack_uint64(&packer, record->seq);
-	msgpack_pack_map(&packer, count);
-	for (size_t i = 0; i < count; i++)
-		pack_field(&packer, &layout->fields[i], record);
-}
-
-static bool
-unpack_unsigned(
-    const struct field *field, const msgpack_object *value, void *at)
-{
-	if (value->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-		return false;
-	if (field->size == sizeof(uint64_t)) {
-		*(uint64_t *)at = value->via.u64;
-		return true;
-	}
-	if (value->via.u64 > UINT32_MAX)
-		return false;
-	*(uint32_t *)at = (uint32_t)value->via.u64;
-	return true;
-}
-
-static bool
-unpack_signed(const msgpack_object *value, int64_t *at)
-{
-	if (value->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
-		*at = value->via.i64;
-	else if (value->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-	    value->via.u64 <= INT64_MAX)
-		*at = (int64_t)value->via.u64;
-	else
-		return false;
-	return true;
-}
-
-static bool
-unpack_text(const struct field *field, const msgpack_object *value, char *at)
-{
-	if (value->type != MSGPACK_OBJECT_STR ||
-	    value->via.str.size >= field->size ||
-	    memchr(value->via.str.ptr, '\0', value->via.str.size) != NULL)
-		return false;
-	memcpy(at, value->via.str.ptr, value->via.str.size);
-	at[value->via.str.size] = '\0';
-	return true;
-}
-
-static bool
-unpack_field(const struct field *field, const msgpack_object *value,
-    struct record *record)
-{
-	void *at = (char *)record + field->offset;
-	struct record_bytes *bytes = at;
-
-	switch (field->kind) {
-	case FIELD_UNSIGNED:
-		return unpack_unsigned(field, value, at);
-	case FIELD_SIGNED:
-		return unpack_signed(value, at);
-	case FIELD_BOOL:
-		if (value->type != MSGPACK_OBJECT_BOOLEAN)
-			return false;
-		*(bool *)at = value->via.boolean;
-		return true;
-	case FIELD_TEXT:
-		return unpack_text(field, value, at);
-	case FIELD_DIGEST:
-		if (value->type != MSGPACK_OBJECT_BIN ||
-		    value->via.bin.size != DIGEST_BYTES)
-			return false;
-		memcpy(at, value->via.bin.ptr, DIGEST_BYTES);
-		return true;
-	case FIELD_BYTES:
-		if (value->type != MSGPACK_OBJECT_BIN)
-			return false;
-		bytes->data = (const uint8_t *)value->via.bin.ptr;
-		bytes->len = value->via.bin.size;
-		return true;
-	}
-	return false;
-}
-
-static bool
-unpack_body(
-    const msgpack_object *body, struct record *record, struct error *err)
-{
-	const struct layout *layout = layout_of(record->type);
-
-	if (body->type != MSGPACK_OBJECT_MAP)
-		return error_set(err, ERROR_INVALID, "body is not a map");
-	if (layout == NULL)
-		return true;
-	for (uint32_t i = 0; i < body->via.map.size; i++) {
-		const msgpack_object_kv *pair = &body->via.map.ptr[i];
-
-		if (pair->key.type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-			continue;
-		for (size_t f = 0; f < layout->count; f++) {
-			if (layout->fields[f].key != pair->key.via.u64)
-				continue;
-			if (!unpack_field(
-				&layout->fields[f], &pair->val, record))
-				return error_set(err, ERROR_INVALID,
-				    "%s: bad value of field %u", layout->name,
-				    (unsigned)pair->key.via.u64);
-		}
-	}
-	return true;
+	fields_pack(&packer, layout_of(record->type), record);
 }
 
 static bool
@@ -347,7 +172,7 @@
 	record->shard = (uint32_t)parts[3].via.u64;
 	record->epoch = parts[4].via.u64;
 	record->seq = parts[5].via.u64;
-	return unpack_body(&parts[6], record, err);
+	return fields_unpack(&parts[6], layout_of(record->type), record, err);
 }
 
 bool
