Add the typed messages between daemons

Daemons need heartbeats, member views, configuration records, batches to append and stream positions on one wire. Nine message types share the table-driven codec; lists are arrays of maps, zero values are left out. Unknown types and keys are skipped.

--- a/common/field.c
+++ b/common/field.c
@@ -9,14 +9,25 @@
 	LIST_MAX_ITEMS = 8192, /* bounds what a short message can allocate */
 };
 
+/* The member's pointer has a type of its own, so its bytes are copied. */
+static struct field_list
+load_list(const void *at)
+{
+	struct field_list list;
+
+	memcpy(&list, at, sizeof(list));
+	return list;
+}
+
 static void
-pack_list(msgpack_packer *packer, const struct field *field,
-    const struct field_list *list)
+pack_list(msgpack_packer *packer, const struct field *field, const void *at)
 {
-	msgpack_pack_array(packer, list->count);
-	for (size_t i = 0; i < list->count; i++)
+	struct field_list list = load_list(at);
+
+	msgpack_pack_array(packer, list.count);
+	for (size_t i = 0; i < list.count; i++)
 		fields_pack(packer, field->layout,
-		    (const char *)list->items + i * field->item_size);
+		    (const char *)list.items + i * field->item_size);
 }
 
 static void
@@ -57,15 +68,52 @@
 	}
 }
 
+static bool
+is_zero(const struct field *field, const void *from)
+{
+	const char *at = (const char *)from + field->offset;
+
+	switch (field->kind) {
+	case FIELD_TEXT:
+		return *at == '\0';
+	case FIELD_BYTES:
+		return ((const struct record_bytes *)(const void *)at)->len ==
+		    0;
+	case FIELD_LIST:
+		return load_list(at).count == 0;
+	case FIELD_UNSIGNED:
+	case FIELD_SIGNED:
+	case FIELD_BOOL:
+	case FIELD_DIGEST:
+		break;
+	}
+	for (size_t i = 0; i < field->size; i++) {
+		if (at[i] != 0)
+			return false;
+	}
+	return true;
+}
+
+static bool
+is_packed(const struct field_layout *layout, size_t index, const void *from)
+{
+	return !layout->sparse || !is_zero(&layout->fields[index], from);
+}
+
 void
 fields_pack(
     msgpack_packer *packer, const struct field_layout *layout, const void *from)
 {
-	size_t count = layout != NULL ? layout->count : 0;
+	size_t total = layout != NULL ? layout->count : 0;
+	size_t count = 0;
 
+	for (size_t i = 0; i < total; i++)
+		count += is_packed(layout, i, from);
 	msgpack_pack_map(packer, count);
-	for (size_t i = 0; i < count; i++)
-		pack_field(packer, &layout->fields[i], from);
+	for (size_t i = 0; i < total; i++) {
+		if (is_packed(layout, i, from))
+			pack_field(packer, &layout->fields[i], from);
+	}
 }
 
 static bool
@@ -130,21 +178,23 @@
 }
 
 static bool
-unpack_list(const struct field *field, const msgpack_object *value,
-    struct field_list *list)
+unpack_list(const struct field *field, const msgpack_object *value, void *at)
 {
-	/* A key that comes twice is malformed; its first list is freed by the
-	 * caller. */
+	struct field_list list = load_list(at);
+	const msgpack_object_array *array = &value->via.array;
+
+	/* The first list of a key that comes twice is freed by the caller. */
 	if (value->type != MSGPACK_OBJECT_ARRAY ||
-	    value->via.array.size > LIST_MAX_ITEMS || list->items != NULL)
+	    array->size > LIST_MAX_ITEMS || list.items != NULL)
 		return false;
-	if (value->via.array.size == 0)
+	if (array->size == 0)
 		return true;
-	list->items = xcalloc(value->via.array.size, field->item_size);
-	list->count = value->via.array.size;
-	for (size_t i = 0; i < list->count; i++) {
-		if (!fields_unpack(&value->via.array.ptr[i], field->layout,
-			(char *)list->items + i * field->item_size, NULL))
+	list.items = xcalloc(array->size, field->item_size);
+	list.count = array->size;
+	memcpy(at, &list, sizeof(list));
+	for (size_t i = 0; i < list.count; i++) {
+		if (!fields_unpack(&array->ptr[i], field->layout,
+			(char *)list.items + i * field->item_size, NULL))
 			return false;
 	}
 	return true;
@@ -209,20 +259,24 @@
 	return true;
 }
 
+static void
+free_list(const struct field *field, void *at)
+{
+	struct field_list list = load_list(at);
+
+	for (size_t i = 0; i < list.count; i++)
+		fields_free(
+		    field->layout, (char *)list.items + i * field->item_size);
+	free(list.items);
+	memset(at, 0, sizeof(list));
+}
+
 void
 fields_free(const struct field_layout *layout, void *from)
 {
 	for (size_t i = 0; layout != NULL && i < layout->count; i++) {
-		const struct field *field = &layout->fields[i];
-		struct field_list *list =
-		    (void *)((char *)from + field->offset);
-
-		if (field->kind != FIELD_LIST)
-			continue;
-		for (size_t k = 0; k < list->count; k++)
-			fields_free(field->layout,
-			    (char *)list->items + k * field->item_size);
-		free(list->items);
-		*list = (struct field_list){0};
+		if (layout->fields[i].kind == FIELD_LIST)
+			free_list(&layout->fields[i],
+			    (char *)from + layout->fields[i].offset);
 	}
 }
--- a/common/pack.c
+++ b/common/pack.c
@@ -151,3 +151,17 @@
 	cursor.end = cursor.at + len;
 	return walk(&cursor, 0) && cursor.at == cursor.end;
 }
+
+bool
+pack_unpack(
+    const void *data, size_t len, msgpack_unpacked *unpacked, struct error *err)
+{
+	size_t offset = 0;
+
+	msgpack_unpacked_init(unpacked);
+	if (!pack_sizes_fit(data, len) ||
+	    msgpack_unpack_next(unpacked, data, len, &offset) !=
+		MSGPACK_UNPACK_SUCCESS)
+		return error_set(err, ERROR_INVALID, "not a MessagePack value");
+	return true;
+}
--- a/include/common/field.h
+++ b/include/common/field.h
@@ -50,6 +50,7 @@
 	const char *name;
 	const struct field *fields;
 	size_t count;
+	bool sparse; /**< zero values are left out */
 };
 
 /** Initialiser of a struct field. */
@@ -61,7 +62,7 @@
 /** Initialiser of a struct field_layout from a table. */
 #define FIELD_LAYOUT(label, table) \
 	{ \
-		label, table, sizeof(table) / sizeof((table)[0]) \
+		label, table, sizeof(table) / sizeof((table)[0]), false \
 	}
 
 /** Packs a struct as a map; layout NULL: an empty map. */
--- /dev/null
+++ b/peer/message.c
@@ -0,0 +1,224 @@
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "common/field.h"
+#include "common/pack.h"
+#include "peer/message.h"
+
+enum {
+	ENVELOPE_ITEMS = 4,
+};
+
+/* A list is a pointer directly followed by its count, like field_list. */
+#define LIST(key, pointer, items_layout) \
+	{ \
+		key, FIELD_LIST, offsetof(struct message, pointer), \
+		    sizeof(struct field_list), items_layout, \
+		    sizeof(*((struct message *)0)->pointer) \
+	}
+#define LIST_IS_ADJACENT(pointer, number) \
+	_Static_assert(offsetof(struct message, number) == \
+		offsetof(struct message, pointer) + sizeof(void *), \
+	    "a list's count follows its items")
+LIST_IS_ADJACENT(view.members, view.member_count);
+LIST_IS_ADJACENT(stream.records, stream.record_count);
+LIST_IS_ADJACENT(append.records, append.record_count);
+LIST_IS_ADJACENT(want.lanes, want.lane_count);
+
+#define F(key, kind, member) FIELD(struct message, key, kind, member)
+#define SPARSE(label, table) \
+	{ \
+		label, table, sizeof(table) / sizeof((table)[0]), true \
+	}
+
+#define MEMBER(key, kind, member) \
+	FIELD(struct message_member, key, kind, member)
+static const struct field member_fields[] = {
+    MEMBER(1, FIELD_TEXT, vm),
+    MEMBER(2, FIELD_TEXT, address),
+    MEMBER(3, FIELD_UNSIGNED, port),
+    MEMBER(4, FIELD_TEXT, peer_address),
+    MEMBER(5, FIELD_UNSIGNED, peer_port),
+    MEMBER(6, FIELD_TEXT, failure_domain),
+    MEMBER(7, FIELD_TEXT, region),
+    MEMBER(8, FIELD_UNSIGNED, incarnation),
+    MEMBER(9, FIELD_UNSIGNED, config_version),
+    MEMBER(10, FIELD_UNSIGNED, owned_shards),
+    MEMBER(11, FIELD_BOOL, draining),
+    MEMBER(12, FIELD_BOOL, log_lost),
+    MEMBER(13, FIELD_BOOL, gone),
+};
+static const struct field_layout member_layout =
+    SPARSE("member", member_fields);
+
+static const struct field record_fields[] = {
+    FIELD(struct message_record, 1, FIELD_UNSIGNED, offset),
+    FIELD(struct message_record, 2, FIELD_BYTES, data),
+};
+static const struct field_layout record_layout =
+    SPARSE("record", record_fields);
+
+static const struct field want_item_fields[] = {
+    FIELD(struct message_want_item, 1, FIELD_UNSIGNED, lane),
+    FIELD(struct message_want_item, 2, FIELD_UNSIGNED, from),
+};
+static const struct field_layout want_item_layout =
+    SPARSE("want_item", want_item_fields);
+
+static const struct field hello_fields[] = {
+    F(1, FIELD_TEXT, hello.self.vm),
+    F(2, FIELD_TEXT, hello.self.address),
+    F(3, FIELD_UNSIGNED, hello.self.port),
+    F(4, FIELD_TEXT, hello.self.peer_address),
+    F(5, FIELD_UNSIGNED, hello.self.peer_port),
+    F(6, FIELD_TEXT, hello.self.failure_domain),
+    F(7, FIELD_TEXT, hello.self.region),
+    F(8, FIELD_UNSIGNED, hello.self.incarnation),
+    F(9, FIELD_UNSIGNED, hello.self.config_version),
+    F(10, FIELD_UNSIGNED, hello.self.owned_shards),
+    F(11, FIELD_BOOL, hello.self.draining),
+    F(12, FIELD_BOOL, hello.self.log_lost),
+    F(20, FIELD_UNSIGNED, hello.view_incarnation),
+    F(21, FIELD_UNSIGNED, hello.view_seen),
+};
+static const struct field view_fields[] = {
+    F(1, FIELD_UNSIGNED, view.incarnation),
+    F(2, FIELD_UNSIGNED, view.number),
+    F(3, FIELD_UNSIGNED, view.config_version),
+    F(4, FIELD_UNSIGNED, view.config_end),
+    F(5, FIELD_SIGNED, view.log_age_us),
+    LIST(6, view.members, &member_layout),
+};
+static const struct field stream_fields[] = {
+    F(1, FIELD_UNSIGNED, stream.lane),
+    F(2, FIELD_UNSIGNED, stream.from),
+    F(3, FIELD_UNSIGNED, stream.next),
+    F(4, FIELD_UNSIGNED, stream.end),
+    F(5, FIELD_SIGNED, stream.age_us),
+    LIST(6, stream.records, &record_layout),
+};
+static const struct field append_fields[] = {
+    F(1, FIELD_UNSIGNED, append.lane),
+    F(2, FIELD_UNSIGNED, append.number),
+    F(3, FIELD_BOOL, append.priority),
+    LIST(4, append.records, &record_layout),
+};
+static const struct field appended_fields[] = {
+    F(1, FIELD_UNSIGNED, appended.number),
+    F(2, FIELD_UNSIGNED, appended.result),
+    F(3, FIELD_UNSIGNED, appended.first_offset),
+};
+static const struct field want_fields[] = {
+    F(1, FIELD_BOOL, want.config),
+    F(2, FIELD_UNSIGNED, want.config_from),
+    LIST(3, want.lanes, &want_item_layout),
+};
+static const struct field drain_fields[] = {
+    F(1, FIELD_TEXT, drain.vm),
+    F(2, FIELD_BOOL, drain.draining),
+};
+static const struct field status_fields[] = {
+    F(1, FIELD_UNSIGNED, status.config_version),
+    F(2, FIELD_BOOL, status.config_maybe_stale),
+    F(3, FIELD_BOOL, status.draining),
+    F(4, FIELD_UNSIGNED, status.owned_shards),
+    F(5, FIELD_UNSIGNED, status.open_calls),
+    F(6, FIELD_UNSIGNED, status.backlog_bytes),
+};
+
+static const struct field_layout layouts[] = {
+    [MESSAGE_HELLO] = SPARSE("hello", hello_fields),
+    [MESSAGE_VIEW] = SPARSE("view", view_fields),
+    [MESSAGE_CONFIG] = SPARSE("config", stream_fields),
+    [MESSAGE_APPEND] = SPARSE("append", append_fields),
+    [MESSAGE_APPENDED] = SPARSE("appended", appended_fields),
+    [MESSAGE_LANE] = SPARSE("lane", stream_fields),
+    [MESSAGE_WANT] = SPARSE("want", want_fields),
+    [MESSAGE_DRAIN] = SPARSE("drain", drain_fields),
+    [MESSAGE_STATUS] = SPARSE("status", status_fields),
+};
+
+static const struct field_layout *
+layout_of(uint64_t type)
+{
+	if (type == MESSAGE_NONE ||
+	    type >= sizeof(layouts) / sizeof(layouts[0]))
+		return NULL;
+	return &layouts[type];
+}
+
+const char *
+message_type_name(enum message_type type)
+{
+	const struct field_layout *layout = layout_of(type);
+
+	return layout != NULL ? layout->name : "unknown";
+}
+
+void
+message_encode(const struct message *message, struct buf *out)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, pack_to_buf);
+	msgpack_pack_array(&packer, ENVELOPE_ITEMS);
+	msgpack_pack_uint32(&packer, MESSAGE_FORMAT);
+	msgpack_pack_uint32(&packer, (uint32_t)message->type);
+	msgpack_pack_str_with_body(
+	    &packer, message->sender, strlen(message->sender));
+	fields_pack(&packer, layout_of(message->type), message);
+}
+
+static bool
+unpack_sender(const msgpack_object *value, char sender[NAME_BYTES])
+{
+	if (value->type != MSGPACK_OBJECT_STR || value->via.str.size == 0 ||
+	    value->via.str.size >= NAME_BYTES ||
+	    memchr(value->via.str.ptr, '\0', value->via.str.size) != NULL)
+		return false;
+	memcpy(sender, value->via.str.ptr, value->via.str.size);
+	return true;
+}
+
+static bool
+unpack_envelope(
+    const msgpack_object *root, struct message *message, struct error *err)
+{
+	const msgpack_object *parts = root->via.array.ptr;
+
+	if (root->type != MSGPACK_OBJECT_ARRAY ||
+	    root->via.array.size < ENVELOPE_ITEMS ||
+	    parts[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    parts[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    !unpack_sender(&parts[2], message->sender))
+		return error_set(err, ERROR_INVALID, "not a message envelope");
+	if (parts[0].via.u64 == 0 || parts[0].via.u64 > UINT32_MAX ||
+	    parts[1].via.u64 == 0 || parts[1].via.u64 > INT32_MAX)
+		return error_set(err, ERROR_INVALID, "envelope out of range");
+	message->format = (uint32_t)parts[0].via.u64;
+	message->type = (enum message_type)parts[1].via.u64;
+	return fields_unpack(&parts[3], layout_of(message->type), message, err);
+}
+
+bool
+message_decode(
+    const uint8_t *data, size_t len, struct message *message, struct error *err)
+{
+	msgpack_unpacked unpacked;
+	bool ok;
+
+	memset(message, 0, sizeof(*message));
+	ok = pack_unpack(data, len, &unpacked, err) &&
+	    unpack_envelope(&unpacked.data, message, err);
+	if (!ok)
+		message_reset(message);
+	msgpack_unpacked_destroy(&unpacked);
+	return ok;
+}
+
+void
+message_reset(struct message *message)
+{
+	fields_free(layout_of(message->type), message);
+}
--- a/record/record.c
+++ b/record/record.c
@@ -180,18 +180,11 @@
     const uint8_t *data, size_t len, struct record *record, struct error *err)
 {
 	msgpack_unpacked unpacked;
-	size_t offset = 0;
 	bool ok;
 
 	memset(record, 0, sizeof(*record));
-	msgpack_unpacked_init(&unpacked);
-	ok = pack_sizes_fit(data, len) &&
-	    msgpack_unpack_next(&unpacked, (const char *)data, len, &offset) ==
-		MSGPACK_UNPACK_SUCCESS;
-	if (!ok)
-		error_set(err, ERROR_INVALID, "not a MessagePack value");
-	else
-		ok = unpack_envelope(&unpacked.data, record, err);
+	ok = pack_unpack(data, len, &unpacked, err) &&
+	    unpack_envelope(&unpacked.data, record, err);
 	msgpack_unpacked_destroy(&unpacked);
 	return ok;
 }
