Read a process's settings with every finding at once

Cause: nothing read the INI file. The packaged inih hands no line numbers to its handler and tells only the first malformed line. Change: settings_load() counts lines in the reader that it gives to inih and checks each line's form there; keys stand in one table with kind, unit and bounds. Unknown sections and keys, bad units, duplicates, missing and contradicting keys are findings with file and line.

--- /dev/null
+++ b/config/settings.c
@@ -0,0 +1,282 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <syslog.h>
+
+#include <ini.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "config/settings.h"
+#include "config/settings_table.h"
+#include "config/units.h"
+
+/** State of reading one file. */
+struct reading {
+	struct settings *settings;
+	struct findings *findings;
+	const char *path;
+	FILE *file;
+	int line;                 /**< that the reader handed out last */
+	int lines[SETTING_COUNT]; /**< where each setting stands; 0: nowhere */
+};
+
+void
+settings_defaults(struct settings *settings)
+{
+	*settings = (struct settings){
+	    .members_poll_us = (int64_t)2 * US_PER_S,
+	    .max_body_bytes = (size_t)8 << 20,
+	    .max_header_bytes = (size_t)8 << 10,
+	    .max_send_queue_bytes = (size_t)4 << 20,
+	    .max_connections = 1024,
+	    .stop_grace_us = (int64_t)60 * US_PER_S,
+	    .log_level = LOG_INFO,
+	};
+}
+
+static bool
+is_known_section(const char *name, size_t len)
+{
+	for (size_t i = 0; i < SETTING_COUNT; i++) {
+		if (strlen(settings_table[i].section) == len &&
+		    memcmp(settings_table[i].section, name, len) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* The library reports the first malformed line only and no empty sections;
+ * this looks at each line, so that all are found. */
+static void
+check_line(struct reading *reading, const char *text)
+{
+	const char *end;
+
+	if (*text == '\0' || *text == ';' || *text == '#')
+		return;
+	if (*text != '[') {
+		if (strpbrk(text, "=:") == NULL)
+			finding_add(reading->findings, reading->path,
+			    reading->line, "not of the form key = value");
+		return;
+	}
+	end = strchr(text, ']');
+	if (end == NULL)
+		finding_add(reading->findings, reading->path, reading->line,
+		    "section without ]");
+	else if (!is_known_section(text + 1, (size_t)(end - text - 1)))
+		finding_add(reading->findings, reading->path, reading->line,
+		    "unknown section [%.*s]", (int)(end - text - 1), text + 1);
+}
+
+static void
+skip_line(FILE *file)
+{
+	int c;
+
+	do
+		c = getc(file);
+	while (c != '\n' && c != EOF);
+}
+
+/* Hands out a line without its leading blanks: the library would take an
+ * indented line as the continuation of the one before it. */
+static char *
+read_line(char *text, int size, void *context)
+{
+	struct reading *reading = context;
+	size_t len;
+	size_t blanks;
+
+	if (fgets(text, size, reading->file) == NULL)
+		return NULL;
+	reading->line++;
+	len = strlen(text);
+	if (len + 1 == (size_t)size && text[len - 1] != '\n') {
+		finding_add(reading->findings, reading->path, reading->line,
+		    "line longer than %d bytes", size - 2);
+		skip_line(reading->file);
+	}
+	text[strcspn(text, "\r\n")] = '\0';
+	if (reading->line == 1 && strncmp(text, "\xef\xbb\xbf", 3) == 0)
+		memmove(text, text + 3, strlen(text + 3) + 1);
+	blanks = strspn(text, " \t");
+	memmove(text, text + blanks, strlen(text + blanks) + 1);
+	check_line(reading, text);
+	return text;
+}
+
+static bool
+is_ip_address(const char *text)
+{
+	unsigned char address[16];
+
+	return inet_pton(AF_INET, text, address) == 1 ||
+	    inet_pton(AF_INET6, text, address) == 1;
+}
+
+static bool
+parse_number(enum setting_kind kind, const char *value, int64_t *number)
+{
+	if (kind == SETTING_DURATION)
+		return units_parse_duration(value, number);
+	if (kind == SETTING_SIZE)
+		return units_parse_size(value, number);
+	return units_parse_count(value, number);
+}
+
+static void
+store_number(const struct setting *setting, void *at, int64_t number)
+{
+	if (setting->size == sizeof(int))
+		*(int *)at = (int)number;
+	else
+		*(int64_t *)at = number;
+}
+
+static bool
+store_text(const struct setting *setting, char *at, const char *value)
+{
+	size_t len = strlen(value);
+
+	if (len == 0 || len >= setting->size)
+		return false;
+	memcpy(at, value, len + 1);
+	return true;
+}
+
+static void
+store(struct reading *reading, const struct setting *setting, const char *value)
+{
+	void *at = (char *)reading->settings + setting->offset;
+	int64_t number = 0;
+	bool ok;
+
+	switch (setting->kind) {
+	case SETTING_ADDRESS:
+		ok = is_ip_address(value) && store_text(setting, at, value);
+		break;
+	case SETTING_NAME:
+	case SETTING_PATH:
+		ok = store_text(setting, at, value);
+		break;
+	case SETTING_LEVEL:
+		ok = diag_parse_level(value, at);
+		break;
+	default:
+		ok = parse_number(setting->kind, value, &number);
+		if (ok && (number < setting->min || number > setting->max)) {
+			finding_add(reading->findings, reading->path,
+			    reading->line, "%s: %s is out of range",
+			    setting->key, value);
+			return;
+		}
+		if (ok)
+			store_number(setting, at, number);
+		break;
+	}
+	if (!ok)
+		finding_add(reading->findings, reading->path, reading->line,
+		    "%s: '%s' is not %s", setting->key, value,
+		    setting_kind_form(setting->kind));
+}
+
+static int
+handle_key(
+    void *context, const char *section, const char *name, const char *value)
+{
+	struct reading *reading = context;
+
+	if (*section == '\0') {
+		finding_add(reading->findings, reading->path, reading->line,
+		    "%s stands before the first section", name);
+		return 1;
+	}
+	if (!is_known_section(section, strlen(section)))
+		return 1;
+	for (size_t i = 0; i < SETTING_COUNT; i++) {
+		if (strcmp(settings_table[i].section, section) != 0 ||
+		    strcmp(settings_table[i].key, name) != 0)
+			continue;
+		if (reading->lines[i] != 0)
+			finding_add(reading->findings, reading->path,
+			    reading->line, "%s was set in line %d already",
+			    name, reading->lines[i]);
+		reading->lines[i] = reading->line;
+		store(reading, &settings_table[i], value);
+		return 1;
+	}
+	finding_add(reading->findings, reading->path, reading->line,
+	    "unknown key %s in section [%s]", name, section);
+	return 1;
+}
+
+static void
+check_required(struct reading *reading)
+{
+	for (size_t i = 0; i < SETTING_COUNT; i++) {
+		if (settings_table[i].required && reading->lines[i] == 0)
+			finding_add(reading->findings, reading->path, 0,
+			    "%s in section [%s] is missing",
+			    settings_table[i].key, settings_table[i].section);
+	}
+}
+
+/* Reports a setting that needs another one beside it. */
+static void
+check_pair(struct reading *reading, enum setting_id a, enum setting_id b)
+{
+	if (reading->lines[a] != 0 && reading->lines[b] == 0)
+		finding_add(reading->findings, reading->path, reading->lines[a],
+		    "%s needs %s in section [%s]", settings_table[a].key,
+		    settings_table[b].key, settings_table[b].section);
+}
+
+static void
+check_contradictions(struct reading *reading)
+{
+	const struct settings *settings = reading->settings;
+	const char *peer = settings->peer_address[0] != '\0'
+	    ? settings->peer_address
+	    : settings->listen_address;
+
+	check_pair(reading, KEYS_TLS_CERTIFICATE, KEYS_TLS_KEY);
+	check_pair(reading, KEYS_TLS_KEY, KEYS_TLS_CERTIFICATE);
+	check_pair(reading, MEMBERS_ADDRESS, MEMBERS_PORT);
+	check_pair(reading, MEMBERS_PORT, MEMBERS_ADDRESS);
+	if (settings->peer_port != 0 &&
+	    settings->peer_port == settings->listen_port &&
+	    strcmp(peer, settings->listen_address) == 0)
+		finding_add(reading->findings, reading->path,
+		    reading->lines[LISTEN_PEER_PORT],
+		    "peer_port is the same as port in line %d",
+		    reading->lines[LISTEN_PORT]);
+}
+
+bool
+settings_load(
+    struct settings *settings, const char *path, struct findings *findings)
+{
+	struct reading reading = {
+	    .settings = settings,
+	    .findings = findings,
+	    .path = path,
+	};
+	size_t before = findings->count;
+
+	settings_defaults(settings);
+	reading.file = fopen(path, "re");
+	if (reading.file == NULL) {
+		finding_add(findings, path, 0, "%s", strerror(errno));
+		return false;
+	}
+	ini_parse_stream(read_line, &reading, handle_key, &reading);
+	if (ferror(reading.file))
+		finding_add(findings, path, reading.line, "read failed");
+	fclose(reading.file);
+	check_required(&reading);
+	check_contradictions(&reading);
+	return findings->count == before;
+}
--- /dev/null
+++ b/config/settings_table.c
@@ -0,0 +1,86 @@
+#include "config/settings_table.h"
+#include "common/clock.h"
+#include "config/settings.h"
+
+enum {
+	MAX_PORT = 65535,
+	MAX_CONNECTIONS = 1 << 20,
+	MAX_SIZE_BYTES = 1 << 30,
+};
+
+#define MAX_DURATION_US ((int64_t)24 * 3600 * US_PER_S)
+
+#define SETTING(section, key, kind, field, min, max, required) \
+	{ \
+		section, key, kind, offsetof(struct settings, field), \
+		    sizeof(((struct settings *)0)->field), min, max, required \
+	}
+
+const struct setting settings_table[SETTING_COUNT] = {
+    [VM_NAME] = SETTING("vm", "name", SETTING_NAME, vm_name, 0, 0, true),
+    [VM_FAILURE_DOMAIN] = SETTING(
+	"vm", "failure_domain", SETTING_NAME, failure_domain, 0, 0, true),
+    [VM_REGION] = SETTING("vm", "region", SETTING_NAME, region, 0, 0, true),
+    [LISTEN_ADDRESS] = SETTING(
+	"listen", "address", SETTING_ADDRESS, listen_address, 0, 0, true),
+    [LISTEN_PORT] = SETTING(
+	"listen", "port", SETTING_PORT, listen_port, 0, MAX_PORT, false),
+    [LISTEN_PEER_ADDRESS] = SETTING(
+	"listen", "peer_address", SETTING_ADDRESS, peer_address, 0, 0, false),
+    [LISTEN_PEER_PORT] = SETTING(
+	"listen", "peer_port", SETTING_PORT, peer_port, 0, MAX_PORT, false),
+    [LOG_ADDRESS] =
+	SETTING("log", "address", SETTING_ADDRESS, log_address, 0, 0, true),
+    [LOG_PORT] =
+	SETTING("log", "port", SETTING_PORT, log_port, 1, MAX_PORT, true),
+    [MEMBERS_ADDRESS] = SETTING(
+	"members", "address", SETTING_ADDRESS, members_address, 0, 0, false),
+    [MEMBERS_PORT] = SETTING(
+	"members", "port", SETTING_PORT, members_port, 1, MAX_PORT, false),
+    [MEMBERS_POLL] = SETTING("members", "poll_interval", SETTING_DURATION,
+	members_poll_us, US_PER_MS, MAX_DURATION_US, false),
+    [LIMITS_BODY] = SETTING("limits", "max_body", SETTING_SIZE, max_body_bytes,
+	1, MAX_SIZE_BYTES, false),
+    [LIMITS_HEADER] = SETTING("limits", "max_header", SETTING_SIZE,
+	max_header_bytes, 1, MAX_SIZE_BYTES, false),
+    [LIMITS_SEND_QUEUE] = SETTING("limits", "max_send_queue", SETTING_SIZE,
+	max_send_queue_bytes, 1, MAX_SIZE_BYTES, false),
+    [LIMITS_CONNECTIONS] = SETTING("limits", "max_connections", SETTING_NUMBER,
+	max_connections, 1, MAX_CONNECTIONS, false),
+    [LIMITS_STOP_GRACE] = SETTING("limits", "stop_grace", SETTING_DURATION,
+	stop_grace_us, US_PER_MS, MAX_DURATION_US, false),
+    [KEYS_TLS_CERTIFICATE] = SETTING(
+	"keys", "tls_certificate", SETTING_PATH, tls_certificate, 0, 0, false),
+    [KEYS_TLS_KEY] =
+	SETTING("keys", "tls_key", SETTING_PATH, tls_key, 0, 0, false),
+    [KEYS_OPERATOR] = SETTING("keys", "operator_key_file", SETTING_PATH,
+	operator_key_file, 0, 0, false),
+    [KEYS_PEER_SECRET] = SETTING("keys", "peer_secret_key_file", SETTING_PATH,
+	peer_secret_key_file, 0, 0, false),
+    [DIAGNOSTICS_LEVEL] =
+	SETTING("diagnostics", "level", SETTING_LEVEL, log_level, 0, 0, false),
+};
+
+const char *
+setting_kind_form(enum setting_kind kind)
+{
+	switch (kind) {
+	case SETTING_NAME:
+		return "a name";
+	case SETTING_ADDRESS:
+		return "an IP address";
+	case SETTING_PORT:
+		return "a port number";
+	case SETTING_DURATION:
+		return "a duration with unit us, ms, s, min or h";
+	case SETTING_SIZE:
+		return "a size with unit B, KiB, MiB or GiB";
+	case SETTING_NUMBER:
+		return "a number without unit";
+	case SETTING_PATH:
+		return "a path";
+	case SETTING_LEVEL:
+		return "err, warning, notice, info or debug";
+	}
+	return "";
+}
--- /dev/null
+++ b/config/units.c
@@ -0,0 +1,75 @@
+#include <ctype.h>
+#include <errno.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "config/units.h"
+
+struct unit {
+	const char *name;
+	int64_t factor;
+};
+
+static const struct unit durations[] = {
+    {"us", 1},
+    {"ms", US_PER_MS},
+    {"s", US_PER_S},
+    {"min", (int64_t)60 * US_PER_S},
+    {"h", (int64_t)3600 * US_PER_S},
+    {NULL, 0},
+};
+
+static const struct unit sizes[] = {
+    {"B", 1},
+    {"KiB", (int64_t)1 << 10},
+    {"MiB", (int64_t)1 << 20},
+    {"GiB", (int64_t)1 << 30},
+    {NULL, 0},
+};
+
+static const struct unit plain[] = {
+    {"", 1},
+    {NULL, 0},
+};
+
+static bool
+parse(const char *text, const struct unit *units, int64_t *value)
+{
+	long long number;
+	char *end;
+
+	if (!isdigit((unsigned char)*text))
+		return false;
+	errno = 0;
+	number = strtoll(text, &end, 10);
+	if (errno != 0)
+		return false;
+	while (*end == ' ')
+		end++;
+	for (; units->name != NULL; units++) {
+		if (strcmp(units->name, end) == 0)
+			return !__builtin_mul_overflow(
+			    (int64_t)number, units->factor, value);
+	}
+	return false;
+}
+
+bool
+units_parse_duration(const char *text, int64_t *us)
+{
+	return parse(text, durations, us);
+}
+
+bool
+units_parse_size(const char *text, int64_t *bytes)
+{
+	return parse(text, sizes, bytes);
+}
+
+bool
+units_parse_count(const char *text, int64_t *count)
+{
+	return parse(text, plain, count);
+}
--- /dev/null
+++ b/include/config/settings_table.h
@@ -0,0 +1,65 @@
+/** @file
+ * The keys of the settings file: where each stands, its form and its bounds.
+ */
+#ifndef CONFIG_SETTINGS_TABLE_H
+#define CONFIG_SETTINGS_TABLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum setting_kind {
+	SETTING_NAME,
+	SETTING_ADDRESS,
+	SETTING_PORT,
+	SETTING_DURATION,
+	SETTING_SIZE,
+	SETTING_NUMBER,
+	SETTING_PATH,
+	SETTING_LEVEL,
+};
+
+/** How one key of the file is read. */
+struct setting {
+	const char *section;
+	const char *key;
+	enum setting_kind kind;
+	size_t offset;
+	size_t size;
+	int64_t min; /**< in the setting's own unit */
+	int64_t max;
+	bool required;
+};
+
+enum setting_id {
+	VM_NAME,
+	VM_FAILURE_DOMAIN,
+	VM_REGION,
+	LISTEN_ADDRESS,
+	LISTEN_PORT,
+	LISTEN_PEER_ADDRESS,
+	LISTEN_PEER_PORT,
+	LOG_ADDRESS,
+	LOG_PORT,
+	MEMBERS_ADDRESS,
+	MEMBERS_PORT,
+	MEMBERS_POLL,
+	LIMITS_BODY,
+	LIMITS_HEADER,
+	LIMITS_SEND_QUEUE,
+	LIMITS_CONNECTIONS,
+	LIMITS_STOP_GRACE,
+	KEYS_TLS_CERTIFICATE,
+	KEYS_TLS_KEY,
+	KEYS_OPERATOR,
+	KEYS_PEER_SECRET,
+	DIAGNOSTICS_LEVEL,
+	SETTING_COUNT,
+};
+
+extern const struct setting settings_table[SETTING_COUNT];
+
+/** Describes the values of a kind, e.g. "an IP address". */
+const char *setting_kind_form(enum setting_kind kind);
+
+#endif
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,150 @@
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+#include <syslog.h>
+#include <unistd.h>
+
+#include "config/settings.h"
+#include "tests/runner.h"
+
+#define HEAD \
+	"[vm]\nname = entry-1\nfailure_domain = eu-vest-a\nregion = eu-vest\n" \
+	"[listen]\naddress = 127.0.0.1\n[log]\naddress = 127.0.0.1\n" \
+	"port = 7000\n"
+
+static bool
+load(const char *text, struct settings *settings, struct findings *findings)
+{
+	char path[] = "settings-XXXXXX";
+	int fd = mkstemp(path);
+	bool ok;
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+	close(fd);
+	findings_init(findings);
+	ok = settings_load(settings, path, findings);
+	unlink(path);
+	return ok;
+}
+
+static bool
+has(const struct findings *findings, int line, const char *text)
+{
+	list_for_each (finding, &findings->items, struct finding, link) {
+		if (finding->line == line &&
+		    strstr(finding->text, text) != NULL)
+			return true;
+	}
+	return false;
+}
+
+START_TEST(units_and_defaults)
+{
+	struct settings settings;
+	struct findings findings;
+
+	ck_assert(load(HEAD
+	    "[members]\naddress = ::1\nport = 9\n  poll_interval = 250 ms\n"
+	    "[limits]\nmax_body = 2 MiB ; comment\nstop_grace=5 min\n"
+	    "max_connections = 12\n[diagnostics]\nlevel = debug\n",
+	    &settings, &findings));
+	ck_assert_str_eq(settings.vm_name, "entry-1");
+	ck_assert_int_eq(settings.log_port, 7000);
+	ck_assert_int_eq(settings.members_poll_us, 250000);
+	ck_assert_uint_eq(settings.max_body_bytes, 2 << 20);
+	ck_assert_int_eq(settings.stop_grace_us, 300000000);
+	ck_assert_int_eq(settings.max_connections, 12);
+	ck_assert_int_eq(settings.log_level, LOG_DEBUG);
+	ck_assert_uint_eq(settings.max_header_bytes, 8192);
+	findings_reset(&findings);
+}
+END_TEST
+
+START_TEST(all_findings_come_with_their_line)
+{
+	struct settings settings;
+	struct findings findings;
+
+	ck_assert(!load("stray = 1\n"           /* 1 */
+			"[vm]\n"                /* 2 */
+			"name = a\n"            /* 3 */
+			"name = b\n"            /* 4 */
+			"colour = red\n"        /* 5 */
+			"no value\n"            /* 6 */
+			"[nowhere]\n"           /* 7 */
+			"x = 1\n"               /* 8 */
+			"[limits\n"             /* 9 */
+			"[limits]\n"            /* 10 */
+			"max_body = 8\n"        /* 11 */
+			"stop_grace = 3 MiB\n"  /* 12 */
+			"max_connections = 0\n" /* 13 */
+			"[listen]\n"            /* 14 */
+			"address = localhost\n" /* 15 */
+			"port = 70000\n"        /* 16 */
+			"[keys]\n"              /* 17 */
+			"tls_key = k.pem\n"     /* 18 */
+			"[diagnostics]\n"       /* 19 */
+			"level = loud\n",       /* 20 */
+	    &settings, &findings));
+	ck_assert(has(&findings, 1, "before the first section"));
+	ck_assert(has(&findings, 4, "set in line 3"));
+	ck_assert(has(&findings, 5, "unknown key colour"));
+	ck_assert(has(&findings, 6, "key = value"));
+	ck_assert(has(&findings, 7, "unknown section [nowhere]"));
+	ck_assert(has(&findings, 9, "without ]"));
+	ck_assert(has(&findings, 11, "unit B"));
+	ck_assert(has(&findings, 12, "unit us"));
+	ck_assert(has(&findings, 13, "out of range"));
+	ck_assert(has(&findings, 15, "IP address"));
+	ck_assert(has(&findings, 16, "out of range"));
+	ck_assert(has(&findings, 18, "needs tls_certificate"));
+	ck_assert(has(&findings, 20, "debug"));
+	ck_assert(has(&findings, 0, "region in section [vm] is missing"));
+	ck_assert(has(&findings, 0, "port in section [log] is missing"));
+	ck_assert_uint_eq(findings.count, 17);
+	findings_reset(&findings);
+}
+END_TEST
+
+START_TEST(long_lines_and_equal_ports)
+{
+	struct settings settings;
+	struct findings findings;
+	char text[1024];
+
+	snprintf(text, sizeof(text),
+	    HEAD "[keys]\ntls_key = %0400d\n[listen]\nport = 5\n"
+		 "peer_port = 5\n",
+	    7);
+	ck_assert(!load(text, &settings, &findings));
+	ck_assert(has(&findings, 11, "longer than"));
+	ck_assert(has(&findings, 14, "same as port in line 13"));
+	findings_reset(&findings);
+}
+END_TEST
+
+START_TEST(an_absent_file_is_a_finding)
+{
+	struct settings settings;
+	struct findings findings;
+
+	findings_init(&findings);
+	ck_assert(!settings_load(&settings, "absent.ini", &findings));
+	ck_assert_uint_eq(findings.count, 1);
+	findings_reset(&findings);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    units_and_defaults,
+	    all_findings_come_with_their_line,
+	    long_lines_and_equal_ports,
+	    an_absent_file_is_a_finding,
+	};
+
+	return run_tests("settings", tests, sizeof(tests) / sizeof(tests[0]));
+}
