Judge members and place shards by rendezvous hashing

Cause: the platform's list lags and names VMs that are gone. Change: member_state() puts list, own observation and drain together; a member that comes back is trusted after a delay that doubles with each return. Shard owners come from rendezvous hashing, callers' addresses in an order of region and failure domain (members_order).

--- a/include/member/member.h
+++ b/include/member/member.h
@@ -27,7 +27,10 @@
 	char region[NAME_BYTES];
 	enum member_state listed; /**< as the platform's list says */
 	bool draining;            /**< says so itself, or an operator does */
+	int64_t added_us;         /**< when it was first listed; 0: not known */
 	int64_t heard_us;         /**< last sign of life; 0: none yet */
+	int64_t trusted_us;       /**< it counts as gone until then */
+	uint32_t returns;         /**< times it came back after a silence */
 	uint64_t config_version;  /**< in force there */
 };
 
@@ -40,6 +43,9 @@
 /** Returns what is believed of a member at a time: its own signs of life
  * weigh more than the list. */
 enum member_state member_state(const struct member *member, int64_t now_us);
+/** Notes a sign of life. A member that comes back after a silence is trusted
+ * again only after a delay, which doubles each time. */
+void member_heard(struct member *member, int64_t now_us);
 struct member *members_find(struct members *members, const char *vm);
 /** Adds a member, or returns the one of that name. */
 struct member *members_add(struct members *members, const char *vm);
@@ -51,5 +57,10 @@
 /** Returns the k-th choice for a shard, in the same order. */
 const struct member *members_shard_choice(const struct members *members,
     uint32_t shard, size_t choice, int64_t now_us);
+/** Orders the live members for a caller: those of its region first, failure
+ * domains in turn, otherwise spread by the seed. Returns how many (at most
+ * max) were written to order. */
+size_t members_order(const struct members *members, const char *region,
+    uint64_t seed, int64_t now_us, const struct member **order, size_t max);
 
 #endif
--- /dev/null
+++ b/member/member.c
@@ -0,0 +1,94 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "member/member.h"
+
+enum {
+	SILENCE_MS = 4000,    /**< silence after which a member is gone */
+	INTRODUCE_MS = 10000, /**< a listed member may stay unheard so long */
+	FIRST_DAMPING_MS = 1000,
+	MAX_DAMPING_MS = 32000,
+	STEADY_MS = 300000, /**< steady time that ends the damping */
+};
+
+static bool
+elapsed(int64_t since_us, int64_t now_us, int ms)
+{
+	return now_us - since_us > (int64_t)ms * US_PER_MS;
+}
+
+/* The list lags both ways: it names VMs that are gone, and lacks new ones. */
+static bool
+is_up(const struct member *member, int64_t now_us)
+{
+	if (member->heard_us != 0)
+		return !elapsed(member->heard_us, now_us, SILENCE_MS) &&
+		    now_us >= member->trusted_us;
+	if (member->added_us != 0 &&
+	    elapsed(member->added_us, now_us, INTRODUCE_MS))
+		return false;
+	return member->listed != MEMBER_GONE;
+}
+
+enum member_state
+member_state(const struct member *member, int64_t now_us)
+{
+	if (!is_up(member, now_us))
+		return MEMBER_GONE;
+	if (member->draining || member->listed == MEMBER_LEAVING)
+		return MEMBER_LEAVING;
+	return MEMBER_LIVE;
+}
+
+void
+member_heard(struct member *member, int64_t now_us)
+{
+	int64_t damping_ms = FIRST_DAMPING_MS;
+
+	if (member->heard_us != 0 &&
+	    elapsed(member->heard_us, now_us, SILENCE_MS)) {
+		if (elapsed(member->trusted_us, now_us, STEADY_MS))
+			member->returns = 0;
+		for (uint32_t i = 0;
+		     i < member->returns && damping_ms < MAX_DAMPING_MS; i++)
+			damping_ms *= 2;
+		member->returns++;
+		member->trusted_us = now_us + damping_ms * US_PER_MS;
+	}
+	member->heard_us = now_us;
+}
+
+struct member *
+members_find(struct members *members, const char *vm)
+{
+	for (size_t i = 0; i < members->count; i++) {
+		if (strcmp(members->items[i].vm, vm) == 0)
+			return &members->items[i];
+	}
+	return NULL;
+}
+
+struct member *
+members_add(struct members *members, const char *vm)
+{
+	struct member *member = members_find(members, vm);
+
+	if (member != NULL)
+		return member;
+	members->items = xrealloc(
+	    members->items, (members->count + 1) * sizeof(*members->items));
+	member = &members->items[members->count++];
+	memset(member, 0, sizeof(*member));
+	snprintf(member->vm, sizeof(member->vm), "%s", vm);
+	return member;
+}
+
+void
+members_reset(struct members *members)
+{
+	free(members->items);
+	memset(members, 0, sizeof(*members));
+}
--- /dev/null
+++ b/tests/test_member.c
@@ -0,0 +1,174 @@
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "member/member.h"
+#include "tests/runner.h"
+
+enum {
+	SECOND = 1000000,
+	VMS = 12,
+	SHARDS = 1200,
+};
+
+static void
+fill(struct members *members)
+{
+	static const char *const domains[] = {"a", "b", "c"};
+	char name[NAME_BYTES];
+
+	memset(members, 0, sizeof(*members));
+	for (int i = 0; i < VMS; i++) {
+		struct member *member;
+
+		snprintf(name, sizeof(name), "entry-%d", i);
+		member = members_add(members, name);
+		snprintf(
+		    member->failure_domain, NAME_BYTES, "%s", domains[i % 3]);
+		snprintf(member->region, NAME_BYTES, "r-%s", domains[i % 3]);
+		member->heard_us = SECOND;
+	}
+}
+
+START_TEST(own_signs_of_life_weigh_more_than_the_list)
+{
+	struct member member = {.listed = MEMBER_GONE};
+
+	ck_assert_int_eq(member_state(&member, SECOND), MEMBER_GONE);
+	member_heard(&member, SECOND);
+	ck_assert_int_eq(member_state(&member, 2 * SECOND), MEMBER_LIVE);
+	member.listed = MEMBER_LIVE;
+	ck_assert_int_eq(member_state(&member, 60 * SECOND), MEMBER_GONE);
+	member_heard(&member, 60 * SECOND);
+	member.draining = true;
+	ck_assert_int_eq(member_state(&member, 62 * SECOND), MEMBER_LEAVING);
+	member.draining = false;
+	member.listed = MEMBER_LEAVING;
+	ck_assert_int_eq(member_state(&member, 62 * SECOND), MEMBER_LEAVING);
+}
+END_TEST
+
+START_TEST(a_listed_member_is_believed_for_a_while)
+{
+	struct member member = {.listed = MEMBER_LIVE, .added_us = SECOND};
+
+	ck_assert_int_eq(member_state(&member, 2 * SECOND), MEMBER_LIVE);
+	ck_assert_int_eq(member_state(&member, 60 * SECOND), MEMBER_GONE);
+}
+END_TEST
+
+START_TEST(flapping_is_damped)
+{
+	struct member member = {.listed = MEMBER_LIVE};
+	int64_t now = SECOND;
+	int64_t wait = 0;
+
+	member_heard(&member, now);
+	for (int i = 0; i < 4; i++) {
+		now += 10 * SECOND + wait;
+		member_heard(&member, now);
+		ck_assert_int_eq(member_state(&member, now), MEMBER_GONE);
+		ck_assert_int_gt(member.trusted_us - now, wait);
+		wait = member.trusted_us - now;
+	}
+	now += 1000 * (int64_t)SECOND;
+	member_heard(&member, now);
+	ck_assert_int_lt(member.trusted_us - now, wait);
+	now = member.trusted_us;
+	member_heard(&member, now);
+	ck_assert_int_eq(member_state(&member, now), MEMBER_LIVE);
+}
+END_TEST
+
+START_TEST(shards_move_only_from_the_member_that_went)
+{
+	struct members members;
+	const char *before[SHARDS];
+	int owned[VMS] = {0};
+
+	fill(&members);
+	for (uint32_t s = 0; s < SHARDS; s++) {
+		const struct member *owner =
+		    members_shard_owner(&members, s, SECOND);
+
+		before[s] = owner->vm;
+		owned[owner - members.items]++;
+	}
+	for (int i = 0; i < VMS; i++) {
+		ck_assert_int_gt(owned[i], SHARDS / VMS / 2);
+		ck_assert_int_lt(owned[i], SHARDS / VMS * 2);
+	}
+	members.items[3].draining = true;
+	for (uint32_t s = 0; s < SHARDS; s++) {
+		const char *after =
+		    members_shard_owner(&members, s, SECOND)->vm;
+
+		if (strcmp(before[s], "entry-3") == 0)
+			ck_assert_str_ne(after, "entry-3");
+		else
+			ck_assert_str_eq(after, before[s]);
+	}
+	members_reset(&members);
+}
+END_TEST
+
+START_TEST(choices_are_a_permutation_of_the_live)
+{
+	struct members members;
+	bool seen[VMS] = {false};
+	const struct member *second;
+
+	fill(&members);
+	second = members_shard_choice(&members, 7, 1, SECOND);
+	for (size_t k = 0; k < VMS; k++) {
+		const struct member *member =
+		    members_shard_choice(&members, 7, k, SECOND);
+
+		ck_assert(!seen[member - members.items]);
+		seen[member - members.items] = true;
+	}
+	ck_assert_ptr_null(members_shard_choice(&members, 7, VMS, SECOND));
+	members.items[members_shard_owner(&members, 7, SECOND) - members.items]
+	    .draining = true;
+	ck_assert_ptr_eq(members_shard_owner(&members, 7, SECOND), second);
+	ck_assert_ptr_null(members_shard_owner(&members, 7, 60 * SECOND));
+	members_reset(&members);
+}
+END_TEST
+
+START_TEST(callers_get_their_region_first_and_domains_in_turn)
+{
+	struct members members;
+	const struct member *order[VMS];
+
+	fill(&members);
+	for (uint64_t seed = 0; seed < 50; seed++) {
+		ck_assert_uint_eq(
+		    members_order(&members, "r-b", seed, SECOND, order, VMS),
+		    VMS);
+		for (int i = 0; i < 4; i++)
+			ck_assert_str_eq(order[i]->region, "r-b");
+		for (int i = 4; i < VMS; i += 2)
+			ck_assert_str_ne(order[i]->failure_domain,
+			    order[i + 1]->failure_domain);
+	}
+	ck_assert_uint_eq(
+	    members_order(&members, "r-b", 1, SECOND, order, 3), 3);
+	members_reset(&members);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    own_signs_of_life_weigh_more_than_the_list,
+	    a_listed_member_is_believed_for_a_while,
+	    flapping_is_damped,
+	    shards_move_only_from_the_member_that_went,
+	    choices_are_a_permutation_of_the_live,
+	    callers_get_their_region_first_and_domains_in_turn,
+	};
+
+	return run_tests("member", tests, sizeof(tests) / sizeof(tests[0]));
+}
