--- /dev/null
+++ b/standins/log_store.c
@@ -0,0 +1,315 @@
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "standins/log_store.h"
+
+enum {
+	FIRST_CAPACITY = 64,
+};
+
+struct entry {
+	int64_t appended_us;
+	uint8_t *data;
+	size_t len;
+};
+
+/** Records first .. first + count - 1, at items[head] and behind. */
+struct stream {
+	char name[PLOG_STREAM_BYTES];
+	uint64_t first;
+	struct entry *items;
+	size_t head;
+	size_t count;
+	size_t capacity;
+	UT_hash_handle hh;
+};
+
+/** Counters of all streams whose names begin alike. */
+struct prefix {
+	char name[PLOG_STREAM_BYTES];
+	uint64_t appends;
+	uint64_t records;
+	uint64_t bytes;
+	uint64_t reads;
+	uint64_t read_bytes;
+	UT_hash_handle hh;
+};
+
+struct log_store {
+	struct log_store_options options;
+	struct stream *streams;
+	struct prefix *prefixes;
+	double allowance; /**< appends that may come now */
+	int64_t refilled_us;
+	uint64_t throttled;
+	struct plog_record *result; /**< of the last read */
+	size_t result_capacity;
+};
+
+struct log_store *
+log_store_create(const struct log_store_options *options)
+{
+	struct log_store *store = xcalloc(1, sizeof(*store));
+
+	store->options = *options;
+	store->allowance = options->append_burst;
+	return store;
+}
+
+static void
+stream_destroy(struct stream *stream)
+{
+	for (size_t i = 0; i < stream->count; i++)
+		free(stream->items[stream->head + i].data);
+	free(stream->items);
+	free(stream);
+}
+
+void
+log_store_destroy(struct log_store *store)
+{
+	struct stream *stream = store->streams;
+	struct prefix *prefix = store->prefixes;
+
+	HASH_CLEAR(hh, store->streams);
+	HASH_CLEAR(hh, store->prefixes);
+	while (stream != NULL) {
+		struct stream *next = stream->hh.next;
+
+		stream_destroy(stream);
+		stream = next;
+	}
+	while (prefix != NULL) {
+		struct prefix *next = prefix->hh.next;
+
+		free(prefix);
+		prefix = next;
+	}
+	free(store->result);
+	free(store);
+}
+
+bool
+log_stream_name_valid(const char *name)
+{
+	size_t len = strlen(name);
+
+	for (const char *at = name; *at != '\0'; at++) {
+		if (!isalnum((unsigned char)*at) && strchr("-_.", *at) == NULL)
+			return false;
+	}
+	return len > 0 && len < PLOG_STREAM_BYTES;
+}
+
+static struct stream *
+find_stream(struct log_store *store, const char *name)
+{
+	struct stream *stream;
+
+	HASH_FIND_STR(store->streams, name, stream);
+	return stream;
+}
+
+static struct stream *
+need_stream(struct log_store *store, const char *name)
+{
+	struct stream *stream = find_stream(store, name);
+
+	if (stream != NULL)
+		return stream;
+	stream = xcalloc(1, sizeof(*stream));
+	snprintf(stream->name, sizeof(stream->name), "%s", name);
+	HASH_ADD_STR(store->streams, name, stream);
+	return stream;
+}
+
+/* The prefix of "lane-12" is "lane". */
+static struct prefix *
+need_prefix(struct log_store *store, const char *stream)
+{
+	char name[PLOG_STREAM_BYTES];
+	struct prefix *prefix;
+
+	snprintf(name, sizeof(name), "%.*s", (int)strcspn(stream, "-"), stream);
+	HASH_FIND_STR(store->prefixes, name, prefix);
+	if (prefix != NULL)
+		return prefix;
+	prefix = xcalloc(1, sizeof(*prefix));
+	snprintf(prefix->name, sizeof(prefix->name), "%s", name);
+	HASH_ADD_STR(store->prefixes, name, prefix);
+	return prefix;
+}
+
+static void
+drop_oldest(struct stream *stream)
+{
+	free(stream->items[stream->head].data);
+	stream->head++;
+	stream->count--;
+	stream->first++;
+}
+
+static void
+expire(struct log_store *store, struct stream *stream, int64_t now_us)
+{
+	int64_t age = store->options.retention_us;
+	uint64_t most = store->options.retention_records;
+
+	while (age > 0 && stream->count > 0 &&
+	    now_us - stream->items[stream->head].appended_us > age)
+		drop_oldest(stream);
+	while (most > 0 && stream->count > most)
+		drop_oldest(stream);
+}
+
+static struct entry *
+push(struct stream *stream)
+{
+	if (stream->head > stream->count) {
+		memmove(stream->items, stream->items + stream->head,
+		    stream->count * sizeof(*stream->items));
+		stream->head = 0;
+	}
+	if (stream->head + stream->count == stream->capacity) {
+		stream->capacity = stream->capacity > 0 ? 2 * stream->capacity
+							: FIRST_CAPACITY;
+		stream->items = xrealloc(
+		    stream->items, stream->capacity * sizeof(*stream->items));
+	}
+	return &stream->items[stream->head + stream->count++];
+}
+
+/* Takes one append out of the token bucket. */
+static bool
+admit(struct log_store *store, int64_t now_us)
+{
+	double rate = store->options.appends_per_s;
+
+	if (rate <= 0)
+		return true;
+	store->allowance +=
+	    rate * (double)(now_us - store->refilled_us) / US_PER_S;
+	if (store->allowance > store->options.append_burst)
+		store->allowance = store->options.append_burst;
+	store->refilled_us = now_us;
+	if (store->allowance < 1) {
+		store->throttled++;
+		return false;
+	}
+	store->allowance -= 1;
+	return true;
+}
+
+bool
+log_store_append(struct log_store *store, const char *name,
+    const struct plog_record *records, size_t count, int64_t now_us,
+    uint64_t *first_offset)
+{
+	struct prefix *prefix = need_prefix(store, name);
+	struct stream *stream;
+
+	if (!admit(store, now_us))
+		return false;
+	stream = need_stream(store, name);
+	*first_offset = stream->first + stream->count;
+	prefix->appends++;
+	prefix->records += count;
+	for (size_t i = 0; i < count; i++) {
+		struct entry *entry = push(stream);
+
+		entry->appended_us = now_us;
+		entry->len = records[i].len;
+		entry->data = (uint8_t *)xmemdup(records[i].data, entry->len);
+		prefix->bytes += entry->len;
+	}
+	expire(store, stream, now_us);
+	return true;
+}
+
+static void
+result_add(struct log_store *store, struct plog_read *read, uint64_t offset,
+    const struct entry *entry)
+{
+	if (read->count == store->result_capacity) {
+		store->result_capacity = store->result_capacity > 0
+		    ? 2 * store->result_capacity
+		    : FIRST_CAPACITY;
+		store->result = xrealloc(store->result,
+		    store->result_capacity * sizeof(*store->result));
+	}
+	store->result[read->count++] = (struct plog_record){
+	    .offset = offset,
+	    .data = entry->data,
+	    .len = entry->len,
+	};
+}
+
+static void
+collect(struct log_store *store, const struct stream *stream, uint64_t from,
+    size_t max_bytes, struct plog_read *read)
+{
+	struct prefix *prefix = need_prefix(store, stream->name);
+	size_t bytes = 0;
+
+	for (uint64_t offset = from; offset < read->end; offset++) {
+		const struct entry *entry =
+		    &stream->items[stream->head + (offset - stream->first)];
+
+		if (read->count > 0 && bytes + entry->len > max_bytes)
+			break;
+		bytes += entry->len;
+		result_add(store, read, offset, entry);
+	}
+	prefix->read_bytes += bytes;
+}
+
+void
+log_store_read(struct log_store *store, const char *name, uint64_t from,
+    size_t max_bytes, int64_t now_us, struct plog_read *read)
+{
+	struct stream *stream = find_stream(store, name);
+
+	*read = (struct plog_read){.status = PLOG_OK};
+	need_prefix(store, name)->reads++;
+	if (stream == NULL)
+		return;
+	expire(store, stream, now_us);
+	read->first = stream->first;
+	read->end = stream->first + stream->count;
+	if (from < read->first)
+		read->status = PLOG_EXPIRED;
+	else
+		collect(store, stream, from, max_bytes, read);
+	read->records = store->result;
+}
+
+json_t *
+log_store_stats(const struct log_store *store)
+{
+	json_t *prefixes = json_object();
+	struct prefix *prefix;
+	struct prefix *next;
+	json_int_t appends = 0;
+	json_int_t records = 0;
+
+	HASH_ITER (hh, store->prefixes, prefix, next) {
+		appends += (json_int_t)prefix->appends;
+		records += (json_int_t)prefix->records;
+		json_object_set_new(prefixes, prefix->name,
+		    json_pack("{s:I, s:I, s:I, s:I, s:I}", "appends",
+			(json_int_t)prefix->appends, "records",
+			(json_int_t)prefix->records, "bytes",
+			(json_int_t)prefix->bytes, "reads",
+			(json_int_t)prefix->reads, "read_bytes",
+			(json_int_t)prefix->read_bytes));
+	}
+	return json_pack("{s:I, s:I, s:I, s:o}", "appends", appends, "records",
+	    records, "throttled", (json_int_t)store->throttled, "prefixes",
+	    prefixes);
+}
