Add standin-engine, the model engine's stand-in

Cause: nothing can be routed or measured without an engine. Change: continuous batching and a prefix cache as modules without I/O; chat with streaming, resume and cancel; KV release, export and import; late load reports and cache events; orders with and without fencing check; faults.

--- /dev/null
+++ b/standins/engine_cache.c
@@ -0,0 +1,412 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "common/list.h"
+#include "common/memory.h"
+#include "standins/engine_cache.h"
+
+enum {
+	FIRST_CAPACITY = 64,
+};
+
+struct cache_block {
+	uint64_t hash;
+	uint32_t pins;
+	struct list lru;   /**< in engine_cache.unpinned while pins is 0 */
+	struct list holds; /**< of struct hold */
+	UT_hash_handle hh;
+};
+
+struct program {
+	char name[ENGINE_NAME_BYTES];
+	struct list holds; /**< of struct hold */
+	struct list changed;
+	size_t held;
+	uint64_t stored;
+	uint64_t evicted;
+	bool ended;
+	UT_hash_handle hh;
+};
+
+/** A block is held for a program. */
+struct hold {
+	struct list of_block;
+	struct list of_program;
+	struct cache_block *block;
+	struct program *program;
+};
+
+struct engine_cache {
+	size_t capacity;
+	size_t count;
+	size_t pinned;
+	struct cache_block *blocks; /**< hash table */
+	struct program *programs;   /**< hash table */
+	struct list unpinned;       /**< least recently used first */
+	struct list changed;        /**< of struct program */
+};
+
+struct engine_cache *
+engine_cache_create(size_t capacity_blocks)
+{
+	struct engine_cache *cache = xcalloc(1, sizeof(*cache));
+
+	cache->capacity = capacity_blocks;
+	list_init(&cache->unpinned);
+	list_init(&cache->changed);
+	return cache;
+}
+
+static void
+hold_free(struct hold *hold)
+{
+	list_remove(&hold->of_block);
+	list_remove(&hold->of_program);
+	hold->program->held--;
+	free(hold);
+}
+
+void
+engine_cache_destroy(struct engine_cache *cache)
+{
+	struct cache_block *block = cache->blocks;
+	struct program *program = cache->programs;
+
+	HASH_CLEAR(hh, cache->blocks);
+	HASH_CLEAR(hh, cache->programs);
+	while (block != NULL) {
+		struct cache_block *next = block->hh.next;
+
+		list_for_each_safe (
+		    hold, tmp, &block->holds, struct hold, of_block)
+			hold_free(hold);
+		free(block);
+		block = next;
+	}
+	while (program != NULL) {
+		struct program *next = program->hh.next;
+
+		free(program);
+		program = next;
+	}
+	free(cache);
+}
+
+static struct cache_block *
+find_block(const struct engine_cache *cache, uint64_t hash)
+{
+	struct cache_block *block;
+
+	HASH_FIND(hh, cache->blocks, &hash, sizeof(hash), block);
+	return block;
+}
+
+static struct program *
+find_program(const struct engine_cache *cache, const char *name)
+{
+	struct program *program;
+
+	HASH_FIND_STR(cache->programs, name, program);
+	return program;
+}
+
+static struct program *
+need_program(struct engine_cache *cache, const char *name)
+{
+	struct program *program = find_program(cache, name);
+
+	if (program != NULL)
+		return program;
+	program = xcalloc(1, sizeof(*program));
+	snprintf(program->name, sizeof(program->name), "%s", name);
+	list_init(&program->holds);
+	list_init(&program->changed);
+	HASH_ADD_STR(cache->programs, name, program);
+	return program;
+}
+
+/* Puts a program into the list of those that have something to tell. */
+static void
+note_change(struct engine_cache *cache, struct program *program)
+{
+	list_remove(&program->changed);
+	list_append(&cache->changed, &program->changed);
+}
+
+static void
+hold_block(
+    struct engine_cache *cache, struct cache_block *block, const char *name)
+{
+	struct program *program;
+	struct hold *hold;
+
+	if (name[0] == '\0')
+		return;
+	program = need_program(cache, name);
+	list_for_each (other, &block->holds, struct hold, of_block) {
+		if (other->program == program)
+			return;
+	}
+	hold = xcalloc(1, sizeof(*hold));
+	hold->block = block;
+	hold->program = program;
+	list_append(&block->holds, &hold->of_block);
+	list_append(&program->holds, &hold->of_program);
+	program->held++;
+	program->stored++;
+	note_change(cache, program);
+}
+
+static void
+drop_hold(struct engine_cache *cache, struct hold *hold)
+{
+	hold->program->evicted++;
+	note_change(cache, hold->program);
+	hold_free(hold);
+}
+
+static void
+drop_block(struct engine_cache *cache, struct cache_block *block)
+{
+	list_for_each_safe (hold, tmp, &block->holds, struct hold, of_block)
+		drop_hold(cache, hold);
+	list_remove(&block->lru);
+	HASH_DEL(cache->blocks, block);
+	cache->count--;
+	free(block);
+}
+
+/* Returns the block of a hash, made if need be; NULL when there is no room. */
+static struct cache_block *
+need_block(struct engine_cache *cache, uint64_t hash)
+{
+	struct cache_block *block = find_block(cache, hash);
+
+	if (block != NULL)
+		return block;
+	if (cache->count == cache->capacity) {
+		if (list_empty(&cache->unpinned))
+			return NULL;
+		drop_block(cache,
+		    list_entry(cache->unpinned.next, struct cache_block, lru));
+	}
+	block = xcalloc(1, sizeof(*block));
+	block->hash = hash;
+	list_init(&block->holds);
+	list_init(&block->lru);
+	list_append(&cache->unpinned, &block->lru);
+	HASH_ADD(hh, cache->blocks, hash, sizeof(hash), block);
+	cache->count++;
+	return block;
+}
+
+static void
+pin(struct engine_cache *cache, struct cache_sequence *sequence,
+    struct cache_block *block)
+{
+	if (sequence->count == sequence->capacity) {
+		sequence->capacity = sequence->capacity > 0
+		    ? 2 * sequence->capacity
+		    : FIRST_CAPACITY;
+		sequence->blocks = xrealloc(sequence->blocks,
+		    sequence->capacity * sizeof(struct cache_block *));
+	}
+	sequence->blocks[sequence->count++] = block;
+	if (block->pins++ == 0) {
+		cache->pinned++;
+		list_remove(&block->lru);
+	}
+	if (!sequence->released)
+		hold_block(cache, block, sequence->program);
+}
+
+static void
+unpin(struct engine_cache *cache, struct cache_block *block, bool released)
+{
+	if (--block->pins > 0)
+		return;
+	cache->pinned--;
+	list_append(&cache->unpinned, &block->lru);
+	if (released && list_empty(&block->holds))
+		drop_block(cache, block);
+}
+
+size_t
+engine_cache_match(const struct engine_cache *cache, const uint64_t *hashes,
+    size_t count, size_t *unpinned)
+{
+	size_t matched = 0;
+
+	*unpinned = 0;
+	for (; matched < count; matched++) {
+		const struct cache_block *block =
+		    find_block(cache, hashes[matched]);
+
+		if (block == NULL)
+			break;
+		if (block->pins == 0)
+			++*unpinned;
+	}
+	return matched;
+}
+
+size_t
+engine_cache_begin(struct engine_cache *cache, struct cache_sequence *sequence,
+    const uint64_t *hashes, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		struct cache_block *block = find_block(cache, hashes[i]);
+
+		if (block == NULL)
+			break;
+		pin(cache, sequence, block);
+	}
+	return sequence->count;
+}
+
+bool
+engine_cache_extend(
+    struct engine_cache *cache, struct cache_sequence *sequence, uint64_t hash)
+{
+	struct cache_block *block = need_block(cache, hash);
+
+	if (block == NULL)
+		return false;
+	pin(cache, sequence, block);
+	return true;
+}
+
+void
+engine_cache_end(struct engine_cache *cache, struct cache_sequence *sequence)
+{
+	/* The last block first: without it the others are still of use. */
+	for (size_t i = sequence->count; i > 0; i--)
+		unpin(cache, sequence->blocks[i - 1], sequence->released);
+	free(sequence->blocks);
+	sequence->blocks = NULL;
+	sequence->count = 0;
+	sequence->capacity = 0;
+}
+
+size_t
+engine_cache_release(struct engine_cache *cache, const char *name)
+{
+	struct program *program = find_program(cache, name);
+	size_t held;
+
+	if (program == NULL)
+		return 0;
+	held = program->held;
+	list_for_each_safe (
+	    hold, tmp, &program->holds, struct hold, of_program) {
+		struct cache_block *block = hold->block;
+
+		drop_hold(cache, hold);
+		if (block->pins == 0 && list_empty(&block->holds))
+			drop_block(cache, block);
+	}
+	return held;
+}
+
+size_t
+engine_cache_hashes(
+    const struct engine_cache *cache, const char *name, uint64_t **hashes)
+{
+	const struct program *program = find_program(cache, name);
+	size_t count = 0;
+
+	*hashes = xcalloc(
+	    (program != NULL ? program->held : 0) + 1, sizeof(**hashes));
+	if (program == NULL)
+		return 0;
+	list_for_each (hold, &program->holds, struct hold, of_program)
+		(*hashes)[count++] = hold->block->hash;
+	return count;
+}
+
+size_t
+engine_cache_import(struct engine_cache *cache, const char *program,
+    const uint64_t *hashes, size_t count)
+{
+	struct cache_sequence sequence = {0};
+
+	snprintf(sequence.program, sizeof(sequence.program), "%s", program);
+	for (size_t i = 0; i < count; i++) {
+		if (!engine_cache_extend(cache, &sequence, hashes[i]))
+			break;
+	}
+	count = sequence.count;
+	engine_cache_end(cache, &sequence);
+	return count;
+}
+
+size_t
+engine_cache_capacity(const struct engine_cache *cache)
+{
+	return cache->capacity;
+}
+
+size_t
+engine_cache_blocks(const struct engine_cache *cache)
+{
+	return cache->count;
+}
+
+size_t
+engine_cache_pinned(const struct engine_cache *cache)
+{
+	return cache->pinned;
+}
+
+size_t
+engine_cache_held(const struct engine_cache *cache, const char *name)
+{
+	const struct program *program = find_program(cache, name);
+
+	return program != NULL ? program->held : 0;
+}
+
+void
+engine_cache_mark_ended(struct engine_cache *cache, const char *name)
+{
+	need_program(cache, name)->ended = true;
+}
+
+size_t
+engine_cache_held_by_ended(const struct engine_cache *cache)
+{
+	size_t held = 0;
+
+	for (const struct program *program = cache->programs; program != NULL;
+	     program = program->hh.next) {
+		if (program->ended)
+			held += program->held;
+	}
+	return held;
+}
+
+bool
+engine_cache_next_change(
+    struct engine_cache *cache, struct cache_change *change)
+{
+	struct program *program;
+
+	if (list_empty(&cache->changed))
+		return false;
+	program = list_entry(cache->changed.next, struct program, changed);
+	list_remove(&program->changed);
+	memcpy(change->program, program->name, sizeof(change->program));
+	change->stored = program->stored;
+	change->evicted = program->evicted;
+	change->held = program->held;
+	program->stored = 0;
+	program->evicted = 0;
+	if (program->held == 0 && !program->ended) {
+		HASH_DEL(cache->programs, program);
+		free(program);
+	}
+	return true;
+}
--- /dev/null
+++ b/standins/engine_chat.c
@@ -0,0 +1,262 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/hash.h"
+#include "common/memory.h"
+#include "standins/engine.h"
+
+/** Body of POST /v1/chat/completions; the texts belong to `root`. */
+struct chat {
+	json_t *root;
+	json_t *messages;
+	const char *model;
+	const char *adapter;
+	const char *program;
+	const char *attempt;
+	const char *cache_salt;
+	const char *resume_attempt;
+	json_int_t resume_from;
+	json_int_t priority;
+	json_int_t max_tokens;
+	int stream;
+	struct buf prompt;
+};
+
+static bool
+chat_parse(struct chat *chat, const struct standin_request *request)
+{
+	*chat = (struct chat){
+	    .model = "",
+	    .adapter = "",
+	    .program = "",
+	    .attempt = "",
+	    .cache_salt = "",
+	    .resume_attempt = "",
+	};
+	chat->root = standin_request_json(request);
+	if (json_unpack(chat->root,
+		"{s?o, s?s, s?s, s?s, s?s, s?s, s?s, s?I, s?I, s?I, s?b}",
+		"messages", &chat->messages, "model", &chat->model, "adapter",
+		&chat->adapter, "program", &chat->program, "attempt",
+		&chat->attempt, "cache_salt", &chat->cache_salt,
+		"resume_attempt", &chat->resume_attempt, "resume_from",
+		&chat->resume_from, "priority", &chat->priority, "max_tokens",
+		&chat->max_tokens, "stream", &chat->stream) != 0)
+		return false;
+	if (strlen(chat->program) >= ENGINE_NAME_BYTES ||
+	    strlen(chat->attempt) >= ENGINE_NAME_BYTES ||
+	    strlen(chat->model) >= ENGINE_NAME_BYTES ||
+	    strpbrk(chat->attempt, "\"\\") != NULL || chat->max_tokens < 0 ||
+	    chat->resume_from < 0)
+		return false;
+	return chat->resume_attempt[0] != '\0' ||
+	    text_render(chat->messages, &chat->prompt);
+}
+
+static void
+chat_reset(struct chat *chat)
+{
+	json_decref(chat->root);
+	buf_reset(&chat->prompt);
+}
+
+static void
+refuse(struct standin_request *request, int status, const char *reason)
+{
+	engine.counters.refused++;
+	standin_reply_error(request, status, reason);
+}
+
+static void
+resume(struct standin_request *request, const struct chat *chat)
+{
+	struct generation *generation = generation_find(chat->resume_attempt);
+
+	if (generation == NULL) {
+		refuse(request, 404, "unknown_attempt");
+		return;
+	}
+	if ((uint64_t)chat->resume_from > generation->produced) {
+		refuse(request, 400, "resume_beyond_end");
+		return;
+	}
+	engine.counters.resumed++;
+	generation->stream = chat->stream;
+	generation_attach(generation, request, (uint64_t)chat->resume_from);
+}
+
+static uint64_t
+wanted_tokens(const struct generation *generation)
+{
+	if (generation->order.answer_tokens > 0)
+		return generation->order.answer_tokens;
+	return (uint64_t)engine.settings.answer_tokens;
+}
+
+static bool
+contains(const struct buf *prompt, const char *text)
+{
+	return text != NULL && text[0] != '\0' &&
+	    memmem(prompt->data, prompt->len, text, strlen(text)) != NULL;
+}
+
+static bool
+take(int64_t *left)
+{
+	if (*left == 0)
+		return false;
+	--*left;
+	return true;
+}
+
+static void
+choose_fault(struct generation *generation, const struct chat *chat)
+{
+	struct engine_faults *faults = &engine.faults;
+
+	if (contains(&chat->prompt, faults->crash_on) ||
+	    contains(&chat->prompt, engine.settings.crash_on)) {
+		generation->fault = GENERATION_CRASHES;
+	} else if (take(&faults->crash_requests)) {
+		generation->fault = GENERATION_CRASHES;
+		generation->fault_after_tokens =
+		    (uint64_t)faults->crash_after_tokens;
+	} else if (take(&faults->cut_requests)) {
+		generation->fault = GENERATION_CUTS;
+		generation->fault_after_tokens =
+		    (uint64_t)faults->cut_after_tokens;
+	} else if (take(&faults->stall_requests)) {
+		generation->fault = GENERATION_STALLS;
+		generation->fault_after_tokens =
+		    (uint64_t)faults->stall_after_tokens;
+	}
+}
+
+static struct generation *
+generation_create(const struct chat *chat)
+{
+	struct generation *generation = xcalloc(1, sizeof(*generation));
+	uint64_t most = (uint64_t)chat->max_tokens;
+
+	generation->id = ++engine.last_id;
+	generation->stream = chat->stream;
+	if (chat->attempt[0] != '\0')
+		memcpy(generation->attempt, chat->attempt,
+		    strlen(chat->attempt) + 1);
+	else
+		snprintf(generation->attempt, sizeof(generation->attempt),
+		    "chat-%" PRIu64, generation->id);
+	memcpy(generation->model, chat->model, strlen(chat->model) + 1);
+	text_read_order(chat->messages, &generation->order);
+	generation->prompt_tokens = text_tokens(chat->prompt.len);
+	generation->answer_tokens = wanted_tokens(generation);
+	if (most > 0 && generation->answer_tokens > most) {
+		generation->answer_tokens = most;
+		generation->cut_short = true;
+	}
+	text_answer(chat->messages, &chat->prompt, chat->model,
+	    generation->answer_tokens, &generation->text);
+	choose_fault(generation, chat);
+	return generation;
+}
+
+static uint64_t
+cache_seed(const struct chat *chat)
+{
+	return hash_text(chat->model,
+	    hash_text(chat->adapter, hash_text(chat->cache_salt, 0)));
+}
+
+static enum engine_verdict
+submit(const struct generation *generation, struct chat *chat)
+{
+	struct engine_request request = {
+	    .id = generation->id,
+	    .priority = chat->priority,
+	    .prompt_tokens = generation->prompt_tokens,
+	    .answer_tokens = generation->answer_tokens,
+	};
+	enum engine_verdict verdict;
+	uint64_t *hashes;
+
+	memcpy(request.program, chat->program, strlen(chat->program) + 1);
+	buf_append(&chat->prompt, generation->text.data, generation->text.len);
+	hashes = text_block_hashes(chat->prompt.data, chat->prompt.len,
+	    cache_seed(chat), &request.hash_count);
+	request.hashes = hashes;
+	verdict = engine_submit(engine.core, &request, clock_monotonic_us());
+	free(hashes);
+	return verdict;
+}
+
+static void
+start(struct standin_request *request, struct chat *chat)
+{
+	struct generation *generation = generation_create(chat);
+
+	generation_add(generation);
+	switch (submit(generation, chat)) {
+	case ENGINE_ACCEPTED:
+		engine.counters.started++;
+		generation_attach(generation, request, 0);
+		engine_pump();
+		break;
+	case ENGINE_TOO_LONG:
+		generation_remove(generation);
+		refuse(request, 400, "context_too_long");
+		break;
+	case ENGINE_BUSY:
+		generation_remove(generation);
+		refuse(request, 429, "busy");
+		break;
+	}
+}
+
+void
+handle_chat(struct standin_request *request)
+{
+	struct chat chat;
+
+	if (!chat_parse(&chat, request))
+		refuse(request, 400, "malformed_request");
+	else if (chat.resume_attempt[0] != '\0')
+		resume(request, &chat);
+	else if (!engine_serves(chat.model, chat.adapter))
+		refuse(request, 404, "model_not_loaded");
+	else if (chat.attempt[0] != '\0' &&
+	    generation_find(chat.attempt) != NULL)
+		refuse(request, 409, "attempt_exists");
+	else
+		start(request, &chat);
+	chat_reset(&chat);
+}
+
+void
+handle_cancel(struct standin_request *request)
+{
+	json_t *root = standin_request_json(request);
+	const char *attempt = NULL;
+	struct generation *generation;
+	bool running;
+
+	if (json_unpack(root, "{s:s}", "attempt", &attempt) != 0) {
+		json_decref(root);
+		standin_reply_error(request, 400, "malformed_request");
+		return;
+	}
+	generation = generation_find(attempt);
+	running = generation != NULL && !generation->finished &&
+	    !engine.faults.ignore_cancel;
+	if (running) {
+		engine.counters.cancelled++;
+		engine_cancel(
+		    engine.core, generation->id, clock_monotonic_us());
+		generation_remove(generation);
+		engine_pump();
+	}
+	json_decref(root);
+	standin_reply(request, 200, json_pack("{s:b}", "cancelled", running));
+}
--- /dev/null
+++ b/standins/engine_main.c
@@ -0,0 +1,92 @@
+/** @file
+ * Command line and ordered faults of standin-engine.
+ */
+#include "standins/engine.h"
+
+#define INTEGER(name, arg, help) \
+	{ \
+#name, arg, help, FIELD_INTEGER, \
+		{ \
+			.integer = &engine.settings.name \
+		} \
+	}
+#define REAL(name, arg, help) \
+	{ \
+#name, arg, help, FIELD_REAL, \
+		{ \
+			.real = &engine.settings.name \
+		} \
+	}
+#define TEXT(name, arg, help) \
+	{ \
+#name, arg, help, FIELD_TEXT, \
+		{ \
+			.text = &engine.settings.name \
+		} \
+	}
+#define FAULT(name) \
+	{ \
+#name, "", "", FIELD_INTEGER, \
+		{ \
+			.integer = &engine.faults.name \
+		} \
+	}
+
+static const struct field options[] = {
+    INTEGER(kv_tokens, "N", "Tokens of KV memory"),
+    REAL(prefill_tokens_per_s, "N", "Prompt tokens computed a second"),
+    INTEGER(prefill_chunk_tokens, "N", "Prompt tokens computed a step"),
+    INTEGER(step_us, "US", "Time of a step that decodes"),
+    INTEGER(step_us_per_request, "US", "Added for each request that decodes"),
+    INTEGER(max_running, "N", "Requests in the batch"),
+    INTEGER(max_waiting, "N", "Waiting requests, then 429"),
+    INTEGER(answer_tokens, "N", "Length of an answer unless ordered"),
+    INTEGER(load_lag_ms, "MS", "Age of load reports"),
+    INTEGER(event_lag_ms, "MS", "Age at which cache events are told"),
+    REAL(event_loss, "P", "Probability that a cache event is lost"),
+    INTEGER(resume_ms, "MS", "Time in which a cut stream may be resumed"),
+    INTEGER(kv_bytes_per_token, "N", "Bytes of KV memory a token"),
+    REAL(kv_bytes_per_s, "N", "Rate of KV export and import; 0: at once"),
+    {"check_fencing", "yes|no", "Refuse orders with an older fencing number",
+	FIELD_BOOL, {.flag = &engine.settings.check_fencing}},
+    TEXT(models, "LIST", "Models loaded at first, or none; absent: serve any"),
+    TEXT(adapters, "LIST", "Adapters loaded at first; absent: serve any"),
+    INTEGER(model_bytes, "N", "Size of a model"),
+    INTEGER(adapter_bytes, "N", "Size of an adapter"),
+    REAL(load_bytes_per_s, "N", "Rate of loading without a weight store"),
+    TEXT(weights_address, "IP", "Address of the weight store"),
+    INTEGER(weights_port, "PORT", "Port of the weight store"),
+    TEXT(crash_on, "TEXT", "Exit when a prompt has this text"),
+};
+
+static const struct field faults[] = {
+    FAULT(stall_requests),
+    FAULT(stall_after_tokens),
+    FAULT(cut_requests),
+    FAULT(cut_after_tokens),
+    FAULT(crash_requests),
+    FAULT(crash_after_tokens),
+    {"crash_on", "", "", FIELD_TEXT, {.text = &engine.faults.crash_on}},
+    FAULT(slow_step_us),
+    {"ignore_cancel", "", "", FIELD_BOOL,
+	{.flag = &engine.faults.ignore_cancel}},
+};
+
+int
+main(int argc, char **argv)
+{
+	static const struct standin_program program = {
+	    .name = "standin-engine",
+	    .summary = "Stand-in for a model engine.",
+	    .options = options,
+	    .option_count = sizeof(options) / sizeof(options[0]),
+	    .faults = faults,
+	    .fault_count = sizeof(faults) / sizeof(faults[0]),
+	    .start = engine_start,
+	    .handle = engine_handle,
+	    .stats = engine_stats,
+	    .faults_changed = engine_faults_changed,
+	};
+
+	return standin_main(&program, argc, argv);
+}
--- /dev/null
+++ b/standins/engine_stream.c
@@ -0,0 +1,295 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "standins/engine.h"
+
+enum {
+	CRASH_STATUS = 70,
+};
+
+void
+generation_add(struct generation *generation)
+{
+	HASH_ADD(by_id, engine.by_id, id, sizeof(generation->id), generation);
+	HASH_ADD(by_attempt, engine.by_attempt, attempt,
+	    strlen(generation->attempt), generation);
+}
+
+struct generation *
+generation_find(const char *attempt)
+{
+	struct generation *generation;
+
+	HASH_FIND(by_attempt, engine.by_attempt, attempt, strlen(attempt),
+	    generation);
+	return generation;
+}
+
+static struct generation *
+find_by_id(uint64_t id)
+{
+	struct generation *generation;
+
+	HASH_FIND(by_id, engine.by_id, &id, sizeof(id), generation);
+	return generation;
+}
+
+void
+generation_remove(struct generation *generation)
+{
+	HASH_DELETE(by_id, engine.by_id, generation);
+	HASH_DELETE(by_attempt, engine.by_attempt, generation);
+	if (generation->request != NULL)
+		standin_cut(generation->request);
+	buf_reset(&generation->text);
+	text_order_reset(&generation->order);
+	free(generation);
+}
+
+static void
+detach(struct generation *generation)
+{
+	generation->request = NULL;
+	generation->expires_us =
+	    clock_monotonic_us() + engine.settings.resume_ms * US_PER_MS;
+}
+
+static void
+handle_caller_gone(struct standin_request *request)
+{
+	detach(request->context);
+	standin_stream_end(request);
+}
+
+/* ---- what is sent ---- */
+
+static const char *
+finish_reason(const struct generation *generation)
+{
+	if (generation->cut_short)
+		return "length";
+	return generation->order.tool[0] != '\0' ? "tool_calls" : "stop";
+}
+
+static json_t *
+usage_json(const struct generation *generation)
+{
+	return json_pack("{s:I, s:I, s:I, s:{s:I}}", "prompt_tokens",
+	    (json_int_t)generation->prompt_tokens, "completion_tokens",
+	    (json_int_t)generation->produced, "total_tokens",
+	    (json_int_t)(generation->prompt_tokens + generation->produced),
+	    "prompt_tokens_details", "cached_tokens",
+	    (json_int_t)generation->cached_tokens);
+}
+
+/* Returns NULL when no tool is called. */
+static json_t *
+tool_calls_json(const struct generation *generation)
+{
+	const struct text_order *order = &generation->order;
+	char id[TEXT_TOOL_BYTES + 32];
+
+	if (order->tool[0] == '\0' || generation->cut_short)
+		return NULL;
+	snprintf(
+	    id, sizeof(id), "call_%.16s", (const char *)generation->text.data);
+	return json_pack("[{s:i, s:s, s:s, s:{s:s, s:s}}]", "index", 0, "id",
+	    id, "type", "function", "function", "name", order->tool,
+	    "arguments", order->arguments != NULL ? order->arguments : "{}");
+}
+
+static bool
+write_event(struct generation *generation, json_t *event)
+{
+	struct buf out = {0};
+	char *text = json_dumps(event, JSON_COMPACT);
+	bool ok;
+
+	json_decref(event);
+	if (text == NULL)
+		memory_exhausted();
+	buf_printf(&out, "data: %s\n\n", text);
+	free(text);
+	ok =
+	    http_stream_write(generation->request->exchange, out.data, out.len);
+	buf_reset(&out);
+	return ok;
+}
+
+/* Tokens are letters, digits and spaces: no escapes are needed. */
+static bool
+write_token(struct generation *generation, uint64_t index)
+{
+	const char *text = (const char *)generation->text.data;
+	char line[512];
+	int len = snprintf(line, sizeof(line),
+	    "data: {\"id\":\"%s\",\"object\":\"chat.completion.chunk\","
+	    "\"choices\":[{\"index\":0,\"delta\":{\"content\":\"%.*s\"},"
+	    "\"finish_reason\":null}]}\n\n",
+	    generation->attempt, TEXT_TOKEN_BYTES,
+	    text + index * TEXT_TOKEN_BYTES);
+
+	return http_stream_write(
+	    generation->request->exchange, line, (size_t)len);
+}
+
+static void
+write_end(struct generation *generation)
+{
+	static const char done[] = "data: [DONE]\n\n";
+	struct standin_request *request = generation->request;
+	json_t *delta = json_object();
+	json_t *calls = tool_calls_json(generation);
+
+	if (calls != NULL)
+		json_object_set_new(delta, "tool_calls", calls);
+	write_event(generation,
+	    json_pack("{s:s, s:s, s:s, s:[{s:i, s:o, s:s}], s:o}", "id",
+		generation->attempt, "object", "chat.completion.chunk", "model",
+		generation->model, "choices", "index", 0, "delta", delta,
+		"finish_reason", finish_reason(generation), "usage",
+		usage_json(generation)));
+	http_stream_write(request->exchange, done, sizeof(done) - 1);
+	detach(generation);
+	standin_stream_end(request);
+}
+
+static void
+reply_whole(struct generation *generation)
+{
+	struct standin_request *request = generation->request;
+	json_t *calls = tool_calls_json(generation);
+	json_t *message =
+	    json_pack("{s:s, s:s%}", "role", "assistant", "content",
+		(const char *)generation->text.data, generation->text.len);
+
+	if (calls != NULL)
+		json_object_set_new(message, "tool_calls", calls);
+	detach(generation);
+	request->on_close = NULL;
+	standin_reply(request, 200,
+	    json_pack("{s:s, s:s, s:s, s:[{s:i, s:o, s:s}], s:o}", "id",
+		generation->attempt, "object", "chat.completion", "model",
+		generation->model, "choices", "index", 0, "message", message,
+		"finish_reason", finish_reason(generation), "usage",
+		usage_json(generation)));
+}
+
+/* Sends what has been made and not yet been sent. */
+static void
+send_produced(struct generation *generation)
+{
+	if (generation->request == NULL)
+		return;
+	if (generation->stream) {
+		while (generation->sent < generation->produced) {
+			if (!write_token(generation, generation->sent)) {
+				struct standin_request *request =
+				    generation->request;
+
+				detach(generation);
+				standin_cut(request);
+				return;
+			}
+			generation->sent++;
+		}
+	}
+	if (!generation->finished)
+		return;
+	if (generation->stream)
+		write_end(generation);
+	else
+		reply_whole(generation);
+}
+
+void
+generation_attach(struct generation *generation,
+    struct standin_request *request, uint64_t from)
+{
+	if (generation->request != NULL)
+		standin_cut(generation->request);
+	generation->request = request;
+	generation->sent = from;
+	request->context = generation;
+	request->on_close = handle_caller_gone;
+	if (request->exchange == NULL) {
+		handle_caller_gone(request);
+		return;
+	}
+	if (generation->stream)
+		http_stream_begin(
+		    request->exchange, 200, "text/event-stream", NULL);
+	send_produced(generation);
+}
+
+/* ---- what the core has made ---- */
+
+/* Does what a fault orders when the first token past its place is made, which
+ * no caller sees. Returns whether the answer goes on without a caller. */
+static bool
+apply_fault(struct generation *generation)
+{
+	struct standin_request *request = generation->request;
+
+	switch (generation->fault) {
+	case GENERATION_SOUND:
+		return true;
+	case GENERATION_STALLS:
+		engine_stall(engine.core, generation->id);
+		return false;
+	case GENERATION_CUTS:
+		generation->fault = GENERATION_SOUND;
+		if (request != NULL) {
+			detach(generation);
+			standin_cut(request);
+		}
+		return true;
+	case GENERATION_CRASHES:
+		_exit(CRASH_STATUS);
+	}
+	return true;
+}
+
+void
+generation_handle_event(const struct engine_event *event)
+{
+	struct generation *generation = find_by_id(event->id);
+
+	if (generation == NULL)
+		return;
+	generation->cached_tokens = event->cached_tokens;
+	if (generation->fault != GENERATION_SOUND &&
+	    event->produced > generation->fault_after_tokens &&
+	    !apply_fault(generation))
+		return;
+	generation->produced = event->produced;
+	if (event->type == ENGINE_FINISHED) {
+		generation->finished = true;
+		engine.counters.finished++;
+		generation->expires_us = clock_monotonic_us() +
+		    engine.settings.resume_ms * US_PER_MS;
+	}
+	send_produced(generation);
+}
+
+void
+generations_expire(int64_t now_us)
+{
+	struct generation *next;
+
+	for (struct generation *generation = engine.by_id; generation != NULL;
+	     generation = next) {
+		next = generation->by_id.next;
+		if (generation->request != NULL ||
+		    now_us < generation->expires_us)
+			continue;
+		if (engine_cancel(engine.core, generation->id, now_us))
+			engine.counters.abandoned++;
+		generation_remove(generation);
+	}
+}
--- a/standins/log_store.c
+++ b/standins/log_store.c
@@ -293,12 +293,11 @@
 log_store_stats(const struct log_store *store)
 {
 	json_t *prefixes = json_object();
-	struct prefix *prefix;
-	struct prefix *next;
 	json_int_t appends = 0;
 	json_int_t records = 0;
 
-	HASH_ITER (hh, store->prefixes, prefix, next) {
+	for (const struct prefix *prefix = store->prefixes; prefix != NULL;
+	     prefix = prefix->hh.next) {
 		appends += (json_int_t)prefix->appends;
 		records += (json_int_t)prefix->records;
 		json_object_set_new(prefixes, prefix->name,
--- /dev/null
+++ b/standins/text.c
@@ -0,0 +1,186 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/hash.h"
+#include "common/memory.h"
+#include "common/rng.h"
+#include "standins/text.h"
+
+enum {
+	HASH_TOKENS = 4,
+	LETTERS = 26,
+};
+
+uint64_t
+text_tokens(size_t bytes)
+{
+	return (bytes + TEXT_TOKEN_BYTES - 1) / TEXT_TOKEN_BYTES;
+}
+
+/* Returns a string as it is, null as "", anything else as JSON. */
+static char *
+value_text(const json_t *value)
+{
+	char *text;
+
+	if (value == NULL || json_is_null(value))
+		return xstrdup("");
+	if (json_is_string(value))
+		return xstrdup(json_string_value(value));
+	text =
+	    json_dumps(value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+	if (text == NULL)
+		memory_exhausted();
+	return text;
+}
+
+static void
+append_value(struct buf *out, const json_t *value)
+{
+	char *text = value_text(value);
+
+	buf_append_text(out, text);
+	free(text);
+}
+
+bool
+text_render(const json_t *messages, struct buf *out)
+{
+	size_t index;
+	json_t *message;
+
+	if (!json_is_array(messages) || json_array_size(messages) == 0)
+		return false;
+	json_array_foreach (messages, index, message) {
+		const char *role =
+		    json_string_value(json_object_get(message, "role"));
+
+		if (role == NULL)
+			return false;
+		buf_printf(out, "%s\n", role);
+		append_value(out, json_object_get(message, "content"));
+		append_value(out, json_object_get(message, "tool_calls"));
+		buf_append_text(out, "\n");
+	}
+	return buf_append_text(out, "assistant\n");
+}
+
+static const json_t *
+last_message(const json_t *messages)
+{
+	return json_array_get(messages, json_array_size(messages) - 1);
+}
+
+char *
+text_last_content(const json_t *messages)
+{
+	return value_text(json_object_get(last_message(messages), "content"));
+}
+
+/* Copies JSON arguments that follow a tool's name on its line. */
+static void
+read_arguments(const char *at, struct text_order *order)
+{
+	json_error_t where;
+	json_t *value;
+
+	at += strspn(at, " ");
+	if (*at != '{')
+		return;
+	value = json_loads(at, JSON_DISABLE_EOF_CHECK, &where);
+	if (value != NULL)
+		order->arguments = json_dumps(value, JSON_COMPACT);
+	json_decref(value);
+}
+
+static void
+read_tool(const char *content, struct text_order *order)
+{
+	static const char mark[] = "CALL_TOOL:";
+	const char *at = strstr(content, mark);
+	size_t len;
+
+	if (at == NULL)
+		return;
+	at += sizeof(mark) - 1;
+	len = strspn(at,
+	    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-");
+	if (len >= sizeof(order->tool))
+		return;
+	memcpy(order->tool, at, len);
+	order->tool[len] = '\0';
+	read_arguments(at + len, order);
+}
+
+void
+text_read_order(const json_t *messages, struct text_order *order)
+{
+	static const char mark[] = "ANSWER_TOKENS:";
+	const char *role =
+	    json_string_value(json_object_get(last_message(messages), "role"));
+	char *content;
+	const char *at;
+
+	*order = (struct text_order){0};
+	if (role == NULL ||
+	    (strcmp(role, "user") != 0 && strcmp(role, "tool") != 0))
+		return;
+	content = text_last_content(messages);
+	at = strstr(content, mark);
+	if (at != NULL)
+		order->answer_tokens =
+		    strtoull(at + sizeof(mark) - 1, NULL, 10);
+	read_tool(content, order);
+	free(content);
+}
+
+void
+text_order_reset(struct text_order *order)
+{
+	free(order->arguments);
+	order->arguments = NULL;
+}
+
+void
+text_answer(const json_t *messages, const struct buf *prompt, const char *model,
+    uint64_t tokens, struct buf *out)
+{
+	char *content = text_last_content(messages);
+	size_t end = out->len + tokens * TEXT_TOKEN_BYTES;
+	struct rng rng;
+
+	buf_printf(out, "%016" PRIx64, hash_text(content, 0));
+	rng_init(
+	    &rng, hash_bytes(prompt->data, prompt->len, hash_text(model, 0)));
+	for (uint64_t i = HASH_TOKENS; i < tokens; i++) {
+		uint64_t word = rng_next(&rng);
+		char letters[TEXT_TOKEN_BYTES] = {
+		    ' ',
+		    (char)('a' + word % LETTERS),
+		    (char)('a' + (word >> 8) % LETTERS),
+		    (char)('a' + (word >> 16) % LETTERS),
+		};
+
+		buf_append(out, letters, sizeof(letters));
+	}
+	out->len = end;
+	free(content);
+}
+
+uint64_t *
+text_block_hashes(const void *text, size_t len, uint64_t seed, size_t *count)
+{
+	const uint8_t *at = text;
+	uint64_t *hashes;
+
+	*count = len / TEXT_BLOCK_BYTES;
+	hashes = xcalloc(*count + 1, sizeof(*hashes));
+	for (size_t i = 0; i < *count; i++) {
+		seed = hash_bytes(at, TEXT_BLOCK_BYTES, seed);
+		hashes[i] = seed;
+		at += TEXT_BLOCK_BYTES;
+	}
+	return hashes;
+}
