--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -60,13 +60,13 @@
 		    "%s", finish);
 }
 
-/* Engines that echo the attempt must echo this one. */
+/* An engine names the attempt that it answers in each event. */
 static bool
 is_own_event(const struct attempt *attempt, json_t *event)
 {
-	const char *echo = json_string_value(json_object_get(event, "attempt"));
+	const char *echo = json_string_value(json_object_get(event, "id"));
 
-	return echo == NULL || strcmp(echo, attempt->id) == 0;
+	return echo != NULL && strcmp(echo, attempt->id) == 0;
 }
 
 static void
@@ -195,7 +195,7 @@
 	    "\"priority\":%d,\"continue_final_message\":%s,\"messages\":[",
 	    params->model, params->adapter,
 	    (unsigned long long)params->max_tokens, params->program, params->id,
-	    params->urgent ? 0 : 1, continues ? "true" : "false");
+	    (int)params->priority, continues ? "true" : "false");
 	buf_append(body, params->prompt->data, params->prompt->len);
 	append_partial(body, params->partial);
 	buf_append_text(body, "]}");
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -77,6 +77,8 @@
 handle_schedule(struct daemon *daemon)
 {
 	struct sched_dispatch dispatch;
+	char program[PROGRAM_ID_BYTES];
+	char server[NAME_BYTES];
 	enum refusal reason;
 	uint64_t id;
 
@@ -88,6 +90,9 @@
 		if (call != NULL)
 			model_call_dispatch(call, &dispatch);
 	}
+	while (sched_release_due(
+	    daemon->sched, daemon->board.now_us, program, server))
+		server_controller_drop_kv(daemon->server, server, program);
 }
 
 static void
--- a/daemon/member_controller.c
+++ b/daemon/member_controller.c
@@ -130,7 +130,7 @@
 	snprintf(self->region, NAME_BYTES, "%.60s", daemon->settings.region);
 	self->listed = MEMBER_LIVE;
 	self->draining = daemon->board.draining;
-	self->heard_us = daemon->board.now_us;
+	member_heard(self, daemon->board.now_us);
 	self->config_version = daemon->board.config.version;
 }
 
@@ -192,7 +192,7 @@
 	daemon->board.now_us = clock_monotonic_us();
 	if (member != NULL && answer->result == HTTP_RESULT_OK &&
 	    root != NULL) {
-		member->heard_us = daemon->board.now_us;
+		member_heard(member, daemon->board.now_us);
 		member->draining =
 		    json_is_true(json_object_get(root, "draining"));
 	}
--- a/daemon/model_call.c
+++ b/daemon/model_call.c
@@ -226,6 +226,30 @@
 	buf_reset(&content);
 }
 
+/* Names the tool that the model asked for, or "". */
+static const char *
+requested_tool(const struct model_call *model)
+{
+	json_t *first = json_array_get(model->tool_calls, 0);
+	const char *name = json_string_value(
+	    json_object_get(json_object_get(first, "function"), "name"));
+
+	return name != NULL ? name : "";
+}
+
+/* The program pauses until its next call: keep its cache or not. */
+static void
+begin_pause(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+
+	if (sched_pause_begin(daemon->sched, call->program, call->workspace,
+		requested_tool(&call->model),
+		daemon->board.now_us) != SCHED_PAUSE_KEEP)
+		server_controller_drop_kv(
+		    daemon->server, call->model.server, call->program);
+}
+
 static void
 give_up(struct call *call, enum refusal reason)
 {
@@ -264,6 +288,7 @@
 		snprintf(model->finish_reason, sizeof(model->finish_reason),
 		    "%s", finish_reason);
 		record_turn(call);
+		begin_pause(call);
 		return;
 	}
 	diag(LOG_NOTICE, &log, "attempt at %s failed (result %d, status %d)",
@@ -298,7 +323,7 @@
 	    .max_tokens = model->max_tokens > model->answer_tokens
 		? model->max_tokens - model->answer_tokens
 		: 1,
-	    .urgent = call->urgent,
+	    .priority = dispatch->priority,
 	    .timeout_us = config->limits.call_timeout_us,
 	};
 
--- a/daemon/server_controller.c
+++ b/daemon/server_controller.c
@@ -37,6 +37,7 @@
 	struct http_call *call;
 	char server[NAME_BYTES];
 	char program[PROGRAM_ID_BYTES];
+	bool ended; /**< the program is over; the owner waits for it */
 };
 
 struct server_controller {
@@ -72,7 +73,7 @@
 	struct daemon *daemon = poll->controller->daemon;
 	json_t *root =
 	    json_loadb((const char *)answer->body, answer->body_len, 0, NULL);
-	const struct sched_load load = {
+	struct sched_load load = {
 	    .running = (uint32_t)get_number(root, "running"),
 	    .waiting = (uint32_t)get_number(root, "waiting"),
 	    .kv_used_tokens = get_number(root, "kv_used_tokens"),
@@ -83,6 +84,8 @@
 
 	poll->load_call = NULL;
 	daemon->board.now_us = clock_monotonic_us();
+	load.measured_us = daemon->board.now_us -
+	    (int64_t)get_number(root, "age_ms") * US_PER_MS;
 	note_health(poll, root != NULL);
 	if (root != NULL)
 		sched_handle_load(
@@ -226,18 +229,19 @@
 	struct daemon *daemon = release->controller->daemon;
 
 	daemon->board.now_us = clock_monotonic_us();
-	if (answer->result == HTTP_RESULT_OK && answer->status == 200)
-		owner_kv_released(daemon->owner, release->program,
-		    release->server, daemon->board.now_us);
-	else
+	if (answer->result == HTTP_RESULT_OK && answer->status == 200) {
+		if (release->ended)
+			owner_kv_released(daemon->owner, release->program,
+			    release->server, daemon->board.now_us);
+	} else
 		daemon->board.counters.retries[RETRY_RELEASE]++;
 	list_remove(&release->link);
 	free(release);
 }
 
-void
-server_controller_release_kv(struct server_controller *controller,
-    const char *server, const char *program)
+static void
+send_release(struct server_controller *controller, const char *server,
+    const char *program, bool ended)
 {
 	struct daemon *daemon = controller->daemon;
 	const struct config_server *declared =
@@ -253,12 +257,14 @@
 
 	if (declared == NULL) {
 		/* A server that is no longer declared serves no one. */
-		owner_kv_released(
-		    daemon->owner, program, server, daemon->board.now_us);
+		if (ended)
+			owner_kv_released(daemon->owner, program, server,
+			    daemon->board.now_us);
 		return;
 	}
 	release = xcalloc(1, sizeof(*release));
 	release->controller = controller;
+	release->ended = ended;
 	snprintf(release->server, NAME_BYTES, "%s", server);
 	snprintf(release->program, PROGRAM_ID_BYTES, "%s", program);
 	params.body_len = (size_t)snprintf(
@@ -271,6 +277,20 @@
 	    http_fetch(daemon->net, &params, handle_released, release);
 }
 
+void
+server_controller_release_kv(struct server_controller *controller,
+    const char *server, const char *program)
+{
+	send_release(controller, server, program, true);
+}
+
+void
+server_controller_drop_kv(struct server_controller *controller,
+    const char *server, const char *program)
+{
+	send_release(controller, server, program, false);
+}
+
 struct server_controller *
 server_controller_create(struct daemon *daemon)
 {
--- a/include/daemon/attempt.h
+++ b/include/daemon/attempt.h
@@ -40,7 +40,7 @@
 	const struct buf *prompt; /**< JSON messages without brackets */
 	const char *partial; /**< text of an earlier attempt to go on from */
 	uint64_t max_tokens;
-	bool urgent;
+	uint32_t priority;  /**< lower runs first */
 	int64_t timeout_us; /**< longest silence */
 };
 
--- a/include/daemon/controller.h
+++ b/include/daemon/controller.h
@@ -30,8 +30,12 @@
 void server_controller_destroy(struct server_controller *controller);
 /** Takes a new configuration version. */
 void server_controller_reload(struct server_controller *controller);
+/** Releases the cache of a program that has ended; the owner is told. */
 void server_controller_release_kv(struct server_controller *controller,
     const char *server, const char *program);
+/** Drops the cache of a program that pauses; nobody waits for it. */
+void server_controller_drop_kv(struct server_controller *controller,
+    const char *server, const char *program);
 
 /** Planned stop: drains, then ends the loop. */
 struct stop_controller *stop_controller_create(struct daemon *daemon);
