--- a/include/program/owner.h
+++ b/include/program/owner.h
@@ -6,6 +6,9 @@
  * Programs belong to shards (a part of the program id), shards to lanes
  * (shard % lanes; a lane is a stream "lane-N" of the log). The order of a
  * lane's records decides who owns a shard: see docs/DECISIONS/ownership.md.
+ * Behind the lanes of shards, the numbering goes on with a lane of crash
+ * evidence and one index of snapshots for each lane: owner_lane_count() in
+ * all, owner_lane_stream() names them.
  */
 #ifndef PROGRAM_OWNER_H
 #define PROGRAM_OWNER_H
@@ -50,7 +53,8 @@
 	OWNER_DISPATCH,
 	/** The outcome is durable: answer. */
 	OWNER_OUTCOME_DURABLE,
-	/** More budget is durable: owner_call_admit() may be tried again. */
+	/** More budget is durable, or the same call that another request
+	 * made is over: owner_call_admit() has to be tried again. */
 	OWNER_RESERVED,
 	/** The END record is durable: answer. */
 	OWNER_PROGRAM_ENDED,
@@ -60,7 +64,8 @@
 	 * shard. Nothing that the caller was told is lost; it resends. */
 	OWNER_NOT_DURABLE,
 	/** Ask a server to release a program's KV cache, then call
-	 * owner_kv_released(). Repeated until then. */
+	 * owner_kv_released(). Repeated until then. The server "*" stands for
+	 * all that may have run the program: its former owner died. */
 	OWNER_RELEASE_KV,
 	OWNER_SHARD_TAKEN,
 	OWNER_SHARD_LOST,
@@ -95,6 +100,8 @@
 /** Says that the shard's present owner seems gone, so that a wanted shard may
  * be claimed from it. Only a matter of when, never of safety. */
 void owner_suspect(struct owner *owner, const char *vm);
+/** Sets this VM's part (0..1) of the system's appends a second. */
+void owner_set_share(struct owner *owner, double share);
 bool owner_owns(const struct owner *owner, uint32_t shard);
 /** Copies the address of a shard's owner as the lane has it, or "". */
 void owner_shard_address(
@@ -106,6 +113,10 @@
 
 /* ---- log ---- */
 
+uint32_t owner_lane_count(const struct owner *owner);
+/** Names a lane's stream: "lane-N", "crashes" or "index-N". */
+void owner_lane_stream(
+    const struct owner *owner, uint32_t lane, char *name, size_t size);
 /** Returns whether a lane has to be read, and from where. */
 bool
 owner_lane_position(const struct owner *owner, uint32_t lane, uint64_t *from);
@@ -119,6 +130,11 @@
 void owner_handle_lane_expired(
     struct owner *owner, uint32_t lane, uint64_t first, int64_t now_us);
 
+/** Tells what a lane keeps: [first, end). Snapshots and old turns near its
+ * start are appended again. */
+void owner_handle_lane_kept(struct owner *owner, uint32_t lane, uint64_t first,
+    uint64_t end, int64_t now_us);
+
 /** Records to append to one lane as a batch. */
 struct owner_batch {
 	uint32_t lane;
@@ -165,6 +181,8 @@
 	uint64_t turn; /**< last recorded turn */
 	struct digest digest;
 	uint64_t budget_left_tokens;
+	uint32_t
+	    shard; /**< of the program; OWNER_NOT_MINE: whose owner to ask */
 	/* OWNER_OK of a model call: the history before this call, as pieces of
 	 * JSON arrays; valid until the next call into the owner. */
 	const struct record_bytes *history;
@@ -192,6 +210,15 @@
 	OWNER_CALL_ONCE,       /**< non-idempotent */
 };
 
+/** A turn that the caller was told is not durable yet, sent again. */
+struct owner_resend {
+	bool tool;
+	const char *key;
+	struct digest arguments;
+	uint64_t prompt_tokens; /**< history length after the turn */
+	struct record_bytes content;
+};
+
 struct owner_call {
 	enum owner_call_kind kind;
 	const char *program;
@@ -203,6 +230,10 @@
 	struct digest arguments;     /**< of the request body */
 	uint64_t cost_tokens;        /**< most that it may spend */
 	int64_t wall_us;
+	/* Turns that may be missing here, oldest first; taken if the digest
+	 * proves that they follow what is kept. */
+	const struct owner_resend *resend;
+	size_t resend_count;
 };
 
 /** Admits a call of a program: order, history, budget, limits, duplicates.
@@ -219,14 +250,22 @@
 	struct record_bytes content; /**< JSON array of new messages */
 };
 
+/** Takes the next record that has to be read for a history, by its lane and
+ * offset; each is given once. */
+bool owner_next_fetch(struct owner *owner, uint32_t *lane, uint64_t *offset);
+/** Hands in a record that was asked for; NULL: reading failed, ask again. */
+void owner_handle_fetched(struct owner *owner, uint32_t lane, uint64_t offset,
+    const struct record *record, int64_t now_us);
+
 /** A model or repeatable call has its whole answer; OWNER_TURN_DURABLE
  * follows. Returns the digest of the history after the turn. */
 struct digest owner_turn_end(struct owner *owner, call_id call,
     const struct owner_turn_end *end, int64_t now_us);
 /** A model or repeatable call failed or was given up; what it may have spent
- * is charged. */
-void owner_call_abandon(
-    struct owner *owner, call_id call, uint64_t spent_tokens, int64_t now_us);
+ * is charged, and its server ("" if none) is asked to release what it holds
+ * when the program ends. */
+void owner_call_abandon(struct owner *owner, call_id call, const char *server,
+    uint64_t spent_tokens, int64_t now_us);
 /** A dispatched ONCE call has its outcome; OWNER_OUTCOME_DURABLE follows. */
 void owner_outcome(struct owner *owner, call_id call, enum outcome outcome,
     uint32_t status, struct record_bytes answer, int64_t now_us);
@@ -250,6 +289,9 @@
     const char *workspace, uint64_t fingerprint, uint64_t incident,
     uint32_t running, int64_t wall_us, int64_t now_us);
 
+void owner_lift_quarantine(struct owner *owner, uint64_t fingerprint,
+    const char *operator_name, int64_t now_us);
+
 /* ---- time and events ---- */
 
 /** Does what is due: limits on age, snapshots, claims, repeated releases. */
--- a/include/record/record.h
+++ b/include/record/record.h
@@ -38,6 +38,8 @@
 	RECORD_SNAPSHOT = 12, /**< part of a shard's state */
 	RECORD_CONFIG_PATCH = 13,
 	RECORD_CONFIG_SNAPSHOT = 14,
+	RECORD_HISTORY = 15, /**< content of an old turn, carried forward */
+	RECORD_INDEX = 16,   /**< where a shard's newest snapshot is */
 };
 
 /** A view of bytes that belong to the decoded input. */
@@ -75,11 +77,15 @@
 	uint64_t prompt_tokens; /**< length of the history after the turn */
 	struct digest digest;   /**< chain value after the turn */
 	struct record_bytes content; /**< JSON array of new messages */
+	struct digest arguments;     /**< digest of the request body */
+	bool tool; /**< a tool's answer: kept, but no part of the history */
 };
 
 struct record_reserve {
 	char program[PROGRAM_ID_BYTES];
-	uint64_t tokens;
+	uint64_t tokens;         /**< added to what may be spent */
+	uint64_t spent_tokens;   /**< spent outside of a recorded turn */
+	char server[NAME_BYTES]; /**< where an abandoned call ran, or "" */
 };
 
 struct record_intent {
@@ -104,6 +110,7 @@
 	uint32_t status;             /**< HTTP status of the answer */
 	char settled_by[NAME_BYTES]; /**< operator; "" by the owner */
 	struct record_bytes answer;
+	uint64_t intent; /**< id of the intent's record */
 };
 
 struct record_program_end {
@@ -137,6 +144,16 @@
 	struct record_bytes state;
 };
 
+struct record_history {
+	char program[PROGRAM_ID_BYTES];
+	uint64_t turn;
+	struct record_bytes content;
+};
+
+struct record_index {
+	uint64_t offset; /**< of the first part, in the shard's lane */
+};
+
 struct record_config_patch {
 	uint64_t base; /**< version that the patch changes */
 	char operator_name[NAME_BYTES];
@@ -170,6 +187,8 @@
 		struct record_crash crash;
 		struct record_quarantine_lift quarantine_lift;
 		struct record_snapshot snapshot;
+		struct record_history history;
+		struct record_index index;
 		struct record_config_patch config_patch;
 		struct record_config_snapshot config_snapshot;
 	};
--- /dev/null
+++ b/program/budget.c
@@ -0,0 +1,70 @@
+#include <string.h>
+
+#include "program/internal.h"
+
+uint64_t
+budget_left(const struct program *program)
+{
+	uint64_t used =
+	    program->spent + program->local_spent + program->delegated;
+
+	return used < program->budget ? program->budget - used : 0;
+}
+
+static void
+reserve_queue(struct owner *owner, struct program *program, uint64_t tokens,
+    uint64_t spent, const char *server, call_id call, int64_t now_us)
+{
+	struct slot *slot = owner_slot(owner, program->id);
+	struct pending *pending;
+	struct record record = {
+	    .type = RECORD_RESERVE,
+	    .reserve = {.tokens = tokens, .spent_tokens = spent},
+	};
+
+	memcpy(record.reserve.program, program->id, PROGRAM_ID_BYTES);
+	strncpy(record.reserve.server, server, NAME_BYTES - 1);
+	pending = pending_add(owner, slot, &record, now_us);
+	memcpy(pending->program, program->id, PROGRAM_ID_BYTES);
+	pending->call = call;
+	pending->spent = spent;
+	pending->reserve = tokens;
+	pending->urgent = tokens > 0;
+	program->local_reserve += tokens;
+	program->local_spent += spent;
+}
+
+void
+budget_report(struct owner *owner, struct program *program, const char *server,
+    uint64_t spent, int64_t now_us)
+{
+	reserve_queue(owner, program, 0, spent, server, 0, now_us);
+}
+
+/* Only what is durably reserved may be spent: a successor takes all of it
+ * for spent. */
+enum owner_verdict
+budget_admit(struct owner *owner, struct program *program, struct call *call,
+    int64_t now_us, struct owner_answer *answer)
+{
+	uint64_t need = program->spent + program->local_spent + call->cost;
+	uint64_t missing;
+	uint64_t lump = owner->limits.reserve_tokens;
+
+	if (need <= program->reserved || mutation_on(MUTATION_NO_RESERVE))
+		return OWNER_OK;
+	missing = need - program->reserved;
+	if (program->local_reserve > 0 && missing <= program->local_reserve)
+		return OWNER_WAIT;
+	if (missing > program_free_budget(program) + program->local_reserve) {
+		answer->budget_left_tokens = budget_left(program);
+		return owner_refuse(owner, answer, REFUSAL_BUDGET_EXCEEDED);
+	}
+	missing -= program->local_reserve;
+	if (lump < missing)
+		lump = missing;
+	if (lump > program_free_budget(program))
+		lump = program_free_budget(program);
+	reserve_queue(owner, program, lump, 0, "", call->id, now_us);
+	return OWNER_WAIT;
+}
--- /dev/null
+++ b/program/call.c
@@ -0,0 +1,285 @@
+#include <string.h>
+
+#include "program/internal.h"
+
+static void
+call_fill(struct call *call, const struct owner_call *request)
+{
+	call->kind = request->kind;
+	strncpy(call->key, request->key, NAME_BYTES - 1);
+	strncpy(call->tool, request->tool, NAME_BYTES - 1);
+	call->arguments = request->arguments;
+	call->cost = request->cost_tokens;
+}
+
+static enum owner_verdict
+wait_for(struct owner *owner, call_id id, const struct call *first,
+    const struct owner_call *request, int64_t now_us,
+    struct owner_answer *answer)
+{
+	struct call *waiter;
+
+	if (!digest_equal(&first->arguments, &request->arguments))
+		return owner_refuse(owner, answer, REFUSAL_KEY_REUSED);
+	waiter = call_add(owner, id, CALL_WAITER, first->program, now_us);
+	waiter->first = first->id;
+	return OWNER_WAIT;
+}
+
+static enum owner_verdict
+turn_replay(struct owner *owner, call_id id, struct program *program,
+    size_t index, const struct owner_call *request, struct owner_answer *answer)
+{
+	const struct turn *turn = &program->turns[index];
+
+	if (turn->arguments_hash != program_digest_hash(&request->arguments))
+		return owner_refuse(owner, answer, REFUSAL_KEY_REUSED);
+	answer->turn = index + 1;
+	answer->run = RUN_RAN;
+	if (turn->len > 0 && turn->content == NULL) {
+		if (program->fetch_call != 0 && program->fetch_call != id)
+			return owner_refuse(owner, answer, REFUSAL_RECOVERING);
+		call_add(owner, id, CALL_FETCHING, program->id, 0);
+		history_fetch_turn(owner, program, index + 1, id);
+		return OWNER_FETCH;
+	}
+	answer->kept.data = turn->content;
+	answer->kept.len = turn->len;
+	answer->outcome = OUTCOME_DONE;
+	return OWNER_REPLAY;
+}
+
+/* Finds what the key stands for already: a kept answer, a call under way, or
+ * nothing (OWNER_OK). */
+static enum owner_verdict
+find_duplicate(struct owner *owner, call_id id, struct program *program,
+    const struct owner_call *request, int64_t now_us,
+    struct owner_answer *answer)
+{
+	struct once *once = program_find_once(program, request->key);
+	struct call *first = call_find(owner, program->call);
+	uint64_t hash = program_key_hash(request->key);
+
+	if (hash == 0 || mutation_on(MUTATION_NO_KEY))
+		return OWNER_OK;
+	if (first != NULL && first->id != id &&
+	    strcmp(first->key, request->key) == 0)
+		return wait_for(owner, id, first, request, now_us, answer);
+	if (once != NULL)
+		return once_replay(
+		    owner, id, program, once, request, now_us, answer);
+	for (size_t i = program->turn_count; i-- > 0;) {
+		if (program->turns[i].key_hash == hash &&
+		    (program->turns[i].len > 0 || program->turns[i].in_history))
+			return turn_replay(
+			    owner, id, program, i, request, answer);
+	}
+	return OWNER_OK;
+}
+
+/* Order, history and limits. */
+static enum owner_verdict
+check_state(struct owner *owner, struct program *program,
+    const struct owner_call *request, int64_t now_us,
+    struct owner_answer *answer)
+{
+	struct slot *slot = owner_slot(owner, program->id);
+	uint32_t lane = program->shard % owner->limits.lanes;
+
+	if (program->ended || program->ending)
+		return owner_refuse(owner, answer, REFUSAL_PROGRAM_ENDED);
+	if (!slot->wanted || slot->releasing)
+		return owner_refuse(owner, answer, REFUSAL_DRAINING);
+	if (request->digest != NULL &&
+	    !digest_equal(request->digest, &program->tip_digest) &&
+	    !mutation_on(MUTATION_NO_DIGEST) &&
+	    !history_resend(owner, program, request, now_us))
+		return owner_refuse(owner, answer, REFUSAL_HISTORY_MISMATCH);
+	if (request->turn != 0 && request->turn != program->turn_count + 1)
+		return owner_refuse(owner, answer, REFUSAL_TURN_OUT_OF_ORDER);
+	if (program->turn_count >= owner->limits.max_turns)
+		return owner_refuse(owner, answer, REFUSAL_TURN_LIMIT);
+	if (request->wall_us - program->begun_wall_us >
+	    owner->limits.max_program_us)
+		return owner_refuse(owner, answer, REFUSAL_PROGRAM_TIME_LIMIT);
+	if (lane_full(owner, lane))
+		return owner_refuse(owner, answer, REFUSAL_LOG_BACKLOG);
+	if (request->kind == OWNER_CALL_ONCE && lane_out(owner, lane, now_us))
+		return owner_refuse(owner, answer, REFUSAL_LOG_UNAVAILABLE);
+	return OWNER_OK;
+}
+
+static enum owner_verdict
+call_start(struct owner *owner, struct program *program, struct call *call,
+    int64_t now_us, struct owner_answer *answer)
+{
+	enum owner_verdict verdict =
+	    budget_admit(owner, program, call, now_us, answer);
+
+	if (verdict == OWNER_WAIT)
+		call->state = CALL_RESERVING;
+	if (verdict != OWNER_OK)
+		return verdict;
+	call->turn = program->turn_count + 1;
+	call->base = program->tip_digest;
+	if (call->kind == OWNER_CALL_ONCE)
+		return intent_begin(owner, call, now_us);
+	if (call->kind == OWNER_CALL_MODEL &&
+	    !history_collect(owner, program, call->id, answer)) {
+		call->state = CALL_FETCHING;
+		return OWNER_FETCH;
+	}
+	call->state = CALL_RUNNING;
+	answer_fill(owner, program, answer);
+	return OWNER_OK;
+}
+
+static enum owner_verdict
+find_program(struct owner *owner, const struct owner_call *request,
+    struct program **program, struct owner_answer *answer)
+{
+	struct slot *slot = owner_slot(owner, request->program);
+
+	if (slot == NULL)
+		return owner_refuse(owner, answer, REFUSAL_UNKNOWN_PROGRAM);
+	answer->shard = slot->fold.number;
+	if (!slot->owned)
+		return owner_refuse(owner, answer, REFUSAL_NOT_OWNER);
+	*program = shard_find(&slot->fold, request->program);
+	if (*program == NULL)
+		return owner_refuse(owner, answer, REFUSAL_UNKNOWN_PROGRAM);
+	if (strcmp((*program)->workspace, request->workspace) != 0)
+		return owner_refuse(owner, answer, REFUSAL_FORBIDDEN);
+	return OWNER_OK;
+}
+
+enum owner_verdict
+owner_call_admit(struct owner *owner, call_id id,
+    const struct owner_call *request, int64_t now_us,
+    struct owner_answer *answer)
+{
+	struct program *program = NULL;
+	struct call *call = call_find(owner, id);
+	enum owner_verdict verdict;
+
+	memset(answer, 0, sizeof(*answer));
+	verdict = find_program(owner, request, &program, answer);
+	if (verdict != OWNER_OK)
+		return verdict;
+	answer_fill(owner, program, answer);
+	verdict = find_duplicate(owner, id, program, request, now_us, answer);
+	if (verdict == OWNER_OK && program->call != 0 && program->call != id)
+		verdict = owner_refuse(owner, answer, REFUSAL_TURN_IN_PROGRESS);
+	if (verdict == OWNER_OK && request->kind == OWNER_CALL_ONCE &&
+	    request->key[0] == '\0')
+		verdict = owner_refuse(owner, answer, REFUSAL_MALFORMED);
+	if (verdict == OWNER_OK)
+		verdict = check_state(owner, program, request, now_us, answer);
+	if (verdict == OWNER_OK) {
+		call = call_add(owner, id,
+		    call != NULL ? call->state : CALL_RESERVING, program->id,
+		    now_us);
+		call_fill(call, request);
+		program->call = id;
+		verdict = call_start(owner, program, call, now_us, answer);
+	}
+	call = call_find(owner, id);
+	if (call != NULL &&
+	    (verdict == OWNER_REFUSE || verdict == OWNER_REPLAY))
+		call_remove(owner, call);
+	return verdict;
+}
+
+/* The program's new owner may have had its KV cache released before this
+ * call reached the server. */
+static void
+release_late(struct owner *owner, const struct call *call, const char *server)
+{
+	struct owner_event *event;
+
+	if (server == NULL || server[0] == '\0')
+		return;
+	event = event_add(owner, OWNER_RELEASE_KV, 0);
+	memcpy(event->program, call->program, PROGRAM_ID_BYTES);
+	strncpy(event->server, server, NAME_BYTES - 1);
+	owner->counters->kv_releases_total++;
+}
+
+struct digest
+owner_turn_end(struct owner *owner, call_id id,
+    const struct owner_turn_end *end, int64_t now_us)
+{
+	struct call *call = call_find(owner, id);
+	struct program *program = call_program(owner, call);
+	bool tool = call->kind != OWNER_CALL_MODEL;
+	struct record_turn body = {
+	    .turn = call->turn,
+	    .spent_tokens = end->spent_tokens,
+	    .prompt_tokens = end->prompt_tokens,
+	    .arguments = call->arguments,
+	    .content = end->content,
+	    .tool = tool,
+	};
+
+	body.digest = tool
+	    ? call->base
+	    : digest_chain(&call->base, end->content.data, end->content.len);
+	call->after = body.digest;
+	if (program == NULL) {
+		event_add(owner, OWNER_NOT_DURABLE, id)->turn = call->turn;
+		release_late(owner, call, end->server);
+		call_remove(owner, call);
+		return body.digest;
+	}
+	memcpy(body.program, program->id, PROGRAM_ID_BYTES);
+	memcpy(body.key, call->key, NAME_BYTES);
+	if (!tool && end->server != NULL)
+		strncpy(body.server, end->server, NAME_BYTES - 1);
+	call->state = CALL_RECORDING;
+	turn_record(owner, program, &body, id, now_us);
+	program->call = 0;
+	waiters_wake(owner, id);
+	return body.digest;
+}
+
+void
+owner_call_abandon(struct owner *owner, call_id id, const char *server,
+    uint64_t spent_tokens, int64_t now_us)
+{
+	struct call *call = call_find(owner, id);
+	struct program *program;
+
+	if (call == NULL || call->state == CALL_RECORDING)
+		return;
+	program = call_program(owner, call);
+	if (program != NULL && (spent_tokens > 0 || server[0] != '\0'))
+		budget_report(owner, program, server, spent_tokens, now_us);
+	if (program == NULL)
+		release_late(owner, call, server);
+	call_remove(owner, call);
+	waiters_wake(owner, id);
+}
+
+void
+owner_call_detach(struct owner *owner, call_id id, int64_t now_us)
+{
+	struct call *call = call_find(owner, id);
+
+	(void)now_us;
+	if (call == NULL)
+		return;
+	call->detached = true;
+	switch (call->state) {
+	case CALL_RESERVING:
+	case CALL_FETCHING:
+	case CALL_WAITER:
+		call_remove(owner, call);
+		waiters_wake(owner, id);
+		break;
+	case CALL_INTENT:
+		intent_withdraw(owner, call);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/program/intent.c
@@ -0,0 +1,187 @@
+#include <string.h>
+
+#include "program/internal.h"
+
+enum owner_verdict
+once_replay(struct owner *owner, call_id id, struct program *program,
+    struct once *once, const struct owner_call *request, int64_t now_us,
+    struct owner_answer *answer)
+{
+	(void)id;
+	(void)now_us;
+	if (!digest_equal(&once->arguments, &request->arguments))
+		return owner_refuse(owner, answer, REFUSAL_KEY_REUSED);
+	answer->turn = once->turn;
+	answer->outcome = once->outcome;
+	answer->kept_status = once->status;
+	answer->kept.data = once->answer.data;
+	answer->kept.len = once->answer.len;
+	switch (once->outcome) {
+	case OUTCOME_DONE:
+		answer->run = RUN_RAN;
+		return OWNER_REPLAY;
+	case OUTCOME_NOT_RUN:
+		answer->run = RUN_NOT_RUN;
+		return once->settled_by[0] != '\0' ? OWNER_REPLAY : OWNER_OK;
+	default:
+		answer->run = mutation_on(MUTATION_FALSE_NOT_RUN) ? RUN_NOT_RUN
+								  : RUN_UNKNOWN;
+		answer->outcome = OUTCOME_UNKNOWN;
+		answer->reason = REFUSAL_OUTCOME_UNKNOWN;
+		owner->counters->refusals[REFUSAL_OUTCOME_UNKNOWN]++;
+		return OWNER_REPLAY;
+	}
+}
+
+static void
+dispatch(struct owner *owner, struct call *call)
+{
+	struct owner_event *event = event_add(owner, OWNER_DISPATCH, call->id);
+
+	call->state = CALL_DISPATCHED;
+	event->turn = call->turn;
+	memcpy(event->program, call->program, PROGRAM_ID_BYTES);
+}
+
+enum owner_verdict
+intent_begin(struct owner *owner, struct call *call, int64_t now_us)
+{
+	struct program *program = call_program(owner, call);
+	struct slot *slot = &owner->slots[call->shard];
+	struct pending *pending;
+	struct turn *turn;
+	struct record record = {
+	    .type = RECORD_INTENT,
+	    .intent = {.turn = call->turn, .arguments = call->arguments},
+	};
+
+	memcpy(record.intent.program, call->program, PROGRAM_ID_BYTES);
+	memcpy(record.intent.key, call->key, NAME_BYTES);
+	memcpy(record.intent.tool, call->tool, NAME_BYTES);
+	pending = pending_add(owner, slot, &record, now_us);
+	memcpy(pending->program, call->program, PROGRAM_ID_BYTES);
+	pending->call = call->id;
+	call->intent = record.id;
+	call->state = CALL_INTENT;
+	turn = program_add_turn(program);
+	turn->key_hash = program_key_hash(call->key);
+	turn->arguments_hash = program_digest_hash(&call->arguments);
+	if (mutation_on(MUTATION_EARLY_DISPATCH))
+		dispatch(owner, call);
+	return OWNER_WAIT;
+}
+
+/* The intent was folded under this owner's epoch: nobody else will ever send
+ * the call. */
+void
+intent_confirmed(struct owner *owner, struct call *call, int64_t now_us)
+{
+	struct record_bytes none = {0};
+
+	if (!call->withdrawn) {
+		dispatch(owner, call);
+		return;
+	}
+	call->state = CALL_OUTCOME;
+	outcome_add(owner, call, OUTCOME_NOT_RUN, 0, none, "", now_us);
+}
+
+void
+intent_withdraw(struct owner *owner, struct call *call)
+{
+	(void)owner;
+	call->withdrawn = true;
+	call->detached = true;
+}
+
+void
+intent_tick(struct owner *owner, int64_t now_us)
+{
+	struct call *call;
+	struct call *tmp;
+
+	HASH_ITER (hh, owner->calls, call, tmp) {
+		if (call->state != CALL_INTENT || call->withdrawn ||
+		    now_us - call->since_us < INTENT_WAIT_US)
+			continue;
+		event_refuse(owner, call, REFUSAL_LOG_UNAVAILABLE, RUN_NOT_RUN);
+		intent_withdraw(owner, call);
+	}
+}
+
+void
+outcome_add(struct owner *owner, const struct call *call, enum outcome outcome,
+    uint32_t status, struct record_bytes answer, const char *settled_by,
+    int64_t now_us)
+{
+	struct slot *slot = &owner->slots[call->shard];
+	struct pending *pending;
+	struct record record = {
+	    .type = RECORD_OUTCOME,
+	    .epoch = call->epoch,
+	    .outcome =
+		{
+		    .outcome = outcome,
+		    .status = status,
+		    .answer = answer,
+		    .intent = call->intent,
+		},
+	};
+
+	memcpy(record.outcome.program, call->program, PROGRAM_ID_BYTES);
+	memcpy(record.outcome.key, call->key, NAME_BYTES);
+	strncpy(record.outcome.settled_by, settled_by, NAME_BYTES - 1);
+	pending = pending_add(owner, slot, &record, now_us);
+	memcpy(pending->program, call->program, PROGRAM_ID_BYTES);
+	pending->call = call->id;
+	pending->fact = settled_by[0] == '\0';
+}
+
+void
+owner_outcome(struct owner *owner, call_id id, enum outcome outcome,
+    uint32_t status, struct record_bytes answer, int64_t now_us)
+{
+	struct call *call = call_find(owner, id);
+
+	if (call == NULL || call->state != CALL_DISPATCHED)
+		return;
+	call->state = CALL_OUTCOME;
+	outcome_add(owner, call, outcome, status, answer, "", now_us);
+}
+
+enum owner_verdict
+owner_settle(struct owner *owner, call_id id, const char *program_id,
+    const char *key, enum outcome outcome, const char *operator_name,
+    int64_t now_us, struct owner_answer *answer)
+{
+	struct slot *slot = owner_slot(owner, program_id);
+	struct record_bytes none = {0};
+	struct program *program;
+	struct once *once;
+	struct call *call;
+
+	memset(answer, 0, sizeof(*answer));
+	if (slot == NULL)
+		return owner_refuse(owner, answer, REFUSAL_UNKNOWN_PROGRAM);
+	answer->shard = slot->fold.number;
+	if (!slot->owned)
+		return owner_refuse(owner, answer, REFUSAL_NOT_OWNER);
+	program = shard_find(&slot->fold, program_id);
+	once = program != NULL ? program_find_once(program, key) : NULL;
+	if (once == NULL || operator_name[0] == '\0')
+		return owner_refuse(owner, answer, REFUSAL_UNKNOWN_PROGRAM);
+	answer->outcome = once->outcome;
+	if (once->outcome == OUTCOME_DONE || once->outcome == OUTCOME_NOT_RUN)
+		return OWNER_REPLAY;
+	for (call = owner->calls; call != NULL; call = call->hh.next) {
+		if (call->intent == once->intent)
+			return owner_refuse(
+			    owner, answer, REFUSAL_TURN_IN_PROGRESS);
+	}
+	call = call_add(owner, id, CALL_SETTLE, program_id, now_us);
+	strncpy(call->key, key, NAME_BYTES - 1);
+	call->intent = once->intent;
+	call->turn = once->turn;
+	outcome_add(owner, call, outcome, 0, none, operator_name, now_us);
+	return OWNER_WAIT;
+}
--- /dev/null
+++ b/program/lifecycle.c
@@ -0,0 +1,296 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "program/internal.h"
+
+void
+answer_fill(struct owner *owner, const struct program *program,
+    struct owner_answer *answer)
+{
+	(void)owner;
+	memcpy(answer->program, program->id, PROGRAM_ID_BYTES);
+	answer->shard = program->shard;
+	answer->turn = program->turn_count;
+	answer->digest = program->tip_digest;
+	answer->budget_left_tokens = budget_left(program);
+}
+
+static struct slot *
+random_slot(struct owner *owner)
+{
+	uint32_t start = (uint32_t)rng_below(&owner->rng, owner->limits.shards);
+
+	for (uint32_t i = 0; i < owner->limits.shards; i++) {
+		struct slot *slot =
+		    &owner->slots[(start + i) % owner->limits.shards];
+
+		if (slot->owned && slot->wanted && !slot->releasing)
+			return slot;
+	}
+	return &owner->slots[start];
+}
+
+/* A key decides the program's id, so that the same call at two VMs meets at
+ * one owner. */
+static struct slot *
+begin_place(struct owner *owner, const struct owner_begin *begin, char *id)
+{
+	struct slot *slot;
+	uint64_t serial = rng_next(&owner->rng);
+
+	if (begin->key[0] != '\0') {
+		serial = hash_text(begin->key,
+		    hash_text(begin->parent, hash_text(begin->workspace, 0)));
+		slot = &owner->slots[serial % owner->limits.shards];
+	} else {
+		slot = random_slot(owner);
+	}
+	if (begin->parent[0] != '\0')
+		slot = owner_slot(owner, begin->parent);
+	if (slot != NULL)
+		snprintf(id, PROGRAM_ID_BYTES, "p%u-%016llx", slot->fold.number,
+		    (unsigned long long)serial);
+	return slot;
+}
+
+static bool
+begin_pending(const struct slot *slot, const char *id)
+{
+	list_for_each (pending, &slot->pending, struct pending, link) {
+		if (pending->type == RECORD_PROGRAM_BEGIN &&
+		    strcmp(pending->program, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+begin_queue(struct owner *owner, struct slot *slot, call_id call,
+    const char *id, const struct owner_begin *begin, struct program *parent,
+    int64_t now_us)
+{
+	struct pending *pending;
+	uint64_t lump = owner->limits.reserve_tokens;
+	struct record record = {
+	    .type = RECORD_PROGRAM_BEGIN,
+	    .program_begin =
+		{
+		    .budget_tokens = begin->budget_tokens,
+		    .begun_wall_us = begin->wall_us,
+		    .urgent = begin->urgent,
+		},
+	};
+	struct record_program_begin *body = &record.program_begin;
+
+	body->reserve_tokens =
+	    lump < begin->budget_tokens ? lump : begin->budget_tokens;
+	memcpy(body->program, id, PROGRAM_ID_BYTES);
+	strncpy(body->workspace, begin->workspace, NAME_BYTES - 1);
+	strncpy(body->parent, begin->parent, PROGRAM_ID_BYTES - 1);
+	strncpy(body->key, begin->key, NAME_BYTES - 1);
+	pending = pending_add(owner, slot, &record, now_us);
+	memcpy(pending->program, id, PROGRAM_ID_BYTES);
+	memcpy(pending->parent, body->parent, PROGRAM_ID_BYTES);
+	pending->call = call;
+	if (parent == NULL)
+		return;
+	pending->delegate = begin->budget_tokens;
+	parent->local_delegate += begin->budget_tokens;
+}
+
+static enum owner_verdict
+begin_check(struct owner *owner, struct slot *slot,
+    const struct owner_begin *begin, struct program *parent, int64_t now_us,
+    struct owner_answer *answer)
+{
+	uint32_t lane = slot->fold.number % owner->limits.lanes;
+
+	if (!slot->wanted || slot->releasing)
+		return owner_refuse(owner, answer, REFUSAL_DRAINING);
+	if (lane_full(owner, lane))
+		return owner_refuse(owner, answer, REFUSAL_LOG_BACKLOG);
+	if (lane_out(owner, lane, now_us))
+		return owner_refuse(owner, answer, REFUSAL_LOG_UNAVAILABLE);
+	if (begin->parent[0] == '\0')
+		return OWNER_OK;
+	if (parent == NULL)
+		return owner_refuse(owner, answer, REFUSAL_UNKNOWN_PROGRAM);
+	if (strcmp(parent->workspace, begin->workspace) != 0)
+		return owner_refuse(owner, answer, REFUSAL_FORBIDDEN);
+	if (parent->ended || parent->ending)
+		return owner_refuse(owner, answer, REFUSAL_PROGRAM_ENDED);
+	if (begin->budget_tokens > program_free_budget(parent))
+		return owner_refuse(owner, answer, REFUSAL_BUDGET_EXCEEDED);
+	return OWNER_OK;
+}
+
+enum owner_verdict
+owner_program_begin(struct owner *owner, call_id call,
+    const struct owner_begin *begin, int64_t now_us,
+    struct owner_answer *answer)
+{
+	char id[PROGRAM_ID_BYTES] = "";
+	struct slot *slot = begin_place(owner, begin, id);
+	struct program *program;
+	struct program *parent;
+	enum owner_verdict verdict;
+
+	memset(answer, 0, sizeof(*answer));
+	if (slot == NULL)
+		return owner_refuse(owner, answer, REFUSAL_UNKNOWN_PROGRAM);
+	answer->shard = slot->fold.number;
+	if (!slot->owned)
+		return owner_refuse(owner, answer, REFUSAL_NOT_OWNER);
+	memcpy(answer->program, id, PROGRAM_ID_BYTES);
+	program = shard_find(&slot->fold, id);
+	if (program != NULL) {
+		if (program->budget != begin->budget_tokens ||
+		    strcmp(program->workspace, begin->workspace) != 0)
+			return owner_refuse(owner, answer, REFUSAL_KEY_REUSED);
+		answer_fill(owner, program, answer);
+		answer->run = RUN_RAN;
+		return OWNER_REPLAY;
+	}
+	parent = shard_find(&slot->fold, begin->parent);
+	verdict = begin_check(owner, slot, begin, parent, now_us, answer);
+	if (verdict != OWNER_OK)
+		return verdict;
+	if (!begin_pending(slot, id))
+		begin_queue(owner, slot, call, id, begin, parent, now_us);
+	call_add(owner, call, CALL_BEGIN, id, now_us);
+	return OWNER_WAIT;
+}
+
+/* Returns whether the program or a sub-agent of it has a call under way. */
+static bool
+family_busy(const struct slot *slot, const struct program *program)
+{
+	struct program *child;
+
+	if (program->call != 0)
+		return true;
+	list_for_each (pending, &slot->pending, struct pending, link) {
+		if (pending->type == RECORD_PROGRAM_BEGIN &&
+		    strcmp(pending->parent, program->id) == 0)
+			return true;
+	}
+	for (child = slot->fold.programs; child != NULL;
+	     child = child->hh.next) {
+		if (!child->ended && strcmp(child->parent, program->id) == 0 &&
+		    family_busy(slot, child))
+			return true;
+	}
+	return false;
+}
+
+/* Sub-agents end first, so that what they leave reaches their parent. */
+void
+program_end_queue(struct owner *owner, struct slot *slot,
+    struct program *program, const char *reason, call_id call, int64_t now_us)
+{
+	struct record record = {.type = RECORD_PROGRAM_END};
+	struct pending *pending;
+	struct program *child;
+
+	if (program->ended || program->ending)
+		return;
+	for (child = slot->fold.programs; child != NULL;
+	     child = child->hh.next) {
+		if (strcmp(child->parent, program->id) == 0)
+			program_end_queue(
+			    owner, slot, child, "parent_ended", 0, now_us);
+	}
+	memcpy(record.program_end.program, program->id, PROGRAM_ID_BYTES);
+	strncpy(record.program_end.reason, reason, NAME_BYTES - 1);
+	pending = pending_add(owner, slot, &record, now_us);
+	memcpy(pending->program, program->id, PROGRAM_ID_BYTES);
+	pending->call = call;
+	program->ending = true;
+}
+
+enum owner_verdict
+owner_program_end(struct owner *owner, call_id call, const char *id,
+    const char *reason, int64_t now_us, struct owner_answer *answer)
+{
+	struct slot *slot = owner_slot(owner, id);
+	struct program *program;
+
+	memset(answer, 0, sizeof(*answer));
+	if (slot == NULL)
+		return owner_refuse(owner, answer, REFUSAL_UNKNOWN_PROGRAM);
+	answer->shard = slot->fold.number;
+	if (!slot->owned)
+		return owner_refuse(owner, answer, REFUSAL_NOT_OWNER);
+	program = shard_find(&slot->fold, id);
+	if (program == NULL)
+		return owner_refuse(owner, answer, REFUSAL_UNKNOWN_PROGRAM);
+	answer_fill(owner, program, answer);
+	if (program->ended) {
+		answer->run = RUN_RAN;
+		return OWNER_REPLAY;
+	}
+	if (family_busy(slot, program))
+		return owner_refuse(owner, answer, REFUSAL_TURN_IN_PROGRESS);
+	program_end_queue(owner, slot, program, reason, call, now_us);
+	call_add(owner, call, CALL_END, id, now_us);
+	return OWNER_WAIT;
+}
+
+void
+owner_kv_released(
+    struct owner *owner, const char *id, const char *server, int64_t now_us)
+{
+	struct slot *slot = owner_slot(owner, id);
+	struct record record = {.type = RECORD_KV_RELEASED};
+	struct pending *pending;
+
+	if (slot == NULL || !slot->owned || slot->releasing ||
+	    shard_find(&slot->fold, id) == NULL)
+		return;
+	list_for_each (other, &slot->pending, struct pending, link) {
+		if (other->type == RECORD_KV_RELEASED &&
+		    strcmp(other->program, id) == 0 &&
+		    strcmp(other->server, server) == 0)
+			return;
+	}
+	strncpy(record.kv_released.program, id, PROGRAM_ID_BYTES - 1);
+	strncpy(record.kv_released.server, server, NAME_BYTES - 1);
+	pending = pending_add(owner, slot, &record, now_us);
+	memcpy(pending->program, record.kv_released.program, PROGRAM_ID_BYTES);
+	memcpy(pending->server, record.kv_released.server, NAME_BYTES);
+}
+
+static void
+release_kv(struct owner *owner, struct program *program, int64_t now_us)
+{
+	if (mutation_on(MUTATION_NO_RELEASE) ||
+	    now_us < program->release_due_us)
+		return;
+	program->release_due_us = now_us + RELEASE_RETRY_US;
+	for (size_t i = 0; i < program->server_count; i++) {
+		struct owner_event *event =
+		    event_add(owner, OWNER_RELEASE_KV, 0);
+
+		memcpy(event->program, program->id, PROGRAM_ID_BYTES);
+		memcpy(event->server, program->servers[i], NAME_BYTES);
+		owner->counters->kv_releases_total++;
+	}
+}
+
+void
+program_tick(struct owner *owner, struct slot *slot, int64_t now_us)
+{
+	for (struct program *program = slot->fold.programs; program != NULL;
+	     program = program->hh.next) {
+		if (program->ended) {
+			if (program->server_count > 0)
+				release_kv(owner, program, now_us);
+			continue;
+		}
+		if (now_us - program->first_seen_us >
+			owner->limits.max_program_us &&
+		    !family_busy(slot, program))
+			program_end_queue(
+			    owner, slot, program, "time_limit", 0, now_us);
+	}
+}
--- /dev/null
+++ b/program/owner.c
@@ -0,0 +1,359 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "program/internal.h"
+
+#ifdef GUAVAKEEL_MUTATIONS
+enum mutation mutation_current = MUTATION_NONE;
+#endif
+
+struct owner *
+owner_create(const struct owner_options *options)
+{
+	struct owner *owner = xcalloc(1, sizeof(*owner));
+
+	strncpy(owner->vm, options->vm, NAME_BYTES - 1);
+	strncpy(owner->address, options->address, NAME_BYTES - 1);
+	owner->limits = *options->limits;
+	owner->counters = options->counters;
+	owner->share = 1;
+	owner->credit = APPEND_BURST;
+	owner->internal_calls = UINT64_MAX;
+	owner->lane_total = 2 * owner->limits.lanes + 1;
+	rng_init(&owner->rng, options->seed);
+	list_init(&owner->events);
+	list_init(&owner->fetches);
+	list_init(&owner->suspects);
+	list_init(&owner->cache);
+	owner->slots = xcalloc(owner->limits.shards, sizeof(owner->slots[0]));
+	owner->index_offsets =
+	    xcalloc(owner->limits.shards, sizeof(owner->index_offsets[0]));
+	for (uint32_t i = 0; i < owner->limits.shards; i++) {
+		shard_init(&owner->slots[i].fold, i);
+		list_init(&owner->slots[i].pending);
+		owner->index_offsets[i] = UINT64_MAX;
+	}
+	owner->lanes = xcalloc(owner->lane_total, sizeof(owner->lanes[0]));
+	for (uint32_t i = 0; i < owner->lane_total; i++)
+		list_init(&owner->lanes[i].extra);
+	return owner;
+}
+
+static void
+pending_list_free(struct owner *owner, struct list *list)
+{
+	list_for_each_safe (pending, tmp, list, struct pending, link)
+		pending_free(owner, pending);
+}
+
+static void
+lane_reset(struct owner *owner, struct lane *lane)
+{
+	pending_list_free(owner, &lane->extra);
+	for (size_t i = 0; i < lane->item_count; i++)
+		buf_reset(&lane->items[i]);
+	free(lane->items);
+}
+
+void
+owner_destroy(struct owner *owner)
+{
+	struct call *call;
+	struct call *tmp_call;
+
+	HASH_ITER (hh, owner->calls, call, tmp_call)
+		call_remove(owner, call);
+	for (uint32_t i = 0; i < owner->limits.shards; i++) {
+		pending_list_free(owner, &owner->slots[i].pending);
+		shard_reset(&owner->slots[i].fold);
+	}
+	for (uint32_t i = 0; i < owner->lane_total; i++)
+		lane_reset(owner, &owner->lanes[i]);
+	list_for_each_safe (item, tmp, &owner->events, struct event_item, link)
+		free(item);
+	list_for_each_safe (fetch, tmp, &owner->fetches, struct fetch, link)
+		free(fetch);
+	list_for_each_safe (
+	    suspect, tmp, &owner->suspects, struct suspect_vm, link)
+		free(suspect);
+	crash_reset(&owner->crashes);
+	free(owner->pieces);
+	free(owner->index_offsets);
+	free(owner->slots);
+	free(owner->lanes);
+	free(owner);
+}
+
+void
+owner_set_limits(struct owner *owner, const struct config_limits *limits)
+{
+	uint32_t shards = owner->limits.shards;
+	uint32_t lanes = owner->limits.lanes;
+
+	owner->limits = *limits;
+	owner->limits.shards = shards;
+	owner->limits.lanes = lanes;
+	history_trim(owner);
+}
+
+void
+owner_set_share(struct owner *owner, double share)
+{
+	owner->share = share;
+}
+
+bool
+program_shard(const char *program, uint32_t *shard)
+{
+	char canonical[PROGRAM_ID_BYTES];
+	unsigned number;
+	unsigned long long serial;
+
+	if (strlen(program) >= sizeof(canonical) ||
+	    sscanf(program, "p%u-%16llx", &number, &serial) != 2)
+		return false;
+	snprintf(canonical, sizeof(canonical), "p%u-%016llx", number, serial);
+	if (strcmp(canonical, program) != 0)
+		return false;
+	*shard = number;
+	return true;
+}
+
+struct slot *
+owner_slot(struct owner *owner, const char *program)
+{
+	uint32_t shard;
+
+	if (!program_shard(program, &shard) || shard >= owner->limits.shards)
+		return NULL;
+	return &owner->slots[shard];
+}
+
+bool
+owner_owns(const struct owner *owner, uint32_t shard)
+{
+	return shard < owner->limits.shards && owner->slots[shard].owned;
+}
+
+void
+owner_shard_address(
+    const struct owner *owner, uint32_t shard, char *address, size_t size)
+{
+	const char *text = "";
+
+	if (shard < owner->limits.shards && !owner->slots[shard].fold.released)
+		text = owner->slots[shard].fold.address;
+	snprintf(address, size, "%s", text);
+}
+
+size_t
+owner_owned_shards(const struct owner *owner)
+{
+	size_t count = 0;
+
+	for (uint32_t i = 0; i < owner->limits.shards; i++)
+		count += owner->slots[i].owned;
+	return count;
+}
+
+size_t
+owner_open_calls(const struct owner *owner)
+{
+	return HASH_COUNT(owner->calls);
+}
+
+struct owner_event *
+event_add(struct owner *owner, enum owner_event_type type, call_id call)
+{
+	struct event_item *item = xcalloc(1, sizeof(*item));
+
+	item->event.type = type;
+	item->event.call = call;
+	list_append(&owner->events, &item->link);
+	return &item->event;
+}
+
+void
+event_refuse(struct owner *owner, const struct call *call, enum refusal reason,
+    enum run_state run)
+{
+	struct owner_event *event;
+
+	if (call->detached)
+		return;
+	event = event_add(owner, OWNER_REFUSED, call->id);
+	event->reason = reason;
+	event->run = run;
+	event->turn = call->turn;
+	memcpy(event->program, call->program, PROGRAM_ID_BYTES);
+	owner->counters->refusals[reason]++;
+}
+
+bool
+owner_next_event(struct owner *owner, struct owner_event *event)
+{
+	struct event_item *item;
+
+	if (list_empty(&owner->events))
+		return false;
+	item = list_entry(owner->events.next, struct event_item, link);
+	*event = item->event;
+	list_remove(&item->link);
+	free(item);
+	return true;
+}
+
+struct call *
+call_find(struct owner *owner, call_id id)
+{
+	struct call *call;
+
+	HASH_FIND(hh, owner->calls, &id, sizeof(id), call);
+	return call;
+}
+
+struct call *
+call_add(struct owner *owner, call_id id, enum call_state state,
+    const char *program, int64_t now_us)
+{
+	struct call *call = call_find(owner, id);
+	struct slot *slot = owner_slot(owner, program);
+
+	if (call == NULL) {
+		call = xcalloc(1, sizeof(*call));
+		call->id = id;
+		HASH_ADD(hh, owner->calls, id, sizeof(call->id), call);
+	}
+	call->state = state;
+	call->since_us = now_us;
+	strncpy(call->program, program, PROGRAM_ID_BYTES - 1);
+	call->shard = slot->fold.number;
+	call->epoch = slot->fold.epoch;
+	return call;
+}
+
+void
+call_remove(struct owner *owner, struct call *call)
+{
+	struct program *program = call_program(owner, call);
+
+	if (program != NULL && program->call == call->id)
+		program->call = 0;
+	if (program != NULL && program->fetch_call == call->id)
+		program->fetch_call = 0;
+	HASH_DEL(owner->calls, call);
+	free(call);
+}
+
+struct program *
+call_program(struct owner *owner, const struct call *call)
+{
+	if (call->lost)
+		return NULL;
+	return shard_find(&owner->slots[call->shard].fold, call->program);
+}
+
+enum owner_verdict
+owner_refuse(
+    struct owner *owner, struct owner_answer *answer, enum refusal reason)
+{
+	answer->reason = reason;
+	answer->run = RUN_NOT_RUN;
+	owner->counters->refusals[reason]++;
+	return reason == REFUSAL_NOT_OWNER ? OWNER_NOT_MINE : OWNER_REFUSE;
+}
+
+bool
+owner_quarantined(const struct owner *owner, uint64_t fingerprint)
+{
+	return crash_condemned(
+	    &owner->crashes, fingerprint, owner->limits.max_crashes);
+}
+
+void
+owner_report_crash(struct owner *owner, const char *server,
+    const char *workspace, uint64_t fingerprint, uint64_t incident,
+    uint32_t running, int64_t wall_us, int64_t now_us)
+{
+	struct record record = {
+	    .type = RECORD_CRASH,
+	    .crash =
+		{
+		    .fingerprint = fingerprint,
+		    .incident = incident,
+		    .running = running,
+		    .wall_us = wall_us,
+		},
+	};
+
+	strncpy(record.crash.server, server, NAME_BYTES - 1);
+	strncpy(record.crash.workspace, workspace, NAME_BYTES - 1);
+	crash_add(&owner->crashes, &record.crash);
+	pending_add_extra(owner, owner->limits.lanes, &record, now_us);
+}
+
+void
+owner_lift_quarantine(struct owner *owner, uint64_t fingerprint,
+    const char *operator_name, int64_t now_us)
+{
+	struct record record = {
+	    .type = RECORD_QUARANTINE_LIFT,
+	    .quarantine_lift = {.fingerprint = fingerprint},
+	};
+
+	strncpy(record.quarantine_lift.operator_name, operator_name,
+	    NAME_BYTES - 1);
+	pending_add_extra(owner, owner->limits.lanes, &record, now_us);
+}
+
+void
+owner_tick(struct owner *owner, int64_t now_us)
+{
+	for (uint32_t i = 0; i < owner->limits.shards; i++)
+		slot_tick(owner, &owner->slots[i], now_us);
+	intent_tick(owner, now_us);
+}
+
+void
+owner_describe(const struct owner *owner, struct buf *out)
+{
+	const char *separator = "";
+	uint64_t stranded = 0;
+
+	buf_append_text(out, "{\"programs\":[");
+	for (uint32_t i = 0; i < owner->limits.shards; i++) {
+		const struct slot *slot = &owner->slots[i];
+		struct program *p;
+
+		stranded += slot->fold.stranded;
+		if (!slot->owned)
+			continue;
+		for (p = slot->fold.programs; p != NULL; p = p->hh.next) {
+			buf_printf(out,
+			    "%s{\"program\":\"%s\",\"workspace\":\"%s\","
+			    "\"turns\":%zu,\"ended\":%s,\"budget\":%llu,"
+			    "\"spent\":%llu,\"stranded\":%llu,\"unknown\":[",
+			    separator, p->id, p->workspace, p->turn_count,
+			    p->ended ? "true" : "false",
+			    (unsigned long long)p->budget,
+			    (unsigned long long)p->spent,
+			    (unsigned long long)p->stranded);
+			separator = "";
+			list_for_each (once, &p->onces, struct once, link) {
+				if (once->outcome != OUTCOME_UNKNOWN &&
+				    once->outcome != OUTCOME_OPEN)
+					continue;
+				buf_printf(
+				    out, "%s\"%s\"", separator, once->key);
+				separator = ",";
+			}
+			buf_append_text(out, "]}");
+			separator = ",";
+		}
+	}
+	buf_printf(out, "],\"stranded_tokens\":%llu,\"suspects\":",
+	    (unsigned long long)stranded);
+	crash_describe(&owner->crashes, owner->limits.max_crashes, out);
+	buf_append_text(out, "}");
+}
--- /dev/null
+++ b/program/shard_fold.c
@@ -0,0 +1,184 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/memory.h"
+#include "program/mutation.h"
+#include "program/shard_fold.h"
+
+void
+shard_init(struct shard *shard, uint32_t number)
+{
+	memset(shard, 0, sizeof(*shard));
+	shard->number = number;
+	shard->based = true;
+	shard->snapshot_offset = UINT64_MAX;
+}
+
+void
+shard_reset(struct shard *shard)
+{
+	struct program *program;
+	struct program *tmp;
+
+	HASH_ITER (hh, shard->programs, program, tmp)
+		program_destroy(shard, program);
+	buf_reset(&shard->snapshot);
+	shard_init(shard, shard->number);
+}
+
+struct program *
+shard_find(const struct shard *shard, const char *id)
+{
+	struct program *program;
+
+	HASH_FIND_STR(shard->programs, id, program);
+	return program;
+}
+
+const char *
+fold_verdict_name(enum fold_verdict verdict)
+{
+	static const char *const names[] = {
+	    [FOLD_APPLIED] = "applied",
+	    [FOLD_DUPLICATE] = "duplicate",
+	    [FOLD_GAP] = "gap",
+	    [FOLD_OLD_EPOCH] = "old_epoch",
+	    [FOLD_REJECTED] = "rejected",
+	    [FOLD_SKIPPED] = "skipped",
+	};
+
+	return names[verdict];
+}
+
+/* What an owner that died had reserved may have been spent. After a release
+ * there is nothing unreported. */
+static void
+shard_strand(struct shard *shard)
+{
+	struct program *program;
+	struct program *tmp;
+
+	HASH_ITER (hh, shard->programs, program, tmp) {
+		if (program->ended)
+			continue;
+		shard->stranded += program_strand(program);
+		program_add_server(program, PROGRAM_ANY_SERVER);
+	}
+}
+
+static enum fold_verdict
+apply_claim(struct shard *shard, const struct record *record)
+{
+	if (record->epoch <= shard->epoch)
+		return record->id == shard->claim_id ? FOLD_DUPLICATE
+						     : FOLD_OLD_EPOCH;
+	if (record->epoch != shard->epoch + 1 && shard->based)
+		return FOLD_GAP;
+	if (!shard->released)
+		shard_strand(shard);
+	shard->epoch = record->epoch;
+	shard->seq = 0;
+	shard->claim_id = record->id;
+	shard->released = false;
+	shard->next_vm[0] = '\0';
+	buf_reset(&shard->snapshot);
+	shard->snapshot_parts = 0;
+	memcpy(shard->vm, record->claim.vm, NAME_BYTES);
+	memcpy(shard->address, record->claim.address, NAME_BYTES);
+	return FOLD_APPLIED;
+}
+
+static void
+apply_release(struct shard *shard, const struct record *record)
+{
+	shard->released = true;
+	memcpy(shard->next_vm, record->release.next_vm, NAME_BYTES);
+}
+
+/* A reader that has the state already only notes where the snapshot is. */
+static enum fold_verdict
+apply_snapshot(
+    struct shard *shard, uint64_t offset, const struct record *record)
+{
+	const struct record_snapshot *snapshot = &record->snapshot;
+
+	if (snapshot->part == 0) {
+		buf_reset(&shard->snapshot);
+		shard->snapshot_parts = 0;
+		shard->snapshot_first = offset;
+	}
+	if (snapshot->part != shard->snapshot_parts)
+		return FOLD_REJECTED;
+	shard->snapshot_parts++;
+	if (!shard->based)
+		buf_append(&shard->snapshot, snapshot->state.data,
+		    snapshot->state.len);
+	if (shard->snapshot_parts < snapshot->parts)
+		return FOLD_APPLIED;
+	shard->snapshot_offset = shard->snapshot_first;
+	if (!shard->based)
+		shard->based = shard_decode(
+		    shard, shard->snapshot.data, shard->snapshot.len, NULL);
+	buf_reset(&shard->snapshot);
+	return FOLD_APPLIED;
+}
+
+/* An outcome is a fact whoever reports it: the holder of an old epoch alone
+ * knows what became of the call that it sent. */
+static enum fold_verdict
+apply_late_outcome(
+    struct shard *shard, uint64_t offset, const struct record *record)
+{
+	enum fold_verdict verdict;
+
+	if (!shard->based)
+		return FOLD_OLD_EPOCH;
+	verdict = program_apply(shard, offset, record);
+	return verdict == FOLD_REJECTED ? FOLD_OLD_EPOCH : verdict;
+}
+
+/* A reader that starts in the middle takes the first snapshot part as the
+ * base of the sequence. */
+static void
+adopt_sequence(struct shard *shard, const struct record *record)
+{
+	if (shard->based || record->type != RECORD_SNAPSHOT ||
+	    record->snapshot.part != 0 || record->epoch < shard->epoch)
+		return;
+	if (record->epoch == shard->epoch && shard->seq > 0)
+		return;
+	shard->epoch = record->epoch;
+	shard->seq = record->seq - 1;
+}
+
+enum fold_verdict
+shard_apply(struct shard *shard, uint64_t offset, const struct record *record)
+{
+	if (record->type == RECORD_CLAIM)
+		return apply_claim(shard, record);
+	adopt_sequence(shard, record);
+	if (record->epoch != shard->epoch && !mutation_on(MUTATION_NO_EPOCH)) {
+		if (record->type == RECORD_OUTCOME &&
+		    record->epoch < shard->epoch)
+			return apply_late_outcome(shard, offset, record);
+		return FOLD_OLD_EPOCH;
+	}
+	if (mutation_on(MUTATION_NO_EPOCH) && record->epoch < shard->epoch)
+		return program_apply(shard, offset, record);
+	if (record->seq <= shard->seq)
+		return FOLD_DUPLICATE;
+	if (shard->released)
+		return FOLD_OLD_EPOCH;
+	if (record->seq != shard->seq + 1)
+		return FOLD_GAP;
+	shard->seq = record->seq;
+	if (record->type == RECORD_SNAPSHOT)
+		return apply_snapshot(shard, offset, record);
+	if (record->type == RECORD_RELEASE) {
+		apply_release(shard, record);
+		return FOLD_APPLIED;
+	}
+	if (!shard->based)
+		return FOLD_SKIPPED;
+	return program_apply(shard, offset, record);
+}
--- /dev/null
+++ b/program/snapshot.c
@@ -0,0 +1,428 @@
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "common/pack.h"
+#include "program/internal.h"
+
+enum {
+	STATE_ITEMS = 7,
+	PROGRAM_ITEMS = 19,
+	TURN_ITEMS = 5,
+	ONCE_ITEMS = 9,
+	CARRY_SHARE = 4, /**< last part of the kept range that is urgent */
+};
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+	msgpack_pack_str_with_body(packer, text, strlen(text));
+}
+
+static void
+pack_turn(msgpack_packer *packer, const struct turn *turn)
+{
+	msgpack_pack_array(packer, TURN_ITEMS);
+	msgpack_pack_uint64(packer, turn->offset);
+	msgpack_pack_uint64(packer, turn->key_hash);
+	msgpack_pack_uint64(packer, turn->arguments_hash);
+	msgpack_pack_uint64(packer, turn->len);
+	msgpack_pack_uint64(packer, turn->in_history);
+}
+
+static void
+pack_once(msgpack_packer *packer, const struct once *once)
+{
+	msgpack_pack_array(packer, ONCE_ITEMS);
+	pack_text(packer, once->key);
+	pack_text(packer, once->tool);
+	pack_text(packer, once->settled_by);
+	msgpack_pack_uint64(packer, once->turn);
+	msgpack_pack_uint64(packer, once->intent);
+	msgpack_pack_bin_with_body(packer, once->arguments.bytes, DIGEST_BYTES);
+	msgpack_pack_uint64(packer, once->outcome);
+	msgpack_pack_uint64(packer, once->status);
+	msgpack_pack_bin_with_body(packer, once->answer.data, once->answer.len);
+}
+
+static void
+pack_program(msgpack_packer *packer, const struct program *p)
+{
+	const uint64_t numbers[] = {p->urgent, p->ended, p->end_order,
+	    (uint64_t)p->begun_wall_us, p->budget, p->reserved, p->spent,
+	    p->delegated, p->stranded, p->prompt_tokens};
+
+	msgpack_pack_array(packer, PROGRAM_ITEMS);
+	pack_text(packer, p->id);
+	pack_text(packer, p->workspace);
+	pack_text(packer, p->parent);
+	pack_text(packer, p->key);
+	pack_text(packer, p->end_reason);
+	for (size_t i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++)
+		msgpack_pack_uint64(packer, numbers[i]);
+	msgpack_pack_bin_with_body(packer, p->digest.bytes, DIGEST_BYTES);
+	msgpack_pack_array(packer, p->durable_turns);
+	for (size_t i = 0; i < p->durable_turns; i++)
+		pack_turn(packer, &p->turns[i]);
+	msgpack_pack_array(packer, list_length(&p->onces));
+	list_for_each (once, &p->onces, struct once, link)
+		pack_once(packer, once);
+	msgpack_pack_array(packer, p->server_count);
+	for (size_t i = 0; i < p->server_count; i++)
+		pack_text(packer, p->servers[i]);
+}
+
+void
+shard_encode(const struct shard *shard, struct buf *out)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, pack_to_buf);
+	msgpack_pack_array(&packer, STATE_ITEMS);
+	pack_text(&packer, shard->vm);
+	pack_text(&packer, shard->address);
+	msgpack_pack_uint64(&packer, shard->claim_id);
+	msgpack_pack_uint64(&packer, shard->ends);
+	msgpack_pack_uint64(&packer, shard->stranded);
+	msgpack_pack_uint64(&packer, HASH_COUNT(shard->programs));
+	msgpack_pack_array(&packer, HASH_COUNT(shard->programs));
+	for (const struct program *p = shard->programs; p != NULL;
+	     p = p->hh.next)
+		pack_program(&packer, p);
+}
+
+/** Reads the items of an array in order; the first mismatch sticks. */
+struct reader {
+	const msgpack_object *items;
+	size_t left;
+	bool failed;
+};
+
+static struct reader
+reader_of(const msgpack_object *object)
+{
+	struct reader reader = {0};
+
+	if (object == NULL || object->type != MSGPACK_OBJECT_ARRAY) {
+		reader.failed = true;
+		return reader;
+	}
+	reader.items = object->via.array.ptr;
+	reader.left = object->via.array.size;
+	return reader;
+}
+
+static const msgpack_object *
+read_item(struct reader *reader, msgpack_object_type type)
+{
+	if (reader->failed || reader->left == 0 ||
+	    reader->items->type != type) {
+		reader->failed = true;
+		return NULL;
+	}
+	reader->left--;
+	return reader->items++;
+}
+
+static uint64_t
+read_number(struct reader *reader)
+{
+	const msgpack_object *item =
+	    read_item(reader, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	return item != NULL ? item->via.u64 : 0;
+}
+
+static void
+read_text(struct reader *reader, char *text, size_t size)
+{
+	const msgpack_object *item = read_item(reader, MSGPACK_OBJECT_STR);
+
+	if (item == NULL || item->via.str.size >= size) {
+		reader->failed = true;
+		return;
+	}
+	memcpy(text, item->via.str.ptr, item->via.str.size);
+	text[item->via.str.size] = '\0';
+}
+
+static void
+read_digest(struct reader *reader, struct digest *digest)
+{
+	const msgpack_object *item = read_item(reader, MSGPACK_OBJECT_BIN);
+
+	if (item == NULL || item->via.bin.size != DIGEST_BYTES) {
+		reader->failed = true;
+		return;
+	}
+	memcpy(digest->bytes, item->via.bin.ptr, DIGEST_BYTES);
+}
+
+static bool
+read_turn(struct program *program, const msgpack_object *object)
+{
+	struct reader reader = reader_of(object);
+	struct turn *turn = program_add_turn(program);
+
+	turn->offset = read_number(&reader);
+	turn->key_hash = read_number(&reader);
+	turn->arguments_hash = read_number(&reader);
+	turn->len = (uint32_t)read_number(&reader);
+	turn->in_history = read_number(&reader) != 0;
+	program->durable_turns++;
+	return !reader.failed;
+}
+
+static bool
+read_once(struct program *program, const msgpack_object *object)
+{
+	struct reader reader = reader_of(object);
+	struct once *once = once_create(program);
+	const msgpack_object *answer;
+
+	read_text(&reader, once->key, NAME_BYTES);
+	read_text(&reader, once->tool, NAME_BYTES);
+	read_text(&reader, once->settled_by, NAME_BYTES);
+	once->turn = read_number(&reader);
+	once->intent = read_number(&reader);
+	read_digest(&reader, &once->arguments);
+	once->outcome = (enum outcome)read_number(&reader);
+	once->status = (uint32_t)read_number(&reader);
+	answer = read_item(&reader, MSGPACK_OBJECT_BIN);
+	if (answer != NULL)
+		buf_append(
+		    &once->answer, answer->via.bin.ptr, answer->via.bin.size);
+	return !reader.failed;
+}
+
+static void
+read_numbers(struct reader *reader, struct program *p)
+{
+	p->urgent = read_number(reader) != 0;
+	p->ended = read_number(reader) != 0;
+	p->end_order = read_number(reader);
+	p->begun_wall_us = (int64_t)read_number(reader);
+	p->budget = read_number(reader);
+	p->reserved = read_number(reader);
+	p->spent = read_number(reader);
+	p->delegated = read_number(reader);
+	p->stranded = read_number(reader);
+	p->prompt_tokens = read_number(reader);
+	read_digest(reader, &p->digest);
+}
+
+static bool
+read_lists(struct reader *reader, struct program *p)
+{
+	struct reader turns =
+	    reader_of(read_item(reader, MSGPACK_OBJECT_ARRAY));
+	struct reader onces =
+	    reader_of(read_item(reader, MSGPACK_OBJECT_ARRAY));
+	struct reader servers =
+	    reader_of(read_item(reader, MSGPACK_OBJECT_ARRAY));
+
+	for (; turns.left > 0; turns.left--) {
+		if (!read_turn(p, turns.items++))
+			return false;
+	}
+	for (; onces.left > 0; onces.left--) {
+		if (!read_once(p, onces.items++))
+			return false;
+	}
+	while (servers.left > 0 && !servers.failed &&
+	    p->server_count < PROGRAM_SERVERS)
+		read_text(&servers, p->servers[p->server_count++], NAME_BYTES);
+	return !reader->failed && !turns.failed && !onces.failed &&
+	    !servers.failed;
+}
+
+static bool
+read_program(struct shard *shard, const msgpack_object *object)
+{
+	struct reader reader = reader_of(object);
+	struct record_program_begin begin = {0};
+	struct program *program;
+	char end_reason[NAME_BYTES] = "";
+
+	read_text(&reader, begin.program, PROGRAM_ID_BYTES);
+	read_text(&reader, begin.workspace, NAME_BYTES);
+	read_text(&reader, begin.parent, PROGRAM_ID_BYTES);
+	read_text(&reader, begin.key, NAME_BYTES);
+	read_text(&reader, end_reason, NAME_BYTES);
+	if (reader.failed || shard_find(shard, begin.program) != NULL)
+		return false;
+	program = program_create(shard, &begin);
+	memcpy(program->end_reason, end_reason, NAME_BYTES);
+	read_numbers(&reader, program);
+	return read_lists(&reader, program);
+}
+
+static bool
+read_state(struct shard *shard, const msgpack_object *object)
+{
+	struct reader reader = reader_of(object);
+	struct reader programs;
+
+	read_text(&reader, shard->vm, NAME_BYTES);
+	read_text(&reader, shard->address, NAME_BYTES);
+	shard->claim_id = read_number(&reader);
+	shard->ends = read_number(&reader);
+	shard->stranded = read_number(&reader);
+	read_number(&reader);
+	programs = reader_of(read_item(&reader, MSGPACK_OBJECT_ARRAY));
+	for (; programs.left > 0; programs.left--) {
+		if (!read_program(shard, programs.items++))
+			return false;
+	}
+	return !reader.failed && !programs.failed;
+}
+
+bool
+shard_decode(
+    struct shard *shard, const void *data, size_t len, struct error *err)
+{
+	msgpack_unpacked unpacked;
+	size_t offset = 0;
+	bool ok;
+
+	msgpack_unpacked_init(&unpacked);
+	ok = pack_sizes_fit(data, len) &&
+	    msgpack_unpack_next(&unpacked, data, len, &offset) ==
+		MSGPACK_UNPACK_SUCCESS &&
+	    read_state(shard, &unpacked.data);
+	msgpack_unpacked_destroy(&unpacked);
+	if (!ok)
+		return error_set(err, ERROR_INVALID, "not a shard's state");
+	return true;
+}
+
+/* The state is the one behind the shard's last record: nothing may be queued
+ * in between. */
+void
+snapshot_tick(struct owner *owner, struct slot *slot, int64_t now_us)
+{
+	struct buf state = {0};
+	size_t parts;
+
+	if (!slot->snapshot_wanted || !list_empty(&slot->pending))
+		return;
+	slot->snapshot_wanted = false;
+	shard_encode(&slot->fold, &state);
+	parts = (state.len + SNAPSHOT_PART_BYTES - 1) / SNAPSHOT_PART_BYTES;
+	for (size_t i = 0; i < parts; i++) {
+		size_t start = i * SNAPSHOT_PART_BYTES;
+		size_t len = state.len - start;
+		struct record record = {.type = RECORD_SNAPSHOT};
+
+		if (len > SNAPSHOT_PART_BYTES)
+			len = SNAPSHOT_PART_BYTES;
+		record.snapshot.part = i;
+		record.snapshot.parts = parts;
+		record.snapshot.state.data = state.data + start;
+		record.snapshot.state.len = len;
+		pending_add(owner, slot, &record, now_us);
+	}
+	buf_reset(&state);
+}
+
+void
+index_add(struct owner *owner, struct slot *slot, int64_t now_us)
+{
+	uint32_t lane = slot->fold.number % owner->limits.lanes;
+	struct record record = {
+	    .type = RECORD_INDEX,
+	    .shard = slot->fold.number,
+	    .epoch = slot->fold.epoch,
+	    .index = {.offset = slot->fold.snapshot_offset},
+	};
+
+	pending_add_extra(
+	    owner, owner->limits.lanes + 1 + lane, &record, now_us);
+}
+
+/* An entry that comes late points further back: the greatest holds. */
+void
+index_apply(struct owner *owner, uint32_t lane, const struct record *record)
+{
+	uint64_t *offset;
+
+	if (record->type != RECORD_INDEX ||
+	    record->shard >= owner->limits.shards ||
+	    record->shard % owner->limits.lanes !=
+		lane - owner->limits.lanes - 1)
+		return;
+	offset = &owner->index_offsets[record->shard];
+	if (*offset == UINT64_MAX || *offset < record->index.offset)
+		*offset = record->index.offset;
+}
+
+void
+index_end(struct owner *owner, uint32_t index_lane)
+{
+	uint32_t lane = index_lane - owner->limits.lanes - 1;
+	struct lane *state = &owner->lanes[lane];
+	uint64_t start = UINT64_MAX;
+
+	if (state->started)
+		return;
+	state->started = true;
+	for (uint32_t i = lane; i < owner->limits.shards;
+	     i += owner->limits.lanes) {
+		uint64_t offset = owner->index_offsets[i];
+
+		if (offset == UINT64_MAX)
+			return;
+		if (offset < start)
+			start = offset;
+	}
+	if (start == 0 || start == UINT64_MAX)
+		return;
+	state->position = start;
+	for (uint32_t i = lane; i < owner->limits.shards;
+	     i += owner->limits.lanes)
+		owner->slots[i].fold.based = false;
+}
+
+static void
+carry_program(struct owner *owner, struct slot *slot, struct program *program,
+    uint64_t before, int64_t now_us)
+{
+	for (size_t i = 0; i < program->durable_turns; i++) {
+		struct turn *turn = &program->turns[i];
+		struct record record = {.type = RECORD_HISTORY};
+		struct pending *pending;
+
+		if (turn->len == 0 || turn->carrying || turn->offset >= before)
+			continue;
+		if (turn->content == NULL) {
+			history_fetch_turn(
+			    owner, program, i + 1, program->fetch_call);
+			continue;
+		}
+		turn->carrying = true;
+		memcpy(record.history.program, program->id, PROGRAM_ID_BYTES);
+		record.history.turn = i + 1;
+		record.history.content.data = turn->content;
+		record.history.content.len = turn->len;
+		pending = pending_add(owner, slot, &record, now_us);
+		memcpy(pending->program, program->id, PROGRAM_ID_BYTES);
+	}
+}
+
+void
+carry_forward(struct owner *owner, struct slot *slot, uint64_t first,
+    uint64_t end, int64_t now_us)
+{
+	uint64_t before = first + (end - first) / CARRY_SHARE;
+
+	if (slot->releasing || end <= first)
+		return;
+	for (struct program *program = slot->fold.programs; program != NULL;
+	     program = program->hh.next) {
+		if (!program->ended)
+			carry_program(owner, slot, program, before, now_us);
+	}
+	if (slot->fold.snapshot_offset == UINT64_MAX ||
+	    slot->fold.snapshot_offset < first + (end - first) / 2)
+		slot->snapshot_wanted = true;
+}
--- a/record/record.c
+++ b/record/record.c
@@ -65,10 +65,14 @@
     F(6, FIELD_UNSIGNED, turn.prompt_tokens),
     F(7, FIELD_DIGEST, turn.digest),
     F(8, FIELD_BYTES, turn.content),
+    F(9, FIELD_DIGEST, turn.arguments),
+    F(10, FIELD_BOOL, turn.tool),
 };
 static const struct field reserve_fields[] = {
     F(1, FIELD_TEXT, reserve.program),
     F(2, FIELD_UNSIGNED, reserve.tokens),
+    F(3, FIELD_UNSIGNED, reserve.spent_tokens),
+    F(4, FIELD_TEXT, reserve.server),
 };
 static const struct field intent_fields[] = {
     F(1, FIELD_TEXT, intent.program),
@@ -84,6 +88,7 @@
     F(4, FIELD_UNSIGNED, outcome.status),
     F(5, FIELD_TEXT, outcome.settled_by),
     F(6, FIELD_BYTES, outcome.answer),
+    F(7, FIELD_UNSIGNED, outcome.intent),
 };
 static const struct field program_end_fields[] = {
     F(1, FIELD_TEXT, program_end.program),
@@ -111,6 +116,14 @@
     F(3, FIELD_UNSIGNED, snapshot.upto),
     F(4, FIELD_BYTES, snapshot.state),
 };
+static const struct field history_fields[] = {
+    F(1, FIELD_TEXT, history.program),
+    F(2, FIELD_UNSIGNED, history.turn),
+    F(3, FIELD_BYTES, history.content),
+};
+static const struct field index_fields[] = {
+    F(1, FIELD_UNSIGNED, index.offset),
+};
 static const struct field config_patch_fields[] = {
     F(1, FIELD_UNSIGNED, config_patch.base),
     F(2, FIELD_TEXT, config_patch.operator_name),
@@ -145,6 +158,8 @@
     [RECORD_CONFIG_PATCH] = LAYOUT("config_patch", config_patch_fields),
     [RECORD_CONFIG_SNAPSHOT] =
 	LAYOUT("config_snapshot", config_snapshot_fields),
+    [RECORD_HISTORY] = LAYOUT("history", history_fields),
+    [RECORD_INDEX] = LAYOUT("index", index_fields),
 };
 
 static const struct layout *
--- a/tests/runner.h
+++ b/tests/runner.h
@@ -12,14 +12,17 @@
 	TEST_TIMEOUT_S = 100,
 };
 
+/** Runs each test between setup and teardown, which may be NULL. */
 static inline int
-run_tests(const char *module, const TTest **tests, size_t count)
+run_tests_in(const char *module, const TTest **tests, size_t count, SFun setup,
+    SFun teardown)
 {
 	Suite *suite = suite_create(module);
 	TCase *cases = tcase_create(module);
 	SRunner *runner;
 	int failed;
 
+	tcase_add_checked_fixture(cases, setup, teardown);
 	tcase_set_timeout(cases, TEST_TIMEOUT_S);
 	for (size_t i = 0; i < count; i++)
 		tcase_add_test(cases, tests[i]);
@@ -32,4 +35,10 @@
 	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+static inline int
+run_tests(const char *module, const TTest **tests, size_t count)
+{
+	return run_tests_in(module, tests, count, NULL, NULL);
+}
+
 #endif
--- /dev/null
+++ b/tests/test_program.c
@@ -0,0 +1,581 @@
+#include <check.h>
+#include <string.h>
+
+#include "program/internal.h"
+#include "tests/runner.h"
+
+enum {
+	LANES = 2,
+	SHARDS = 4,
+	LOG_RECORDS = 4096,
+	LANE_STREAMS = 2 * LANES + 1,
+	VMS = 2,
+};
+
+struct log_record {
+	struct buf wire;
+};
+
+/** A log and two VMs whose owners read it. */
+struct fixture {
+	struct log_record records[LANE_STREAMS][LOG_RECORDS];
+	size_t count[LANE_STREAMS];
+	struct config_limits limits;
+	struct counters counters;
+	struct owner *owners[VMS];
+	struct owner_event events[LOG_RECORDS];
+	size_t event_count;
+	int64_t now_us;
+};
+
+static struct fixture *fixture;
+
+static void
+owner_start(int vm)
+{
+	struct owner_options options = {
+	    .vm = vm == 0 ? "vm-0" : "vm-1",
+	    .address = vm == 0 ? "127.0.0.1:1" : "127.0.0.1:2",
+	    .limits = &fixture->limits,
+	    .counters = &fixture->counters,
+	    .seed = (uint64_t)vm + 1,
+	};
+
+	fixture->owners[vm] = owner_create(&options);
+}
+
+static void
+setup(void)
+{
+	fixture = xcalloc(1, sizeof(*fixture));
+	fixture->limits = (struct config_limits){
+	    .shards = SHARDS,
+	    .lanes = LANES,
+	    .max_turns = 100,
+	    .max_program_us = INT64_C(3600) * US_PER_S,
+	    .reserve_tokens = 100,
+	    .max_crashes = 3,
+	    .log_appends_per_s = 1000,
+	    .append_delay_us = 20000,
+	    .history_cache_bytes = 1 << 20,
+	};
+	fixture->now_us = US_PER_S;
+	owner_start(0);
+	owner_start(1);
+}
+
+static void
+teardown(void)
+{
+	for (int i = 0; i < VMS; i++)
+		owner_destroy(fixture->owners[i]);
+	for (int lane = 0; lane < LANE_STREAMS; lane++)
+		for (size_t i = 0; i < fixture->count[lane]; i++)
+			buf_reset(&fixture->records[lane][i].wire);
+	free(fixture);
+}
+
+static void
+log_append(uint32_t lane, const struct buf *wire)
+{
+	struct buf *copy = &fixture->records[lane][fixture->count[lane]++].wire;
+
+	buf_append(copy, wire->data, wire->len);
+}
+
+static void
+log_read(struct owner *owner)
+{
+	for (uint32_t lane = 0; lane < owner_lane_count(owner); lane++) {
+		uint64_t from;
+
+		if (!owner_lane_position(owner, lane, &from))
+			continue;
+		for (; from < fixture->count[lane]; from++) {
+			struct record record;
+			struct buf *wire = &fixture->records[lane][from].wire;
+
+			ck_assert(record_decode(
+			    wire->data, wire->len, &record, NULL));
+			owner_handle_record(
+			    owner, lane, from, &record, fixture->now_us);
+		}
+		owner_handle_lane_end(
+		    owner, lane, fixture->count[lane], fixture->now_us);
+	}
+}
+
+/* Appends what an owner has due; a lost reply says APPEND_UNKNOWN. */
+static void
+owner_flush(struct owner *owner, enum append_result result)
+{
+	struct owner_batch batch;
+
+	while (owner_next_batch(owner, fixture->now_us, &batch)) {
+		for (size_t i = 0; i < batch.count && result != APPEND_NOT_DONE;
+		     i++)
+			log_append(batch.lane, &batch.items[i]);
+		owner_handle_appended(
+		    owner, batch.number, result, fixture->now_us);
+	}
+}
+
+static void
+owner_events(struct owner *owner)
+{
+	while (owner_next_event(owner, &fixture->events[fixture->event_count]))
+		fixture->event_count++;
+}
+
+static void
+run_for(struct owner *owner, int steps)
+{
+	for (int i = 0; i < steps; i++) {
+		fixture->now_us += 50 * US_PER_MS;
+		log_read(owner);
+		owner_tick(owner, fixture->now_us);
+		owner_flush(owner, APPEND_DONE);
+		log_read(owner);
+		owner_events(owner);
+	}
+}
+
+static const struct owner_event *
+event_of(enum owner_event_type type, call_id call)
+{
+	for (size_t i = 0; i < fixture->event_count; i++) {
+		if (fixture->events[i].type == type &&
+		    fixture->events[i].call == call)
+			return &fixture->events[i];
+	}
+	return NULL;
+}
+
+static void
+own_all(int vm)
+{
+	for (uint32_t shard = 0; shard < SHARDS; shard++)
+		owner_want_shard(fixture->owners[vm], shard, true, NULL);
+	run_for(fixture->owners[vm], 10);
+	ck_assert_uint_eq(owner_owned_shards(fixture->owners[vm]), SHARDS);
+}
+
+static const char *
+begin(
+    int vm, call_id call, const char *key, const char *parent, uint64_t budget)
+{
+	struct owner_begin request = {
+	    .workspace = "w",
+	    .parent = parent,
+	    .key = key,
+	    .budget_tokens = budget,
+	};
+	struct owner_answer answer;
+
+	ck_assert_int_eq(owner_program_begin(fixture->owners[vm], call,
+			     &request, fixture->now_us, &answer),
+	    OWNER_WAIT);
+	run_for(fixture->owners[vm], 3);
+	ck_assert_ptr_nonnull(event_of(OWNER_PROGRAM_BEGUN, call));
+	return event_of(OWNER_PROGRAM_BEGUN, call)->program;
+}
+
+static enum owner_verdict
+admit(int vm, call_id call, enum owner_call_kind kind, const char *program,
+    const char *key, uint64_t cost, struct owner_answer *answer)
+{
+	struct owner_call request = {
+	    .kind = kind,
+	    .program = program,
+	    .workspace = "w",
+	    .key = key,
+	    .tool = kind == OWNER_CALL_MODEL ? "" : "invoice",
+	    .arguments = digest_chain(NULL, key, strlen(key)),
+	    .cost_tokens = cost,
+	};
+
+	return owner_call_admit(
+	    fixture->owners[vm], call, &request, fixture->now_us, answer);
+}
+
+static struct digest
+finish(int vm, call_id call, const char *content, uint64_t spent)
+{
+	struct owner_turn_end end = {
+	    .server = "runner-1",
+	    .spent_tokens = spent,
+	    .prompt_tokens = 10,
+	    .content = {(const uint8_t *)content, strlen(content)},
+	};
+
+	return owner_turn_end(fixture->owners[vm], call, &end, fixture->now_us);
+}
+
+static void
+take_over(int from, int to)
+{
+	owner_suspect(fixture->owners[to], from == 0 ? "vm-0" : "vm-1");
+	own_all(to);
+}
+
+START_TEST(a_program_runs_and_is_released)
+{
+	const char *program;
+	struct owner_answer answer;
+
+	own_all(0);
+	program = begin(0, 1, "b", "", 1000);
+	ck_assert_int_eq(
+	    admit(0, 2, OWNER_CALL_MODEL, program, "k1", 50, &answer),
+	    OWNER_OK);
+	ck_assert_uint_eq(answer.history_count, 0);
+	finish(0, 2, "[1]", 40);
+	ck_assert_ptr_null(event_of(OWNER_TURN_DURABLE, 2));
+	run_for(fixture->owners[0], 3);
+	ck_assert_ptr_nonnull(event_of(OWNER_TURN_DURABLE, 2));
+	ck_assert_int_eq(
+	    admit(0, 3, OWNER_CALL_MODEL, program, "k2", 50, &answer),
+	    OWNER_OK);
+	ck_assert_uint_eq(answer.history_count, 1);
+	ck_assert_mem_eq(answer.history[0].data, "[1]", 3);
+	ck_assert_int_eq(
+	    admit(0, 4, OWNER_CALL_MODEL, program, "k3", 1, &answer),
+	    OWNER_REFUSE);
+	ck_assert_int_eq(answer.reason, REFUSAL_TURN_IN_PROGRESS);
+	finish(0, 3, "[2]", 40);
+	ck_assert_int_eq(
+	    admit(0, 5, OWNER_CALL_MODEL, program, "k1", 50, &answer),
+	    OWNER_REPLAY);
+	ck_assert_mem_eq(answer.kept.data, "[1]", 3);
+	ck_assert_int_eq(owner_program_end(fixture->owners[0], 6, program,
+			     "done", fixture->now_us, &answer),
+	    OWNER_WAIT);
+	run_for(fixture->owners[0], 3);
+	ck_assert_ptr_nonnull(event_of(OWNER_PROGRAM_ENDED, 6));
+	ck_assert_ptr_nonnull(event_of(OWNER_RELEASE_KV, 0));
+	owner_kv_released(
+	    fixture->owners[0], program, "runner-1", fixture->now_us);
+	run_for(fixture->owners[0], 3);
+	fixture->event_count = 0;
+	run_for(fixture->owners[0], 100);
+	ck_assert_ptr_null(event_of(OWNER_RELEASE_KV, 0));
+}
+END_TEST
+
+START_TEST(a_once_call_is_sent_after_its_intent)
+{
+	const char *program;
+	struct owner_answer answer;
+	struct record_bytes kept = {(const uint8_t *)"ok", 2};
+
+	own_all(0);
+	program = begin(0, 1, "b", "", 1000);
+	ck_assert_int_eq(
+	    admit(0, 2, OWNER_CALL_ONCE, program, "k", 0, &answer), OWNER_WAIT);
+	owner_events(fixture->owners[0]);
+	ck_assert_ptr_null(event_of(OWNER_DISPATCH, 2));
+	ck_assert_int_eq(
+	    admit(0, 3, OWNER_CALL_ONCE, program, "k", 0, &answer), OWNER_WAIT);
+	run_for(fixture->owners[0], 3);
+	ck_assert_ptr_nonnull(event_of(OWNER_DISPATCH, 2));
+	owner_outcome(
+	    fixture->owners[0], 2, OUTCOME_DONE, 200, kept, fixture->now_us);
+	run_for(fixture->owners[0], 3);
+	ck_assert_ptr_nonnull(event_of(OWNER_OUTCOME_DURABLE, 2));
+	ck_assert_ptr_nonnull(event_of(OWNER_RESERVED, 3));
+	ck_assert_int_eq(admit(0, 3, OWNER_CALL_ONCE, program, "k", 0, &answer),
+	    OWNER_REPLAY);
+	ck_assert_uint_eq(answer.kept_status, 200);
+	ck_assert_mem_eq(answer.kept.data, "ok", 2);
+}
+END_TEST
+
+START_TEST(an_open_intent_is_unknown_after_a_takeover)
+{
+	const char *program;
+	struct owner_answer answer;
+	struct record_bytes kept = {(const uint8_t *)"ok", 2};
+
+	own_all(0);
+	program = begin(0, 1, "b", "", 1000);
+	admit(0, 2, OWNER_CALL_ONCE, program, "k", 0, &answer);
+	run_for(fixture->owners[0], 3);
+	ck_assert_ptr_nonnull(event_of(OWNER_DISPATCH, 2));
+	take_over(0, 1);
+	ck_assert_int_eq(admit(1, 3, OWNER_CALL_ONCE, program, "k", 0, &answer),
+	    OWNER_REPLAY);
+	ck_assert_int_eq(answer.outcome, OUTCOME_UNKNOWN);
+	ck_assert_int_eq(answer.run, RUN_UNKNOWN);
+	owner_outcome(
+	    fixture->owners[0], 2, OUTCOME_DONE, 200, kept, fixture->now_us);
+	for (uint32_t shard = 0; shard < SHARDS; shard++)
+		owner_want_shard(fixture->owners[0], shard, false, NULL);
+	run_for(fixture->owners[0], 3);
+	ck_assert_ptr_nonnull(event_of(OWNER_SHARD_LOST, 0));
+	run_for(fixture->owners[1], 3);
+	ck_assert_int_eq(admit(1, 4, OWNER_CALL_ONCE, program, "k", 0, &answer),
+	    OWNER_REPLAY);
+	ck_assert_int_eq(answer.outcome, OUTCOME_DONE);
+	ck_assert_uint_eq(owner_open_calls(fixture->owners[0]), 0);
+}
+END_TEST
+
+START_TEST(a_takeover_keeps_history_and_strands_the_reserve)
+{
+	const char *program;
+	struct owner_answer answer;
+	uint32_t lane;
+	uint64_t offset;
+
+	own_all(0);
+	program = begin(0, 1, "b", "", 120);
+	admit(0, 2, OWNER_CALL_MODEL, program, "k1", 50, &answer);
+	finish(0, 2, "[1]", 40);
+	run_for(fixture->owners[0], 3);
+	take_over(0, 1);
+	ck_assert_int_eq(
+	    admit(1, 3, OWNER_CALL_MODEL, program, "k2", 50, &answer),
+	    OWNER_REFUSE);
+	ck_assert_int_eq(answer.reason, REFUSAL_BUDGET_EXCEEDED);
+	ck_assert_uint_eq(answer.budget_left_tokens, 20);
+	ck_assert_int_eq(
+	    admit(1, 3, OWNER_CALL_MODEL, program, "k2", 20, &answer),
+	    OWNER_WAIT);
+	run_for(fixture->owners[1], 3);
+	ck_assert_ptr_nonnull(event_of(OWNER_RESERVED, 3));
+	ck_assert_int_eq(
+	    admit(1, 3, OWNER_CALL_MODEL, program, "k2", 20, &answer),
+	    OWNER_FETCH);
+	while (owner_next_fetch(fixture->owners[1], &lane, &offset)) {
+		struct buf *wire = &fixture->records[lane][offset].wire;
+		struct record record;
+
+		record_decode(wire->data, wire->len, &record, NULL);
+		owner_handle_fetched(
+		    fixture->owners[1], lane, offset, &record, fixture->now_us);
+	}
+	run_for(fixture->owners[1], 1);
+	ck_assert_ptr_nonnull(event_of(OWNER_HISTORY_READY, 3));
+	ck_assert_int_eq(
+	    admit(1, 3, OWNER_CALL_MODEL, program, "k2", 20, &answer),
+	    OWNER_OK);
+	ck_assert_uint_eq(answer.history_count, 1);
+	ck_assert_mem_eq(answer.history[0].data, "[1]", 3);
+}
+END_TEST
+
+START_TEST(undurable_turns_are_taken_back_by_digest)
+{
+	const char *program;
+	struct owner_answer answer;
+	struct digest digest;
+	struct owner_resend resend = {
+	    .key = "k1",
+	    .prompt_tokens = 10,
+	    .content = {(const uint8_t *)"[1]", 3},
+	};
+	struct owner_call request = {
+	    .kind = OWNER_CALL_MODEL,
+	    .workspace = "w",
+	    .key = "k2",
+	    .tool = "",
+	    .digest = &digest,
+	    .resend = &resend,
+	    .resend_count = 1,
+	};
+
+	own_all(0);
+	program = begin(0, 1, "b", "", 1000);
+	admit(0, 2, OWNER_CALL_MODEL, program, "k1", 50, &answer);
+	digest = finish(0, 2, "[1]", 40);
+	take_over(0, 1);
+	request.program = program;
+	resend.content.data = (const uint8_t *)"[2]";
+	ck_assert_int_eq(owner_call_admit(fixture->owners[1], 3, &request,
+			     fixture->now_us, &answer),
+	    OWNER_REFUSE);
+	ck_assert_int_eq(answer.reason, REFUSAL_HISTORY_MISMATCH);
+	resend.content.data = (const uint8_t *)"[1]";
+	ck_assert_int_eq(owner_call_admit(fixture->owners[1], 3, &request,
+			     fixture->now_us, &answer),
+	    OWNER_OK);
+	ck_assert_uint_eq(answer.history_count, 1);
+}
+END_TEST
+
+START_TEST(a_lost_reply_appends_twice_and_folds_once)
+{
+	struct owner_answer answer;
+	const char *program;
+	size_t before;
+
+	own_all(0);
+	program = begin(0, 1, "b", "", 1000);
+	run_for(fixture->owners[0], 20);
+	admit(0, 2, OWNER_CALL_MODEL, program, "k1", 50, &answer);
+	finish(0, 2, "[1]", 40);
+	fixture->now_us += US_PER_S;
+	before = fixture->count[0] + fixture->count[1];
+	owner_flush(fixture->owners[0], APPEND_UNKNOWN);
+	ck_assert_uint_eq(fixture->count[0] + fixture->count[1], before + 1);
+	owner_handle_lane_end(fixture->owners[0], 0, 0, fixture->now_us);
+	owner_handle_lane_end(fixture->owners[0], 1, 0, fixture->now_us);
+	fixture->now_us += US_PER_S;
+	owner_flush(fixture->owners[0], APPEND_DONE);
+	ck_assert_uint_eq(fixture->count[0] + fixture->count[1], before + 2);
+	run_for(fixture->owners[0], 5);
+	ck_assert_ptr_nonnull(event_of(OWNER_TURN_DURABLE, 2));
+	admit(0, 3, OWNER_CALL_MODEL, program, "k2", 50, &answer);
+	ck_assert_uint_eq(answer.history_count, 1);
+}
+END_TEST
+
+START_TEST(sub_agents_draw_on_their_parents_budget)
+{
+	struct owner_answer answer;
+	const char *parent;
+	char child[PROGRAM_ID_BYTES];
+
+	own_all(0);
+	parent = begin(0, 1, "b", "", 1000);
+	snprintf(child, sizeof(child), "%s", begin(0, 2, "c", parent, 900));
+	ck_assert_int_eq(
+	    admit(0, 3, OWNER_CALL_MODEL, parent, "k1", 101, &answer),
+	    OWNER_REFUSE);
+	ck_assert_int_eq(answer.reason, REFUSAL_BUDGET_EXCEEDED);
+	admit(0, 4, OWNER_CALL_MODEL, child, "k1", 100, &answer);
+	finish(0, 4, "[1]", 100);
+	owner_program_end(
+	    fixture->owners[0], 5, child, "done", fixture->now_us, &answer);
+	run_for(fixture->owners[0], 5);
+	ck_assert_int_eq(
+	    admit(0, 6, OWNER_CALL_MODEL, parent, "k2", 901, &answer),
+	    OWNER_REFUSE);
+	ck_assert_int_eq(
+	    admit(0, 6, OWNER_CALL_MODEL, parent, "k2", 900, &answer),
+	    OWNER_WAIT);
+}
+END_TEST
+
+START_TEST(a_withdrawn_intent_is_never_sent)
+{
+	struct owner_answer answer;
+	const char *program;
+
+	own_all(0);
+	program = begin(0, 1, "b", "", 1000);
+	admit(0, 2, OWNER_CALL_ONCE, program, "k", 0, &answer);
+	owner_call_detach(fixture->owners[0], 2, fixture->now_us);
+	run_for(fixture->owners[0], 5);
+	ck_assert_ptr_null(event_of(OWNER_DISPATCH, 2));
+	ck_assert_int_eq(
+	    admit(0, 3, OWNER_CALL_ONCE, program, "k", 0, &answer), OWNER_WAIT);
+	run_for(fixture->owners[0], 5);
+	ck_assert_ptr_nonnull(event_of(OWNER_DISPATCH, 3));
+}
+END_TEST
+
+START_TEST(an_innocent_request_is_not_condemned)
+{
+	struct owner *owner = fixture->owners[0];
+
+	for (uint64_t incident = 1; incident <= 3; incident++) {
+		owner_report_crash(
+		    owner, "s", "w", 7, incident, 3, 0, fixture->now_us);
+		owner_report_crash(owner, "s", "w", 100 + incident, incident, 3,
+		    0, fixture->now_us);
+		ck_assert_int_eq(owner_quarantined(owner, 7), incident == 3);
+		ck_assert(!owner_quarantined(owner, 100 + incident));
+	}
+	run_for(owner, 3);
+	log_read(fixture->owners[1]);
+	ck_assert(owner_quarantined(fixture->owners[1], 7));
+	owner_lift_quarantine(owner, 7, "op", fixture->now_us);
+	run_for(owner, 3);
+	log_read(fixture->owners[1]);
+	ck_assert(!owner_quarantined(fixture->owners[1], 7));
+}
+END_TEST
+
+START_TEST(a_request_that_always_ties_is_condemned_at_the_hard_limit)
+{
+	struct owner *owner = fixture->owners[0];
+
+	for (uint64_t incident = 1; incident <= 6; incident++) {
+		ck_assert(!owner_quarantined(owner, 7));
+		owner_report_crash(owner, "s", "w", 7, incident, 2, 0, 1);
+		owner_report_crash(owner, "s", "w", 8, incident, 2, 0, 1);
+	}
+	ck_assert(owner_quarantined(owner, 7));
+}
+END_TEST
+
+START_TEST(a_new_owner_starts_at_the_snapshot)
+{
+	const char *program;
+	struct owner_answer answer;
+	uint32_t shard = 0;
+	uint64_t from = 0;
+
+	own_all(0);
+	program = begin(0, 1, "b", "", 1000);
+	admit(0, 2, OWNER_CALL_MODEL, program, "k1", 50, &answer);
+	finish(0, 2, "[1]", 40);
+	admit(0, 3, OWNER_CALL_ONCE, program, "k2", 0, &answer);
+	run_for(fixture->owners[0], 5);
+	program_shard(program, &shard);
+	for (uint32_t lane = 0; lane < LANES; lane++)
+		owner_handle_lane_kept(fixture->owners[0], lane, 1,
+		    4 * fixture->count[lane], fixture->now_us);
+	run_for(fixture->owners[0], 10);
+	own_all(0);
+	owner_suspect(fixture->owners[1], "vm-0");
+	owner_want_shard(fixture->owners[1], shard, true, NULL);
+	log_read(fixture->owners[1]);
+	ck_assert(
+	    owner_lane_position(fixture->owners[1], shard % LANES, &from));
+	ck_assert_uint_gt(from, 0);
+	run_for(fixture->owners[1], 10);
+	ck_assert(owner_owns(fixture->owners[1], shard));
+	ck_assert_int_eq(
+	    admit(1, 5, OWNER_CALL_ONCE, program, "k2", 0, &answer),
+	    OWNER_REPLAY);
+	ck_assert_int_eq(answer.outcome, OUTCOME_UNKNOWN);
+	ck_assert_uint_eq(answer.turn, 2);
+}
+END_TEST
+
+START_TEST(a_program_id_has_one_form)
+{
+	uint32_t shard;
+
+	ck_assert(program_shard("p7-00000000000000ff", &shard));
+	ck_assert_uint_eq(shard, 7);
+	ck_assert(!program_shard("p07-00000000000000ff", &shard));
+	ck_assert(!program_shard("p7-ff", &shard));
+	ck_assert(!program_shard("p7-00000000000000fg", &shard));
+	ck_assert(!program_shard("", &shard));
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    a_program_runs_and_is_released,
+	    a_once_call_is_sent_after_its_intent,
+	    an_open_intent_is_unknown_after_a_takeover,
+	    a_takeover_keeps_history_and_strands_the_reserve,
+	    undurable_turns_are_taken_back_by_digest,
+	    a_lost_reply_appends_twice_and_folds_once,
+	    sub_agents_draw_on_their_parents_budget,
+	    a_withdrawn_intent_is_never_sent,
+	    an_innocent_request_is_not_condemned,
+	    a_request_that_always_ties_is_condemned_at_the_hard_limit,
+	    a_new_owner_starts_at_the_snapshot,
+	    a_program_id_has_one_form,
+	};
+
+	return run_tests_in("program", tests, sizeof(tests) / sizeof(tests[0]),
+	    setup, teardown);
+}
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -136,7 +136,7 @@
 
 START_TEST(each_type_has_a_name)
 {
-	for (int type = RECORD_CLAIM; type <= RECORD_CONFIG_SNAPSHOT; type++)
+	for (int type = RECORD_CLAIM; type <= RECORD_INDEX; type++)
 		ck_assert_str_ne(
 		    record_type_name((enum record_type)type), "unknown");
 	ck_assert_str_eq(record_type_name((enum record_type)9999), "unknown");
