--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -18,6 +18,18 @@
 	KEY_BYTES = 256,
 };
 
+/* "*" stands for every server that may have run the program. */
+static void
+release_kv(struct daemon *daemon, const struct owner_event *event)
+{
+	if (strcmp(event->server, "*") != 0)
+		server_controller_release_kv(
+		    daemon->server, event->server, event->program);
+	else
+		server_controller_release_everywhere(
+		    daemon->server, event->program);
+}
+
 static void
 dispatch_event(struct daemon *daemon, const struct owner_event *event)
 {
@@ -25,8 +37,7 @@
 
 	switch (event->type) {
 	case OWNER_RELEASE_KV:
-		server_controller_release_kv(
-		    daemon->server, event->server, event->program);
+		release_kv(daemon, event);
 		return;
 	case OWNER_SHARD_TAKEN:
 	case OWNER_SHARD_LOST:
@@ -69,7 +80,7 @@
 
 	if (call == NULL)
 		return;
-	owner_call_abandon(daemon->owner, id, 0, daemon->board.now_us);
+	owner_call_abandon(daemon->owner, id, "", 0, daemon->board.now_us);
 	call_refuse(call, reason, RUN_NOT_RUN, NULL);
 }
 
--- a/daemon/lane_controller.c
+++ b/daemon/lane_controller.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "common/clock.h"
@@ -11,6 +10,7 @@
 	LANE_WAIT_MS = 1000,
 	LANE_RETRY_US = 200 * US_PER_MS,
 	APPENDS_AT_ONCE = 64,
+	FETCHES_AT_ONCE = 32,
 };
 
 /** Reader of one lane. */
@@ -29,19 +29,23 @@
 	uint64_t number;
 };
 
+/** A single record that is read for a program's history. */
+struct lane_fetch {
+	struct list link;
+	struct lane_controller *controller;
+	struct plog_request *request;
+	uint32_t lane;
+	uint64_t offset;
+};
+
 struct lane_controller {
 	struct daemon *daemon;
 	struct lane_reader *readers;
 	uint32_t count;
 	struct list appends; /**< of struct lane_append */
+	struct list fetches; /**< of struct lane_fetch */
 };
 
-static void
-lane_stream(uint32_t lane, char stream[PLOG_STREAM_BYTES])
-{
-	snprintf(stream, PLOG_STREAM_BYTES, "lane-%u", lane);
-}
-
 static void
 deliver(struct lane_reader *reader, const struct plog_record *item)
 {
@@ -80,6 +84,8 @@
 		return;
 	}
 	board_note_log(board, true);
+	owner_handle_lane_kept(
+	    daemon->owner, reader->lane, read->first, read->end, board->now_us);
 	for (size_t i = 0; i < read->count; i++) {
 		deliver(reader, &read->records[i]);
 		next = read->records[i].offset + 1;
@@ -99,7 +105,7 @@
 	if (reader->read != NULL || reader->retry_us > daemon->board.now_us ||
 	    !owner_lane_position(daemon->owner, reader->lane, &from))
 		return;
-	lane_stream(reader->lane, stream);
+	owner_lane_stream(daemon->owner, reader->lane, stream, sizeof(stream));
 	reader->read = plog_read(daemon->plog, stream, from, LANE_READ_BYTES,
 	    LANE_WAIT_MS, handle_read, reader);
 }
@@ -149,13 +155,71 @@
 		records[i].data = batch->items[i].data;
 		records[i].len = batch->items[i].len;
 	}
-	lane_stream(batch->lane, stream);
+	owner_lane_stream(
+	    controller->daemon->owner, batch->lane, stream, sizeof(stream));
 	list_append(&controller->appends, &append->link);
 	append->request = plog_append(controller->daemon->plog, stream, records,
 	    batch->count, handle_appended, append);
 	free(records);
 }
 
+/* Hands a record to the owner, or tells that it could not be read. */
+static void
+hand_over(struct lane_fetch *fetch, const struct plog_read *read)
+{
+	struct daemon *daemon = fetch->controller->daemon;
+	struct record record;
+	bool ok = read->status == PLOG_OK && read->count > 0 &&
+	    read->records[0].offset == fetch->offset &&
+	    record_decode(
+		read->records[0].data, read->records[0].len, &record, NULL);
+
+	owner_handle_fetched(daemon->owner, fetch->lane, fetch->offset,
+	    ok ? &record : NULL, daemon->board.now_us);
+}
+
+static void
+handle_fetched(void *context, const struct plog_read *read)
+{
+	struct lane_fetch *fetch = context;
+
+	fetch->controller->daemon->board.now_us = clock_monotonic_us();
+	hand_over(fetch, read);
+	list_remove(&fetch->link);
+	free(fetch);
+}
+
+static void
+start_fetch(struct lane_controller *controller, uint32_t lane, uint64_t offset)
+{
+	struct lane_fetch *fetch = xcalloc(1, sizeof(*fetch));
+	char stream[PLOG_STREAM_BYTES];
+
+	fetch->controller = controller;
+	fetch->lane = lane;
+	fetch->offset = offset;
+	owner_lane_stream(
+	    controller->daemon->owner, lane, stream, sizeof(stream));
+	list_append(&controller->fetches, &fetch->link);
+	/* At least one record comes, whatever its size. */
+	fetch->request = plog_read(controller->daemon->plog, stream, offset, 1,
+	    0, handle_fetched, fetch);
+}
+
+static void
+start_fetches(struct lane_controller *controller)
+{
+	size_t under_way = list_length(&controller->fetches);
+	uint64_t offset;
+	uint32_t lane;
+
+	while (under_way < FETCHES_AT_ONCE &&
+	    owner_next_fetch(controller->daemon->owner, &lane, &offset)) {
+		start_fetch(controller, lane, offset);
+		under_way++;
+	}
+}
+
 void
 lane_controller_pump(struct lane_controller *controller)
 {
@@ -163,7 +227,7 @@
 	struct owner_batch batch;
 
 	if (controller->count == 0) {
-		uint32_t count = daemon->board.config.current->limits.lanes;
+		uint32_t count = owner_lane_count(daemon->owner);
 
 		controller->readers =
 		    xcalloc(count, sizeof(*controller->readers));
@@ -181,6 +245,7 @@
 			break;
 		start_append(controller, &batch);
 	}
+	start_fetches(controller);
 }
 
 struct lane_controller *
@@ -190,6 +255,7 @@
 
 	controller->daemon = daemon;
 	list_init(&controller->appends);
+	list_init(&controller->fetches);
 	return controller;
 }
 
@@ -205,6 +271,11 @@
 		plog_cancel(append->request);
 		free(append);
 	}
+	list_for_each_safe (
+	    fetch, tmp, &controller->fetches, struct lane_fetch, link) {
+		plog_cancel(fetch->request);
+		free(fetch);
+	}
 	free(controller->readers);
 	free(controller);
 }
--- a/daemon/model_call.c
+++ b/daemon/model_call.c
@@ -103,8 +103,8 @@
 	    request.adapter, sizeof(request.adapter), "%s", model->adapter);
 	call->state = CALL_WAITING;
 	if (owner_quarantined(daemon->owner, request.fingerprint)) {
-		owner_call_abandon(
-		    daemon->owner, call->id, 0, daemon->board.now_us);
+		owner_call_abandon(daemon->owner, call->id, call->model.server,
+		    0, daemon->board.now_us);
 		call_refuse(call, REFUSAL_QUARANTINED, RUN_NOT_RUN,
 		    "servers died while they ran this request");
 		return;
@@ -112,7 +112,8 @@
 	if (sched_submit(daemon->sched, &request, daemon->board.now_us,
 		&reason) == SCHED_QUEUED)
 		return;
-	owner_call_abandon(daemon->owner, call->id, 0, daemon->board.now_us);
+	owner_call_abandon(daemon->owner, call->id, call->model.server, 0,
+	    daemon->board.now_us);
 	call_refuse(call, reason, RUN_NOT_RUN, NULL);
 }
 
@@ -256,8 +257,8 @@
 	struct daemon *daemon = call->daemon;
 	bool ran = call->model.answer_tokens > 0;
 
-	owner_call_abandon(
-	    daemon->owner, call->id, spent_tokens(call), daemon->board.now_us);
+	owner_call_abandon(daemon->owner, call->id, call->model.server,
+	    spent_tokens(call), daemon->board.now_us);
 	call_refuse(call, reason, ran ? RUN_RAN : RUN_NOT_RUN,
 	    "the turn was not recorded; send it again");
 }
@@ -392,6 +393,7 @@
 		owner_call_detach(daemon->owner, call->id, now_us);
 	else
 		sched_cancel(daemon->sched, call->id, now_us);
-	owner_call_abandon(daemon->owner, call->id, spent_tokens(call), now_us);
+	owner_call_abandon(daemon->owner, call->id, call->model.server,
+	    spent_tokens(call), now_us);
 	call_destroy(call);
 }
--- a/daemon/service_call.c
+++ b/daemon/service_call.c
@@ -72,7 +72,7 @@
 
 	if (is_recorded(call))
 		owner_call_abandon(
-		    daemon->owner, call->id, 0, daemon->board.now_us);
+		    daemon->owner, call->id, "", 0, daemon->board.now_us);
 	call_refuse(call, REFUSAL_SERVER_FAILED, RUN_UNKNOWN,
 	    "the service gave no answer; the call may be repeated");
 }
@@ -176,7 +176,7 @@
 		return;
 	}
 	if (is_recorded(call))
-		owner_call_abandon(call->daemon->owner, call->id, 0,
+		owner_call_abandon(call->daemon->owner, call->id, "", 0,
 		    call->daemon->board.now_us);
 	call_refuse(call, REFUSAL_NO_SERVER, RUN_NOT_RUN, NULL);
 }
