--- /dev/null
+++ b/guavakeel/main.c
@@ -0,0 +1,24 @@
+#include <argp.h>
+#include <stdlib.h>
+
+#include "guavakeel/command.h"
+
+const char *argp_program_version = "guavakeel " GUAVAKEEL_VERSION;
+
+static const struct command commands[] = {
+    {"check-config", "Check a settings file", command_check_config},
+    {"config", "Show, change and hand over the configuration", command_config},
+    {"counters", "Print a daemon's counters", command_counters},
+    {"drain", "Let a daemon finish its work and exit", command_drain},
+    {"programs", "List the programs that a daemon owns", command_programs},
+    {"status", "Print the state of the VMs as a daemon sees it",
+	command_status},
+    {0},
+};
+
+int
+main(int argc, char **argv)
+{
+	argv[0] = "guavakeel";
+	return command_dispatch(commands, argc, argv);
+}
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -85,8 +85,8 @@
 {
 	struct members members;
 	const char *before[SHARDS];
-	int owned[VMS] = {0};
-	int mean = SHARDS / VMS;
+	int64_t owned[VMS] = {0};
+	int64_t mean = SHARDS / VMS;
 
 	fill(&members);
 	for (uint32_t s = 0; s < SHARDS; s++) {
