--- a/config/config.c
+++ b/config/config.c
@@ -15,13 +15,13 @@
 static void
 read_model(const json_t *value, const struct place *place, void *item)
 {
-	fields_read(value, place, &schema_model, item);
+	schema_read(value, place, &schema_model, item);
 }
 
 static void
 read_adapter(const json_t *value, const struct place *place, void *item)
 {
-	fields_read(value, place, &schema_adapter, item);
+	schema_read(value, place, &schema_adapter, item);
 }
 
 static void
@@ -44,7 +44,7 @@
 
 		snprintf(key, sizeof(key), "%zu", index);
 		at = place_member(place, key);
-		if (text == NULL || !field_is_name(text)) {
+		if (text == NULL || !schema_is_name(text)) {
 			place_report(&at, "is not a name");
 		} else if (server->model_count == CONFIG_MODELS_PER_SERVER) {
 			place_report(place, "has more than %d models",
@@ -62,7 +62,7 @@
 {
 	struct place models = place_member(place, "models");
 
-	if (fields_read(value, place, &schema_server, item))
+	if (schema_read(value, place, &schema_server, item))
 		read_server_models(
 		    json_object_get(value, "models"), &models, item);
 }
@@ -70,7 +70,7 @@
 static void
 read_endpoint(const json_t *value, const struct place *place, void *item)
 {
-	fields_read(value, place, &schema_endpoint, item);
+	schema_read(value, place, &schema_endpoint, item);
 }
 
 static int
@@ -131,7 +131,7 @@
 		char *item = items + i * section->item_size;
 		struct place member = place_member(&at, keys[i]);
 
-		if (!field_is_name(keys[i]))
+		if (!schema_is_name(keys[i]))
 			place_report(&member, "has a key that is not a name");
 		else if (section->named)
 			snprintf(item, NAME_BYTES, "%s", keys[i]);
@@ -152,14 +152,14 @@
 	struct config_service *service = item;
 
 	service->timeout_us = (int64_t)DEFAULT_TIMEOUT_MS * US_PER_MS;
-	if (fields_read(value, place, &schema_service, item))
+	if (schema_read(value, place, &schema_service, item))
 		read_section(value, place, &endpoints, service);
 }
 
 static void
 read_tool(const json_t *value, const struct place *place, void *item)
 {
-	fields_read(value, place, &schema_tool, item);
+	schema_read(value, place, &schema_tool, item);
 }
 
 static void
@@ -170,7 +170,7 @@
 	struct place at = place_member(place, "key_hash");
 
 	workspace->share = 1;
-	fields_read(value, place, &schema_workspace, item);
+	schema_read(value, place, &schema_workspace, item);
 	if (workspace->key_hash[0] != '\0' &&
 	    !digest_parse(workspace->key_hash, &digest))
 		place_report(&at, "is not 64 hexadecimal digits");
@@ -204,12 +204,12 @@
 
 	config->version = version;
 	config_limits_defaults(&config->limits);
-	if (!fields_read(document, &root, &schema_document, config))
+	if (!schema_read(document, &root, &schema_document, config))
 		return config;
 	for (size_t i = 0; i < sizeof(sections) / sizeof(sections[0]); i++)
 		read_section(document, &root, &sections[i], config);
 	if (declared != NULL)
-		fields_read(declared, &limits, &schema_limit, &config->limits);
+		schema_read(declared, &limits, &schema_limit, &config->limits);
 	config_check(config, document, &root);
 	return config;
 }
--- a/config/field.c
+++ b/config/field.c
@@ -42,7 +42,7 @@
 }
 
 bool
-field_is_name(const char *text)
+schema_is_name(const char *text)
 {
 	static const char allowed[] = "abcdefghijklmnopqrstuvwxyz"
 				      "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
@@ -73,7 +73,7 @@
 
 static void
 read_text(const json_t *value, const struct place *place,
-    const struct field *field, char *at)
+    const struct schema_field *field, char *at)
 {
 	const char *text = json_string_value(value);
 
@@ -82,9 +82,9 @@
 	else if (strlen(text) >= field->size)
 		place_report(
 		    place, "is longer than %zu bytes", field->size - 1);
-	else if (field->kind == FIELD_NAME && !field_is_name(text))
+	else if (field->kind == SCHEMA_NAME && !schema_is_name(text))
 		place_report(place, "is not a name");
-	else if (field->kind == FIELD_ADDRESS && !is_ip_address(text))
+	else if (field->kind == SCHEMA_ADDRESS && !is_ip_address(text))
 		place_report(place, "is not an IP address");
 	else if (!is_plain_text(text))
 		place_report(place, "has control characters");
@@ -93,7 +93,8 @@
 }
 
 static bool
-is_in_range(const struct field *field, const struct place *place, double number)
+is_in_range(
+    const struct schema_field *field, const struct place *place, double number)
 {
 	if (number >= field->min && number <= field->max)
 		return true;
@@ -104,7 +105,7 @@
 
 static void
 read_integer(const json_t *value, const struct place *place,
-    const struct field *field, void *at)
+    const struct schema_field *field, void *at)
 {
 	json_int_t number = json_integer_value(value);
 
@@ -124,7 +125,7 @@
 
 static void
 read_number(const json_t *value, const struct place *place,
-    const struct field *field, double *at)
+    const struct schema_field *field, double *at)
 {
 	if (!json_is_number(value))
 		place_report(place, "is not a number");
@@ -153,35 +154,35 @@
 
 static void
 read_field(const json_t *value, const struct place *place,
-    const struct field *field, void *at)
+    const struct schema_field *field, void *at)
 {
 	switch (field->kind) {
-	case FIELD_NAME:
-	case FIELD_TEXT:
-	case FIELD_ADDRESS:
+	case SCHEMA_NAME:
+	case SCHEMA_TEXT:
+	case SCHEMA_ADDRESS:
 		read_text(value, place, field, at);
 		break;
-	case FIELD_INTEGER:
+	case SCHEMA_INTEGER:
 		read_integer(value, place, field, at);
 		break;
-	case FIELD_NUMBER:
+	case SCHEMA_NUMBER:
 		read_number(value, place, field, at);
 		break;
-	case FIELD_BOOL:
+	case SCHEMA_BOOL:
 		if (json_is_boolean(value))
 			*(bool *)at = json_is_true(value);
 		else
 			place_report(place, "is not true or false");
 		break;
-	case FIELD_ROLE:
+	case SCHEMA_ROLE:
 		read_role(value, place, at);
 		break;
-	case FIELD_OTHER:
+	case SCHEMA_OTHER:
 		break;
 	}
 }
 
-static const struct field *
+static const struct schema_field *
 find_field(const struct schema *schema, const char *key)
 {
 	for (size_t i = 0; i < schema->count; i++) {
@@ -192,7 +193,7 @@
 }
 
 bool
-fields_read(const json_t *value, const struct place *place,
+schema_read(const json_t *value, const struct place *place,
     const struct schema *schema, void *target)
 {
 	const char *key;
@@ -203,7 +204,7 @@
 		return false;
 	}
 	json_object_foreach ((json_t *)value, key, member) {
-		const struct field *field = find_field(schema, key);
+		const struct schema_field *field = find_field(schema, key);
 		struct place at = place_member(place, key);
 
 		if (field == NULL)
@@ -213,7 +214,7 @@
 			    member, &at, field, (char *)target + field->offset);
 	}
 	for (size_t i = 0; i < schema->count; i++) {
-		const struct field *field = &schema->fields[i];
+		const struct schema_field *field = &schema->fields[i];
 		struct place at = place_member(place, field->key);
 
 		if (field->required &&
