--- a/config/config.c
+++ b/config/config.c
@@ -109,20 +109,42 @@
 	size_t count_offset;
 };
 
+/* Returns an object of the items; those without names may stand in an array,
+ * whose indices are then their keys. */
+static json_t *
+section_items(const json_t *value, const struct section *section)
+{
+	json_t *object;
+	size_t index;
+	json_t *item;
+	char key[24];
+
+	if (!json_is_array(value) || section->named)
+		return json_incref((json_t *)value);
+	object = json_object();
+	json_array_foreach ((json_t *)value, index, item) {
+		snprintf(key, sizeof(key), "%zu", index);
+		json_object_set(object, key, item);
+	}
+	return object;
+}
+
 static void
 read_section(const json_t *parent, const struct place *place,
     const struct section *section, void *target)
 {
-	const json_t *object = json_object_get(parent, section->key);
+	json_t *object =
+	    section_items(json_object_get(parent, section->key), section);
 	struct place at = place_member(place, section->key);
-	const char **keys;
 	size_t count = json_object_size(object);
+	const char **keys;
 	char *items;
 
 	if (object == NULL)
 		return;
 	if (!json_is_object(object)) {
 		place_report(&at, "is not an object");
+		json_decref(object);
 		return;
 	}
 	keys = sorted_keys(object);
@@ -138,6 +160,7 @@
 		section->read(json_object_get(object, keys[i]), &member, item);
 	}
 	free(keys);
+	json_decref(object);
 	*(char **)((char *)target + section->items_offset) = items;
 	*(size_t *)((char *)target + section->count_offset) = count;
 }
--- a/guavakeel/publish.c
+++ b/guavakeel/publish.c
@@ -127,26 +127,64 @@
 	return COMMAND_UNKNOWN;
 }
 
+/* Reports a text that the record can't carry or the fold would reject. */
+static void
+check_text(const char *option, const char *text, size_t size,
+    struct findings *findings)
+{
+	json_t *string = json_string(text);
+
+	if (string == NULL)
+		finding_add(findings, option, 0, "is not UTF-8");
+	if (strlen(text) >= size)
+		finding_add(
+		    findings, option, 0, "is longer than %zu bytes", size - 1);
+	json_decref(string);
+}
+
+static const char *
+operator_name(const struct publish_options *options)
+{
+	const char *name = options->operator_name;
+
+	if (name == NULL)
+		name = getenv("USER");
+	return name != NULL ? name : "unknown";
+}
+
+static const char *
+comment(const struct publish_options *options)
+{
+	return options->comment != NULL ? options->comment : "";
+}
+
+static void
+check_options(const struct publish_options *options, struct findings *findings)
+{
+	const struct record_config_patch *body = NULL;
+
+	check_text("--operator", operator_name(options),
+	    sizeof(body->operator_name), findings);
+	check_text(
+	    "--comment", comment(options), sizeof(body->comment), findings);
+}
+
 static enum publish_result
 send_patch(struct history *history, const json_t *patch,
     const struct publish_options *options)
 {
 	struct record record = {.type = RECORD_CONFIG_PATCH, .id = options->id};
 	struct record_config_patch *body = &record.config_patch;
-	const char *name = options->operator_name;
 	char *text = json_dumps(patch, JSON_COMPACT | JSON_SORT_KEYS);
 	enum publish_result result;
 
-	if (name == NULL)
-		name = getenv("USER");
 	body->base = options->base;
 	body->wall_us = clock_wall_us();
 	body->patch.data = (const uint8_t *)text;
 	body->patch.len = strlen(text);
-	snprintf(body->operator_name, NAME_BYTES, "%s",
-	    name != NULL ? name : "unknown");
-	snprintf(body->comment, sizeof(body->comment), "%s",
-	    options->comment != NULL ? options->comment : "");
+	snprintf(body->operator_name, sizeof(body->operator_name), "%s",
+	    operator_name(options));
+	snprintf(body->comment, sizeof(body->comment), "%s", comment(options));
 	result = history_publish_patch(history, &record);
 	free(text);
 	return result;
@@ -169,6 +207,7 @@
 	if (options.base != history->fold.version)
 		return report_conflict(history, patch, &options);
 	findings_init(&findings);
+	check_options(&options, &findings);
 	check_patch(&history->fold, patch, &findings);
 	if (findings.count > 0) {
 		output_findings(&findings, options.json);
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -145,6 +145,23 @@
 }
 END_TEST
 
+START_TEST(endpoints_may_stand_in_an_array)
+{
+	struct findings findings;
+	struct config *config = read_quoted(
+	    "{'services': {'app': {'endpoints': [{'address': '::1', 'port': 1,"
+	    " 'failure_domain': 'a', 'region': 'r'}, {'port': 0}]}}}",
+	    &findings);
+
+	ck_assert_uint_eq(config->services[0].endpoint_count, 2);
+	ck_assert_int_eq(config->services[0].endpoints[0].port, 1);
+	ck_assert(has(&findings, "/services/app/endpoints/1/port", "within"));
+	ck_assert_uint_eq(findings.count, 4);
+	findings_reset(&findings);
+	config_destroy(config);
+}
+END_TEST
+
 START_TEST(shards_and_lanes_stay_fixed)
 {
 	struct findings findings;
@@ -170,6 +187,7 @@
 	const TTest *tests[] = {
 	    a_sound_document_is_understood,
 	    all_findings_come_with_their_pointer,
+	    endpoints_may_stand_in_an_array,
 	    shards_and_lanes_stay_fixed,
 	};
 
