Add stand-ins for tools, services, the weight store and the VM list

Cause: tool runs, order loads and membership need their outside systems. The shared plumbing is split into command line, requests and faults.

--- /dev/null
+++ b/standins/actions.c
@@ -0,0 +1,146 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/hash.h"
+#include "common/memory.h"
+#include "standins/actions.h"
+#include "standins/runs.h"
+
+enum {
+	MAX_RUN_MS = 3600000,
+};
+
+/** Values of the command line. */
+static struct {
+	int64_t run_ms;
+	bool deduplicate;
+	bool print_runs;
+} settings;
+
+static const struct actions_program *self;
+static struct runs *runs;
+
+/* Runs an action once its time is over. */
+static void
+run(struct standin_request *request)
+{
+	const char *name = standin_path_tail(request, self->prefix);
+	uint64_t before = runs_count(runs, name, request->key);
+	bool again =
+	    !settings.deduplicate || request->key[0] == '\0' || before == 0;
+	uint64_t count = again ? runs_add(runs, name, request->key) : before;
+	char result[24];
+
+	if (again && settings.print_runs) {
+		printf("ran %s %s\n", name, request->key);
+		fflush(stdout);
+	}
+	snprintf(result, sizeof(result), "%016" PRIx64,
+	    hash_bytes(
+		request->body.data, request->body.len, hash_text(name, 0)));
+	standin_reply(request, 200,
+	    json_pack("{s:s, s:s, s:I, s:s}", "name", name, "key", request->key,
+		"runs", (json_int_t)count, "result", result));
+}
+
+/* The body may set the key, which the header overrides, and the time. */
+static int64_t
+read_body(struct standin_request *request)
+{
+	json_t *root = standin_request_json(request);
+	const char *key =
+	    json_string_value(json_object_get(root, "idempotency_key"));
+	const json_t *run_ms = json_object_get(root, "run_ms");
+	int64_t wait_ms = settings.run_ms;
+
+	if (request->key[0] == '\0' && key != NULL)
+		snprintf(request->key, sizeof(request->key), "%s", key);
+	if (json_is_integer(run_ms))
+		wait_ms = json_integer_value(run_ms);
+	json_decref(root);
+	return wait_ms >= 0 && wait_ms < MAX_RUN_MS ? wait_ms : MAX_RUN_MS;
+}
+
+/* An action goes on though its caller has gone. */
+static void
+handle_closed(struct standin_request *request)
+{
+	(void)request;
+}
+
+static void
+handle_action(struct standin_request *request)
+{
+	int64_t wait_ms = read_body(request);
+
+	if (wait_ms == 0) {
+		run(request);
+		return;
+	}
+	request->on_close = handle_closed;
+	standin_request_wait(request, wait_ms, run);
+}
+
+static void
+handle_runs(struct standin_request *request)
+{
+	char name[HTTP_PATH_BYTES];
+	char key[STANDIN_KEY_BYTES];
+
+	standin_query_text(request, "tool", name, sizeof(name));
+	standin_query_text(request, "key", key, sizeof(key));
+	if (key[0] == '\0')
+		standin_reply(request, 200, runs_list(runs, name));
+	else
+		standin_reply(request, 200,
+		    json_pack("{s:I}", "runs",
+			(json_int_t)runs_count(runs, name, key)));
+}
+
+static void
+handle(struct standin_request *request)
+{
+	const char *name = standin_path_tail(request, self->prefix);
+
+	if (strcmp(request->path, "/runs") == 0)
+		handle_runs(request);
+	else if (name != NULL && name[0] != '\0' &&
+	    request->method != HTTP_OTHER)
+		handle_action(request);
+	else
+		standin_reply_error(request, 404, "unknown_path");
+}
+
+static json_t *
+stats(struct standin *standin)
+{
+	(void)standin;
+	return runs_stats(runs);
+}
+
+int
+actions_main(const struct actions_program *program, int argc, char **argv)
+{
+	static const struct field options[] = {
+	    {"run_ms", "MS", "Time that an action takes unless its body says",
+		FIELD_INTEGER, {.integer = &settings.run_ms}},
+	    {"deduplicate", "yes|no", "Run an action once for each key",
+		FIELD_BOOL, {.flag = &settings.deduplicate}},
+	    {"print_runs", "yes|no", "Print a line for each run", FIELD_BOOL,
+		{.flag = &settings.print_runs}},
+	};
+	const struct standin_program standin = {
+	    .name = program->name,
+	    .summary = program->summary,
+	    .options = options,
+	    .option_count = sizeof(options) / sizeof(options[0]),
+	    .handle = handle,
+	    .stats = stats,
+	};
+
+	self = program;
+	runs = runs_create();
+	return standin_main(&standin, argc, argv);
+}
--- a/standins/engine_cache.h
+++ b/standins/engine_cache.h
@@ -57,11 +57,11 @@
 
 /** Drops what is held for a program. The caller marks its running sequences
  * as released. Returns the number of blocks that were held. */
-size_t engine_cache_release(struct engine_cache *cache, const char *program);
+size_t engine_cache_release(struct engine_cache *cache, const char *name);
 /** Copies the hashes of the blocks held for a program, in their order of use;
  * returns the number. *hashes is owned by the caller. */
 size_t engine_cache_hashes(
-    const struct engine_cache *cache, const char *program, uint64_t **hashes);
+    const struct engine_cache *cache, const char *name, uint64_t **hashes);
 /** Stores blocks for a program; returns how many of them are cached then. */
 size_t engine_cache_import(struct engine_cache *cache, const char *program,
     const uint64_t *hashes, size_t count);
@@ -70,9 +70,9 @@
 size_t engine_cache_blocks(const struct engine_cache *cache);
 size_t engine_cache_pinned(const struct engine_cache *cache);
 /** Returns the blocks held for a program. */
-size_t engine_cache_held(const struct engine_cache *cache, const char *program);
+size_t engine_cache_held(const struct engine_cache *cache, const char *name);
 /** Marks a program as ended, for engine_cache_held_by_ended() only. */
-void engine_cache_mark_ended(struct engine_cache *cache, const char *program);
+void engine_cache_mark_ended(struct engine_cache *cache, const char *name);
 /** Returns the blocks held for programs that are marked as ended, each block
  * counted once for each of them. */
 size_t engine_cache_held_by_ended(const struct engine_cache *cache);
--- a/standins/engine_chat.c
+++ b/standins/engine_chat.c
@@ -103,15 +103,6 @@
 	    memmem(prompt->data, prompt->len, text, strlen(text)) != NULL;
 }
 
-static bool
-take(int64_t *left)
-{
-	if (*left == 0)
-		return false;
-	--*left;
-	return true;
-}
-
 static void
 choose_fault(struct generation *generation, const struct chat *chat)
 {
@@ -120,15 +111,15 @@
 	if (contains(&chat->prompt, faults->crash_on) ||
 	    contains(&chat->prompt, engine.settings.crash_on)) {
 		generation->fault = GENERATION_CRASHES;
-	} else if (take(&faults->crash_requests)) {
+	} else if (standin_take(&faults->crash_requests)) {
 		generation->fault = GENERATION_CRASHES;
 		generation->fault_after_tokens =
 		    (uint64_t)faults->crash_after_tokens;
-	} else if (take(&faults->cut_requests)) {
+	} else if (standin_take(&faults->cut_requests)) {
 		generation->fault = GENERATION_CUTS;
 		generation->fault_after_tokens =
 		    (uint64_t)faults->cut_after_tokens;
-	} else if (take(&faults->stall_requests)) {
+	} else if (standin_take(&faults->stall_requests)) {
 		generation->fault = GENERATION_STALLS;
 		generation->fault_after_tokens =
 		    (uint64_t)faults->stall_after_tokens;
--- a/standins/engine_core.c
+++ b/standins/engine_core.c
@@ -79,14 +79,13 @@
 void
 engine_core_destroy(struct engine_core *core)
 {
-	struct engine_event event;
-
 	list_for_each_safe (job, tmp, &core->waiting, struct job, link)
 		job_free(core, job);
 	list_for_each_safe (job, tmp, &core->running, struct job, link)
 		job_free(core, job);
-	while (engine_next_event(core, &event))
-		;
+	list_for_each_safe (
+	    queued, tmp, &core->events, struct queued_event, link)
+		free(queued);
 	engine_cache_destroy(core->cache);
 	free(core->seen);
 	free(core);
--- a/standins/engine_feed.c
+++ b/standins/engine_feed.c
@@ -49,22 +49,16 @@
 }
 
 static void
-drop_load(struct engine_feed *feed)
+drop_load(struct engine_feed *feed, struct load_entry *entry)
 {
-	struct load_entry *entry =
-	    list_entry(feed->loads.next, struct load_entry, link);
-
 	list_remove(&entry->link);
 	free(entry);
 	feed->load_count--;
 }
 
 static void
-drop_event(struct engine_feed *feed)
+drop_event(struct engine_feed *feed, struct event_entry *entry)
 {
-	struct event_entry *entry =
-	    list_entry(feed->events.next, struct event_entry, link);
-
 	list_remove(&entry->link);
 	free(entry);
 	feed->event_count--;
@@ -73,10 +67,10 @@
 void
 engine_feed_destroy(struct engine_feed *feed)
 {
-	while (feed->load_count > 0)
-		drop_load(feed);
-	while (feed->event_count > 0)
-		drop_event(feed);
+	list_for_each_safe (entry, tmp, &feed->loads, struct load_entry, link)
+		drop_load(feed, entry);
+	list_for_each_safe (entry, tmp, &feed->events, struct event_entry, link)
+		drop_event(feed, entry);
 	free(feed);
 }
 
@@ -88,27 +82,29 @@
 	entry->load = *load;
 	list_append(&feed->loads, &entry->link);
 	if (++feed->load_count > MAX_LOADS)
-		drop_load(feed);
+		drop_load(feed,
+		    list_entry(feed->loads.next, struct load_entry, link));
 }
 
 struct engine_load
 engine_feed_load(struct engine_feed *feed, int64_t now_us)
 {
 	int64_t until_us = now_us - feed->options.load_lag_us;
-	const struct load_entry *first;
+	struct load_entry *newest = NULL;
 
-	if (feed->load_count == 0)
+	list_for_each (entry, &feed->loads, struct load_entry, link) {
+		if (newest != NULL && entry->load.measured_us > until_us)
+			break;
+		newest = entry;
+	}
+	if (newest == NULL)
 		return (struct engine_load){0};
-	while (feed->load_count > 1) {
-		const struct load_entry *second =
-		    list_entry(feed->loads.next->next, struct load_entry, link);
-
-		if (second->load.measured_us > until_us)
+	list_for_each_safe (entry, tmp, &feed->loads, struct load_entry, link) {
+		if (entry == newest)
 			break;
-		drop_load(feed);
+		drop_load(feed, entry);
 	}
-	first = list_entry(feed->loads.next, struct load_entry, link);
-	return first->load;
+	return newest->load;
 }
 
 void
@@ -131,7 +127,8 @@
 	strncpy(entry->program, program, sizeof(entry->program) - 1);
 	list_append(&feed->events, &entry->link);
 	if (++feed->event_count > MAX_EVENTS)
-		drop_event(feed);
+		drop_event(feed,
+		    list_entry(feed->events.next, struct event_entry, link));
 }
 
 static json_t *
--- a/standins/engine_stream.c
+++ b/standins/engine_stream.c
@@ -79,10 +79,11 @@
 static json_t *
 usage_json(const struct generation *generation)
 {
+	uint64_t total = generation->prompt_tokens + generation->produced;
+
 	return json_pack("{s:I, s:I, s:I, s:{s:I}}", "prompt_tokens",
 	    (json_int_t)generation->prompt_tokens, "completion_tokens",
-	    (json_int_t)generation->produced, "total_tokens",
-	    (json_int_t)(generation->prompt_tokens + generation->produced),
+	    (json_int_t)generation->produced, "total_tokens", (json_int_t)total,
 	    "prompt_tokens_details", "cached_tokens",
 	    (json_int_t)generation->cached_tokens);
 }
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -80,11 +80,15 @@
 	int64_t hang_replies;
 	int64_t error_requests;
 	int64_t error_status;
+	int64_t exit_requests;
+	int64_t exit_replies;
 	char *match_path;
 };
 
 /** Runs a stand-in until the process is killed. Returns the exit status. */
 int standin_main(const struct standin_program *program, int argc, char **argv);
+/** Takes one of a number of ordered faults; false: none is left. */
+bool standin_take(int64_t *left);
 bool standin_outage(const struct standin *standin);
 
 /** Answers with JSON, which is consumed; the request is then invalid. */
--- /dev/null
+++ b/standins/standin_faults.c
@@ -0,0 +1,196 @@
+#include <string.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "standins/standin_internal.h"
+
+enum {
+	COMMON_FAULTS = 14,
+	EXIT_STATUS = 70,
+};
+
+void
+field_list_add(
+    struct field_list *list, const struct field *fields, size_t count)
+{
+	for (size_t i = 0; i < count && list->count < STANDIN_MAX_FIELDS; i++)
+		list->items[list->count++] = fields[i];
+}
+
+static void
+list_faults(struct standin *standin, struct field_list *list)
+{
+	const struct field common[COMMON_FAULTS] = {
+	    {"outage_ms", "", "", FIELD_INTEGER,
+		{.integer = &standin->outage_ms}},
+	    {"delay_ms", "", "", FIELD_INTEGER,
+		{.integer = &standin->delay_ms}},
+	    {"reply_delay_ms", "", "", FIELD_INTEGER,
+		{.integer = &standin->reply_delay_ms}},
+	    {"drop_requests", "", "", FIELD_INTEGER,
+		{.integer = &standin->drop_requests}},
+	    {"drop_probability", "", "", FIELD_REAL,
+		{.real = &standin->drop_probability}},
+	    {"lose_replies", "", "", FIELD_INTEGER,
+		{.integer = &standin->lose_replies}},
+	    {"lose_probability", "", "", FIELD_REAL,
+		{.real = &standin->lose_probability}},
+	    {"hang_requests", "", "", FIELD_INTEGER,
+		{.integer = &standin->hang_requests}},
+	    {"hang_replies", "", "", FIELD_INTEGER,
+		{.integer = &standin->hang_replies}},
+	    {"error_requests", "", "", FIELD_INTEGER,
+		{.integer = &standin->error_requests}},
+	    {"error_status", "", "", FIELD_INTEGER,
+		{.integer = &standin->error_status}},
+	    {"exit_requests", "", "", FIELD_INTEGER,
+		{.integer = &standin->exit_requests}},
+	    {"exit_replies", "", "", FIELD_INTEGER,
+		{.integer = &standin->exit_replies}},
+	    {"match_path", "", "", FIELD_TEXT, {.text = &standin->match_path}},
+	};
+
+	field_list_add(list, common, COMMON_FAULTS);
+	field_list_add(
+	    list, standin->program->faults, standin->program->fault_count);
+}
+
+bool
+standin_outage(const struct standin *standin)
+{
+	return clock_monotonic_us() < standin->outage_until_us;
+}
+
+bool
+standin_take(int64_t *left)
+{
+	if (*left == 0)
+		return false;
+	--*left;
+	return true;
+}
+
+static bool
+happens(struct standin *standin, double probability)
+{
+	return probability > 0 && rng_real(&standin->rng) < probability;
+}
+
+static bool
+is_control(const struct standin_request *request)
+{
+	return strcmp(request->path, "/faults") == 0 ||
+	    strcmp(request->path, "/stats") == 0;
+}
+
+bool
+standin_faults_reach(const struct standin_request *request)
+{
+	const char *match = request->standin->match_path;
+
+	return !is_control(request) &&
+	    (match == NULL ||
+		strncmp(request->path, match, strlen(match)) == 0);
+}
+
+/* Only a request that may have had an effect can lose its reply. */
+enum reply_fault
+standin_faults_reply(const struct standin_request *request)
+{
+	struct standin *standin = request->standin;
+	bool effect = request->method != HTTP_GET;
+
+	if (!standin_faults_reach(request))
+		return REPLY_SOUND;
+	if (effect &&
+	    (standin_take(&standin->lose_replies) ||
+		happens(standin, standin->lose_probability)))
+		return REPLY_LOST;
+	if (effect && standin_take(&standin->exit_replies))
+		_exit(EXIT_STATUS);
+	if (effect && standin_take(&standin->hang_replies))
+		return REPLY_HANGS;
+	return standin->reply_delay_ms > 0 ? REPLY_LATE : REPLY_SOUND;
+}
+
+static void
+faults_changed(struct standin *standin)
+{
+	standin->outage_until_us =
+	    clock_monotonic_us() + standin->outage_ms * US_PER_MS;
+	if (standin->program->faults_changed != NULL)
+		standin->program->faults_changed(standin);
+}
+
+void
+standin_handle_faults(struct standin_request *request)
+{
+	struct standin *standin = request->standin;
+	struct field_list faults = {0};
+	struct error err = {0};
+	json_t *orders;
+	bool ok;
+
+	list_faults(standin, &faults);
+	switch (request->method) {
+	case HTTP_POST:
+		orders = standin_request_json(request);
+		ok = fields_set_json(faults.items, faults.count, orders, &err);
+		json_decref(orders);
+		if (!ok) {
+			standin_reply_error(request, 400, err.text);
+			return;
+		}
+		faults_changed(standin);
+		break;
+	case HTTP_DELETE:
+		fields_clear(faults.items, faults.count);
+		faults_changed(standin);
+		break;
+	default:
+		break;
+	}
+	standin_reply(request, 200, fields_json(faults.items, faults.count));
+}
+
+static void
+handle_after_delay(struct standin_request *request)
+{
+	struct standin *standin = request->standin;
+
+	if (standin_outage(standin))
+		standin_reply_error(request, 503, "unavailable");
+	else
+		standin->program->handle(request);
+}
+
+static int
+ordered_status(const struct standin *standin)
+{
+	return standin->error_status > 0 ? (int)standin->error_status : 500;
+}
+
+bool
+standin_faults_stop(struct standin_request *request)
+{
+	struct standin *standin = request->standin;
+
+	if (standin_take(&standin->exit_requests))
+		_exit(EXIT_STATUS);
+	if (standin_outage(standin))
+		standin_reply_error(request, 503, "unavailable");
+	else if (standin_take(&standin->drop_requests) ||
+	    happens(standin, standin->drop_probability))
+		standin_cut(request);
+	else if (standin_take(&standin->hang_requests))
+		standin_leave_hanging(request);
+	else if (standin_take(&standin->error_requests))
+		standin_reply_error(
+		    request, ordered_status(standin), "ordered_error");
+	else if (standin->delay_ms > 0)
+		standin_request_wait(
+		    request, standin->delay_ms, handle_after_delay);
+	else
+		return false;
+	return true;
+}
--- /dev/null
+++ b/standins/standin_request.c
@@ -0,0 +1,217 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/memory.h"
+#include "standins/standin_internal.h"
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+static void
+request_free(struct standin_request *request)
+{
+	if (request->timer != NULL)
+		uv_close((uv_handle_t *)request->timer, handle_timer_closed);
+	buf_reset(&request->body);
+	free(request);
+}
+
+static void
+handle_closed(void *context)
+{
+	struct standin_request *request = context;
+
+	request->exchange = NULL;
+	if (request->on_close != NULL)
+		request->on_close(request);
+}
+
+struct standin_request *
+standin_request_create(struct standin *standin, const struct http_request *http)
+{
+	struct standin_request *request = xcalloc(1, sizeof(*request));
+
+	request->standin = standin;
+	request->exchange = http->exchange;
+	request->method = http->method;
+	snprintf(request->path, sizeof(request->path), "%s", http->path);
+	snprintf(request->query, sizeof(request->query), "%s", http->query);
+	http_request_header(
+	    http, "idempotency-key", request->key, sizeof(request->key));
+	buf_append(&request->body, http->body, http->body_len);
+	http_exchange_on_close(http->exchange, handle_closed, request);
+	return request;
+}
+
+static void
+handle_timer(uv_timer_t *timer)
+{
+	struct standin_request *request = timer->data;
+
+	request->on_time(request);
+}
+
+void
+standin_request_wait(struct standin_request *request, int64_t delay_ms,
+    void (*on_time)(struct standin_request *request))
+{
+	if (request->timer == NULL) {
+		request->timer = xcalloc(1, sizeof(*request->timer));
+		uv_timer_init(&request->standin->loop, request->timer);
+		request->timer->data = request;
+	}
+	request->on_time = on_time;
+	uv_update_time(&request->standin->loop);
+	uv_timer_start(request->timer, handle_timer, (uint64_t)delay_ms, 0);
+}
+
+json_t *
+standin_request_json(const struct standin_request *request)
+{
+	return json_loadb((const char *)request->body.data, request->body.len,
+	    JSON_REJECT_DUPLICATES, NULL);
+}
+
+void
+standin_query_text(const struct standin_request *request, const char *name,
+    char *value, size_t size)
+{
+	struct http_request http = {.query = request->query};
+
+	http_request_query(&http, name, value, size);
+}
+
+int64_t
+standin_query_number(
+    const struct standin_request *request, const char *name, int64_t absent)
+{
+	char value[32];
+
+	standin_query_text(request, name, value, sizeof(value));
+	return value[0] != '\0' ? strtoll(value, NULL, 10) : absent;
+}
+
+const char *
+standin_path_tail(const struct standin_request *request, const char *prefix)
+{
+	size_t len = strlen(prefix);
+
+	if (strncmp(request->path, prefix, len) != 0)
+		return NULL;
+	return request->path + len;
+}
+
+/* ---- answers ---- */
+
+/** An answer that is sent later. */
+struct late_answer {
+	int status;
+	char content_type[64];
+	struct buf body;
+};
+
+static void
+respond(struct standin_request *request, int status, const char *content_type,
+    const void *data, size_t len)
+{
+	if (request->exchange != NULL)
+		http_respond(
+		    request->exchange, status, content_type, NULL, data, len);
+	request_free(request);
+}
+
+static void
+handle_late_time(struct standin_request *request)
+{
+	struct late_answer *late = request->context;
+
+	respond(request, late->status, late->content_type, late->body.data,
+	    late->body.len);
+	buf_reset(&late->body);
+	free(late);
+}
+
+static void
+respond_late(struct standin_request *request, int status,
+    const char *content_type, const void *data, size_t len)
+{
+	struct late_answer *late = xcalloc(1, sizeof(*late));
+
+	late->status = status;
+	snprintf(
+	    late->content_type, sizeof(late->content_type), "%s", content_type);
+	buf_append(&late->body, data, len);
+	request->on_close = NULL;
+	request->context = late;
+	standin_request_wait(
+	    request, request->standin->reply_delay_ms, handle_late_time);
+}
+
+void
+standin_leave_hanging(struct standin_request *request)
+{
+	request->on_close = standin_stream_end;
+	if (request->exchange == NULL)
+		request_free(request);
+}
+
+void
+standin_reply_bytes(struct standin_request *request, int status,
+    const char *content_type, const void *data, size_t len)
+{
+	switch (standin_faults_reply(request)) {
+	case REPLY_SOUND:
+		respond(request, status, content_type, data, len);
+		break;
+	case REPLY_LOST:
+		standin_cut(request);
+		break;
+	case REPLY_HANGS:
+		standin_leave_hanging(request);
+		break;
+	case REPLY_LATE:
+		respond_late(request, status, content_type, data, len);
+		break;
+	}
+}
+
+void
+standin_reply(struct standin_request *request, int status, json_t *answer)
+{
+	char *text = json_dumps(answer, JSON_COMPACT);
+
+	json_decref(answer);
+	if (text == NULL)
+		memory_exhausted();
+	standin_reply_bytes(
+	    request, status, "application/json", text, strlen(text));
+	free(text);
+}
+
+void
+standin_reply_error(
+    struct standin_request *request, int status, const char *reason)
+{
+	standin_reply(
+	    request, status, json_pack("{s:{s:s}}", "error", "reason", reason));
+}
+
+void
+standin_cut(struct standin_request *request)
+{
+	if (request->exchange != NULL)
+		http_abort(request->exchange);
+	request_free(request);
+}
+
+void
+standin_stream_end(struct standin_request *request)
+{
+	if (request->exchange != NULL)
+		http_stream_end(request->exchange);
+	request_free(request);
+}
