--- /dev/null
+++ b/experiment/targets.c
@@ -0,0 +1,101 @@
+#include <string.h>
+
+#include "experiment/suite.h"
+
+/* Targets of the project's issue on scheduling; see docs/EXPERIMENTS.md. */
+static const double TARGET_ROUND_ROBIN = 0.5;
+static const double TARGET_BEST = 0.85;
+static const double TARGET_WASTED = 0.5;
+static const double TARGET_URGENT = 0.5;
+static const double TARGET_IMBALANCE = 2;
+
+static size_t
+measure_index(const char *name)
+{
+	for (size_t m = 0; m < MEASURE_COUNT; m++) {
+		if (strcmp(MEASURES[m].name, name) == 0)
+			return m;
+	}
+	return 0;
+}
+
+static void
+print_line(const struct suite *suite, size_t fault, size_t load,
+    const char *text, const char *other, struct spread value, double bound,
+    FILE *out)
+{
+	fprintf(out,
+	    "%-6s %-12s %-5s %3.0f %%  %-34s %6.3f (%.3f)  <= %-5g %s\n",
+	    value.mean <= bound ? "met" : "MISSED", suite->params.name,
+	    fault_name(suite->faults[fault]), suite->loads[load] * 100, text,
+	    value.mean, value.deviation, bound, other);
+}
+
+static void
+print_ratio(const struct suite *suite, size_t fault, size_t load,
+    const char *measure, size_t other, double bound, FILE *out)
+{
+	size_t m = measure_index(measure);
+	char text[64];
+
+	if (other == SUITE_LIST_MAX)
+		return;
+	snprintf(text, sizeof(text), "%s, ratio", measure);
+	print_line(suite, fault, load, text,
+	    SUITE_POLICIES[suite->policies[other]].name,
+	    suite_ratio(suite, fault, load, SUITE_PRODUCT, other, m), bound,
+	    out);
+}
+
+static void
+print_latencies(const struct suite *suite, size_t fault, size_t load, FILE *out)
+{
+	static const char *const measures[] = {
+	    "latency_mean", "latency_p95", "system_mean", "system_p95"};
+	size_t round_robin = suite_find_policy(suite, "round-robin-keep");
+
+	for (size_t i = 0; i < sizeof(measures) / sizeof(measures[0]); i++) {
+		size_t best = suite_best_baseline(
+		    suite, fault, load, measure_index(measures[i]));
+
+		print_ratio(suite, fault, load, measures[i], round_robin,
+		    TARGET_ROUND_ROBIN, out);
+		print_ratio(
+		    suite, fault, load, measures[i], best, TARGET_BEST, out);
+	}
+}
+
+static void
+print_point(const struct suite *suite, size_t fault, size_t load, FILE *out)
+{
+	size_t wasted = measure_index("wasted");
+	size_t best = suite_best_baseline(suite, fault, load, wasted);
+	struct spread urgent = suite_spread(
+	    suite, fault, load, SUITE_PRODUCT, measure_index("urgent_p95"));
+	struct spread others = suite_spread(
+	    suite, fault, load, SUITE_PRODUCT, measure_index("others_p95"));
+
+	print_latencies(suite, fault, load, out);
+	print_ratio(suite, fault, load, "wasted", best, TARGET_WASTED, out);
+	urgent.mean /= others.mean;
+	urgent.deviation /= others.mean;
+	print_line(suite, fault, load, "urgent p95 to the others'", "", urgent,
+	    TARGET_URGENT, out);
+	print_line(suite, fault, load, "imbalance_p95", "",
+	    suite_spread(suite, fault, load, SUITE_PRODUCT,
+		measure_index("imbalance_p95")),
+	    TARGET_IMBALANCE, out);
+	print_line(suite, fault, load, "retry_excess", "",
+	    suite_spread(suite, fault, load, SUITE_PRODUCT,
+		measure_index("retry_excess")),
+	    0, out);
+}
+
+void
+suite_print_targets(const struct suite *suite, FILE *out)
+{
+	for (size_t fault = 0; fault < suite->fault_count; fault++) {
+		for (size_t load = 0; load < suite->load_count; load++)
+			print_point(suite, fault, load, out);
+	}
+}
