Make the owner's sources clean under the linters

Cause: the linters named parameters that differ from their declarations and uthash macros that their analysers misread.

--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -203,7 +203,7 @@
 
 /* takeover.c */
 void slot_taken(struct owner *owner, struct slot *slot, int64_t now_us);
-void slot_lost(struct owner *owner, struct slot *slot, int64_t now_us);
+void slot_lost(struct owner *owner, struct slot *slot);
 void slot_tick(struct owner *owner, struct slot *slot, int64_t now_us);
 
 /* confirm.c */
@@ -213,14 +213,12 @@
 void waiters_wake(struct owner *owner, call_id first);
 
 /* intent.c */
-enum owner_verdict
-once_replay(struct owner *owner, call_id id, struct program *program,
-    struct once *once, const struct owner_call *request, int64_t now_us,
-    struct owner_answer *answer);
+enum owner_verdict once_replay(struct owner *owner, const struct once *once,
+    const struct owner_call *request, struct owner_answer *answer);
 enum owner_verdict
 intent_begin(struct owner *owner, struct call *call, int64_t now_us);
 void intent_confirmed(struct owner *owner, struct call *call, int64_t now_us);
-void intent_withdraw(struct owner *owner, struct call *call);
+void intent_withdraw(struct call *call);
 void intent_tick(struct owner *owner, int64_t now_us);
 void outcome_add(struct owner *owner, const struct call *call,
     enum outcome outcome, uint32_t status, struct record_bytes answer,
--- a/include/program/owner.h
+++ b/include/program/owner.h
@@ -201,7 +201,7 @@
     struct owner_answer *answer);
 /** Ends a program; ends with OWNER_PROGRAM_ENDED. */
 enum owner_verdict
-owner_program_end(struct owner *owner, call_id call, const char *program,
+owner_program_end(struct owner *owner, call_id call, const char *id,
     const char *reason, int64_t now_us, struct owner_answer *answer);
 
 enum owner_call_kind {
@@ -239,7 +239,7 @@
 /** Admits a call of a program: order, history, budget, limits, duplicates.
  * OWNER_OK: a model or repeatable call may be sent. OWNER_WAIT: OWNER_DISPATCH
  * (ONCE), OWNER_RESERVED (then admit again) or OWNER_REFUSED follows. */
-enum owner_verdict owner_call_admit(struct owner *owner, call_id call,
+enum owner_verdict owner_call_admit(struct owner *owner, call_id id,
     const struct owner_call *request, int64_t now_us,
     struct owner_answer *answer);
 
@@ -259,26 +259,26 @@
 
 /** A model or repeatable call has its whole answer; OWNER_TURN_DURABLE
  * follows. Returns the digest of the history after the turn. */
-struct digest owner_turn_end(struct owner *owner, call_id call,
+struct digest owner_turn_end(struct owner *owner, call_id id,
     const struct owner_turn_end *end, int64_t now_us);
 /** A model or repeatable call failed or was given up; what it may have spent
  * is charged, and its server ("" if none) is asked to release what it holds
  * when the program ends. */
-void owner_call_abandon(struct owner *owner, call_id call, const char *server,
+void owner_call_abandon(struct owner *owner, call_id id, const char *server,
     uint64_t spent_tokens, int64_t now_us);
 /** A dispatched ONCE call has its outcome; OWNER_OUTCOME_DURABLE follows. */
-void owner_outcome(struct owner *owner, call_id call, enum outcome outcome,
+void owner_outcome(struct owner *owner, call_id id, enum outcome outcome,
     uint32_t status, struct record_bytes answer, int64_t now_us);
 /** The caller went away before its answer: a queued intent that is not yet
  * dispatched is withdrawn; the rest goes on. */
-void owner_call_detach(struct owner *owner, call_id call, int64_t now_us);
+void owner_call_detach(struct owner *owner, call_id id, int64_t now_us);
 /** An operator states what became of a call of unknown outcome. */
-enum owner_verdict owner_settle(struct owner *owner, call_id call,
-    const char *program, const char *key, enum outcome outcome,
+enum owner_verdict owner_settle(struct owner *owner, call_id id,
+    const char *program_id, const char *key, enum outcome outcome,
     const char *operator_name, int64_t now_us, struct owner_answer *answer);
 /** A server confirmed that it holds nothing of a program. */
-void owner_kv_released(struct owner *owner, const char *program,
-    const char *server, int64_t now_us);
+void owner_kv_released(
+    struct owner *owner, const char *id, const char *server, int64_t now_us);
 
 /* ---- crashes of backend servers ---- */
 
--- a/program/call.c
+++ b/program/call.c
@@ -66,8 +66,7 @@
 	    strcmp(first->key, request->key) == 0)
 		return wait_for(owner, id, first, request, now_us, answer);
 	if (once != NULL)
-		return once_replay(
-		    owner, id, program, once, request, now_us, answer);
+		return once_replay(owner, once, request, answer);
 	for (size_t i = program->turn_count; i-- > 0;) {
 		if (program->turns[i].key_hash == hash &&
 		    (program->turns[i].len > 0 || program->turns[i].in_history))
@@ -164,7 +163,7 @@
 
 	memset(answer, 0, sizeof(*answer));
 	verdict = find_program(owner, request, &program, answer);
-	if (verdict != OWNER_OK)
+	if (verdict != OWNER_OK || program == NULL)
 		return verdict;
 	answer_fill(owner, program, answer);
 	verdict = find_duplicate(owner, id, program, request, now_us, answer);
@@ -277,7 +276,7 @@
 		waiters_wake(owner, id);
 		break;
 	case CALL_INTENT:
-		intent_withdraw(owner, call);
+		intent_withdraw(call);
 		break;
 	default:
 		break;
--- a/program/confirm.c
+++ b/program/confirm.c
@@ -5,8 +5,8 @@
 void
 waiters_wake(struct owner *owner, call_id first)
 {
-	struct call *call;
-	struct call *tmp;
+	struct call *call = NULL;
+	struct call *tmp = NULL;
 
 	HASH_ITER (hh, owner->calls, call, tmp) {
 		if (call->state != CALL_WAITER || call->first != first)
@@ -22,8 +22,8 @@
 calls_finish(struct owner *owner, const char *program, enum call_state state,
     enum owner_event_type type, bool applied)
 {
-	struct call *call;
-	struct call *tmp;
+	struct call *call = NULL;
+	struct call *tmp = NULL;
 
 	HASH_ITER (hh, owner->calls, call, tmp) {
 		struct owner_event *event;
@@ -187,7 +187,7 @@
 		break;
 	case RECORD_RELEASE:
 		pending_free(owner, pending);
-		slot_lost(owner, slot, now_us);
+		slot_lost(owner, slot);
 		return;
 	default:
 		break;
--- a/program/crash.c
+++ b/program/crash.c
@@ -31,6 +31,8 @@
 
 	if (suspect == NULL || --suspect->incidents > 0)
 		return;
+	/* The analyser takes the macro's own table for freed or NULL. */
+	/* NOLINTNEXTLINE(clang-analyzer-*) */
 	HASH_DEL(evidence->suspects, suspect);
 	free(suspect);
 }
--- a/program/intent.c
+++ b/program/intent.c
@@ -3,12 +3,9 @@
 #include "program/internal.h"
 
 enum owner_verdict
-once_replay(struct owner *owner, call_id id, struct program *program,
-    struct once *once, const struct owner_call *request, int64_t now_us,
-    struct owner_answer *answer)
+once_replay(struct owner *owner, const struct once *once,
+    const struct owner_call *request, struct owner_answer *answer)
 {
-	(void)id;
-	(void)now_us;
 	if (!digest_equal(&once->arguments, &request->arguments))
 		return owner_refuse(owner, answer, REFUSAL_KEY_REUSED);
 	answer->turn = once->turn;
@@ -87,9 +84,8 @@
 }
 
 void
-intent_withdraw(struct owner *owner, struct call *call)
+intent_withdraw(struct call *call)
 {
-	(void)owner;
 	call->withdrawn = true;
 	call->detached = true;
 }
@@ -97,15 +93,15 @@
 void
 intent_tick(struct owner *owner, int64_t now_us)
 {
-	struct call *call;
-	struct call *tmp;
+	struct call *call = NULL;
+	struct call *tmp = NULL;
 
 	HASH_ITER (hh, owner->calls, call, tmp) {
 		if (call->state != CALL_INTENT || call->withdrawn ||
 		    now_us - call->since_us < INTENT_WAIT_US)
 			continue;
 		event_refuse(owner, call, REFUSAL_LOG_UNAVAILABLE, RUN_NOT_RUN);
-		intent_withdraw(owner, call);
+		intent_withdraw(call);
 	}
 }
 
@@ -156,9 +152,9 @@
 {
 	struct slot *slot = owner_slot(owner, program_id);
 	struct record_bytes none = {0};
-	struct program *program;
+	struct program *program = NULL;
 	struct once *once;
-	struct call *call;
+	struct call *call = NULL;
 
 	memset(answer, 0, sizeof(*answer));
 	if (slot == NULL)
--- a/program/owner.c
+++ b/program/owner.c
@@ -242,6 +242,8 @@
 		program->call = 0;
 	if (program != NULL && program->fetch_call == call->id)
 		program->fetch_call = 0;
+	/* The analyser takes the macro's own table for freed or NULL. */
+	/* NOLINTNEXTLINE(clang-analyzer-*) */
 	HASH_DEL(owner->calls, call);
 	free(call);
 }
--- a/program/program_state.c
+++ b/program/program_state.c
@@ -64,6 +64,7 @@
 	program->reserved = begin->reserve_tokens;
 	list_init(&program->onces);
 	list_init(&program->cache_link);
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): see program_destroy */
 	HASH_ADD_STR(shard->programs, id, program);
 	return program;
 }
@@ -71,6 +72,8 @@
 void
 program_destroy(struct shard *shard, struct program *program)
 {
+	/* The analyser takes the macro's own table for freed or NULL. */
+	/* NOLINTNEXTLINE(clang-analyzer-*) */
 	HASH_DEL(shard->programs, program);
 	list_remove(&program->cache_link);
 	for (size_t i = 0; i < program->turn_count; i++) {
@@ -323,8 +326,8 @@
 static void
 forget_ended(struct shard *shard)
 {
-	struct program *program;
-	struct program *tmp;
+	struct program *program = NULL;
+	struct program *tmp = NULL;
 
 	HASH_ITER (hh, shard->programs, program, tmp) {
 		if (program_forgettable(shard, program))
@@ -336,7 +339,7 @@
 enum fold_verdict
 program_apply(struct shard *shard, uint64_t offset, const struct record *record)
 {
-	struct program *program;
+	struct program *program = NULL;
 
 	if (record->type == RECORD_PROGRAM_BEGIN) {
 		forget_ended(shard);
--- a/program/shard_fold.c
+++ b/program/shard_fold.c
@@ -17,8 +17,8 @@
 void
 shard_reset(struct shard *shard)
 {
-	struct program *program;
-	struct program *tmp;
+	struct program *program = NULL;
+	struct program *tmp = NULL;
 
 	HASH_ITER (hh, shard->programs, program, tmp)
 		program_destroy(shard, program);
@@ -27,12 +27,12 @@
 }
 
 struct program *
-shard_find(const struct shard *shard, const char *id)
+shard_find(const struct shard *shard, const char *program)
 {
-	struct program *program;
+	struct program *found;
 
-	HASH_FIND_STR(shard->programs, id, program);
-	return program;
+	HASH_FIND_STR(shard->programs, program, found);
+	return found;
 }
 
 const char *
@@ -55,8 +55,8 @@
 static void
 shard_strand(struct shard *shard)
 {
-	struct program *program;
-	struct program *tmp;
+	struct program *program = NULL;
+	struct program *tmp = NULL;
 
 	HASH_ITER (hh, shard->programs, program, tmp) {
 		if (program->ended)
--- a/program/takeover.c
+++ b/program/takeover.c
@@ -112,7 +112,7 @@
 	if (verdict == FOLD_APPLIED) {
 		suspect_clear(owner, record->claim.vm);
 		if (slot->owned)
-			slot_lost(owner, slot, now_us);
+			slot_lost(owner, slot);
 		if (pending != NULL)
 			slot_taken(owner, slot, now_us);
 	}
@@ -218,10 +218,10 @@
 /* The records in between may hold a claim of another VM: nothing that was
  * folded is current any more. */
 static void
-slot_unbase(struct owner *owner, struct slot *slot, int64_t now_us)
+slot_unbase(struct owner *owner, struct slot *slot)
 {
 	if (slot->owned)
-		slot_lost(owner, slot, now_us);
+		slot_lost(owner, slot);
 	shard_reset(&slot->fold);
 	slot->fold.based = false;
 	list_for_each_safe (
@@ -238,13 +238,14 @@
 {
 	struct lane *state = &owner->lanes[lane];
 
+	(void)now_us;
 	state->position = first;
 	state->at_end = false;
 	if (lane >= owner->limits.lanes)
 		return;
 	for (uint32_t i = lane; i < owner->limits.shards;
 	     i += owner->limits.lanes)
-		slot_unbase(owner, &owner->slots[i], now_us);
+		slot_unbase(owner, &owner->slots[i]);
 }
 
 void
@@ -264,7 +265,7 @@
 void
 slot_taken(struct owner *owner, struct slot *slot, int64_t now_us)
 {
-	struct program *program;
+	struct program *program = NULL;
 
 	slot->owned = true;
 	slot->releasing = false;
@@ -307,11 +308,11 @@
 }
 
 void
-slot_lost(struct owner *owner, struct slot *slot, int64_t now_us)
+slot_lost(struct owner *owner, struct slot *slot)
 {
-	struct call *call;
-	struct call *tmp;
-	struct program *program;
+	struct call *call = NULL;
+	struct call *tmp = NULL;
+	struct program *program = NULL;
 
 	slot->owned = false;
 	slot->releasing = false;
