--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -13,6 +13,8 @@
 #include "program/owner.h"
 #include "program/shard_fold.h"
 
+#define RETENTION_DEFAULT_US (INT64_C(86400) * US_PER_S)
+
 enum {
 	BATCH_BYTES = 1 << 20,
 	BATCH_RECORDS = 512,
@@ -25,7 +27,9 @@
 	LOG_OUT_US = 1000000,       /**< failures for this long: log is out */
 	INTENT_WAIT_US = 5000000,   /**< then a queued intent is withdrawn */
 	RELEASE_RETRY_US = 2000000, /**< between orders to release KV */
-	CLAIM_GRACE_US = 2000000,   /**< for the one named in a release */
+	RETENTION_PERIODS = 4,      /**< a record is carried by its third */
+	CARRY_BACKLOG_BYTES = 1 << 20,
+	CLAIM_GRACE_US = 2000000, /**< for the one named in a release */
 };
 
 enum pending_state {
@@ -65,6 +69,9 @@
 	bool releasing; /**< a RELEASE record is queued */
 	bool claiming;  /**< a CLAIM record is queued */
 	bool snapshot_wanted;
+	uint64_t mark_offset;  /**< lane's end at the last period's start */
+	int64_t mark_us;       /**< start of the period */
+	uint64_t carry_before; /**< older turns are appended again */
 	char next_vm[NAME_BYTES];
 	uint64_t next_seq;
 	uint64_t claim_id;
@@ -160,6 +167,7 @@
 	int64_t credit_us;
 	uint32_t next_lane; /**< where the search for a batch goes on */
 	uint64_t batches;
+	int64_t retention_us;
 	uint64_t *index_offsets; /**< by shard; UINT64_MAX: none */
 	struct call *calls;
 	struct list events;
@@ -262,7 +270,7 @@
 index_apply(struct owner *owner, uint32_t lane, const struct record *record);
 /** Decides where the reading of a lane starts, once its index is read. */
 void index_end(struct owner *owner, uint32_t lane);
-void carry_forward(struct owner *owner, struct slot *slot, uint64_t first,
-    uint64_t end, int64_t now_us);
+/** Appends again what would expire, and a snapshot, once in a period. */
+void carry_tick(struct owner *owner, struct slot *slot, int64_t now_us);
 
 #endif
--- a/include/program/owner.h
+++ b/include/program/owner.h
@@ -38,6 +38,8 @@
 	const struct config_limits *limits;
 	struct counters *counters;
 	uint64_t seed;
+	int64_t retention_us; /**< shortest time that the log keeps records;
+			       * 0: a day */
 };
 
 /** Handle of a caller's request, given by the daemon; unique in a process. */
@@ -130,11 +132,6 @@
 void owner_handle_lane_expired(
     struct owner *owner, uint32_t lane, uint64_t first, int64_t now_us);
 
-/** Tells what a lane keeps: [first, end). Snapshots and old turns near its
- * start are appended again. */
-void owner_handle_lane_kept(struct owner *owner, uint32_t lane, uint64_t first,
-    uint64_t end, int64_t now_us);
-
 /** Records to append to one lane as a batch. */
 struct owner_batch {
 	uint32_t lane;
--- a/program/owner.c
+++ b/program/owner.c
@@ -17,6 +17,8 @@
 	strncpy(owner->address, options->address, NAME_BYTES - 1);
 	owner->limits = *options->limits;
 	owner->counters = options->counters;
+	owner->retention_us = options->retention_us > 0 ? options->retention_us
+							: RETENTION_DEFAULT_US;
 	owner->share = 1;
 	owner->credit = APPEND_BURST;
 	owner->internal_calls = UINT64_MAX;
--- a/program/snapshot.c
+++ b/program/snapshot.c
@@ -10,7 +10,6 @@
 	PROGRAM_ITEMS = 19,
 	TURN_ITEMS = 5,
 	ONCE_ITEMS = 9,
-	CARRY_SHARE = 4, /**< last part of the kept range that is urgent */
 };
 
 static void
@@ -382,47 +381,3 @@
 	     i += owner->limits.lanes)
 		owner->slots[i].fold.based = false;
 }
-
-static void
-carry_program(struct owner *owner, struct slot *slot, struct program *program,
-    uint64_t before, int64_t now_us)
-{
-	for (size_t i = 0; i < program->durable_turns; i++) {
-		struct turn *turn = &program->turns[i];
-		struct record record = {.type = RECORD_HISTORY};
-		struct pending *pending;
-
-		if (turn->len == 0 || turn->carrying || turn->offset >= before)
-			continue;
-		if (turn->content == NULL) {
-			history_fetch_turn(
-			    owner, program, i + 1, program->fetch_call);
-			continue;
-		}
-		turn->carrying = true;
-		memcpy(record.history.program, program->id, PROGRAM_ID_BYTES);
-		record.history.turn = i + 1;
-		record.history.content.data = turn->content;
-		record.history.content.len = turn->len;
-		pending = pending_add(owner, slot, &record, now_us);
-		memcpy(pending->program, program->id, PROGRAM_ID_BYTES);
-	}
-}
-
-void
-carry_forward(struct owner *owner, struct slot *slot, uint64_t first,
-    uint64_t end, int64_t now_us)
-{
-	uint64_t before = first + (end - first) / CARRY_SHARE;
-
-	if (slot->releasing || end <= first)
-		return;
-	for (struct program *program = slot->fold.programs; program != NULL;
-	     program = program->hh.next) {
-		if (!program->ended)
-			carry_program(owner, slot, program, before, now_us);
-	}
-	if (slot->fold.snapshot_offset == UINT64_MAX ||
-	    slot->fold.snapshot_offset < first + (end - first) / 2)
-		slot->snapshot_wanted = true;
-}
--- a/program/takeover.c
+++ b/program/takeover.c
@@ -248,20 +248,6 @@
 		slot_unbase(owner, &owner->slots[i]);
 }
 
-void
-owner_handle_lane_kept(struct owner *owner, uint32_t lane, uint64_t first,
-    uint64_t end, int64_t now_us)
-{
-	if (lane >= owner->limits.lanes)
-		return;
-	for (uint32_t i = lane; i < owner->limits.shards;
-	     i += owner->limits.lanes) {
-		if (owner->slots[i].owned)
-			carry_forward(
-			    owner, &owner->slots[i], first, end, now_us);
-	}
-}
-
 void
 slot_taken(struct owner *owner, struct slot *slot, int64_t now_us)
 {
@@ -271,6 +257,10 @@
 	slot->releasing = false;
 	slot->next_seq = 1;
 	slot->snapshot_wanted = true;
+	slot->carry_before = 0;
+	slot->mark_us = now_us;
+	slot->mark_offset =
+	    owner->lanes[slot->fold.number % owner->limits.lanes].position;
 	for (program = slot->fold.programs; program != NULL;
 	     program = program->hh.next) {
 		program_reset_local(program);
@@ -406,5 +396,6 @@
 		return;
 	}
 	program_tick(owner, slot, now_us);
+	carry_tick(owner, slot, now_us);
 	snapshot_tick(owner, slot, now_us);
 }
