--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -13,6 +13,8 @@
 #include "program/owner.h"
 #include "program/shard_fold.h"
 
+#define RETENTION_DEFAULT_US (INT64_C(86400) * US_PER_S)
+
 enum {
 	BATCH_BYTES = 1 << 20,
 	BATCH_RECORDS = 512,
@@ -25,7 +27,9 @@
 	LOG_OUT_US = 1000000,       /**< failures for this long: log is out */
 	INTENT_WAIT_US = 5000000,   /**< then a queued intent is withdrawn */
 	RELEASE_RETRY_US = 2000000, /**< between orders to release KV */
-	CLAIM_GRACE_US = 2000000,   /**< for the one named in a release */
+	RETENTION_PERIODS = 4,      /**< a record is carried by its third */
+	CARRY_BACKLOG_BYTES = 1 << 20,
+	CLAIM_GRACE_US = 2000000, /**< for the one named in a release */
 };
 
 enum pending_state {
@@ -65,6 +69,9 @@
 	bool releasing; /**< a RELEASE record is queued */
 	bool claiming;  /**< a CLAIM record is queued */
 	bool snapshot_wanted;
+	uint64_t mark_offset;  /**< lane's end at the last period's start */
+	int64_t mark_us;       /**< start of the period */
+	uint64_t carry_before; /**< older turns are appended again */
 	char next_vm[NAME_BYTES];
 	uint64_t next_seq;
 	uint64_t claim_id;
@@ -160,6 +167,7 @@
 	int64_t credit_us;
 	uint32_t next_lane; /**< where the search for a batch goes on */
 	uint64_t batches;
+	int64_t retention_us;
 	uint64_t *index_offsets; /**< by shard; UINT64_MAX: none */
 	struct call *calls;
 	struct list events;
@@ -203,7 +211,7 @@
 
 /* takeover.c */
 void slot_taken(struct owner *owner, struct slot *slot, int64_t now_us);
-void slot_lost(struct owner *owner, struct slot *slot, int64_t now_us);
+void slot_lost(struct owner *owner, struct slot *slot);
 void slot_tick(struct owner *owner, struct slot *slot, int64_t now_us);
 
 /* confirm.c */
@@ -213,14 +221,12 @@
 void waiters_wake(struct owner *owner, call_id first);
 
 /* intent.c */
-enum owner_verdict
-once_replay(struct owner *owner, call_id id, struct program *program,
-    struct once *once, const struct owner_call *request, int64_t now_us,
-    struct owner_answer *answer);
+enum owner_verdict once_replay(struct owner *owner, const struct once *once,
+    const struct owner_call *request, struct owner_answer *answer);
 enum owner_verdict
 intent_begin(struct owner *owner, struct call *call, int64_t now_us);
 void intent_confirmed(struct owner *owner, struct call *call, int64_t now_us);
-void intent_withdraw(struct owner *owner, struct call *call);
+void intent_withdraw(struct call *call);
 void intent_tick(struct owner *owner, int64_t now_us);
 void outcome_add(struct owner *owner, const struct call *call,
     enum outcome outcome, uint32_t status, struct record_bytes answer,
@@ -264,7 +270,7 @@
 index_apply(struct owner *owner, uint32_t lane, const struct record *record);
 /** Decides where the reading of a lane starts, once its index is read. */
 void index_end(struct owner *owner, uint32_t lane);
-void carry_forward(struct owner *owner, struct slot *slot, uint64_t first,
-    uint64_t end, int64_t now_us);
+/** Appends again what would expire, and a snapshot, once in a period. */
+void carry_tick(struct owner *owner, struct slot *slot, int64_t now_us);
 
 #endif
--- a/program/owner.c
+++ b/program/owner.c
@@ -17,6 +17,8 @@
 	strncpy(owner->address, options->address, NAME_BYTES - 1);
 	owner->limits = *options->limits;
 	owner->counters = options->counters;
+	owner->retention_us = options->retention_us > 0 ? options->retention_us
+							: RETENTION_DEFAULT_US;
 	owner->share = 1;
 	owner->credit = APPEND_BURST;
 	owner->internal_calls = UINT64_MAX;
@@ -242,6 +244,8 @@
 		program->call = 0;
 	if (program != NULL && program->fetch_call == call->id)
 		program->fetch_call = 0;
+	/* The analyser takes the macro's own table for freed or NULL. */
+	/* NOLINTNEXTLINE(clang-analyzer-*) */
 	HASH_DEL(owner->calls, call);
 	free(call);
 }
