Add the ZeroMQ transport between daemons

Each daemon receives on one ROUTER socket and sends on one DEALER socket a destination, both on the process's libuv loop. High-water marks, a linger of 250 ms and a bound on message length are set; what is not queued is counted in peer_dropped_total. With a key file, CURVE is on and a ZAP handler on the same loop accepts the listed keys only.

--- /dev/null
+++ b/peer/socket.c
@@ -0,0 +1,392 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+#include <zmq.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "common/memory.h"
+#include "peer/keys.h"
+#include "peer/peer.h"
+#include "peer/watch.h"
+
+enum {
+	ENDPOINT_BYTES = 96,
+	QUEUE_MESSAGES = 64,
+	IDLE_S = 30,
+	SWEEP_MS = 1000,
+	LINGER_MS = 250,
+	RECONNECT_MIN_MS = 100,
+	RECONNECT_MAX_MS = 1000,
+	UNACKNOWLEDGED_MS = 5000, /* then TCP gives a connection up */
+};
+
+/** Outgoing side of one destination. */
+struct peer_link {
+	UT_hash_handle hh;
+	char vm[NAME_BYTES];
+	char endpoint[ENDPOINT_BYTES];
+	void *socket; /**< NULL: not connected */
+	int64_t used_us;
+};
+
+struct peer {
+	char vm[NAME_BYTES];
+	struct counters *counters;
+	peer_handler handler;
+	void *handler_context;
+	int queue_messages;
+	int64_t idle_us;
+	void *zmq;
+	void *receiver;
+	struct watch *watch;
+	struct keys keys;
+	struct keys_check *check; /**< NULL: no keys */
+	struct peer_link *links;  /**< hash by vm */
+	uv_timer_t *sweep;
+	int port;
+};
+
+static bool
+set_int(void *socket, int option, int value)
+{
+	return zmq_setsockopt(socket, option, &value, sizeof(value)) == 0;
+}
+
+static bool
+set_common_options(const struct peer *peer, void *socket)
+{
+	const int64_t max_bytes = PEER_MESSAGE_BYTES;
+
+	return set_int(socket, ZMQ_SNDHWM, peer->queue_messages) &&
+	    set_int(socket, ZMQ_RCVHWM, peer->queue_messages) &&
+	    set_int(socket, ZMQ_LINGER, LINGER_MS) &&
+	    set_int(socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_MS) &&
+	    zmq_setsockopt(
+		socket, ZMQ_MAXMSGSIZE, &max_bytes, sizeof(max_bytes)) == 0;
+}
+
+/* ---- receiving ---- */
+
+/* Reads the next frame of a message; returns whether another one follows. */
+static bool
+receive_frame(void *socket, zmq_msg_t *frame)
+{
+	zmq_msg_init(frame);
+	return zmq_msg_recv(frame, socket, ZMQ_DONTWAIT) >= 0 &&
+	    zmq_msg_more(frame);
+}
+
+static bool
+frame_is_text(zmq_msg_t *frame, const char *text)
+{
+	return zmq_msg_size(frame) == strlen(text) &&
+	    memcmp(zmq_msg_data(frame), text, strlen(text)) == 0;
+}
+
+static void
+handle_frames(struct peer *peer, zmq_msg_t *name, zmq_msg_t *body)
+{
+	struct message message;
+	struct error err = {0};
+
+	peer->counters->peer_bytes_received_total += zmq_msg_size(body);
+	if (!message_decode(
+		zmq_msg_data(body), zmq_msg_size(body), &message, &err)) {
+		diag(LOG_WARNING, NULL, "peer message: %s", err.text);
+		return;
+	}
+	if (frame_is_text(name, message.sender))
+		peer->handler(peer->handler_context, &message);
+	else
+		diag(LOG_WARNING, NULL, "peer message: sender is not %s",
+		    message.sender);
+	message_reset(&message);
+}
+
+static void
+handle_readable(void *context)
+{
+	struct peer *peer = context;
+	zmq_msg_t name;
+	zmq_msg_t body;
+	bool more = receive_frame(peer->receiver, &name);
+
+	if (more) {
+		more = receive_frame(peer->receiver, &body);
+		if (!more)
+			handle_frames(peer, &name, &body);
+		zmq_msg_close(&body);
+	}
+	zmq_msg_close(&name);
+	/* Frames past the second are malformed and dropped. */
+	while (more) {
+		more = receive_frame(peer->receiver, &body);
+		zmq_msg_close(&body);
+	}
+}
+
+static bool
+bind_receiver(
+    struct peer *peer, const struct peer_options *options, struct error *err)
+{
+	char endpoint[ENDPOINT_BYTES];
+	size_t size = sizeof(endpoint);
+	const char *colon;
+	bool ok;
+
+	peer->receiver = zmq_socket(peer->zmq, ZMQ_ROUTER);
+	/* A VM that returns takes its name over from its old connection. */
+	ok = peer->receiver != NULL &&
+	    set_common_options(peer, peer->receiver) &&
+	    set_int(peer->receiver, ZMQ_ROUTER_HANDOVER, 1) &&
+	    (peer->check == NULL ||
+		keys_apply_server(&peer->keys, peer->receiver));
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s:%d", options->address,
+	    options->port);
+	ok = ok && zmq_bind(peer->receiver, endpoint) == 0 &&
+	    zmq_getsockopt(
+		peer->receiver, ZMQ_LAST_ENDPOINT, endpoint, &size) == 0;
+	if (!ok)
+		return error_set(err, ERROR_IO, "%s: %s", endpoint,
+		    zmq_strerror(zmq_errno()));
+	colon = strrchr(endpoint, ':');
+	peer->port = colon != NULL ? (int)strtol(colon + 1, NULL, 10) : 0;
+	return true;
+}
+
+/* ---- sending ---- */
+
+static void
+link_close(struct peer_link *link)
+{
+	if (link->socket != NULL)
+		zmq_close(link->socket);
+	link->socket = NULL;
+}
+
+static bool
+link_open(struct peer *peer, struct peer_link *link)
+{
+	void *socket = zmq_socket(peer->zmq, ZMQ_DEALER);
+
+	if (socket == NULL)
+		return false;
+	link->socket = socket;
+	if (set_common_options(peer, socket) &&
+	    set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS) &&
+	    set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS) &&
+	    zmq_setsockopt(
+		socket, ZMQ_ROUTING_ID, peer->vm, strlen(peer->vm)) == 0 &&
+	    (peer->check == NULL || keys_apply_client(&peer->keys, socket)) &&
+	    zmq_connect(socket, link->endpoint) == 0)
+		return true;
+	diag(LOG_WARNING, NULL, "%s: %s", link->endpoint,
+	    zmq_strerror(zmq_errno()));
+	link_close(link);
+	return false;
+}
+
+static struct peer_link *
+find_link(const struct peer *peer, const char *vm)
+{
+	struct peer_link *link;
+
+	HASH_FIND_STR(peer->links, vm, link);
+	return link;
+}
+
+void
+peer_set_address(
+    struct peer *peer, const char *vm, const char *address, int port)
+{
+	struct peer_link *link = find_link(peer, vm);
+	char endpoint[ENDPOINT_BYTES];
+
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s:%d", address, port);
+	if (link == NULL) {
+		link = xcalloc(1, sizeof(*link));
+		snprintf(link->vm, sizeof(link->vm), "%s", vm);
+		HASH_ADD_STR(peer->links, vm, link);
+	}
+	if (strcmp(link->endpoint, endpoint) == 0)
+		return;
+	link_close(link);
+	memcpy(link->endpoint, endpoint, sizeof(endpoint));
+}
+
+static void
+link_forget(struct peer *peer, struct peer_link *link)
+{
+	link_close(link);
+	HASH_DEL(peer->links, link);
+	free(link);
+}
+
+void
+peer_forget(struct peer *peer, const char *vm)
+{
+	struct peer_link *link = find_link(peer, vm);
+
+	if (link != NULL)
+		link_forget(peer, link);
+}
+
+enum peer_result
+peer_send_encoded(struct peer *peer, const char *vm, const struct buf *wire)
+{
+	struct peer_link *link = find_link(peer, vm);
+	enum peer_result result = PEER_QUEUED;
+
+	if (wire->len > PEER_MESSAGE_BYTES)
+		result = PEER_TOO_LONG;
+	else if (link == NULL)
+		result = PEER_NO_ADDRESS;
+	else if ((link->socket == NULL && !link_open(peer, link)) ||
+	    zmq_send(link->socket, wire->data, wire->len, ZMQ_DONTWAIT) < 0)
+		result = PEER_QUEUE_FULL;
+	if (link != NULL)
+		link->used_us = clock_monotonic_us();
+	if (result == PEER_QUEUED)
+		peer->counters->peer_bytes_sent_total += wire->len;
+	else
+		peer->counters->peer_dropped_total++;
+	return result;
+}
+
+enum peer_result
+peer_send(struct peer *peer, const char *vm, struct message *message)
+{
+	struct buf wire = {0};
+	enum peer_result result;
+
+	snprintf(message->sender, sizeof(message->sender), "%s", peer->vm);
+	message_encode(message, &wire);
+	result = peer_send_encoded(peer, vm, &wire);
+	buf_reset(&wire);
+	return result;
+}
+
+static void
+handle_sweep(uv_timer_t *timer)
+{
+	struct peer *peer = timer->data;
+	int64_t now_us = clock_monotonic_us();
+
+	for (struct peer_link *link = peer->links; link != NULL;
+	     link = link->hh.next) {
+		int events;
+		size_t size = sizeof(events);
+
+		if (link->socket == NULL)
+			continue;
+		if (now_us - link->used_us > peer->idle_us)
+			link_close(link);
+		else /* lets the library see to its own housekeeping */
+			zmq_getsockopt(
+			    link->socket, ZMQ_EVENTS, &events, &size);
+	}
+}
+
+size_t
+peer_connections(const struct peer *peer)
+{
+	size_t count = 0;
+
+	for (const struct peer_link *link = peer->links; link != NULL;
+	     link = link->hh.next)
+		count += link->socket != NULL;
+	return count;
+}
+
+/* ---- life ---- */
+
+static bool
+start(struct peer *peer, uv_loop_t *loop, const struct peer_options *options,
+    struct error *err)
+{
+	const char *path = options->secret_key_file;
+
+	peer->zmq = zmq_ctx_new();
+	if (path != NULL && path[0] != '\0') {
+		if (!keys_load(&peer->keys, path, err))
+			return false;
+		peer->check =
+		    keys_check_create(loop, peer->zmq, &peer->keys, err);
+		if (peer->check == NULL)
+			return false;
+	}
+	if (!bind_receiver(peer, options, err))
+		return false;
+	peer->watch =
+	    watch_create(loop, peer->receiver, handle_readable, peer, err);
+	if (peer->watch == NULL)
+		return false;
+	peer->sweep = xcalloc(1, sizeof(*peer->sweep));
+	peer->sweep->data = peer;
+	uv_timer_init(loop, peer->sweep);
+	uv_timer_start(peer->sweep, handle_sweep, SWEEP_MS, SWEEP_MS);
+	return true;
+}
+
+struct peer *
+peer_create(
+    uv_loop_t *loop, const struct peer_options *options, struct error *err)
+{
+	struct peer *peer = xcalloc(1, sizeof(*peer));
+
+	snprintf(peer->vm, sizeof(peer->vm), "%s", options->vm);
+	peer->counters = options->counters;
+	peer->handler = options->handler;
+	peer->handler_context = options->handler_context;
+	peer->queue_messages = options->queue_messages;
+	if (peer->queue_messages == 0)
+		peer->queue_messages = QUEUE_MESSAGES;
+	peer->idle_us = options->idle_us;
+	if (peer->idle_us == 0)
+		peer->idle_us = (int64_t)IDLE_S * US_PER_S;
+	if (start(peer, loop, options, err))
+		return peer;
+	peer_destroy(peer);
+	return NULL;
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+void
+peer_destroy(struct peer *peer)
+{
+	struct peer_link *link;
+	struct peer_link *next;
+
+	if (peer == NULL)
+		return;
+	watch_destroy(peer->watch);
+	if (peer->sweep != NULL)
+		uv_close((uv_handle_t *)peer->sweep, handle_timer_closed);
+	link = peer->links;
+	HASH_CLEAR(hh, peer->links);
+	while (link != NULL) {
+		next = link->hh.next;
+		link_close(link);
+		free(link);
+		link = next;
+	}
+	if (peer->receiver != NULL)
+		zmq_close(peer->receiver);
+	keys_check_destroy(peer->check);
+	zmq_ctx_term(peer->zmq);
+	free(peer);
+}
+
+int
+peer_port(const struct peer *peer)
+{
+	return peer->port;
+}
