Release what a lost call left once its program has ended

Change: servers of dropped records are kept until the program's end is read, then asked to release, repeatedly.

--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -221,7 +221,7 @@
 
 /* takeover.c */
 void slot_taken(struct owner *owner, struct slot *slot, int64_t now_us);
-void slot_lost(struct owner *owner, struct slot *slot);
+void slot_lost(struct owner *owner, struct slot *slot, int64_t now_us);
 void slot_tick(struct owner *owner, struct slot *slot, int64_t now_us);
 
 /* confirm.c */
@@ -276,8 +276,10 @@
 /* release.c */
 /** Asks a server to drop what a call of a lost shard left there: the new owner
  * may have had the program released before the call reached the server. */
-void release_late(struct owner *owner, const struct call *call,
-    const char *server, int64_t now_us);
+void release_late(struct owner *owner, const char *program, const char *server,
+    int64_t now_us);
+/** Returns whether a lane has to be read for such a release. */
+bool release_waits(const struct owner *owner, uint32_t lane);
 void release_tick(struct owner *owner, int64_t now_us);
 void
 release_program(struct owner *owner, struct program *program, int64_t now_us);
--- a/program/budget.c
+++ b/program/budget.c
@@ -27,6 +27,7 @@
 	pending = pending_add(owner, slot, &record, now_us);
 	memcpy(pending->program, program->id, PROGRAM_ID_BYTES);
 	pending->call = call;
+	memcpy(pending->server, record.reserve.server, NAME_BYTES);
 	pending->spent = spent;
 	pending->reserve = tokens;
 	pending->urgent = tokens > 0;
--- a/program/call.c
+++ b/program/call.c
@@ -211,7 +211,7 @@
 	call->after = body.digest;
 	if (program == NULL) {
 		event_add(owner, OWNER_NOT_DURABLE, id)->turn = call->turn;
-		release_late(owner, call, end->server, now_us);
+		release_late(owner, call->program, end->server, now_us);
 		call_remove(owner, call);
 		return body.digest;
 	}
@@ -239,7 +239,7 @@
 	if (program != NULL && (spent_tokens > 0 || server[0] != '\0'))
 		budget_report(owner, program, server, spent_tokens, now_us);
 	if (program == NULL)
-		release_late(owner, call, server, now_us);
+		release_late(owner, call->program, server, now_us);
 	call_remove(owner, call);
 	waiters_wake(owner, id);
 }
--- a/program/confirm.c
+++ b/program/confirm.c
@@ -187,7 +187,7 @@
 		break;
 	case RECORD_RELEASE:
 		pending_free(owner, pending);
-		slot_lost(owner, slot);
+		slot_lost(owner, slot, now_us);
 		return;
 	default:
 		break;
--- a/program/history.c
+++ b/program/history.c
@@ -227,6 +227,7 @@
 	pending->call = call;
 	pending->turn = body->turn;
 	pending->spent = body->spent_tokens;
+	memcpy(pending->server, body->server, NAME_BYTES);
 	turn->key_hash = program_key_hash(body->key);
 	turn->arguments_hash = program_digest_hash(&body->arguments);
 	turn->in_history = !body->tool;
--- a/program/release.c
+++ b/program/release.c
@@ -27,7 +27,7 @@
 }
 
 void
-release_late(struct owner *owner, const struct call *call, const char *server,
+release_late(struct owner *owner, const char *program, const char *server,
     int64_t now_us)
 {
 	struct late_release *late;
@@ -35,7 +35,7 @@
 	if (server == NULL || server[0] == '\0')
 		return;
 	late = xcalloc(1, sizeof(*late));
-	memcpy(late->program, call->program, PROGRAM_ID_BYTES);
+	memcpy(late->program, program, PROGRAM_ID_BYTES);
 	strncpy(late->server, server, NAME_BYTES - 1);
 	late->due_us = now_us;
 	list_append(&owner->late_releases, &late->link);
@@ -45,13 +45,31 @@
 release_tick(struct owner *owner, int64_t now_us)
 {
 	list_for_each (late, &owner->late_releases, struct late_release, link) {
-		if (now_us < late->due_us)
+		const struct program *program = shard_find(
+		    &owner_slot(owner, late->program)->fold, late->program);
+
+		/* While it lives, its owner may use what is there. */
+		if (now_us < late->due_us ||
+		    (program != NULL && !program->ended))
 			continue;
 		late->due_us = now_us + RELEASE_RETRY_US;
 		release_event(owner, late->program, late->server);
 	}
 }
 
+bool
+release_waits(const struct owner *owner, uint32_t lane)
+{
+	list_for_each (late, &owner->late_releases, struct late_release, link) {
+		uint32_t shard = 0;
+
+		program_shard(late->program, &shard);
+		if (shard % owner->limits.lanes == lane)
+			return true;
+	}
+	return false;
+}
+
 void
 release_reset(struct owner *owner)
 {
--- a/program/takeover.c
+++ b/program/takeover.c
@@ -96,7 +96,7 @@
 		if (slot->wanted || slot->owned || !list_empty(&slot->pending))
 			return true;
 	}
-	return false;
+	return release_waits(owner, lane);
 }
 
 bool
@@ -125,7 +125,7 @@
 	if (verdict == FOLD_APPLIED) {
 		suspect_clear(owner, record->claim.vm);
 		if (slot->owned)
-			slot_lost(owner, slot);
+			slot_lost(owner, slot, now_us);
 		if (pending != NULL)
 			slot_taken(owner, slot, now_us);
 	}
@@ -235,10 +235,11 @@
 /* The records in between may hold a claim of another VM: nothing that was
  * folded is current any more. */
 static void
-slot_unbase(struct owner *owner, struct slot *slot, uint64_t first)
+slot_unbase(
+    struct owner *owner, struct slot *slot, uint64_t first, int64_t now_us)
 {
 	if (slot->owned)
-		slot_lost(owner, slot);
+		slot_lost(owner, slot, now_us);
 	shard_reset(&slot->fold);
 	slot->fold.based = false;
 	slot->fold.read_from = first;
@@ -256,14 +257,13 @@
 {
 	struct lane *state = &owner->lanes[lane];
 
-	(void)now_us;
 	state->position = first;
 	state->at_end = false;
 	if (lane >= owner->limits.lanes)
 		return;
 	for (uint32_t i = lane; i < owner->limits.shards;
 	     i += owner->limits.lanes)
-		slot_unbase(owner, &owner->slots[i], first);
+		slot_unbase(owner, &owner->slots[i], first, now_us);
 }
 
 void
@@ -316,7 +316,7 @@
 }
 
 void
-slot_lost(struct owner *owner, struct slot *slot)
+slot_lost(struct owner *owner, struct slot *slot, int64_t now_us)
 {
 	struct call *call = NULL;
 	struct call *tmp = NULL;
@@ -330,8 +330,12 @@
 	}
 	list_for_each_safe (
 	    pending, next, &slot->pending, struct pending, link) {
-		if (!pending->fact && pending->type != RECORD_CLAIM)
-			pending_free(owner, pending);
+		if (pending->fact || pending->type == RECORD_CLAIM)
+			continue;
+		if (pending->type != RECORD_KV_RELEASED)
+			release_late(
+			    owner, pending->program, pending->server, now_us);
+		pending_free(owner, pending);
 	}
 	for (program = slot->fold.programs; program != NULL;
 	     program = program->hh.next) {
--- a/tests/runs/vm.c
+++ b/tests/runs/vm.c
@@ -31,6 +31,18 @@
 		    "");
 }
 
+static bool
+truly_ended(const struct world *world, const char *id)
+{
+	const struct program *program;
+	uint32_t shard;
+
+	if (!program_shard(id, &shard))
+		return false;
+	program = shard_find(&world->truth[shard], id);
+	return program != NULL && program->ended;
+}
+
 /* A server notices that its caller is gone and drops what was under way. */
 static void
 upstreams_cut(struct world *world, int vm)
@@ -41,7 +53,7 @@
 		if (!upstream->used || upstream->vm != vm)
 			continue;
 		if (upstream->kind == OWNER_CALL_MODEL &&
-		    world->clients[upstream->program].state == CLIENT_DONE)
+		    truly_ended(world, world->clients[upstream->program].id))
 			world->kv[upstream->server][upstream->program] = false;
 		upstream->used = false;
 	}
@@ -64,6 +76,13 @@
 		world->late_kv++;
 		kv_release(world, &event);
 	}
+	list_for_each (
+	    late, &vm->owner->late_releases, struct late_release, link) {
+		memcpy(event.program, late->program, PROGRAM_ID_BYTES);
+		memcpy(event.server, late->server, NAME_BYTES);
+		world->late_kv++;
+		kv_release(world, &event);
+	}
 }
 
 void
