Confirm records only by what the fold made of them

Cause: an owner that had queued its release took records behind it for durable, and a gap for an outcome. Change: only applied and rejected records, and outcomes of an old epoch, count as read back; ends and settlements are refused while a release is queued.

--- a/program/intent.c
+++ b/program/intent.c
@@ -169,6 +169,8 @@
 	answer->outcome = once->outcome;
 	if (once->outcome == OUTCOME_DONE || once->outcome == OUTCOME_NOT_RUN)
 		return OWNER_REPLAY;
+	if (slot->releasing)
+		return owner_refuse(owner, answer, REFUSAL_DRAINING);
 	for (call = owner->calls; call != NULL; call = call->hh.next) {
 		if (call->intent == once->intent)
 			return owner_refuse(
--- a/program/lifecycle.c
+++ b/program/lifecycle.c
@@ -229,6 +229,8 @@
 		answer->run = RUN_RAN;
 		return OWNER_REPLAY;
 	}
+	if (slot->releasing)
+		return owner_refuse(owner, answer, REFUSAL_DRAINING);
 	if (family_busy(slot, program))
 		return owner_refuse(owner, answer, REFUSAL_TURN_IN_PROGRESS);
 	program_end_queue(owner, slot, program, reason, call, now_us);
--- a/program/takeover.c
+++ b/program/takeover.c
@@ -159,7 +159,9 @@
 		return;
 	}
 	pending = pending_find(&slot->pending, record->id);
-	if (pending != NULL && (verdict != FOLD_GAP || pending->fact))
+	if (pending != NULL &&
+	    (verdict == FOLD_APPLIED || verdict == FOLD_REJECTED ||
+		(verdict == FOLD_OLD_EPOCH && pending->fact)))
 		pending_confirm(owner, slot, pending, verdict, now_us);
 	if (!slot->owned || record->type != RECORD_SNAPSHOT)
 		return;
--- a/tests/runs/check.c
+++ b/tests/runs/check.c
@@ -69,6 +69,42 @@
 		    client->id, attempt->step, refusal_name(reason));
 }
 
+static bool
+outcome_kept(const struct program *program, uint64_t turn)
+{
+	list_for_each (once, &program->onces, struct once, link) {
+		if (once->turn == turn)
+			return once->outcome == OUTCOME_DONE;
+	}
+	return false;
+}
+
+/* What is called durable stands in the log. */
+void
+check_durable(struct world *world, const struct client *client,
+    const struct owner_event *event)
+{
+	const struct program *program;
+	uint32_t shard;
+
+	if (event->type != OWNER_PROGRAM_BEGUN &&
+	    event->type != OWNER_TURN_DURABLE &&
+	    event->type != OWNER_OUTCOME_DURABLE &&
+	    event->type != OWNER_PROGRAM_ENDED)
+		return;
+	if (!program_shard(event->program, &shard))
+		return;
+	program = shard_find(&world->truth[shard], event->program);
+	if (program == NULL ||
+	    (event->type == OWNER_PROGRAM_ENDED && !program->ended) ||
+	    (event->type == OWNER_OUTCOME_DURABLE &&
+		!outcome_kept(program, event->turn)) ||
+	    (event->type == OWNER_TURN_DURABLE &&
+		program->durable_turns < event->turn))
+		violated(world, "event %d of %s (step %d) is not in the log",
+		    event->type, event->program, client->step);
+}
+
 static void
 check_budget(struct world *world, int program)
 {
--- a/tests/runs/client.c
+++ b/tests/runs/client.c
@@ -536,6 +536,7 @@
 	struct record_bytes content = {
 	    (const uint8_t *)attempt->content, strlen(attempt->content)};
 
+	check_durable(world, client, event);
 	switch (event->type) {
 	case OWNER_DISPATCH:
 		dispatched(world, attempt);
--- a/tests/runs/main.c
+++ b/tests/runs/main.c
@@ -136,7 +136,7 @@
 	if (world->violation[0] == '\0')
 		check_end(world);
 	ok = world->violation[0] == '\0';
-	if (!ok && mutation_current == MUTATION_NONE)
+	if (!ok)
 		printf("seed %llu: %s\n", (unsigned long long)seed,
 		    world->violation);
 	if (!ok && totals->verbose)
--- a/tests/runs/vm.c
+++ b/tests/runs/vm.c
@@ -3,6 +3,18 @@
 
 #include "tests/runs/world.h"
 
+static bool
+truly_ended(const struct world *world, const char *id)
+{
+	const struct program *program;
+	uint32_t shard;
+
+	if (!program_shard(id, &shard))
+		return false;
+	program = shard_find(&world->truth[shard], id);
+	return program != NULL && program->ended;
+}
+
 void
 vm_start(struct world *world, int number)
 {
@@ -31,18 +43,6 @@
 		    "");
 }
 
-static bool
-truly_ended(const struct world *world, const char *id)
-{
-	const struct program *program;
-	uint32_t shard;
-
-	if (!program_shard(id, &shard))
-		return false;
-	program = shard_find(&world->truth[shard], id);
-	return program != NULL && program->ended;
-}
-
 /* A server notices that its caller is gone and drops what was under way. */
 static void
 upstreams_cut(struct world *world, int vm)
@@ -71,6 +71,7 @@
 			event = vm->held;
 		vm->holding = false;
 		if (event.type != OWNER_RELEASE_KV ||
+		    !truly_ended(world, event.program) ||
 		    truly_owns(world, (int)(vm - world->vms), event.program))
 			continue;
 		world->late_kv++;
@@ -80,6 +81,8 @@
 	    late, &vm->owner->late_releases, struct late_release, link) {
 		memcpy(event.program, late->program, PROGRAM_ID_BYTES);
 		memcpy(event.server, late->server, NAME_BYTES);
+		if (!truly_ended(world, event.program))
+			continue;
 		world->late_kv++;
 		kv_release(world, &event);
 	}
--- a/tests/runs/world.h
+++ b/tests/runs/world.h
@@ -201,6 +201,8 @@
     const struct owner_answer *answer);
 void check_not_run(
     struct world *world, struct attempt *attempt, enum refusal reason);
+void check_durable(struct world *world, const struct client *client,
+    const struct owner_event *event);
 void check_end(struct world *world);
 void world_dump(const struct world *world);
 /** Returns whether the VM owns the program's shard by the log's order. */
