--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -94,8 +94,8 @@
 	uint32_t failures;
 	size_t backlog_bytes;
 	size_t backlog;
-	struct list extra;  /**< of struct pending, that belong to no shard */
-	uint64_t index_min; /**< index lanes: oldest of the newest snapshots */
+	struct list extra; /**< of struct pending, that belong to no shard */
+	uint64_t first;    /**< oldest offset kept, as far as is known */
 };
 
 enum call_state {
@@ -177,7 +177,7 @@
 	uint32_t next_lane; /**< where the search for a batch goes on */
 	uint64_t batches;
 	int64_t retention_us;
-	uint64_t *index_offsets; /**< by shard; UINT64_MAX: none */
+	struct record_index *index; /**< by shard; snapshot 0: none */
 	struct call *calls;
 	struct list events;
 	struct list fetches;
--- a/include/program/shard_fold.h
+++ b/include/program/shard_fold.h
@@ -116,15 +116,23 @@
 	    dropped_bytes; /**< local: cached content of forgotten programs */
 	uint64_t snapshot_offset; /**< where to start for the newest complete
 				   * one; UINT64_MAX: none */
-	uint64_t read_from;       /**< not based: where the reading started */
+	uint64_t anchor_id;  /**< not based: first part of the snapshot that is
+			      * known to be valid; 0: none */
+	uint64_t max_epoch;  /**< not based: greatest seen, void or not */
+	bool anchored;       /**< not based: epoch and seq are known */
 	uint64_t fact_end;   /**< behind the last outcome out of sequence */
 	struct buf snapshot; /**< parts collected so far */
 	uint64_t snapshot_parts;
 	uint64_t snapshot_upto;
+	uint64_t snapshot_id; /**< of the first part */
 };
 
 void shard_init(struct shard *shard, uint32_t number);
 void shard_reset(struct shard *shard);
+/** Forgets the state: it will come from a snapshot (0: from none). */
+void shard_unbase(struct shard *shard, uint64_t anchor_id);
+/** Takes the state for known: the lane was read to its end. */
+void shard_base(struct shard *shard);
 /** Applies one record of the shard's lane. */
 enum fold_verdict
 shard_apply(struct shard *shard, uint64_t offset, const struct record *record);
--- a/include/record/record.h
+++ b/include/record/record.h
@@ -151,7 +151,8 @@
 };
 
 struct record_index {
-	uint64_t offset; /**< of the first part, in the shard's lane */
+	uint64_t offset;   /**< in the shard's lane, that it covers up to */
+	uint64_t snapshot; /**< id of its first part */
 };
 
 struct record_config_patch {
--- a/program/owner.c
+++ b/program/owner.c
@@ -30,12 +30,10 @@
 	list_init(&owner->late_releases);
 	list_init(&owner->cache);
 	owner->slots = xcalloc(owner->limits.shards, sizeof(owner->slots[0]));
-	owner->index_offsets =
-	    xcalloc(owner->limits.shards, sizeof(owner->index_offsets[0]));
+	owner->index = xcalloc(owner->limits.shards, sizeof(owner->index[0]));
 	for (uint32_t i = 0; i < owner->limits.shards; i++) {
 		shard_init(&owner->slots[i].fold, i);
 		list_init(&owner->slots[i].pending);
-		owner->index_offsets[i] = UINT64_MAX;
 	}
 	owner->lanes = xcalloc(owner->lane_total, sizeof(owner->lanes[0]));
 	for (uint32_t i = 0; i < owner->lane_total; i++)
@@ -83,7 +81,7 @@
 	release_reset(owner);
 	crash_reset(&owner->crashes);
 	free(owner->pieces);
-	free(owner->index_offsets);
+	free(owner->index);
 	free(owner->slots);
 	free(owner->lanes);
 	free(owner);
--- a/program/shard_fold.c
+++ b/program/shard_fold.c
@@ -26,6 +26,22 @@
 	shard_init(shard, shard->number);
 }
 
+void
+shard_unbase(struct shard *shard, uint64_t anchor_id)
+{
+	shard_reset(shard);
+	shard->based = false;
+	shard->anchor_id = anchor_id;
+}
+
+void
+shard_base(struct shard *shard)
+{
+	if (!shard->based && !shard->anchored)
+		shard->epoch = shard->max_epoch;
+	shard->based = true;
+}
+
 struct program *
 shard_find(const struct shard *shard, const char *program)
 {
@@ -72,7 +88,7 @@
 	if (record->epoch <= shard->epoch)
 		return record->id == shard->claim_id ? FOLD_DUPLICATE
 						     : FOLD_OLD_EPOCH;
-	if (record->epoch != shard->epoch + 1 && shard->based)
+	if (record->epoch != shard->epoch + 1)
 		return FOLD_GAP;
 	if (!shard->released)
 		shard_strand(shard);
@@ -106,6 +122,7 @@
 		buf_reset(&shard->snapshot);
 		shard->snapshot_parts = 0;
 		shard->snapshot_upto = snapshot->upto;
+		shard->snapshot_id = record->id;
 	}
 	if (snapshot->part != shard->snapshot_parts)
 		return FOLD_REJECTED;
@@ -142,30 +159,31 @@
 	return verdict == FOLD_REJECTED ? FOLD_OLD_EPOCH : verdict;
 }
 
-/* A reader that starts in the middle takes the first snapshot part as the
- * base of the sequence. */
-static void
-adopt_sequence(struct shard *shard, const struct record *record)
+/* A reader that starts in the middle cannot tell valid records from void ones
+ * until it meets the snapshot that its writer has read back as valid. */
+static bool
+shard_anchor(struct shard *shard, const struct record *record)
 {
-	if (shard->based || record->type != RECORD_SNAPSHOT ||
-	    record->snapshot.part != 0 ||
-	    record->snapshot.upto < shard->read_from ||
-	    record->epoch < shard->epoch)
-		return;
-	if (record->epoch == shard->epoch && shard->seq > 0)
-		return;
+	if (shard->based || shard->anchored)
+		return true;
+	if (record->epoch > shard->max_epoch)
+		shard->max_epoch = record->epoch;
+	if (record->type != RECORD_SNAPSHOT || record->snapshot.part != 0 ||
+	    record->id != shard->anchor_id)
+		return false;
+	shard->anchored = true;
 	shard->epoch = record->epoch;
 	shard->seq = record->seq - 1;
+	return true;
 }
 
 enum fold_verdict
 shard_apply(struct shard *shard, uint64_t offset, const struct record *record)
 {
+	if (!shard_anchor(shard, record))
+		return FOLD_SKIPPED;
 	if (record->type == RECORD_CLAIM)
 		return apply_claim(shard, record);
-	adopt_sequence(shard, record);
-	if (!shard->based && record->type == RECORD_OUTCOME)
-		shard->fact_end = offset + 1;
 	if (record->epoch != shard->epoch && !mutation_on(MUTATION_NO_EPOCH)) {
 		if (record->type == RECORD_OUTCOME &&
 		    record->epoch < shard->epoch)
--- a/program/snapshot.c
+++ b/program/snapshot.c
@@ -335,7 +335,11 @@
 	    .type = RECORD_INDEX,
 	    .shard = slot->fold.number,
 	    .epoch = slot->fold.epoch,
-	    .index = {.offset = slot->fold.snapshot_offset},
+	    .index =
+		{
+		    .offset = slot->fold.snapshot_offset,
+		    .snapshot = slot->fold.snapshot_id,
+		},
 	};
 
 	pending_add_extra(
@@ -346,16 +350,16 @@
 void
 index_apply(struct owner *owner, uint32_t lane, const struct record *record)
 {
-	uint64_t *offset;
+	struct record_index *entry;
 
 	if (record->type != RECORD_INDEX ||
 	    record->shard >= owner->limits.shards ||
 	    record->shard % owner->limits.lanes !=
 		lane - owner->limits.lanes - 1)
 		return;
-	offset = &owner->index_offsets[record->shard];
-	if (*offset == UINT64_MAX || *offset < record->index.offset)
-		*offset = record->index.offset;
+	entry = &owner->index[record->shard];
+	if (entry->snapshot == 0 || entry->offset < record->index.offset)
+		*entry = record->index;
 }
 
 void
@@ -370,19 +374,18 @@
 	state->started = true;
 	for (uint32_t i = lane; i < owner->limits.shards;
 	     i += owner->limits.lanes) {
-		uint64_t offset = owner->index_offsets[i];
+		const struct record_index *entry = &owner->index[i];
+		uint64_t offset = entry->snapshot != 0 ? entry->offset : 0;
 
-		if (offset == UINT64_MAX)
-			return;
 		if (offset < start)
 			start = offset;
 	}
+	if (start < state->first)
+		start = state->first;
 	if (start == 0 || start == UINT64_MAX)
 		return;
 	state->position = start;
 	for (uint32_t i = lane; i < owner->limits.shards;
-	     i += owner->limits.lanes) {
-		owner->slots[i].fold.based = false;
-		owner->slots[i].fold.read_from = start;
-	}
+	     i += owner->limits.lanes)
+		shard_unbase(&owner->slots[i].fold, owner->index[i].snapshot);
 }
--- a/program/takeover.c
+++ b/program/takeover.c
@@ -211,7 +211,7 @@
 {
 	for (uint32_t i = lane; i < owner->limits.shards;
 	     i += owner->limits.lanes)
-		owner->slots[i].fold.based = true;
+		shard_base(&owner->slots[i].fold);
 }
 
 void
@@ -237,14 +237,11 @@
 /* The records in between may hold a claim of another VM: nothing that was
  * folded is current any more. */
 static void
-slot_unbase(
-    struct owner *owner, struct slot *slot, uint64_t first, int64_t now_us)
+slot_unbase(struct owner *owner, struct slot *slot, int64_t now_us)
 {
 	if (slot->owned)
 		slot_lost(owner, slot, now_us);
-	shard_reset(&slot->fold);
-	slot->fold.based = false;
-	slot->fold.read_from = first;
+	shard_unbase(&slot->fold, 0);
 	list_for_each_safe (
 	    pending, tmp, &slot->pending, struct pending, link) {
 		if (!pending->fact)
@@ -263,9 +260,11 @@
 	state->at_end = false;
 	if (lane >= owner->limits.lanes)
 		return;
+	state->first = first;
+	state->started = false;
 	for (uint32_t i = lane; i < owner->limits.shards;
 	     i += owner->limits.lanes)
-		slot_unbase(owner, &owner->slots[i], first, now_us);
+		slot_unbase(owner, &owner->slots[i], now_us);
 }
 
 void
--- a/record/record.c
+++ b/record/record.c
@@ -123,6 +123,7 @@
 };
 static const struct field index_fields[] = {
     F(1, FIELD_UNSIGNED, index.offset),
+    F(2, FIELD_UNSIGNED, index.snapshot),
 };
 static const struct field config_patch_fields[] = {
     F(1, FIELD_UNSIGNED, config_patch.base),
