Run the configuration fold through seeded faults in virtual time

Cause: nothing showed that nodes fold alike under races, lost replies, late copies, outages, restarts and expiry. Change: test-config-runs [COUNT [FIRST_SEED]]; one seed is replayed by 'test-config-runs 1 SEED'. Five nodes, two operators and a reference fold that reads every record as it comes; two broken variants must be caught. First tries showed that the history needs one complete node that reaches the log within each half of the retention; the runs now state that, and so does the module. config_fold_fate() is the rule that commands and runs share.

--- a/config/fold.c
+++ b/config/fold.c
@@ -40,6 +40,17 @@
 	return NULL;
 }
 
+enum config_fate
+config_fold_fate(
+    const struct config_fold *fold, uint64_t record_id, uint64_t base)
+{
+	if (config_fold_find_record(fold, record_id) != NULL)
+		return CONFIG_FATE_ACCEPTED;
+	if (fold->version != base)
+		return CONFIG_FATE_REJECTED;
+	return CONFIG_FATE_OPEN;
+}
+
 static bool
 is_utf8(const char *text)
 {
--- a/guavakeel/commands/config_patch.c
+++ b/guavakeel/commands/config_patch.c
@@ -108,7 +108,7 @@
 {
 	struct buf content = {0};
 	struct findings findings;
-	json_error_t problem;
+	json_error_t problem = {0};
 	json_t *patch = NULL;
 
 	findings_init(&findings);
--- a/guavakeel/history.c
+++ b/guavakeel/history.c
@@ -150,13 +150,16 @@
 is_settled(const struct history *history, const struct publication *publication,
     enum publish_result *result)
 {
-	if (config_fold_find_record(&history->fold, publication->id) != NULL) {
+	switch (config_fold_fate(
+	    &history->fold, publication->id, publication->base)) {
+	case CONFIG_FATE_ACCEPTED:
 		*result = PUBLISH_ACCEPTED;
 		return true;
-	}
-	if (history->fold.version != publication->base) {
+	case CONFIG_FATE_REJECTED:
 		*result = PUBLISH_CONFLICT;
 		return true;
+	case CONFIG_FATE_OPEN:
+		break;
 	}
 	return false;
 }
--- a/guavakeel/query.c
+++ b/guavakeel/query.c
@@ -13,6 +13,7 @@
 static error_t
 parse_option(int key, char *arg, struct argp_state *state)
 {
+	(void)arg;
 	if (key != ARGP_KEY_INIT)
 		return ARGP_ERR_UNKNOWN;
 	state->child_inputs[0] = state->input;
--- a/include/config/fold.h
+++ b/include/config/fold.h
@@ -79,6 +79,15 @@
 config_fold_document_at(const struct config_fold *fold, uint64_t version);
 const struct config_version *
 config_fold_find_record(const struct config_fold *fold, uint64_t record_id);
+/** What became of a published patch, as far as a fold tells. */
+enum config_fate {
+	CONFIG_FATE_OPEN, /**< may be appended, or appended again */
+	CONFIG_FATE_ACCEPTED,
+	CONFIG_FATE_REJECTED, /**< for good, even if a copy arrives late */
+};
+
+enum config_fate config_fold_fate(
+    const struct config_fold *fold, uint64_t record_id, uint64_t base);
 const char *config_verdict_name(enum config_verdict verdict);
 
 /** When a snapshot has to be written. */
--- a/include/guavakeel/publish.h
+++ b/include/guavakeel/publish.h
@@ -20,6 +20,6 @@
 bool publish_read_file(const char *path, struct buf *content);
 /** Checks, publishes and reports a patch. Returns an enum command_exit. */
 int publish_patch(struct history *history, const json_t *patch,
-    const struct publish_options *options);
+    const struct publish_options *given);
 
 #endif
--- /dev/null
+++ b/tests/config_runs.c
@@ -0,0 +1,534 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "common/rng.h"
+#include "config/stream.h"
+#include "tests/config_runs.h"
+
+#define SECONDS(n) ((int64_t)(n)*US_PER_S)
+#define MS(n)      ((int64_t)(n)*US_PER_MS)
+
+enum {
+	NODES = 5,
+	OPERATORS = 2,
+	MAX_ENTRIES = 4096,
+	MAX_LATE = 256,
+	MAX_TOLD = 512,
+	TICK_MS = 250,
+	RUN_S = 120,
+	QUIET_S = 20, /**< without faults, at the end */
+	RETENTION_S = 30,
+	FORCE_S = 7, /**< the promise: in force everywhere within that */
+};
+
+struct entry {
+	struct buf wire;
+	int64_t time_us;
+};
+
+/** A copy of a record that reaches the log later. */
+struct late {
+	struct buf wire;
+	int64_t time_us;
+};
+
+struct node {
+	struct config_fold fold;
+	uint64_t seen_version;
+	int64_t down_until_us; /**< process not running */
+	int64_t cut_until_us;  /**< no path to the log */
+	int64_t reaches_since_us;
+	int64_t next_poll_us;
+};
+
+enum operator_state {
+	OPERATOR_IDLE,
+	OPERATOR_SENDING,
+	OPERATOR_READING_BACK,
+};
+
+struct operator
+{
+	struct node node;
+	enum operator_state state;
+	uint64_t id;
+	uint64_t base;
+	char patch[64];
+};
+
+struct told {
+	uint64_t id;
+	bool accepted;
+};
+
+struct sim {
+	struct config_run *run;
+	struct rng rng;
+	int64_t now_us;
+	int64_t outage_until_us;
+	struct entry entries[MAX_ENTRIES];
+	size_t count;
+	size_t first;
+	struct late late[MAX_LATE];
+	size_t late_count;
+	struct node nodes[NODES];
+	struct operator operators[OPERATORS];
+	struct config_fold reference; /**< reads each record as it comes */
+	char *contents[MAX_ENTRIES];  /**< by version */
+	int64_t accepted_us[MAX_ENTRIES];
+	struct told told[MAX_TOLD];
+	size_t told_count;
+};
+
+static void
+fail(struct sim *sim, const char *what, uint64_t a, uint64_t b)
+{
+	if (sim->run->failure[0] != '\0')
+		return;
+	snprintf(sim->run->failure, sizeof(sim->run->failure),
+	    "at %.2f s: %s (%" PRIu64 ", %" PRIu64 ")",
+	    (double)sim->now_us / US_PER_S, what, a, b);
+}
+
+static bool
+chance(struct sim *sim, uint64_t percent)
+{
+	return rng_below(&sim->rng, 100) < percent;
+}
+
+static bool
+is_quiet(const struct sim *sim)
+{
+	return sim->now_us > SECONDS(RUN_S - QUIET_S);
+}
+
+static char *
+content_of(const struct config_fold *fold)
+{
+	return json_dumps(fold->document, JSON_COMPACT | JSON_SORT_KEYS);
+}
+
+static void
+log_append(struct sim *sim, const struct buf *wire)
+{
+	struct config_fold *reference = &sim->reference;
+	uint64_t before = reference->version;
+	struct entry *entry = &sim->entries[sim->count];
+
+	if (sim->count == MAX_ENTRIES)
+		abort();
+	buf_append(&entry->wire, wire->data, wire->len);
+	entry->time_us = sim->now_us;
+	config_fold_read(
+	    reference, sim->count++, entry->wire.data, entry->wire.len);
+	if (reference->version == before)
+		return;
+	sim->contents[reference->version] = content_of(reference);
+	sim->accepted_us[reference->version] = sim->now_us;
+}
+
+static void
+log_append_late(struct sim *sim, const struct buf *wire)
+{
+	struct late *late = &sim->late[sim->late_count];
+
+	if (sim->late_count == MAX_LATE)
+		return;
+	sim->late_count++;
+	buf_append(&late->wire, wire->data, wire->len);
+	late->time_us =
+	    sim->now_us + (int64_t)rng_below(&sim->rng, SECONDS(10));
+}
+
+static bool
+log_is_down(const struct sim *sim)
+{
+	return sim->now_us < sim->outage_until_us;
+}
+
+static enum plog_status
+log_try_append(struct sim *sim, const struct buf *wire)
+{
+	if (log_is_down(sim))
+		return PLOG_NOT_SENT;
+	if (is_quiet(sim) || chance(sim, 70)) {
+		log_append(sim, wire);
+		return PLOG_OK;
+	}
+	if (chance(sim, 30)) {
+		log_append(sim, wire);
+		log_append_late(sim, wire);
+		return PLOG_OK;
+	}
+	if (chance(sim, 50))
+		log_append(sim, wire);
+	else
+		log_append_late(sim, wire);
+	return PLOG_UNKNOWN;
+}
+
+static void
+log_advance(struct sim *sim)
+{
+	for (size_t i = 0; i < sim->late_count;) {
+		struct late *late = &sim->late[i];
+
+		if (late->time_us > sim->now_us) {
+			i++;
+			continue;
+		}
+		log_append(sim, &late->wire);
+		buf_reset(&late->wire);
+		*late = sim->late[--sim->late_count];
+		memset(&sim->late[sim->late_count], 0, sizeof(*late));
+	}
+	while (sim->first < sim->count &&
+	    sim->entries[sim->first].time_us <
+		sim->now_us - SECONDS(RETENTION_S))
+		sim->first++;
+	if (!is_quiet(sim) && !log_is_down(sim) && chance(sim, 1))
+		sim->outage_until_us =
+		    sim->now_us + (int64_t)rng_below(&sim->rng, SECONDS(10));
+}
+
+/* Feeds one record, with the breakage of the run. */
+static bool
+feed_record(struct sim *sim, struct config_fold *fold, uint64_t offset)
+{
+	const struct buf *wire = &sim->entries[offset].wire;
+	struct buf changed = {0};
+	struct record record;
+	struct plog_record item = {offset, wire->data, wire->len};
+	struct plog_read read = {.first = sim->first,
+	    .end = sim->count,
+	    .records = &item,
+	    .count = 1};
+	bool level;
+
+	if (sim->run->breakage == BREAK_BASE_CHECK &&
+	    record_decode(wire->data, wire->len, &record, NULL) &&
+	    record.type == RECORD_CONFIG_PATCH) {
+		record.config_patch.base = fold->version;
+		record_encode(&record, &changed);
+		item.data = changed.data;
+		item.len = changed.len;
+	}
+	level = config_stream_feed(fold, &read, NULL);
+	if (fold->next_offset <= offset) {
+		sim->run->adoptions++;
+		if (sim->run->breakage == BREAK_SNAPSHOT_TAIL)
+			fold->next_offset = offset + 1;
+	}
+	buf_reset(&changed);
+	return level;
+}
+
+/* Reads until the fold is level with the stream; false: not possible now. */
+static bool
+read_stream(struct sim *sim, struct config_fold *fold)
+{
+	struct plog_read none = {.status = PLOG_EXPIRED};
+
+	if (log_is_down(sim) || (!is_quiet(sim) && chance(sim, 5)))
+		return false;
+	if (fold->next_offset < sim->first) {
+		none.first = sim->first;
+		none.end = sim->count;
+		config_stream_feed(fold, &none, NULL);
+	}
+	while (fold->next_offset < sim->count)
+		feed_record(sim, fold, fold->next_offset);
+	return true;
+}
+
+static void
+check_content(struct sim *sim, struct node *node)
+{
+	const struct config_fold *fold = &node->fold;
+	char *content;
+
+	if (fold->version == node->seen_version)
+		return;
+	if (fold->version < node->seen_version)
+		fail(sim, "a version was taken back", node->seen_version,
+		    fold->version);
+	node->seen_version = fold->version;
+	if (fold->version > sim->reference.version) {
+		fail(sim, "a version was never accepted", fold->version,
+		    sim->reference.version);
+		return;
+	}
+	content = content_of(fold);
+	if (strcmp(content, sim->contents[fold->version]) != 0)
+		fail(sim, "a version has another content", fold->version, 0);
+	free(content);
+}
+
+/* Whether a node that reached the log all the time has what it should. */
+static void
+check_force(struct sim *sim, const struct node *node)
+{
+	uint64_t due = sim->reference.version;
+
+	while (
+	    due > 0 && sim->accepted_us[due] > sim->now_us - SECONDS(FORCE_S))
+		due--;
+	if (node->reaches_since_us <= sim->now_us - SECONDS(FORCE_S) &&
+	    (node->fold.version < due || !node->fold.complete))
+		fail(sim, "a version is not in force in time", due,
+		    node->fold.version);
+}
+
+static void
+note_force(struct sim *sim, const struct node *node, uint64_t before)
+{
+	for (uint64_t v = before + 1;
+	     v <= node->fold.version && v <= sim->reference.version; v++) {
+		int64_t took_us = sim->now_us - sim->accepted_us[v];
+
+		if (node->reaches_since_us <= sim->accepted_us[v] &&
+		    took_us > sim->run->max_force_us)
+			sim->run->max_force_us = took_us;
+	}
+}
+
+static void
+node_restart(struct sim *sim, struct node *node, uint64_t longest_us)
+{
+	config_fold_reset(&node->fold);
+	config_fold_init(&node->fold);
+	node->seen_version = 0;
+	node->down_until_us =
+	    sim->now_us + (int64_t)rng_below(&sim->rng, longest_us);
+	sim->run->restarts++;
+}
+
+static void
+node_snapshot(struct sim *sim, struct node *node, uint32_t rank)
+{
+	static const struct config_snapshot_policy policy = {
+	    .retention_us = SECONDS(RETENTION_S), .max_tail = 40};
+	struct buf wire = {0};
+
+	if (!config_snapshot_due(
+		&node->fold, &policy, sim->first, sim->now_us, rank))
+		return;
+	config_snapshot_encode(
+	    &node->fold, rng_next(&sim->rng), sim->now_us, &wire);
+	log_try_append(sim, &wire);
+	buf_reset(&wire);
+}
+
+static bool
+node_reaches_log(const struct sim *sim, const struct node *node)
+{
+	return sim->now_us >= node->down_until_us &&
+	    sim->now_us >= node->cut_until_us && !log_is_down(sim);
+}
+
+/* History outlives the log's retention only if some complete node reaches the
+ * log within each half of it, so the first node is never away longer. */
+static void
+node_faults(struct sim *sim, struct node *node, uint32_t rank)
+{
+	uint64_t longest_us = (uint64_t)SECONDS(RETENTION_S) / 4;
+
+	if (is_quiet(sim))
+		return;
+	if (rank > 0)
+		longest_us = (uint64_t)SECONDS(2 * RETENTION_S);
+	if (rng_below(&sim->rng, 400) == 0)
+		node_restart(sim, node, longest_us);
+	if (rng_below(&sim->rng, 300) == 0)
+		node->cut_until_us =
+		    sim->now_us + (int64_t)rng_below(&sim->rng, longest_us);
+}
+
+static void
+node_step(struct sim *sim, struct node *node, uint32_t rank)
+{
+	uint64_t before = node->fold.version;
+
+	node_faults(sim, node, rank);
+	if (!node_reaches_log(sim, node)) {
+		node->reaches_since_us = sim->now_us + 1;
+		return;
+	}
+	if (sim->now_us >= node->next_poll_us) {
+		node->next_poll_us = sim->now_us + SECONDS(1);
+		if (read_stream(sim, &node->fold))
+			node_snapshot(sim, node, rank);
+		else
+			node->reaches_since_us = sim->now_us + 1;
+		check_content(sim, node);
+		note_force(sim, node, before);
+	}
+	check_force(sim, node);
+}
+
+static void
+operator_begin(struct sim *sim, struct operator* operator)
+{
+	uint64_t key = rng_below(&sim->rng, 6);
+	uint64_t value = rng_below(&sim->rng, 1000);
+
+	if (!read_stream(sim, &operator->node.fold) ||
+	    !operator->node.fold.complete)
+		return;
+	if (chance(sim, 20))
+		snprintf(operator->patch, sizeof(operator->patch),
+		    "{\"k%" PRIu64 "\":null}", key);
+	else
+		snprintf(operator->patch, sizeof(operator->patch),
+		    "{\"k%" PRIu64 "\":{\"m%" PRIu64 "\":%" PRIu64 "}}", key,
+		    value % 3, value);
+	operator->id = rng_next(&sim->rng);
+	operator->base = operator->node.fold.version;
+	operator->state = OPERATOR_SENDING;
+}
+
+static void
+operator_tell(struct sim *sim, struct operator* operator, bool accepted)
+{
+	if (sim->told_count < MAX_TOLD)
+		sim->told[sim->told_count++] =
+		    (struct told){operator->id, accepted};
+	if (!accepted)
+		sim->run->conflicts++;
+	operator->state = OPERATOR_IDLE;
+}
+
+static void
+operator_send(struct sim *sim, struct operator* operator)
+{
+	struct record record = {
+	    .type = RECORD_CONFIG_PATCH, .id = operator->id };
+	struct buf wire = {0};
+
+	switch (config_fold_fate(
+	    &operator->node.fold, operator->id, operator->base)) {
+	case CONFIG_FATE_ACCEPTED:
+		operator_tell(sim, operator, true);
+		return;
+	case CONFIG_FATE_REJECTED:
+		operator_tell(sim, operator, false);
+		return;
+	case CONFIG_FATE_OPEN:
+		break;
+	}
+	record.config_patch.base = operator->base;
+	record.config_patch.wall_us = sim->now_us;
+	record.config_patch.patch.data = (const uint8_t *)operator->patch;
+	record.config_patch.patch.len = strlen(operator->patch);
+	record_encode(&record, &wire);
+	if (log_try_append(sim, &wire) != PLOG_NOT_SENT)
+		operator->state = OPERATOR_READING_BACK;
+	buf_reset(&wire);
+}
+
+static void
+operator_step(struct sim *sim, struct operator* operator)
+{
+	bool level;
+
+	switch (operator->state) {
+	case OPERATOR_IDLE:
+		if (!is_quiet(sim) && chance(sim, 8))
+			operator_begin(sim, operator);
+		break;
+	case OPERATOR_SENDING:
+		operator_send(sim, operator);
+		break;
+	case OPERATOR_READING_BACK:
+		level = read_stream(sim, &operator->node.fold);
+		if (level && operator->node.fold.complete)
+			operator->state = OPERATOR_SENDING;
+		break;
+	}
+}
+
+static void
+check_told(struct sim *sim)
+{
+	for (size_t i = 0; i < sim->told_count; i++) {
+		const struct told *told = &sim->told[i];
+		bool is_accepted =
+		    config_fold_find_record(&sim->reference, told->id) != NULL;
+
+		if (is_accepted != told->accepted)
+			fail(sim, "an operator was told wrongly", told->id,
+			    told->accepted);
+	}
+}
+
+/* At the end all histories are equal, byte for byte. */
+static void
+check_histories(struct sim *sim)
+{
+	struct buf expected = {0};
+
+	config_fold_encode(&sim->reference, 0, &expected);
+	for (uint64_t i = 0; i < NODES; i++) {
+		struct buf encoded = {0};
+
+		read_stream(sim, &sim->nodes[i].fold);
+		config_fold_encode(&sim->nodes[i].fold, 0, &encoded);
+		if (encoded.len != expected.len ||
+		    memcmp(encoded.data, expected.data, expected.len) != 0)
+			fail(sim, "a history is not equal at the end", i,
+			    sim->nodes[i].fold.version);
+		buf_reset(&encoded);
+	}
+	buf_reset(&expected);
+}
+
+static void
+sim_free(struct sim *sim)
+{
+	for (size_t i = 0; i < sim->count; i++)
+		buf_reset(&sim->entries[i].wire);
+	for (size_t i = 0; i < sim->late_count; i++)
+		buf_reset(&sim->late[i].wire);
+	for (size_t i = 0; i < MAX_ENTRIES; i++)
+		free(sim->contents[i]);
+	for (int i = 0; i < NODES; i++)
+		config_fold_reset(&sim->nodes[i].fold);
+	for (int i = 0; i < OPERATORS; i++)
+		config_fold_reset(&sim->operators[i].node.fold);
+	config_fold_reset(&sim->reference);
+	free(sim);
+}
+
+void
+config_run(struct config_run *run)
+{
+	struct sim *sim = xcalloc(1, sizeof(*sim));
+
+	sim->run = run;
+	rng_init(&sim->rng, run->seed);
+	config_fold_init(&sim->reference);
+	for (int i = 0; i < NODES; i++)
+		config_fold_init(&sim->nodes[i].fold);
+	for (int i = 0; i < OPERATORS; i++)
+		config_fold_init(&sim->operators[i].node.fold);
+	while (sim->now_us < SECONDS(RUN_S) && run->failure[0] == '\0') {
+		sim->now_us += MS(TICK_MS);
+		log_advance(sim);
+		for (uint32_t i = 0; i < NODES; i++)
+			node_step(sim, &sim->nodes[i], i);
+		for (int i = 0; i < OPERATORS; i++)
+			operator_step(sim, &sim->operators[i]);
+	}
+	run->versions = sim->reference.version;
+	if (run->failure[0] == '\0') {
+		check_told(sim);
+		check_histories(sim);
+	}
+	sim_free(sim);
+}
--- /dev/null
+++ b/tests/test_config_runs.c
@@ -0,0 +1,108 @@
+/* usage: test-config-runs [COUNT [FIRST_SEED]] */
+#include <check.h>
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "tests/config_runs.h"
+#include "tests/runner.h"
+
+enum {
+	DEFAULT_SEEDS = 200,
+	BROKEN_SEEDS = 2000,
+};
+
+static uint64_t seed_count = DEFAULT_SEEDS;
+static uint64_t first_seed = 1;
+
+static void
+print_total(const struct config_run *total, uint64_t failures)
+{
+	printf("config-runs: %" PRIu64 " seeds, %" PRIu64 " failed, %" PRIu64
+	       " versions, %" PRIu64 " conflicts, %" PRIu64
+	       " restarts, %" PRIu64
+	       " starts from a snapshot, longest time to force %.2f s\n",
+	    seed_count, failures, total->versions, total->conflicts,
+	    total->restarts, total->adoptions,
+	    (double)total->max_force_us / 1e6);
+}
+
+static void
+add(struct config_run *total, const struct config_run *run)
+{
+	total->versions += run->versions;
+	total->conflicts += run->conflicts;
+	total->restarts += run->restarts;
+	total->adoptions += run->adoptions;
+	if (run->max_force_us > total->max_force_us)
+		total->max_force_us = run->max_force_us;
+}
+
+START_TEST(all_nodes_fold_alike)
+{
+	struct config_run total = {0};
+	uint64_t failures = 0;
+
+	for (uint64_t i = 0; i < seed_count; i++) {
+		struct config_run run = {.seed = first_seed + i};
+
+		config_run(&run);
+		add(&total, &run);
+		if (run.failure[0] == '\0')
+			continue;
+		failures++;
+		printf("seed %" PRIu64 ": %s\n", run.seed, run.failure);
+	}
+	print_total(&total, failures);
+	ck_assert_uint_eq(failures, 0);
+	ck_assert_uint_gt(total.versions, seed_count);
+	ck_assert_uint_gt(total.conflicts, 0);
+	ck_assert_uint_gt(total.adoptions, 0);
+}
+END_TEST
+
+static bool
+is_caught(enum config_breakage breakage)
+{
+	for (uint64_t seed = 1; seed <= BROKEN_SEEDS; seed++) {
+		struct config_run run = {.seed = seed, .breakage = breakage};
+
+		config_run(&run);
+		if (run.failure[0] == '\0')
+			continue;
+		printf("breakage %d: caught with seed %" PRIu64 ": %s\n",
+		    (int)breakage, seed, run.failure);
+		return true;
+	}
+	return false;
+}
+
+START_TEST(a_fold_without_base_check_is_caught)
+{
+	ck_assert(is_caught(BREAK_BASE_CHECK));
+}
+END_TEST
+
+START_TEST(a_snapshot_without_its_tail_is_caught)
+{
+	ck_assert(is_caught(BREAK_SNAPSHOT_TAIL));
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+	const TTest *tests[] = {
+	    all_nodes_fold_alike,
+	    a_fold_without_base_check_is_caught,
+	    a_snapshot_without_its_tail_is_caught,
+	};
+
+	if (argc > 1)
+		seed_count = strtoull(argv[1], NULL, 10);
+	if (argc > 2)
+		first_seed = strtoull(argv[2], NULL, 10);
+	return run_tests(
+	    "config-runs", tests, sizeof(tests) / sizeof(tests[0]));
+}
