--- a/tests/commands.sh
+++ b/tests/commands.sh
@@ -6,6 +6,7 @@
 . "$(dirname "$0")/../tools/processes.sh"
 
 guavakeel=$build/guavakeel/guavakeel
+contrib=$(cd "$(dirname "$0")/../contrib" && pwd)
 
 fail() {
 	echo "failed: $*"
@@ -85,6 +86,13 @@
 expect 0 patch two.json
 shows 'version: 4'
 
+for document in lumaris blue-mahoe; do
+	start "$document" "$build/standins/standin-log"
+	log_port=$started_port
+	expect 0 patch "$contrib/$document.json"
+done
+"$guavakeel" check-config "$contrib/guavakeel.ini" || fail 'guavakeel.ini'
+
 log_port=1
 expect 3 show
 echo 'commands: passed'
