--- a/config/fold.c
+++ b/config/fold.c
@@ -19,6 +19,7 @@
 void
 config_fold_reset(struct config_fold *fold)
 {
+	HASH_CLEAR(hh, fold->by_id);
 	list_for_each_safe (
 	    version, tmp, &fold->versions, struct config_version, link) {
 		list_remove(&version->link);
@@ -33,11 +34,18 @@
 const struct config_version *
 config_fold_find_record(const struct config_fold *fold, uint64_t record_id)
 {
-	list_for_each (version, &fold->versions, struct config_version, link) {
-		if (version->record_id == record_id)
-			return version;
-	}
-	return NULL;
+	struct config_version *version;
+
+	HASH_FIND(hh, fold->by_id, &record_id, sizeof(record_id), version);
+	return version;
+}
+
+void
+config_fold_add(struct config_fold *fold, struct config_version *version)
+{
+	list_append(&fold->versions, &version->link);
+	HASH_ADD(
+	    hh, fold->by_id, record_id, sizeof(version->record_id), version);
 }
 
 enum config_fate
@@ -74,7 +82,7 @@
 	memcpy(version->operator_name, patch->operator_name, NAME_BYTES);
 	memcpy(version->comment, patch->comment, sizeof(version->comment));
 	version->patch = xmemdup(patch->patch.data, patch->patch.len);
-	list_append(&fold->versions, &version->link);
+	config_fold_add(fold, version);
 }
 
 static enum config_verdict
@@ -114,10 +122,11 @@
 	fold->complete = true;
 	fold->document = json_incref(state->document);
 	fold->version = state->version;
+	HASH_CLEAR(hh, state->by_id);
 	list_for_each_safe (
 	    version, tmp, &state->versions, struct config_version, link) {
 		list_remove(&version->link);
-		list_append(&fold->versions, &version->link);
+		config_fold_add(fold, version);
 	}
 	fold->next_offset = upto;
 	fold->start = upto;
--- a/config/snapshot.c
+++ b/config/snapshot.c
@@ -6,11 +6,13 @@
 #include <jansson.h>
 
 #include "common/memory.h"
+#include "config/compress.h"
 #include "config/fold.h"
 #include "config/merge.h"
 
 enum {
 	STATE_FORMAT = 1,
+	STATE_MAX_BYTES = 64 << 20,
 	SNAPSHOTS_PER_RETENTION = 2,
 	RANKS_PER_PERIOD = 10,
 };
@@ -54,9 +56,12 @@
     int64_t wall_us, struct buf *out)
 {
 	struct record record = {.type = RECORD_CONFIG_SNAPSHOT, .id = id};
+	struct buf text = {0};
 	struct buf state = {0};
 
-	config_fold_encode(fold, wall_us, &state);
+	config_fold_encode(fold, wall_us, &text);
+	compress_append(text.data, text.len, &state);
+	buf_reset(&text);
 	record.config_snapshot.version = fold->version;
 	record.config_snapshot.state.data = state.data;
 	record.config_snapshot.state.len = state.len;
@@ -100,7 +105,7 @@
 	version->offset = (uint64_t)offset;
 	version->wall_us = wall_us;
 	version->patch = xstrdup(patch);
-	list_append(&fold->versions, &version->link);
+	config_fold_add(fold, version);
 	return ok && end != id && *end == '\0';
 }
 
@@ -149,8 +154,8 @@
 	return decode_versions(fold, versions);
 }
 
-bool
-config_fold_decode(
+static bool
+decode_text(
     struct config_fold *fold, const void *data, size_t len, struct error *err)
 {
 	json_error_t problem;
@@ -172,6 +177,26 @@
 	    err, ERROR_INVALID, "not a whole configuration history");
 }
 
+bool
+config_fold_decode(
+    struct config_fold *fold, const void *data, size_t len, struct error *err)
+{
+	struct buf text = {0};
+	bool ok;
+
+	if (!compress_is_packed(data, len))
+		return decode_text(fold, data, len, err);
+	if (!compress_expand(data, len, STATE_MAX_BYTES, &text)) {
+		config_fold_reset(fold);
+		config_fold_init(fold);
+		buf_reset(&text);
+		return error_set(err, ERROR_INVALID, "damaged compression");
+	}
+	ok = decode_text(fold, text.data, text.len, err);
+	buf_reset(&text);
+	return ok;
+}
+
 json_t *
 config_fold_document_at(const struct config_fold *fold, uint64_t version)
 {
--- a/include/config/fold.h
+++ b/include/config/fold.h
@@ -15,6 +15,8 @@
 #ifndef CONFIG_FOLD_H
 #define CONFIG_FOLD_H
 
+#include <uthash.h>
+
 #include "common/list.h"
 #include "config/config.h"
 
@@ -39,6 +41,7 @@
 	char operator_name[NAME_BYTES];
 	char comment[4 * NAME_BYTES];
 	char *patch; /**< JSON text */
+	UT_hash_handle hh;
 };
 
 struct config_fold {
@@ -46,6 +49,7 @@
 	uint64_t next_offset;
 	struct json_t *document;
 	struct list versions; /**< of struct config_version, oldest first */
+	struct config_version *by_id; /**< hash table of the same */
 	bool complete;  /**< false: records are missing, state may be old */
 	uint64_t start; /**< first offset read since records were missed */
 	uint64_t snapshot_upto;   /**< that the newest snapshot covers */
@@ -66,10 +70,11 @@
  * snapshot record or an export. */
 void config_fold_encode(
     const struct config_fold *fold, int64_t wall_us, struct buf *out);
-/** Writes the wire form of a snapshot record. */
+/** Writes the wire form of a snapshot record, its state compressed. */
 void config_snapshot_encode(const struct config_fold *fold, uint64_t id,
     int64_t wall_us, struct buf *out);
-/** Replaces the state by an encoded one; with an error it is empty.
+/** Replaces the state by an encoded one, compressed or not; with an error it
+ * is empty.
  * Errors: ERROR_INVALID. */
 bool config_fold_decode(
     struct config_fold *fold, const void *data, size_t len, struct error *err);
@@ -77,6 +82,8 @@
  * json_decref(). */
 struct json_t *
 config_fold_document_at(const struct config_fold *fold, uint64_t version);
+/** Appends a version to the history, which then owns it. */
+void config_fold_add(struct config_fold *fold, struct config_version *version);
 const struct config_version *
 config_fold_find_record(const struct config_fold *fold, uint64_t record_id);
 /** What became of a published patch, as far as a fold tells. */
--- a/include/member/member.h
+++ b/include/member/member.h
@@ -57,6 +57,10 @@
 /** Returns the k-th choice for a shard, in the same order. */
 const struct member *members_shard_choice(const struct members *members,
     uint32_t shard, size_t choice, int64_t now_us);
+/** Returns how many live members come before one, by name: its turn in work
+ * that any of them may do. */
+uint32_t
+members_rank(const struct members *members, const char *vm, int64_t now_us);
 /** Orders the live members for a caller: those of its region first, failure
  * domains in turn, otherwise spread by the seed. Returns how many (at most
  * max) were written to order. */
--- a/member/placement.c
+++ b/member/placement.c
@@ -72,6 +72,21 @@
 	return members_shard_choice(members, shard, 0, now_us);
 }
 
+uint32_t
+members_rank(const struct members *members, const char *vm, int64_t now_us)
+{
+	uint32_t rank = 0;
+
+	for (size_t i = 0; i < members->count; i++) {
+		const struct member *member = &members->items[i];
+
+		if (member_state(member, now_us) == MEMBER_LIVE &&
+		    strcmp(member->vm, vm) < 0)
+			rank++;
+	}
+	return rank;
+}
+
 static int
 compare_candidates(const void *left, const void *right)
 {
--- a/tests/config_sim.h
+++ b/tests/config_sim.h
@@ -22,7 +22,8 @@
 	RUN_S = 120,
 	QUIET_S = 20, /**< without faults, at the end */
 	RETENTION_S = 30,
-	FORCE_S = 7, /**< the promise: in force everywhere within that */
+	STEADY_S = 5, /**< time at the log in which a node surely writes */
+	FORCE_S = 7,  /**< the promise: in force everywhere within that */
 };
 
 struct entry {
@@ -88,6 +89,10 @@
 bool sim_chance(struct sim *sim, uint64_t percent);
 /** Whether the run is in its last part, without faults. */
 bool sim_is_quiet(const struct sim *sim);
+/** Whether the log may go down, or the first node go away, for a quarter of the
+ * retention. History outlives the retention only if some complete node reaches
+ * the log within each half of it; the first node is that one. */
+bool sim_may_lose_writer(const struct sim *sim);
 /** Returns a fold's document as text; to be freed. */
 char *sim_content(const struct config_fold *fold);
 bool sim_log_is_down(const struct sim *sim);
--- a/tests/test_config_fold.c
+++ b/tests/test_config_fold.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -6,6 +7,7 @@
 #include "common/memory.h"
 #include "config/fold.h"
 #include "config/merge.h"
+#include "plog/plog.h"
 #include "tests/runner.h"
 
 static struct record
@@ -263,6 +265,68 @@
 }
 END_TEST
 
+START_TEST(a_damaged_snapshot_is_malformed)
+{
+	struct config_fold fold;
+	struct config_fold copy;
+	struct buf wire = {0};
+	struct record snapshot;
+	struct record_bytes *state = &snapshot.config_snapshot.state;
+	uint8_t *bytes;
+	size_t len;
+
+	config_fold_init(&fold);
+	config_fold_init(&copy);
+	put(&fold, 1, 0, "{\"a\":1}");
+	take_snapshot(&fold, &wire, &snapshot);
+	len = state->len;
+	bytes = wire.data + (state->data - wire.data);
+	for (size_t i = 0; i < len; i++) {
+		uint8_t old = bytes[i];
+
+		bytes[i] ^= 0x10;
+		if (config_fold_decode(&copy, bytes, len, NULL))
+			ck_assert(json_equal(copy.document, fold.document));
+		bytes[i] = old;
+		ck_assert(!config_fold_decode(&copy, bytes, i, NULL));
+	}
+	ck_assert(config_fold_decode(&copy, bytes, len, NULL));
+	state->len = len - 1;
+	ck_assert_int_eq(
+	    config_fold_apply(&fold, 1, &snapshot), CONFIG_MALFORMED);
+	config_fold_reset(&fold);
+	config_fold_reset(&copy);
+	buf_reset(&wire);
+}
+END_TEST
+
+START_TEST(a_long_history_fits_into_one_record)
+{
+	struct config_fold fold;
+	struct buf wire = {0};
+	struct buf text = {0};
+	char patch[128];
+
+	config_fold_init(&fold);
+	for (uint64_t i = 0; i < 30000; i++) {
+		snprintf(patch, sizeof(patch),
+		    "{\"servers\":{\"runner-%d\":{\"leaving\":%s}}}",
+		    (int)(i % 770), i % 2 == 0 ? "true" : "false");
+		ck_assert_int_eq(put(&fold, i * 0x9e3779b97f4a7c15, i, patch),
+		    CONFIG_ACCEPTED);
+	}
+	config_fold_encode(&fold, 0, &text);
+	config_snapshot_encode(&fold, 1, 0, &wire);
+	printf("history of 30000 versions: %zu bytes as JSON, %zu bytes in "
+	       "the log\n",
+	    text.len, wire.len);
+	ck_assert_uint_lt(wire.len, PLOG_RECORD_BYTES);
+	config_fold_reset(&fold);
+	buf_reset(&wire);
+	buf_reset(&text);
+}
+END_TEST
+
 START_TEST(snapshots_are_due_before_the_history_expires)
 {
 	struct config_snapshot_policy policy = {
@@ -301,6 +365,8 @@
 	    a_snapshot_with_a_gap_behind_it_is_not_used,
 	    an_import_starts_an_empty_log,
 	    a_cut_state_is_an_error,
+	    a_damaged_snapshot_is_malformed,
+	    a_long_history_fits_into_one_record,
 	    snapshots_are_due_before_the_history_expires,
 	};
 
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -156,6 +156,9 @@
 	}
 	ck_assert_uint_eq(
 	    members_order(&members, "r-b", 1, SECOND, order, 3), 3);
+	ck_assert_uint_eq(members_rank(&members, "entry-2", SECOND), 4);
+	members.items[11].draining = true;
+	ck_assert_uint_eq(members_rank(&members, "entry-2", SECOND), 3);
 	members_reset(&members);
 }
 END_TEST
