--- a/common/field.c
+++ b/common/wire.c
@@ -1,90 +1,92 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/field.h"
 #include "common/hash.h"
 #include "common/memory.h"
+#include "common/wire.h"
 
 enum {
 	LIST_MAX_ITEMS = 8192, /* bounds what a short message can allocate */
 };
 
 /* The member's pointer has a type of its own, so its bytes are copied. */
-static struct field_list
+static struct wire_list
 load_list(const void *at)
 {
-	struct field_list list;
+	struct wire_list list;
 
 	memcpy(&list, at, sizeof(list));
 	return list;
 }
 
 static void
-pack_list(msgpack_packer *packer, const struct field *field, const void *at)
+pack_list(
+    msgpack_packer *packer, const struct wire_field *field, const void *at)
 {
-	struct field_list list = load_list(at);
+	struct wire_list list = load_list(at);
 
 	msgpack_pack_array(packer, list.count);
 	for (size_t i = 0; i < list.count; i++)
-		fields_pack(packer, field->layout,
+		wire_pack(packer, field->layout,
 		    (const char *)list.items + i * field->item_size);
 }
 
 static void
-pack_field(msgpack_packer *packer, const struct field *field, const void *from)
+pack_field(
+    msgpack_packer *packer, const struct wire_field *field, const void *from)
 {
 	const void *at = (const char *)from + field->offset;
 	const struct record_bytes *bytes = at;
 
 	msgpack_pack_uint64(packer, field->key);
 	switch (field->kind) {
-	case FIELD_UNSIGNED:
+	case WIRE_UNSIGNED:
 		if (field->size == sizeof(uint32_t))
 			msgpack_pack_uint32(packer, *(const uint32_t *)at);
 		else
 			msgpack_pack_uint64(packer, *(const uint64_t *)at);
 		break;
-	case FIELD_SIGNED:
+	case WIRE_SIGNED:
 		msgpack_pack_int64(packer, *(const int64_t *)at);
 		break;
-	case FIELD_BOOL:
+	case WIRE_BOOL:
 		if (*(const bool *)at)
 			msgpack_pack_true(packer);
 		else
 			msgpack_pack_false(packer);
 		break;
-	case FIELD_TEXT:
+	case WIRE_TEXT:
 		msgpack_pack_str_with_body(packer, at, strlen(at));
 		break;
-	case FIELD_DIGEST:
+	case WIRE_DIGEST:
 		msgpack_pack_bin_with_body(packer, at, DIGEST_BYTES);
 		break;
-	case FIELD_BYTES:
+	case WIRE_BYTES:
 		msgpack_pack_bin_with_body(packer, bytes->data, bytes->len);
 		break;
-	case FIELD_LIST:
+	case WIRE_LIST:
 		pack_list(packer, field, at);
 		break;
 	}
 }
 
 static bool
-is_zero(const struct field *field, const void *from)
+is_zero(const struct wire_field *field, const void *from)
 {
 	const char *at = (const char *)from + field->offset;
 
 	switch (field->kind) {
-	case FIELD_TEXT:
+	case WIRE_TEXT:
 		return *at == '\0';
-	case FIELD_BYTES:
+	case WIRE_BYTES:
 		return ((const struct record_bytes *)(const void *)at)->len ==
 		    0;
-	case FIELD_LIST:
+	case WIRE_LIST:
 		return load_list(at).count == 0;
-	case FIELD_UNSIGNED:
-	case FIELD_SIGNED:
-	case FIELD_BOOL:
-	case FIELD_DIGEST:
+	case WIRE_UNSIGNED:
+	case WIRE_SIGNED:
+	case WIRE_BOOL:
+	case WIRE_DIGEST:
 		break;
 	}
 	for (size_t i = 0; i < field->size; i++) {
@@ -95,14 +97,14 @@
 }
 
 static bool
-is_packed(const struct field_layout *layout, size_t index, const void *from)
+is_packed(const struct wire_layout *layout, size_t index, const void *from)
 {
 	return !layout->sparse || !is_zero(&layout->fields[index], from);
 }
 
 void
-fields_pack(
-    msgpack_packer *packer, const struct field_layout *layout, const void *from)
+wire_pack(
+    msgpack_packer *packer, const struct wire_layout *layout, const void *from)
 {
 	size_t total = layout != NULL ? layout->count : 0;
 	size_t count = 0;
@@ -118,7 +120,7 @@
 
 static bool
 unpack_unsigned(
-    const struct field *field, const msgpack_object *value, void *at)
+    const struct wire_field *field, const msgpack_object *value, void *at)
 {
 	if (value->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
 		return false;
@@ -146,7 +148,8 @@
 }
 
 static bool
-unpack_text(const struct field *field, const msgpack_object *value, char *at)
+unpack_text(
+    const struct wire_field *field, const msgpack_object *value, char *at)
 {
 	if (value->type != MSGPACK_OBJECT_STR ||
 	    value->via.str.size >= field->size ||
@@ -178,9 +181,10 @@
 }
 
 static bool
-unpack_list(const struct field *field, const msgpack_object *value, void *at)
+unpack_list(
+    const struct wire_field *field, const msgpack_object *value, void *at)
 {
-	struct field_list list = load_list(at);
+	struct wire_list list = load_list(at);
 	const msgpack_object_array *array = &value->via.array;
 
 	/* The first list of a key that comes twice is freed by the caller. */
@@ -193,7 +197,7 @@
 	list.count = array->size;
 	memcpy(at, &list, sizeof(list));
 	for (size_t i = 0; i < list.count; i++) {
-		if (!fields_unpack(&array->ptr[i], field->layout,
+		if (!wire_unpack(&array->ptr[i], field->layout,
 			(char *)list.items + i * field->item_size, NULL))
 			return false;
 	}
@@ -201,34 +205,35 @@
 }
 
 static bool
-unpack_field(const struct field *field, const msgpack_object *value, void *to)
+unpack_field(
+    const struct wire_field *field, const msgpack_object *value, void *to)
 {
 	void *at = (char *)to + field->offset;
 
 	switch (field->kind) {
-	case FIELD_UNSIGNED:
+	case WIRE_UNSIGNED:
 		return unpack_unsigned(field, value, at);
-	case FIELD_SIGNED:
+	case WIRE_SIGNED:
 		return unpack_signed(value, at);
-	case FIELD_BOOL:
+	case WIRE_BOOL:
 		if (value->type != MSGPACK_OBJECT_BOOLEAN)
 			return false;
 		*(bool *)at = value->via.boolean;
 		return true;
-	case FIELD_TEXT:
+	case WIRE_TEXT:
 		return unpack_text(field, value, at);
-	case FIELD_DIGEST:
+	case WIRE_DIGEST:
 		return unpack_digest(value, at);
-	case FIELD_BYTES:
+	case WIRE_BYTES:
 		return unpack_bytes(value, at);
-	case FIELD_LIST:
+	case WIRE_LIST:
 		return unpack_list(field, value, at);
 	}
 	return false;
 }
 
-static const struct field *
-find_field(const struct field_layout *layout, const msgpack_object *key)
+static const struct wire_field *
+find_field(const struct wire_layout *layout, const msgpack_object *key)
 {
 	if (key->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
 		return NULL;
@@ -240,7 +245,7 @@
 }
 
 bool
-fields_unpack(const msgpack_object *body, const struct field_layout *layout,
+wire_unpack(const msgpack_object *body, const struct wire_layout *layout,
     void *to, struct error *err)
 {
 	if (body->type != MSGPACK_OBJECT_MAP)
@@ -249,7 +254,7 @@
 		return true;
 	for (uint32_t i = 0; i < body->via.map.size; i++) {
 		const msgpack_object_kv *pair = &body->via.map.ptr[i];
-		const struct field *field = find_field(layout, &pair->key);
+		const struct wire_field *field = find_field(layout, &pair->key);
 
 		if (field != NULL && !unpack_field(field, &pair->val, to))
 			return error_set(err, ERROR_INVALID,
@@ -260,22 +265,22 @@
 }
 
 static void
-free_list(const struct field *field, void *at)
+free_list(const struct wire_field *field, void *at)
 {
-	struct field_list list = load_list(at);
+	struct wire_list list = load_list(at);
 
 	for (size_t i = 0; i < list.count; i++)
-		fields_free(
+		wire_free(
 		    field->layout, (char *)list.items + i * field->item_size);
 	free(list.items);
 	memset(at, 0, sizeof(list));
 }
 
 void
-fields_free(const struct field_layout *layout, void *from)
+wire_free(const struct wire_layout *layout, void *from)
 {
 	for (size_t i = 0; layout != NULL && i < layout->count; i++) {
-		if (layout->fields[i].kind == FIELD_LIST)
+		if (layout->fields[i].kind == WIRE_LIST)
 			free_list(&layout->fields[i],
 			    (char *)from + layout->fields[i].offset);
 	}
--- a/daemon/server_controller.c
+++ b/daemon/server_controller.c
@@ -16,6 +16,8 @@
 	UNHEALTHY_FAILURES = 3, /**< failed polls in a row */
 };
 
+static const char all_servers[] = "*";
+
 /** What is known of one backend server's polls. */
 struct server_poll {
 	struct list link;
@@ -30,6 +32,12 @@
 	bool declared; /**< in the configuration in force */
 };
 
+/** Orders to all servers to release one program's KV cache. */
+struct kv_sweep {
+	size_t open; /**< orders without an answer yet */
+	bool failed; /**< one of them was not confirmed */
+};
+
 /** An order to release a program's KV cache, under way. */
 struct kv_release {
 	struct list link;
@@ -38,6 +46,7 @@
 	char server[NAME_BYTES];
 	char program[PROGRAM_ID_BYTES];
 	bool ended; /**< the program is over; the owner waits for it */
+	struct kv_sweep *sweep; /**< NULL for a single order */
 };
 
 struct server_controller {
@@ -222,73 +231,120 @@
 	}
 }
 
+/* The last answer of a sweep: the owner is told if all confirmed. */
+static void
+finish_sweep(struct kv_release *release, bool ok)
+{
+	struct kv_sweep *sweep = release->sweep;
+	struct daemon *daemon = release->controller->daemon;
+
+	sweep->failed = sweep->failed || !ok;
+	if (--sweep->open > 0)
+		return;
+	if (!sweep->failed)
+		owner_kv_released(daemon->owner, release->program, all_servers,
+		    daemon->board.now_us);
+	free(sweep);
+}
+
+static void
+release_free(struct kv_release *release)
+{
+	list_remove(&release->link);
+	free(release);
+}
+
 static void
 handle_released(void *context, const struct http_answer *answer)
 {
 	struct kv_release *release = context;
 	struct daemon *daemon = release->controller->daemon;
+	bool ok = answer->result == HTTP_RESULT_OK && answer->status == 200;
 
 	daemon->board.now_us = clock_monotonic_us();
-	if (answer->result == HTTP_RESULT_OK && answer->status == 200) {
-		if (release->ended)
-			owner_kv_released(daemon->owner, release->program,
-			    release->server, daemon->board.now_us);
-	} else
+	if (!ok)
 		daemon->board.counters.retries[RETRY_RELEASE]++;
-	list_remove(&release->link);
-	free(release);
+	if (release->sweep != NULL)
+		finish_sweep(release, ok);
+	else if (ok && release->ended)
+		owner_kv_released(daemon->owner, release->program,
+		    release->server, daemon->board.now_us);
+	release_free(release);
 }
 
 static void
-send_release(struct server_controller *controller, const char *server,
-    const char *program, bool ended)
+send_order(struct server_controller *controller,
+    const struct config_server *server, const char *program, bool ended,
+    struct kv_sweep *sweep)
 {
 	struct daemon *daemon = controller->daemon;
-	const struct config_server *declared =
-	    config_find_server(daemon->board.config.current, server);
-	struct kv_release *release;
+	struct kv_release *release = xcalloc(1, sizeof(*release));
 	char body[2 * NAME_BYTES];
 	struct http_call_params params = {
+	    .address = server->address,
+	    .port = server->port,
 	    .method = HTTP_POST,
 	    .path = "/v1/kv/release",
 	    .body = body,
 	    .timeout_us = POLL_TIMEOUT_US,
 	};
 
-	if (declared == NULL) {
-		/* A server that is no longer declared serves no one. */
-		if (ended)
-			owner_kv_released(daemon->owner, program, server,
-			    daemon->board.now_us);
-		return;
-	}
-	release = xcalloc(1, sizeof(*release));
 	release->controller = controller;
 	release->ended = ended;
-	snprintf(release->server, NAME_BYTES, "%s", server);
+	release->sweep = sweep;
+	snprintf(release->server, NAME_BYTES, "%s", server->name);
 	snprintf(release->program, PROGRAM_ID_BYTES, "%s", program);
 	params.body_len = (size_t)snprintf(
 	    body, sizeof(body), "{\"program\":\"%s\"}", program);
-	params.address = declared->address;
-	params.port = declared->port;
 	list_append(&controller->releases, &release->link);
 	daemon->board.counters.kv_releases_total++;
 	release->call =
 	    http_fetch(daemon->net, &params, handle_released, release);
 }
 
+void
+server_controller_release_everywhere(
+    struct server_controller *controller, const char *program)
+{
+	const struct config *config = controller->daemon->board.config.current;
+	struct kv_sweep *sweep;
+
+	if (config->server_count == 0) {
+		owner_kv_released(controller->daemon->owner, program,
+		    all_servers, controller->daemon->board.now_us);
+		return;
+	}
+	sweep = xcalloc(1, sizeof(*sweep));
+	sweep->open = config->server_count;
+	for (size_t i = 0; i < config->server_count; i++)
+		send_order(
+		    controller, &config->servers[i], program, true, sweep);
+}
+
 void
 server_controller_release_kv(struct server_controller *controller,
     const char *server, const char *program)
 {
-	send_release(controller, server, program, true);
+	struct daemon *daemon = controller->daemon;
+	const struct config_server *declared =
+	    config_find_server(daemon->board.config.current, server);
+
+	if (declared != NULL)
+		send_order(controller, declared, program, true, NULL);
+	else /* A server that is no longer declared serves no one. */
+		owner_kv_released(
+		    daemon->owner, program, server, daemon->board.now_us);
 }
 
 void
 server_controller_drop_kv(struct server_controller *controller,
     const char *server, const char *program)
 {
-	send_release(controller, server, program, false);
+	const struct config_server *declared = config_find_server(
+	    controller->daemon->board.config.current, server);
+
+	if (declared != NULL)
+		send_order(controller, declared, program, false, NULL);
 }
 
 struct server_controller *
--- a/include/daemon/controller.h
+++ b/include/daemon/controller.h
@@ -33,6 +33,10 @@
 /** Releases the cache of a program that has ended; the owner is told. */
 void server_controller_release_kv(struct server_controller *controller,
     const char *server, const char *program);
+/** Releases it on every declared server; the owner is told once all have
+ * confirmed. */
+void server_controller_release_everywhere(
+    struct server_controller *controller, const char *program);
 /** Drops the cache of a program that pauses; nobody waits for it. */
 void server_controller_drop_kv(struct server_controller *controller,
     const char *server, const char *program);
