--- a/config/settings.c
+++ b/config/settings.c
@@ -26,6 +26,7 @@
 settings_defaults(struct settings *settings)
 {
 	*settings = (struct settings){
+	    .log_retention_us = (int64_t)24 * 3600 * US_PER_S,
 	    .members_poll_us = (int64_t)2 * US_PER_S,
 	    .max_body_bytes = (size_t)8 << 20,
 	    .max_header_bytes = (size_t)8 << 10,
--- a/config/settings_table.c
+++ b/config/settings_table.c
@@ -8,7 +8,8 @@
 	MAX_SIZE_BYTES = 1 << 30,
 };
 
-#define MAX_DURATION_US ((int64_t)24 * 3600 * US_PER_S)
+#define MAX_RETENTION_US ((int64_t)365 * 24 * 3600 * US_PER_S)
+#define MAX_DURATION_US  ((int64_t)24 * 3600 * US_PER_S)
 
 #define SETTING(section, key, kind, field, min, max, required) \
 	{ \
@@ -33,6 +34,8 @@
 	SETTING("log", "address", SETTING_ADDRESS, log_address, 0, 0, true),
     [LOG_PORT] =
 	SETTING("log", "port", SETTING_PORT, log_port, 1, MAX_PORT, true),
+    [LOG_RETENTION] = SETTING("log", "retention", SETTING_DURATION,
+	log_retention_us, US_PER_S, MAX_RETENTION_US, false),
     [MEMBERS_ADDRESS] = SETTING(
 	"members", "address", SETTING_ADDRESS, members_address, 0, 0, false),
     [MEMBERS_PORT] = SETTING(
--- a/include/config/settings.h
+++ b/include/config/settings.h
@@ -28,6 +28,7 @@
 	/* [log] */
 	char log_address[SETTING_BYTES];
 	int log_port;
+	int64_t log_retention_us; /**< shortest time that it keeps records */
 	/* [members] */
 	char members_address[SETTING_BYTES]; /**< the platform's VM list */
 	int members_port;
--- /dev/null
+++ b/tests/test_config_keeper.c
@@ -0,0 +1,208 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/keeper.h"
+#include "config/stream.h"
+#include "net/http.h"
+#include "tests/runner.h"
+
+enum {
+	MAX_RECORDS = 8,
+};
+
+/** A log with one stream, served over HTTP, and a node that reads it. */
+struct fixture {
+	uv_loop_t loop;
+	struct net *net;
+	struct counters counters;
+	struct plog *plog;
+	struct config_fold fold;
+	struct buf records[MAX_RECORDS];
+	size_t count;
+	size_t first;
+	bool lose_reply;
+	bool done;
+	bool level;
+};
+
+/* Takes the one binary of a batch of one. */
+static void
+store(struct fixture *fixture, const struct http_request *request)
+{
+	struct buf *record = &fixture->records[fixture->count];
+	size_t skip = request->body_len > 0xffff ? 6 : 4;
+
+	ck_assert_uint_lt(fixture->count, MAX_RECORDS);
+	if (request->body[1] == 0xc4)
+		skip = 3;
+	buf_append(record, request->body + skip, request->body_len - skip);
+	fixture->count++;
+}
+
+static void
+serve_read(struct fixture *fixture, struct http_exchange *exchange,
+    const struct http_request *request)
+{
+	struct plog_record records[MAX_RECORDS];
+	struct plog_read read = {
+	    .first = fixture->first,
+	    .end = fixture->count,
+	    .records = records,
+	};
+	struct buf out = {0};
+	char text[32];
+	size_t from;
+
+	ck_assert(http_request_query(request, "from", text, sizeof(text)));
+	from = strtoull(text, NULL, 10);
+	for (size_t i = from < read.first ? read.first : from;
+	     i < fixture->count; i++)
+		records[read.count++] = (struct plog_record){
+		    i, fixture->records[i].data, fixture->records[i].len};
+	plog_encode_read(&read, &out);
+	http_respond(exchange, from < read.first ? 410 : 200,
+	    "application/msgpack", NULL, out.data, out.len);
+	buf_reset(&out);
+}
+
+static void
+handle(void *context, struct http_exchange *exchange,
+    const struct http_request *request)
+{
+	struct fixture *fixture = context;
+
+	ck_assert_str_eq(request->path, "/v1/streams/config/records");
+	if (request->method == HTTP_GET) {
+		serve_read(fixture, exchange, request);
+		return;
+	}
+	store(fixture, request);
+	if (fixture->lose_reply)
+		http_abort(exchange);
+	else
+		http_respond(exchange, 200, "application/json", NULL,
+		    "{\"first_offset\":0}", 18);
+	fixture->lose_reply = false;
+}
+
+static void
+setup(struct fixture *fixture)
+{
+	struct net_options options = {
+	    .listen_address = "127.0.0.1",
+	    .handler = handle,
+	    .handler_context = fixture,
+	};
+	struct error err = {0};
+
+	memset(fixture, 0, sizeof(*fixture));
+	config_fold_init(&fixture->fold);
+	uv_loop_init(&fixture->loop);
+	fixture->net = net_create(&fixture->loop, &options, &err);
+	ck_assert_msg(fixture->net != NULL, "%s", err.text);
+	fixture->plog = plog_create(fixture->net, "127.0.0.1",
+	    net_port(fixture->net), &fixture->counters);
+}
+
+static void
+teardown(struct fixture *fixture)
+{
+	plog_destroy(fixture->plog);
+	net_destroy(fixture->net);
+	uv_run(&fixture->loop, UV_RUN_DEFAULT);
+	ck_assert_int_eq(uv_loop_close(&fixture->loop), 0);
+	config_fold_reset(&fixture->fold);
+	for (size_t i = 0; i < fixture->count; i++)
+		buf_reset(&fixture->records[i]);
+}
+
+static void
+handle_read(void *context, const struct plog_read *read)
+{
+	struct fixture *fixture = context;
+
+	fixture->done = true;
+	fixture->level =
+	    config_stream_feed(&fixture->fold, read, &fixture->counters);
+}
+
+static void
+read_level(struct fixture *fixture)
+{
+	do {
+		fixture->done = false;
+		plog_read(fixture->plog, CONFIG_STREAM,
+		    fixture->fold.next_offset, 1 << 20, 0, handle_read,
+		    fixture);
+		while (!fixture->done)
+			uv_run(&fixture->loop, UV_RUN_ONCE);
+	} while (!fixture->level);
+}
+
+static void
+publish(struct fixture *fixture, uint64_t id, const char *text)
+{
+	struct record record = {.type = RECORD_CONFIG_PATCH, .id = id};
+
+	record.config_patch.base = fixture->fold.version;
+	record.config_patch.patch.data = (const uint8_t *)text;
+	record.config_patch.patch.len = strlen(text);
+	record_encode(&record, &fixture->records[fixture->count++]);
+	read_level(fixture);
+}
+
+static void
+wait_for_records(struct fixture *fixture, size_t count)
+{
+	while (fixture->count < count)
+		uv_run(&fixture->loop, UV_RUN_ONCE);
+	read_level(fixture);
+}
+
+START_TEST(a_node_that_comes_later_has_the_whole_history)
+{
+	static const struct config_snapshot_policy policy = {.max_tail = 100};
+	struct config_keeper *keeper;
+	struct fixture fixture;
+
+	setup(&fixture);
+	keeper = config_keeper_create(fixture.plog, &policy);
+	config_keeper_check(keeper, &fixture.fold, 0, 1, 0);
+	publish(&fixture, 1, "{\"a\":1}");
+	publish(&fixture, 2, "{\"b\":2}");
+	config_keeper_check(keeper, &fixture.fold, 0, 1, 0);
+	ck_assert_uint_eq(fixture.counters.log_appends_total, 0);
+	/* The first patch expires: only this node holds it now. */
+	fixture.first = 1;
+	fixture.lose_reply = true;
+	config_keeper_check(keeper, &fixture.fold, 1, 1, 0);
+	config_keeper_check(keeper, &fixture.fold, 1, 1, 0);
+	ck_assert_uint_eq(fixture.counters.log_appends_total, 1);
+	wait_for_records(&fixture, 3);
+	ck_assert_uint_eq(fixture.fold.snapshot_upto, 2);
+	config_keeper_check(keeper, &fixture.fold, 1, INT64_MAX, 0);
+	ck_assert_uint_eq(fixture.counters.log_appends_total, 1);
+	config_keeper_destroy(keeper);
+	/* A fresh node starts at the second patch. */
+	fixture.first = 2;
+	config_fold_reset(&fixture.fold);
+	config_fold_init(&fixture.fold);
+	read_level(&fixture);
+	ck_assert(fixture.fold.complete);
+	ck_assert_uint_eq(fixture.fold.version, 2);
+	ck_assert_ptr_nonnull(config_fold_find_record(&fixture.fold, 1));
+	teardown(&fixture);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    a_node_that_comes_later_has_the_whole_history,
+	};
+
+	return run_tests(
+	    "config-keeper", tests, sizeof(tests) / sizeof(tests[0]));
+}
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -45,12 +45,13 @@
 	struct findings findings;
 
 	ck_assert(load(HEAD
-	    "[members]\naddress = ::1\nport = 9\n  poll_interval = 250 ms\n"
+	    "retention = 2 h\n[members]\naddress = ::1\nport = 9\n  poll_interval = 250 ms\n"
 	    "[limits]\nmax_body = 2 MiB ; comment\nstop_grace=5 min\n"
 	    "max_connections = 12\n[diagnostics]\nlevel = debug\n",
 	    &settings, &findings));
 	ck_assert_str_eq(settings.vm_name, "entry-1");
 	ck_assert_int_eq(settings.log_port, 7000);
+	ck_assert_int_eq(settings.log_retention_us, INT64_C(7200000000));
 	ck_assert_int_eq(settings.members_poll_us, 250000);
 	ck_assert_uint_eq(settings.max_body_bytes, 2 << 20);
 	ck_assert_int_eq(settings.stop_grace_us, 300000000);
