Test the stand-ins; take apart their programs and their main

Cause: stand-ins that are wrong make every test above them wrong. Change: each program is a value in programs.h, served by one main; tests run them in process, over HTTP and as modules in virtual time. A cut stream now ends behind exactly the tokens that were ordered.

--- a/standins/actions.c
+++ b/standins/actions.c
@@ -1,3 +1,7 @@
+/** @file
+ * standin-tool and standin-service: each request runs an action, which is
+ * counted.
+ */
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -5,7 +9,7 @@
 
 #include "common/hash.h"
 #include "common/memory.h"
-#include "standins/actions.h"
+#include "standins/programs.h"
 #include "standins/runs.h"
 
 enum {
@@ -19,14 +23,14 @@
 	bool print_runs;
 } settings;
 
-static const struct actions_program *self;
+static const char *prefix; /**< of the actions' paths */
 static struct runs *runs;
 
 /* Runs an action once its time is over. */
 static void
 run(struct standin_request *request)
 {
-	const char *name = standin_path_tail(request, self->prefix);
+	const char *name = standin_path_tail(request, prefix);
 	uint64_t before = runs_count(runs, name, request->key);
 	bool again =
 	    !settings.deduplicate || request->key[0] == '\0' || before == 0;
@@ -102,7 +106,7 @@
 static void
 handle(struct standin_request *request)
 {
-	const char *name = standin_path_tail(request, self->prefix);
+	const char *name = standin_path_tail(request, prefix);
 
 	if (strcmp(request->path, "/runs") == 0)
 		handle_runs(request);
@@ -120,27 +124,47 @@
 	return runs_stats(runs);
 }
 
-int
-actions_main(const struct actions_program *program, int argc, char **argv)
+static void
+start(struct standin *standin)
 {
-	static const struct field options[] = {
-	    {"run_ms", "MS", "Time that an action takes unless its body says",
-		FIELD_INTEGER, {.integer = &settings.run_ms}},
-	    {"deduplicate", "yes|no", "Run an action once for each key",
-		FIELD_BOOL, {.flag = &settings.deduplicate}},
-	    {"print_runs", "yes|no", "Print a line for each run", FIELD_BOOL,
-		{.flag = &settings.print_runs}},
-	};
-	const struct standin_program standin = {
-	    .name = program->name,
-	    .summary = program->summary,
-	    .options = options,
-	    .option_count = sizeof(options) / sizeof(options[0]),
-	    .handle = handle,
-	    .stats = stats,
-	};
-
-	self = program;
 	runs = runs_create();
-	return standin_main(&standin, argc, argv);
+	prefix = standin->program == &tool_program ? "/tools/" : "/services/";
+}
+
+static void
+stop(struct standin *standin)
+{
+	(void)standin;
+	runs_destroy(runs);
 }
+
+static const struct field options[] = {
+    {"run_ms", "MS", "Time that an action takes unless its body says",
+	FIELD_INTEGER, {.integer = &settings.run_ms}},
+    {"deduplicate", "yes|no", "Run an action once for each key", FIELD_BOOL,
+	{.flag = &settings.deduplicate}},
+    {"print_runs", "yes|no", "Print a line for each run", FIELD_BOOL,
+	{.flag = &settings.print_runs}},
+};
+
+const struct standin_program tool_program = {
+    .name = "standin-tool",
+    .summary = "Stand-in for a tool service: POST /tools/NAME.",
+    .options = options,
+    .option_count = sizeof(options) / sizeof(options[0]),
+    .start = start,
+    .stop = stop,
+    .handle = handle,
+    .stats = stats,
+};
+
+const struct standin_program service_program = {
+    .name = "standin-service",
+    .summary = "Stand-in for a plain service: /services/NAME.",
+    .options = options,
+    .option_count = sizeof(options) / sizeof(options[0]),
+    .start = start,
+    .stop = stop,
+    .handle = handle,
+    .stats = stats,
+};
--- a/standins/engine.c
+++ b/standins/engine.c
@@ -154,8 +154,9 @@
 static json_t *
 tokens_json(void)
 {
-	struct engine_cache *cache = engine_core_cache(engine.core);
 	struct engine_totals totals;
+	const struct engine_cache *cache = engine_core_cache(engine.core);
+	struct cache_usage usage = engine_cache_usage(cache);
 
 	engine_totals(engine.core, &totals);
 	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
@@ -164,7 +165,7 @@
 	    (json_int_t)totals.recomputed_tokens, "generated_tokens",
 	    (json_int_t)totals.generated_tokens, "steps",
 	    (json_int_t)totals.steps, "kv_cached_tokens",
-	    (json_int_t)engine_cache_blocks(cache) * TEXT_BLOCK_TOKENS,
+	    (json_int_t)usage.cached * TEXT_BLOCK_TOKENS,
 	    "kv_held_by_ended_tokens",
 	    (json_int_t)engine_cache_held_by_ended(cache) * TEXT_BLOCK_TOKENS,
 	    "exported_by_ended_bytes",
@@ -224,6 +225,7 @@
 	};
 
 	engine.standin = standin;
+	engine.counters = (struct engine_counters){0};
 	engine.core = engine_core_create(&options);
 	engine.feed = engine_feed_create(&feed_options);
 	engine_feed_add_event(
@@ -235,3 +237,16 @@
 	engine_orders_init();
 	engine_pump();
 }
+
+void
+engine_stop(struct standin *standin)
+{
+	(void)standin;
+	uv_close((uv_handle_t *)&engine.step_timer, NULL);
+	uv_close((uv_handle_t *)&engine.expiry_timer, NULL);
+	engine_orders_reset();
+	engine_kv_reset();
+	generations_reset();
+	engine_core_destroy(engine.core);
+	engine_feed_destroy(engine.feed);
+}
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -115,6 +115,7 @@
 /* ---- engine.c: see struct standin_program ---- */
 
 void engine_start(struct standin *standin);
+void engine_stop(struct standin *standin);
 void engine_handle(struct standin_request *request);
 json_t *engine_stats(struct standin *standin);
 void engine_faults_changed(struct standin *standin);
@@ -131,6 +132,7 @@
 void generation_attach(struct generation *generation,
     struct standin_request *request, uint64_t from);
 void generation_handle_event(const struct engine_event *event);
+void generations_reset(void);
 /** Forgets generations that have been without a caller for long. */
 void generations_expire(int64_t now_us);
 
@@ -141,10 +143,12 @@
 /** Returns false when the path is not one of /v1/kv. */
 bool handle_kv(struct standin_request *request);
 uint64_t engine_export_bytes_of_ended(void);
+void engine_kv_reset(void);
 void handle_program_ended(struct standin_request *request);
 void handle_orders(struct standin_request *request);
 void handle_state(struct standin_request *request);
 void engine_orders_init(void);
+void engine_orders_reset(void);
 /** Returns whether requests for a model, and an adapter unless "", run. */
 bool engine_serves(const char *model, const char *adapter);
 
--- a/standins/engine_cache.c
+++ b/standins/engine_cache.c
@@ -77,20 +77,16 @@
 
 	HASH_CLEAR(hh, cache->blocks);
 	HASH_CLEAR(hh, cache->programs);
-	while (block != NULL) {
-		struct cache_block *next = block->hh.next;
-
+	for (struct cache_block *next; block != NULL; block = next) {
+		next = block->hh.next;
 		list_for_each_safe (
 		    hold, tmp, &block->holds, struct hold, of_block)
 			hold_free(hold);
 		free(block);
-		block = next;
 	}
-	while (program != NULL) {
-		struct program *next = program->hh.next;
-
+	for (struct program *next; program != NULL; program = next) {
+		next = program->hh.next;
 		free(program);
-		program = next;
 	}
 	free(cache);
 }
@@ -343,24 +339,6 @@
 	return count;
 }
 
-size_t
-engine_cache_capacity(const struct engine_cache *cache)
-{
-	return cache->capacity;
-}
-
-size_t
-engine_cache_blocks(const struct engine_cache *cache)
-{
-	return cache->count;
-}
-
-size_t
-engine_cache_pinned(const struct engine_cache *cache)
-{
-	return cache->pinned;
-}
-
 size_t
 engine_cache_held(const struct engine_cache *cache, const char *name)
 {
@@ -381,13 +359,21 @@
 	size_t held = 0;
 
 	for (const struct program *program = cache->programs; program != NULL;
-	     program = program->hh.next) {
-		if (program->ended)
-			held += program->held;
-	}
+	     program = program->hh.next)
+		held += program->ended ? program->held : 0;
 	return held;
 }
 
+struct cache_usage
+engine_cache_usage(const struct engine_cache *cache)
+{
+	return (struct cache_usage){
+	    .capacity = cache->capacity,
+	    .cached = cache->count,
+	    .pinned = cache->pinned,
+	};
+}
+
 bool
 engine_cache_next_change(
     struct engine_cache *cache, struct cache_change *change)
--- a/standins/engine_cache.h
+++ b/standins/engine_cache.h
@@ -37,6 +37,13 @@
 	uint64_t held;    /**< blocks afterwards */
 };
 
+/** Numbers of blocks. */
+struct cache_usage {
+	size_t capacity;
+	size_t cached; /**< those pinned included */
+	size_t pinned;
+};
+
 struct engine_cache *engine_cache_create(size_t capacity_blocks);
 void engine_cache_destroy(struct engine_cache *cache);
 
@@ -66,16 +73,14 @@
 size_t engine_cache_import(struct engine_cache *cache, const char *program,
     const uint64_t *hashes, size_t count);
 
-size_t engine_cache_capacity(const struct engine_cache *cache);
-size_t engine_cache_blocks(const struct engine_cache *cache);
-size_t engine_cache_pinned(const struct engine_cache *cache);
 /** Returns the blocks held for a program. */
 size_t engine_cache_held(const struct engine_cache *cache, const char *name);
 /** Marks a program as ended, for engine_cache_held_by_ended() only. */
 void engine_cache_mark_ended(struct engine_cache *cache, const char *name);
-/** Returns the blocks held for programs that are marked as ended, each block
- * counted once for each of them. */
+/** Returns the blocks held for programs marked as ended; a block counts once
+ * for each of them. */
 size_t engine_cache_held_by_ended(const struct engine_cache *cache);
+struct cache_usage engine_cache_usage(const struct engine_cache *cache);
 /** Takes the next change since the last call; false: none. */
 bool engine_cache_next_change(
     struct engine_cache *cache, struct cache_change *change);
--- a/standins/engine_kv.c
+++ b/standins/engine_kv.c
@@ -108,6 +108,13 @@
 	(void)request;
 }
 
+void
+engine_kv_reset(void)
+{
+	list_for_each_safe (export, tmp, &exports, struct kv_export, link)
+		export_free(export);
+}
+
 /* ---- held and release ---- */
 
 static void
--- a/standins/engine_orders.c
+++ b/standins/engine_orders.c
@@ -349,3 +349,12 @@
 	uv_timer_start(
 	    &grant_timer, handle_grant_timer, GRANT_TICK_MS, GRANT_TICK_MS);
 }
+
+void
+engine_orders_reset(void)
+{
+	uv_close((uv_handle_t *)&grant_timer, NULL);
+	list_for_each_safe (weights, tmp, &loaded, struct weights, link)
+		weights_free(weights);
+	newest_fencing = 0;
+}
--- a/standins/engine_main.c
+++ b/standins/engine_program.c
@@ -2,6 +2,7 @@
  * Command line and ordered faults of standin-engine.
  */
 #include "standins/engine.h"
+#include "standins/programs.h"
 
 #define INTEGER(name, arg, help) \
 	{ \
@@ -72,21 +73,16 @@
 	{.flag = &engine.faults.ignore_cancel}},
 };
 
-int
-main(int argc, char **argv)
-{
-	static const struct standin_program program = {
-	    .name = "standin-engine",
-	    .summary = "Stand-in for a model engine.",
-	    .options = options,
-	    .option_count = sizeof(options) / sizeof(options[0]),
-	    .faults = faults,
-	    .fault_count = sizeof(faults) / sizeof(faults[0]),
-	    .start = engine_start,
-	    .handle = engine_handle,
-	    .stats = engine_stats,
-	    .faults_changed = engine_faults_changed,
-	};
-
-	return standin_main(&program, argc, argv);
-}
+const struct standin_program engine_program = {
+    .name = "standin-engine",
+    .summary = "Stand-in for a model engine.",
+    .options = options,
+    .option_count = sizeof(options) / sizeof(options[0]),
+    .faults = faults,
+    .fault_count = sizeof(faults) / sizeof(faults[0]),
+    .start = engine_start,
+    .stop = engine_stop,
+    .handle = engine_handle,
+    .stats = engine_stats,
+    .faults_changed = engine_faults_changed,
+};
--- a/standins/engine_stream.c
+++ b/standins/engine_stream.c
@@ -230,13 +230,26 @@
 
 /* ---- what the core has made ---- */
 
+/* Ends the connection behind the tokens that the fault lets pass. */
+static void
+cut_caller(struct generation *generation)
+{
+	struct standin_request *request = generation->request;
+
+	if (request == NULL)
+		return;
+	detach(generation);
+	if (generation->stream && generation->sent > 0)
+		standin_stream_end(request);
+	else
+		standin_cut(request);
+}
+
 /* Does what a fault orders when the first token past its place is made, which
  * no caller sees. Returns whether the answer goes on without a caller. */
 static bool
 apply_fault(struct generation *generation)
 {
-	struct standin_request *request = generation->request;
-
 	switch (generation->fault) {
 	case GENERATION_SOUND:
 		return true;
@@ -245,10 +258,7 @@
 		return false;
 	case GENERATION_CUTS:
 		generation->fault = GENERATION_SOUND;
-		if (request != NULL) {
-			detach(generation);
-			standin_cut(request);
-		}
+		cut_caller(generation);
 		return true;
 	case GENERATION_CRASHES:
 		_exit(CRASH_STATUS);
@@ -278,6 +288,18 @@
 	send_produced(generation);
 }
 
+void
+generations_reset(void)
+{
+	struct generation *next;
+
+	for (struct generation *generation = engine.by_id; generation != NULL;
+	     generation = next) {
+		next = generation->by_id.next;
+		generation_remove(generation);
+	}
+}
+
 void
 generations_expire(int64_t now_us)
 {
--- a/standins/log.c
+++ b/standins/log.c
@@ -12,7 +12,7 @@
 #include "common/memory.h"
 #include "common/pack.h"
 #include "standins/log_store.h"
-#include "standins/standin.h"
+#include "standins/programs.h"
 
 enum {
 	DEFAULT_READ_BYTES = 1 << 20,
@@ -265,29 +265,32 @@
 	store = log_store_create(&options);
 }
 
-int
-main(int argc, char **argv)
+static void
+stop(struct standin *standin)
 {
-	static const struct field options[] = {
-	    {"appends_per_s", "N", "Appends a second, all streams together",
-		FIELD_REAL, {.real = &appends_per_s}},
-	    {"append_burst", "N", "Appends that may come at once", FIELD_REAL,
-		{.real = &append_burst}},
-	    {"retention_s", "S", "Age at which records go; 0: never",
-		FIELD_REAL, {.real = &retention_s}},
-	    {"retention_records", "N", "Records kept a stream; 0: all",
-		FIELD_INTEGER, {.integer = &retention_records}},
-	};
-	static const struct standin_program program = {
-	    .name = "standin-log",
-	    .summary = "Stand-in for the platform's append-only log.",
-	    .options = options,
-	    .option_count = sizeof(options) / sizeof(options[0]),
-	    .start = start,
-	    .handle = handle,
-	    .stats = stats,
-	    .faults_changed = handle_faults_changed,
-	};
-
-	return standin_main(&program, argc, argv);
+	(void)standin;
+	log_store_destroy(store);
 }
+
+static const struct field options[] = {
+    {"appends_per_s", "N", "Appends a second, all streams together", FIELD_REAL,
+	{.real = &appends_per_s}},
+    {"append_burst", "N", "Appends that may come at once", FIELD_REAL,
+	{.real = &append_burst}},
+    {"retention_s", "S", "Age at which records go; 0: never", FIELD_REAL,
+	{.real = &retention_s}},
+    {"retention_records", "N", "Records kept a stream; 0: all", FIELD_INTEGER,
+	{.integer = &retention_records}},
+};
+
+const struct standin_program log_program = {
+    .name = "standin-log",
+    .summary = "Stand-in for the platform's append-only log.",
+    .options = options,
+    .option_count = sizeof(options) / sizeof(options[0]),
+    .start = start,
+    .stop = stop,
+    .handle = handle,
+    .stats = stats,
+    .faults_changed = handle_faults_changed,
+};
--- a/standins/standin.c
+++ b/standins/standin.c
@@ -116,36 +116,59 @@
 		free((char *)options[i].name);
 }
 
-int
-standin_main(const struct standin_program *program, int argc, char **argv)
+bool
+standin_open(struct standin *standin, const struct standin_program *program,
+    struct error *err)
 {
-	static struct standin standin;
 	struct net_options options = {
 	    .listen_address = "127.0.0.1",
+	    .listen_port = (int)standin->listen_port,
 	    .max_body_bytes = MAX_BODY_BYTES,
 	    .max_send_queue_bytes = MAX_SEND_QUEUE_BYTES,
+	    .max_connections = (int)standin->max_connections,
 	    .handler = handle_request,
-	    .handler_context = &standin,
+	    .handler_context = standin,
+	};
+
+	standin->program = program;
+	if (standin->seed > 0)
+		rng_init(&standin->rng, (uint64_t)standin->seed);
+	else
+		rng_init_random(&standin->rng);
+	uv_loop_init(&standin->loop);
+	standin->net = net_create(&standin->loop, &options, err);
+	if (standin->net == NULL)
+		return false;
+	if (program->start != NULL)
+		program->start(standin);
+	return true;
+}
+
+void
+standin_close(struct standin *standin)
+{
+	net_destroy(standin->net);
+	if (standin->program->stop != NULL)
+		standin->program->stop(standin);
+	uv_run(&standin->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&standin->loop);
+	free(standin->match_path);
+}
+
+int
+standin_main(const struct standin_program *program, int argc, char **argv)
+{
+	static struct standin standin = {
+	    .max_connections = DEFAULT_CONNECTIONS,
 	};
 	struct error err = {0};
 
 	standin.program = program;
-	standin.max_connections = DEFAULT_CONNECTIONS;
 	parse_options(&standin, argc, argv);
-	if (standin.seed > 0)
-		rng_init(&standin.rng, (uint64_t)standin.seed);
-	else
-		rng_init_random(&standin.rng);
-	options.listen_port = (int)standin.listen_port;
-	options.max_connections = (int)standin.max_connections;
-	uv_loop_init(&standin.loop);
-	standin.net = net_create(&standin.loop, &options, &err);
-	if (standin.net == NULL) {
+	if (!standin_open(&standin, program, &err)) {
 		fprintf(stderr, "%s: %s\n", program->name, err.text);
 		return EXIT_FAILURE;
 	}
-	if (program->start != NULL)
-		program->start(&standin);
 	printf("listening %d\n", net_port(standin.net));
 	fflush(stdout);
 	uv_run(&standin.loop, UV_RUN_DEFAULT);
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -50,6 +50,8 @@
 	size_t fault_count;
 	/** Called once the server listens. May be NULL. */
 	void (*start)(struct standin *standin);
+	/** Frees what start() made. May be NULL. */
+	void (*stop)(struct standin *standin);
 	/** Takes a request, which ends in one of standin_reply*(),
 	 * standin_stream_end() or standin_cut(). */
 	void (*handle)(struct standin_request *request);
@@ -85,6 +87,12 @@
 	char *match_path;
 };
 
+/** Starts to listen, on a loop of its own. The members listen_port,
+ * max_connections and seed are read. Errors: ERROR_IO. */
+bool standin_open(struct standin *standin,
+    const struct standin_program *program, struct error *err);
+/** Stops and frees what standin_open() made. */
+void standin_close(struct standin *standin);
 /** Runs a stand-in until the process is killed. Returns the exit status. */
 int standin_main(const struct standin_program *program, int argc, char **argv);
 /** Takes one of a number of ordered faults; false: none is left. */
--- a/standins/vmlist.c
+++ b/standins/vmlist.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "common/clock.h"
-#include "standins/standin.h"
+#include "standins/programs.h"
 #include "standins/vm_list.h"
 
 static int64_t lag_ms = 5000;
@@ -57,22 +57,24 @@
 	list = vm_list_create(lag_ms * US_PER_MS);
 }
 
-int
-main(int argc, char **argv)
+static void
+stop(struct standin *standin)
 {
-	static const struct field options[] = {
-	    {"lag_ms", "MS", "Time after which a change is shown",
-		FIELD_INTEGER, {.integer = &lag_ms}},
-	};
-	static const struct standin_program program = {
-	    .name = "standin-vmlist",
-	    .summary = "Stand-in for the platform's lagging list of VMs.",
-	    .options = options,
-	    .option_count = sizeof(options) / sizeof(options[0]),
-	    .start = start,
-	    .handle = handle,
-	    .stats = stats,
-	};
-
-	return standin_main(&program, argc, argv);
+	(void)standin;
+	vm_list_destroy(list);
 }
+
+static const struct field options[] = {
+    {"lag_ms", "MS", "Time after which a change is shown", FIELD_INTEGER,
+	{.integer = &lag_ms}},
+};
+const struct standin_program vmlist_program = {
+    .name = "standin-vmlist",
+    .summary = "Stand-in for the platform's lagging list of VMs.",
+    .options = options,
+    .option_count = sizeof(options) / sizeof(options[0]),
+    .start = start,
+    .stop = stop,
+    .handle = handle,
+    .stats = stats,
+};
--- a/standins/weights.c
+++ b/standins/weights.c
@@ -3,7 +3,7 @@
  * the other; a client loads within the time that its grant names.
  */
 #include "common/clock.h"
-#include "standins/standin.h"
+#include "standins/programs.h"
 
 static double bytes_per_s = 8e9;
 static int64_t max_backlog_ms = 60000;
@@ -76,23 +76,17 @@
 	    granted_bytes, "refusals", refusals, "backlog_ms", backlog_ms);
 }
 
-int
-main(int argc, char **argv)
-{
-	static const struct field options[] = {
-	    {"bytes_per_s", "N", "Rate of all transfers together", FIELD_REAL,
-		{.real = &bytes_per_s}},
-	    {"max_backlog_ms", "MS", "Longest wait of a grant, then 429",
-		FIELD_INTEGER, {.integer = &max_backlog_ms}},
-	};
-	static const struct standin_program program = {
-	    .name = "standin-weights",
-	    .summary = "Stand-in for a rate-limited weight store.",
-	    .options = options,
-	    .option_count = sizeof(options) / sizeof(options[0]),
-	    .handle = handle,
-	    .stats = stats,
-	};
-
-	return standin_main(&program, argc, argv);
-}
+static const struct field options[] = {
+    {"bytes_per_s", "N", "Rate of all transfers together", FIELD_REAL,
+	{.real = &bytes_per_s}},
+    {"max_backlog_ms", "MS", "Longest wait of a grant, then 429", FIELD_INTEGER,
+	{.integer = &max_backlog_ms}},
+};
+const struct standin_program weights_program = {
+    .name = "standin-weights",
+    .summary = "Stand-in for a rate-limited weight store.",
+    .options = options,
+    .option_count = sizeof(options) / sizeof(options[0]),
+    .handle = handle,
+    .stats = stats,
+};
