--- a/standins/engine.c
+++ b/standins/engine.c
@@ -70,13 +70,13 @@
 	int64_t next_us;
 	int64_t wait_us;
 
-	engine_advance(engine.core, now_us);
-	while (engine_next_event(engine.core, &event))
+	engine_core_advance(engine.core, now_us);
+	while (engine_core_next_event(engine.core, &event))
 		generation_handle_event(&event);
 	tell_changes(now_us);
-	engine_measure(engine.core, now_us, &load);
+	engine_core_measure(engine.core, now_us, &load);
 	engine_feed_add_load(engine.feed, &load);
-	next_us = engine_next_us(engine.core);
+	next_us = engine_core_next_us(engine.core);
 	if (next_us == INT64_MAX) {
 		uv_timer_stop(&engine.step_timer);
 		return;
@@ -131,13 +131,13 @@
 		const char *path;
 		void (*handle)(struct standin_request *request);
 	} paths[] = {
-	    {HTTP_POST, "/v1/chat/completions", handle_chat},
-	    {HTTP_POST, "/v1/cancel", handle_cancel},
+	    {HTTP_POST, "/v1/chat/completions", engine_handle_chat},
+	    {HTTP_POST, "/v1/cancel", engine_handle_cancel},
 	    {HTTP_GET, "/v1/load", handle_load},
 	    {HTTP_GET, "/v1/events", handle_events},
-	    {HTTP_GET, "/v1/state", handle_state},
-	    {HTTP_POST, "/v1/orders", handle_orders},
-	    {HTTP_POST, "/programs/ended", handle_program_ended},
+	    {HTTP_GET, "/v1/state", engine_handle_state},
+	    {HTTP_POST, "/v1/orders", engine_handle_orders},
+	    {HTTP_POST, "/programs/ended", engine_handle_program_ended},
 	};
 
 	for (size_t i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
@@ -147,7 +147,7 @@
 			return;
 		}
 	}
-	if (!handle_kv(request))
+	if (!engine_handle_kv(request))
 		standin_reply_error(request, 404, "unknown_path");
 }
 
@@ -158,7 +158,7 @@
 	const struct engine_cache *cache = engine_core_cache(engine.core);
 	struct cache_usage usage = engine_cache_usage(cache);
 
-	engine_totals(engine.core, &totals);
+	engine_core_totals(engine.core, &totals);
 	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
 	    "prompt_tokens", (json_int_t)totals.prompt_tokens, "cached_tokens",
 	    (json_int_t)totals.cached_tokens, "recomputed_tokens",
@@ -201,7 +201,7 @@
 engine_faults_changed(struct standin *standin)
 {
 	(void)standin;
-	engine_set_slow(engine.core, engine.faults.slow_step_us);
+	engine_core_set_slow(engine.core, engine.faults.slow_step_us);
 }
 
 void
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -138,15 +138,15 @@
 
 /* ---- the paths ---- */
 
-void handle_chat(struct standin_request *request);
-void handle_cancel(struct standin_request *request);
+void engine_handle_chat(struct standin_request *request);
+void engine_handle_cancel(struct standin_request *request);
 /** Returns false when the path is not one of /v1/kv. */
-bool handle_kv(struct standin_request *request);
+bool engine_handle_kv(struct standin_request *request);
 uint64_t engine_export_bytes_of_ended(void);
 void engine_kv_reset(void);
-void handle_program_ended(struct standin_request *request);
-void handle_orders(struct standin_request *request);
-void handle_state(struct standin_request *request);
+void engine_handle_program_ended(struct standin_request *request);
+void engine_handle_orders(struct standin_request *request);
+void engine_handle_state(struct standin_request *request);
 void engine_orders_init(void);
 void engine_orders_reset(void);
 /** Returns whether requests for a model, and an adapter unless "", run. */
--- a/standins/engine_chat.c
+++ b/standins/engine_chat.c
@@ -178,7 +178,8 @@
 	hashes = text_block_hashes(chat->prompt.data, chat->prompt.len,
 	    cache_seed(chat), &request.hash_count);
 	request.hashes = hashes;
-	verdict = engine_submit(engine.core, &request, clock_monotonic_us());
+	verdict =
+	    engine_core_submit(engine.core, &request, clock_monotonic_us());
 	free(hashes);
 	return verdict;
 }
@@ -207,7 +208,7 @@
 }
 
 void
-handle_chat(struct standin_request *request)
+engine_handle_chat(struct standin_request *request)
 {
 	struct chat chat;
 
@@ -226,7 +227,7 @@
 }
 
 void
-handle_cancel(struct standin_request *request)
+engine_handle_cancel(struct standin_request *request)
 {
 	json_t *root = standin_request_json(request);
 	const char *attempt = NULL;
@@ -243,7 +244,7 @@
 	    !engine.faults.ignore_cancel;
 	if (running) {
 		engine.counters.cancelled++;
-		engine_cancel(
+		engine_core_cancel(
 		    engine.core, generation->id, clock_monotonic_us());
 		generation_remove(generation);
 		engine_pump();
--- a/standins/engine_core.c
+++ b/standins/engine_core.c
@@ -43,7 +43,7 @@
 }
 
 bool
-engine_next_event(struct engine_core *core, struct engine_event *event)
+engine_core_next_event(struct engine_core *core, struct engine_event *event)
 {
 	struct queued_event *queued;
 
@@ -70,8 +70,8 @@
 }
 
 enum engine_verdict
-engine_submit(struct engine_core *core, const struct engine_request *request,
-    int64_t now_us)
+engine_core_submit(struct engine_core *core,
+    const struct engine_request *request, int64_t now_us)
 {
 	uint64_t tokens = request->prompt_tokens + request->answer_tokens;
 	uint64_t blocks = (tokens + TEXT_BLOCK_TOKENS - 1) / TEXT_BLOCK_TOKENS;
@@ -107,7 +107,7 @@
 }
 
 bool
-engine_cancel(struct engine_core *core, uint64_t id, int64_t now_us)
+engine_core_cancel(struct engine_core *core, uint64_t id, int64_t now_us)
 {
 	struct job *job = find_job(core, id);
 
@@ -125,7 +125,7 @@
 }
 
 void
-engine_stall(struct engine_core *core, uint64_t id)
+engine_core_stall(struct engine_core *core, uint64_t id)
 {
 	struct job *job = find_job(core, id);
 
@@ -134,7 +134,7 @@
 }
 
 uint64_t
-engine_release(struct engine_core *core, const char *program)
+engine_core_release(struct engine_core *core, const char *program)
 {
 	list_for_each (job, &core->running, struct job, link) {
 		if (strcmp(job->request.program, program) == 0)
@@ -144,7 +144,7 @@
 }
 
 void
-engine_set_slow(struct engine_core *core, int64_t step_us)
+engine_core_set_slow(struct engine_core *core, int64_t step_us)
 {
 	core->slow_us = step_us;
 }
@@ -152,7 +152,7 @@
 /* ---- measures ---- */
 
 void
-engine_measure(
+engine_core_measure(
     const struct engine_core *core, int64_t now_us, struct engine_load *load)
 {
 	struct cache_usage usage = engine_cache_usage(core->cache);
@@ -175,7 +175,7 @@
 }
 
 void
-engine_totals(const struct engine_core *core, struct engine_totals *totals)
+engine_core_totals(const struct engine_core *core, struct engine_totals *totals)
 {
 	*totals = core->totals;
 }
--- a/standins/engine_core.h
+++ b/standins/engine_core.h
@@ -77,28 +77,29 @@
 void engine_core_destroy(struct engine_core *core);
 struct engine_cache *engine_core_cache(struct engine_core *core);
 
-enum engine_verdict engine_submit(struct engine_core *core,
+enum engine_verdict engine_core_submit(struct engine_core *core,
     const struct engine_request *request, int64_t now_us);
 /** Ends a request; no event follows. Returns false when it is unknown. */
-bool engine_cancel(struct engine_core *core, uint64_t id, int64_t now_us);
+bool engine_core_cancel(struct engine_core *core, uint64_t id, int64_t now_us);
 /** Lets a request keep its place but make no more tokens. */
-void engine_stall(struct engine_core *core, uint64_t id);
+void engine_core_stall(struct engine_core *core, uint64_t id);
 /** Drops what is held for a program; what its running requests have pinned
  * goes when they end. Returns the number of tokens held before. */
-uint64_t engine_release(struct engine_core *core, const char *program);
+uint64_t engine_core_release(struct engine_core *core, const char *program);
 /** Slows each step from the next one on; 0: not at all. */
-void engine_set_slow(struct engine_core *core, int64_t step_us);
+void engine_core_set_slow(struct engine_core *core, int64_t step_us);
 
 /** Returns when the present step ends; INT64_MAX: nothing to do. */
-int64_t engine_next_us(const struct engine_core *core);
+int64_t engine_core_next_us(const struct engine_core *core);
 /** Does all steps that end by now. */
-void engine_advance(struct engine_core *core, int64_t now_us);
+void engine_core_advance(struct engine_core *core, int64_t now_us);
 /** Takes the next event; false: none. */
-bool engine_next_event(struct engine_core *core, struct engine_event *event);
+bool
+engine_core_next_event(struct engine_core *core, struct engine_event *event);
 
-void engine_measure(
+void engine_core_measure(
     const struct engine_core *core, int64_t now_us, struct engine_load *load);
-void
-engine_totals(const struct engine_core *core, struct engine_totals *totals);
+void engine_core_totals(
+    const struct engine_core *core, struct engine_totals *totals);
 
 #endif
--- a/standins/engine_kv.c
+++ b/standins/engine_kv.c
@@ -150,7 +150,7 @@
 		return;
 	}
 	engine.counters.releases++;
-	tokens = (json_int_t)engine_release(engine.core, program);
+	tokens = (json_int_t)engine_core_release(engine.core, program);
 	list_for_each_safe (export, tmp, &exports, struct kv_export, link) {
 		if (strcmp(export->program, program) == 0)
 			export_free(export);
@@ -161,7 +161,7 @@
 }
 
 void
-handle_program_ended(struct standin_request *request)
+engine_handle_program_ended(struct standin_request *request)
 {
 	json_t *root = standin_request_json(request);
 	char program[ENGINE_NAME_BYTES];
@@ -349,7 +349,7 @@
 }
 
 bool
-handle_kv(struct standin_request *request)
+engine_handle_kv(struct standin_request *request)
 {
 	static const struct {
 		enum http_method method;
--- a/standins/engine_orders.c
+++ b/standins/engine_orders.c
@@ -272,7 +272,7 @@
 }
 
 void
-handle_orders(struct standin_request *request)
+engine_handle_orders(struct standin_request *request)
 {
 	struct order order;
 	bool stale;
@@ -316,7 +316,7 @@
 }
 
 void
-handle_state(struct standin_request *request)
+engine_handle_state(struct standin_request *request)
 {
 	standin_reply(request, 200,
 	    json_pack("{s:o, s:o, s:s, s:I, s:s}", "models",
--- a/standins/engine_step.c
+++ b/standins/engine_step.c
@@ -179,13 +179,13 @@
 }
 
 int64_t
-engine_next_us(const struct engine_core *core)
+engine_core_next_us(const struct engine_core *core)
 {
 	return core->step_end_us;
 }
 
 void
-engine_advance(struct engine_core *core, int64_t now_us)
+engine_core_advance(struct engine_core *core, int64_t now_us)
 {
 	while (core->step_end_us <= now_us) {
 		int64_t ended_us = core->step_end_us;
--- a/standins/engine_stream.c
+++ b/standins/engine_stream.c
@@ -254,7 +254,7 @@
 	case GENERATION_SOUND:
 		return true;
 	case GENERATION_STALLS:
-		engine_stall(engine.core, generation->id);
+		engine_core_stall(engine.core, generation->id);
 		return false;
 	case GENERATION_CUTS:
 		generation->fault = GENERATION_SOUND;
@@ -311,7 +311,7 @@
 		if (generation->request != NULL ||
 		    now_us < generation->expires_us)
 			continue;
-		if (engine_cancel(engine.core, generation->id, now_us))
+		if (engine_core_cancel(engine.core, generation->id, now_us))
 			engine.counters.abandoned++;
 		generation_remove(generation);
 	}
--- a/tests/test_standins.c
+++ b/tests/test_standins.c
@@ -231,21 +231,21 @@
 	for (size_t i = 0; i < request.hash_count; i++)
 		hashes[i] = (content << 32) + i;
 	memcpy(request.program, "p", 2);
-	return engine_submit(core, &request, now_us);
+	return engine_core_submit(core, &request, now_us);
 }
 
 /* Does one step; returns false when the engine is idle. */
 static bool
 step(struct engine_core *core, struct outcome *outcome)
 {
-	int64_t now_us = engine_next_us(core);
+	int64_t now_us = engine_core_next_us(core);
 	struct engine_event event;
 	struct engine_load load;
 
 	if (now_us == INT64_MAX)
 		return false;
-	engine_advance(core, now_us);
-	while (engine_next_event(core, &event)) {
+	engine_core_advance(core, now_us);
+	while (engine_core_next_event(core, &event)) {
 		if (event.produced == 1 && event.type == ENGINE_TOKEN)
 			outcome->first_us[event.id] = now_us;
 		outcome->produced[event.id] = event.produced;
@@ -255,7 +255,7 @@
 		outcome->end_us[event.id] = now_us;
 		outcome->finished++;
 	}
-	engine_measure(core, now_us, &load);
+	engine_core_measure(core, now_us, &load);
 	ck_assert_uint_le(load.kv_used_tokens, load.kv_tokens);
 	return true;
 }
@@ -317,11 +317,11 @@
 	while (step(core, &outcome))
 		;
 	ck_assert_uint_eq(outcome.finished, 80);
-	engine_measure(core, 0, &load);
+	engine_core_measure(core, 0, &load);
 	ck_assert_uint_eq(load.kv_used_tokens, 0);
 	ck_assert_uint_eq(load.running + load.waiting, 0);
-	engine_release(core, "p");
-	engine_measure(core, 0, &load);
+	engine_core_release(core, "p");
+	engine_core_measure(core, 0, &load);
 	ck_assert_uint_eq(load.kv_cached_tokens, 0);
 	engine_core_destroy(core);
 }
@@ -336,16 +336,16 @@
 	ck_assert_int_eq(submit(core, 9, 0, 9, 300, 21, 0), ENGINE_TOO_LONG);
 	submit(core, 1, 0, 1, 150, 10, 0);
 	submit(core, 2, 0, 2, 300, 10, 0);
-	engine_stall(core, 1);
+	engine_core_stall(core, 1);
 	while (step(core, &outcome))
 		;
 	ck_assert_uint_eq(outcome.produced[1], 0);
-	ck_assert(engine_cancel(core, 1, 500000));
-	ck_assert(!engine_cancel(core, 1, 500000));
+	ck_assert(engine_core_cancel(core, 1, 500000));
+	ck_assert(!engine_core_cancel(core, 1, 500000));
 	while (step(core, &outcome))
 		;
 	ck_assert_uint_eq(outcome.produced[2], 10);
-	engine_measure(core, 0, &load);
+	engine_core_measure(core, 0, &load);
 	ck_assert_uint_eq(load.kv_used_tokens, 0);
 	engine_core_destroy(core);
 }
