--- /dev/null
+++ b/standins/caller_program.c
@@ -0,0 +1,219 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "standins/caller.h"
+#include "standins/text.h"
+
+enum {
+	MAX_TRIES = 8,
+	RETRY_MS = 100,
+	TOKEN_LETTERS = TEXT_TOKEN_BYTES - 1,
+};
+
+static void next_step(struct load_program *program);
+
+static void
+handle_closed(uv_handle_t *handle)
+{
+	free(handle->data);
+}
+
+static void
+program_finish(struct load_program *program, bool ok)
+{
+	struct caller *caller = program->caller;
+
+	if (ok) {
+		caller->results.programs_done++;
+		samples_add(&caller->results.program_us,
+		    clock_monotonic_us() - program->begun_us);
+	} else {
+		caller->results.programs_failed++;
+	}
+	json_decref(program->history);
+	free(program->content);
+	program->timer.data = program;
+	uv_close((uv_handle_t *)&program->timer, handle_closed);
+	caller_program_over(caller);
+}
+
+static void
+handle_timer(uv_timer_t *timer)
+{
+	next_step(timer->data);
+}
+
+static void
+next_step_later(struct load_program *program, int64_t delay_ms)
+{
+	uv_update_time(&program->caller->loop);
+	uv_timer_start(&program->timer, handle_timer, (uint64_t)delay_ms, 0);
+}
+
+void
+load_program_retry(struct load_program *program, const char *owner)
+{
+	program->caller->results.retries++;
+	if (++program->tries > MAX_TRIES) {
+		program_finish(program, false);
+		return;
+	}
+	if (owner != NULL && caller_parse_address(owner, &program->address))
+		next_step_later(program, 0);
+	else
+		next_step_later(program, (int64_t)RETRY_MS * program->tries);
+}
+
+/* ---- begin and end ---- */
+
+static void
+handle_fetched(void *context, const struct http_answer *answer)
+{
+	struct load_program *program = context;
+	json_t *root =
+	    json_loadb((const char *)answer->body, answer->body_len, 0, NULL);
+	const char *id = json_string_value(json_object_get(root, "program"));
+	const char *owner = json_string_value(
+	    json_object_get(json_object_get(root, "error"), "owner"));
+	bool ok = answer->result == HTTP_RESULT_OK && answer->status < 300 &&
+	    id != NULL;
+
+	if (!ok) {
+		load_program_retry(program, owner);
+	} else if (program->id[0] == '\0') {
+		snprintf(program->id, sizeof(program->id), "%s", id);
+		program->tries = 0;
+		next_step(program);
+	} else {
+		program_finish(program, true);
+	}
+	json_decref(root);
+}
+
+static void
+post(struct load_program *program, const char *path, const char *key)
+{
+	struct caller *caller = program->caller;
+	const struct http_header headers[] = {
+	    {"x-guavakeel-workspace", caller->settings.workspace},
+	    {"idempotency-key", key},
+	    {NULL, NULL},
+	};
+	struct http_call_params params = {
+	    .address = program->address.ip,
+	    .port = program->address.port,
+	    .method = HTTP_POST,
+	    .path = path,
+	    .headers = headers,
+	    .body = "{}",
+	    .body_len = 2,
+	};
+
+	http_fetch(caller->net, &params, handle_fetched, program);
+}
+
+static void
+begin(struct load_program *program)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "load-%" PRId64 "-%" PRId64,
+	    program->caller->begun_us, program->number);
+	if (program->caller->settings.guavakeel) {
+		post(program, "/v1/programs", key);
+		return;
+	}
+	memcpy(program->id, key, sizeof(key));
+	next_step(program);
+}
+
+static void
+end(struct load_program *program)
+{
+	char path[HTTP_PATH_BYTES];
+
+	if (!program->caller->settings.guavakeel) {
+		program_finish(program, true);
+		return;
+	}
+	snprintf(path, sizeof(path), "/v1/programs/%s/end", program->id);
+	post(program, path, "end");
+}
+
+/* ---- turns ---- */
+
+/* Adds the next turn's message, of the ordered length. */
+static void
+add_message(struct load_program *program)
+{
+	const struct caller_settings *settings = &program->caller->settings;
+	struct buf content = {0};
+
+	buf_printf(&content, "ANSWER_TOKENS:%" PRId64 " %s turn %" PRId64,
+	    settings->answer_tokens, program->id, program->turn);
+	while ((int64_t)text_tokens(content.len) < settings->prompt_tokens)
+		buf_printf(&content, " %.*s", TOKEN_LETTERS, "lorem");
+	free(program->content);
+	program->content = xstrdup(buf_text(&content));
+	buf_reset(&content);
+	/* Guavakeel keeps the history; an engine is sent all of it. */
+	if (settings->guavakeel)
+		json_array_clear(program->history);
+	json_array_append_new(program->history,
+	    json_pack(
+		"{s:s, s:s}", "role", "user", "content", program->content));
+}
+
+/* Begins, sends the present call again, sends the next one, or ends. */
+static void
+next_step(struct load_program *program)
+{
+	if (program->id[0] == '\0') {
+		begin(program);
+		return;
+	}
+	if (program->turn > program->caller->settings.turns) {
+		end(program);
+		return;
+	}
+	if (program->content == NULL)
+		add_message(program);
+	load_chat_send(program);
+}
+
+void
+load_program_answered(struct load_program *program, struct load_answer *answer)
+{
+	json_array_append_new(program->history,
+	    json_pack("{s:s, s:s}", "role", "assistant", "content",
+		buf_text(&answer->text)));
+	free(program->content);
+	program->content = NULL;
+	program->tries = 0;
+	program->turn++;
+	if (program->turn > program->caller->settings.turns)
+		next_step(program);
+	else
+		next_step_later(program, program->caller->settings.pause_ms);
+}
+
+void
+load_program_start(struct caller *caller, int64_t number)
+{
+	struct load_program *program = xcalloc(1, sizeof(*program));
+
+	program->caller = caller;
+	program->number = number;
+	program->address =
+	    caller->addresses[(size_t)number % caller->address_count];
+	program->turn = 1;
+	program->history = json_array();
+	program->begun_us = clock_monotonic_us();
+	uv_timer_init(&caller->loop, &program->timer);
+	program->timer.data = program;
+	next_step(program);
+}
--- a/standins/fields.h
+++ b/standins/fields.h
@@ -13,6 +13,10 @@
 
 #include "common/error.h"
 
+enum {
+	FIELDS_MAX = 48,
+};
+
 enum field_type {
 	FIELD_INTEGER, /**< not negative */
 	FIELD_REAL,    /**< not negative */
@@ -45,4 +49,9 @@
 /** Returns an object with every field. */
 json_t *fields_json(const struct field *fields, size_t count);
 
+/** Sets fields from a command line; ends the process on a wrong one, and for
+ * --help. */
+void fields_parse(const struct field *fields, size_t count, const char *summary,
+    int argc, char **argv);
+
 #endif
--- a/standins/standin.c
+++ b/standins/standin.c
@@ -1,4 +1,3 @@
-#include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,7 +10,6 @@
 	MAX_BODY_BYTES = 64 << 20,
 	MAX_SEND_QUEUE_BYTES = 64 << 20,
 	DEFAULT_CONNECTIONS = 1024,
-	OPTION_KEY_BASE = 256,
 	COMMON_OPTIONS = 3,
 };
 
@@ -55,65 +53,14 @@
 		handle_own_path(request);
 }
 
-/* ---- start ---- */
-
-/** What the option parser fills in. */
-struct parse_input {
-	struct field_list fields;
-};
-
-static error_t
-parse_option(int key, char *arg, struct argp_state *state)
-{
-	const struct parse_input *input = state->input;
-	struct error err = {0};
-
-	if (key == ARGP_KEY_ARG)
-		argp_error(state, "unexpected argument: %s", arg);
-	if (key < OPTION_KEY_BASE ||
-	    key >= OPTION_KEY_BASE + (int)input->fields.count)
-		return ARGP_ERR_UNKNOWN;
-	if (!field_set_text(
-		&input->fields.items[key - OPTION_KEY_BASE], arg, &err))
-		argp_error(state, "%s", err.text);
-	return 0;
-}
-
-static char *
-dashed(const char *name)
-{
-	char *text = xstrdup(name);
-
-	for (char *at = text; *at != '\0'; at++) {
-		if (*at == '_')
-			*at = '-';
-	}
-	return text;
-}
-
 static void
 parse_options(struct standin *standin, int argc, char **argv)
 {
-	struct argp_option options[STANDIN_MAX_FIELDS + 1] = {0};
-	struct argp argp = {
-	    .options = options,
-	    .parser = parse_option,
-	    .doc = standin->program->summary,
-	};
-	struct parse_input input = {0};
+	struct field_list options = {0};
 
-	list_options(standin, &input.fields);
-	for (size_t i = 0; i < input.fields.count; i++) {
-		const struct field *field = &input.fields.items[i];
-
-		options[i].name = dashed(field->name);
-		options[i].key = OPTION_KEY_BASE + (int)i;
-		options[i].arg = field->arg;
-		options[i].doc = field->help;
-	}
-	argp_parse(&argp, argc, argv, 0, NULL, &input);
-	for (size_t i = 0; i < input.fields.count; i++)
-		free((char *)options[i].name);
+	list_options(standin, &options);
+	fields_parse(options.items, options.count, standin->program->summary,
+	    argc, argv);
 }
 
 bool
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -21,7 +21,6 @@
 
 enum {
 	STANDIN_KEY_BYTES = 256,
-	STANDIN_MAX_FIELDS = 48,
 };
 
 /** A request, kept until it is answered. The caller may go away earlier. */
--- a/standins/standin_faults.c
+++ b/standins/standin_faults.c
@@ -13,7 +13,7 @@
 field_list_add(
     struct field_list *list, const struct field *fields, size_t count)
 {
-	for (size_t i = 0; i < count && list->count < STANDIN_MAX_FIELDS; i++)
+	for (size_t i = 0; i < count && list->count < FIELDS_MAX; i++)
 		list->items[list->count++] = fields[i];
 }
 
--- a/standins/standin_internal.h
+++ b/standins/standin_internal.h
@@ -8,7 +8,7 @@
 
 /** Fields shared by all stand-ins and those of one program, joined. */
 struct field_list {
-	struct field items[STANDIN_MAX_FIELDS];
+	struct field items[FIELDS_MAX];
 	size_t count;
 };
 
