--- a/experiment/experiment.c
+++ b/experiment/experiment.c
@@ -33,6 +33,7 @@
 struct command {
 	struct suite suite;
 	enum output output;
+	bool policies_given;
 	bool decision_cost;
 	struct findings findings;
 };
@@ -141,6 +142,7 @@
 		command_add_list(command, "--load", arg, command_add_load);
 		return 0;
 	case 'p':
+		command->policies_given = true;
 		command_add_list(
 		    command, "--policy", arg, command_add_policies);
 		return 0;
@@ -184,7 +186,7 @@
 {
 	struct suite *suite = &command->suite;
 
-	if (suite->policy_count == 1)
+	if (!command->policies_given)
 		command_add_policies(suite, "baselines");
 	if (suite->fault_count == 0)
 		suite->faults[suite->fault_count++] = FAULT_NONE;
