Price a prefill by the delay of the whole batch; let warm servers overfill

A program was moved off its warm server as soon as that had 1.5 batches, and its prefill was priced as if it delayed nobody: at 110 % load more was computed again than with prefix affinity. Now a repeated prefill costs half its time for each call of the batch, and only cold servers have a limit of calls.

--- a/route/place.c
+++ b/route/place.c
@@ -17,6 +17,8 @@
 /** Load bound of prefix affinity: times the mean number of calls. */
 static const double PLACE_AFFINITY_BOUND = 1.25;
 /** Calls that a server may have beyond those that it batches. */
+/** Share of a prefill by which it delays each other call of the server. */
+static const double PLACE_PREFILL_OTHERS = 0.5;
 static const double PLACE_QUEUE_SHARE = 0.5;
 
 static bool
@@ -168,7 +170,8 @@
 	work = again + (double)request->new_tokens +
 	    (double)server_prefill_tokens(server, policy);
 	work = work * prefill_us + PLACE_ANSWER_TOKENS * token_us;
-	work *= 1 + 0.5 * calls / server->config.max_running;
+	/* Prefill delays every call of the batch. */
+	work += again * prefill_us * PLACE_PREFILL_OTHERS * calls;
 	if (over > 0)
 		work += over * PLACE_ANSWER_TOKENS * token_us /
 		    server->config.max_running;
@@ -212,7 +215,8 @@
 		double cost_us;
 
 		if (candidates[i] == NULL ||
-		    !place_has_room(context, call, candidates[i]))
+		    (program_held_tokens(program, candidates[i]) == 0 &&
+			!place_has_room(context, call, candidates[i])))
 			continue;
 		cost_us = place_cost_us(context, call, candidates[i],
 		    program_held_tokens(program, candidates[i]));
