Begin programs only on servers with 30 % of memory and batch left

Histories grow after a program was admitted; at 85 % of memory in use the later turns evict each other.

--- a/route/admit.c
+++ b/route/admit.c
@@ -6,9 +6,9 @@
 };
 
 /** Share of a server's memory above which it begins no programs. */
-static const double ADMIT_PRESSURE = 0.85;
+static const double ADMIT_PRESSURE = 0.7;
 /** Share of its batch above which it begins no programs. */
-static const double ADMIT_RUNNING = 1.0;
+static const double ADMIT_RUNNING = 0.7;
 
 bool
 admit_call(const struct route_queue *queue, const struct sched_policy *policy,
