--- a/route/place.c
+++ b/route/place.c
@@ -11,6 +11,7 @@
 	PLACE_DOMAIN_US = 2 * 1500, /**< there and back */
 	PLACE_REGION_US = 2 * 8 * US_PER_MS,
 	PLACE_TOKEN_US = 25 * US_PER_MS, /**< while a speed is unknown */
+	PLACE_MEMORY_US = 30 * US_PER_S, /**< price of a full memory */
 	PLACE_ANSWER_TOKENS = 200,       /**< expected length of an answer */
 };
 
@@ -175,6 +176,8 @@
 	if (over > 0)
 		work += over * PLACE_ANSWER_TOKENS * token_us /
 		    server->config.max_running;
+	if (queue_is_new(call))
+		work += server_pressure(server) * PLACE_MEMORY_US;
 	if (!policy->no_waste_price)
 		work += again * context->limits->wasted_token_cost_us;
 	return work + place_distance_us(context, server);
