Begin at most one program a load report on a server, by chance

Twelve nodes with the same late view released all their held programs to the one server that had room: 32 running and 30 waiting there, half a batch elsewhere. Now a node begins one program a report on a server, with a chance that falls to none towards the limit of memory.

--- a/include/route/server.h
+++ b/include/route/server.h
@@ -21,7 +21,9 @@
 	int64_t newer_calls;  /**< own calls begun, less ended, since the
 				   report was measured */
 	int64_t newer_prefill_tokens; /**< of own calls since then */
-	double token_us; /**< learned time a generated token; 0: unknown */
+	int64_t begun_us; /**< when this VM last began a program there */
+	double draw;      /**< random, 0..1, of the last report */
+	double token_us;  /**< learned time a generated token; 0: unknown */
 	struct breaker breaker;
 	bool unhealthy;
 	uint32_t flaps;           /**< recoveries in quick succession */
@@ -44,8 +46,8 @@
 struct route_server *
 servers_find(const struct route_servers *servers, const char *name);
 /** Takes a load report; older ones than the last are ignored. */
-void server_handle_load(
-    struct route_server *server, const struct sched_load *load, int64_t now_us);
+void server_handle_load(struct route_server *server,
+    const struct sched_load *load, int64_t now_us, struct rng *rng);
 /** Takes the time that a server needed for generated tokens. */
 void server_learn_speed(
     struct route_server *server, uint64_t tokens, int64_t elapsed_us);
--- a/route/admit.c
+++ b/route/admit.c
@@ -7,6 +7,8 @@
 
 /** Share of a server's memory above which it begins no programs. */
 static const double ADMIT_PRESSURE = 0.7;
+/** Share of memory over which the chance to begin a program falls to none. */
+static const double ADMIT_SLOPE = 0.2;
 /** Share of its batch above which it begins no programs. */
 static const double ADMIT_RUNNING = 0.7;
 
@@ -37,8 +39,14 @@
 {
 	double room = server->config.max_running * ADMIT_RUNNING;
 
-	if (policy->no_admission || waited_us >= QUEUE_STARVATION_US)
+	if (policy->no_admission || waited_us >= QUEUE_STARVATION_US ||
+	    server->reported_us == 0)
 		return true;
-	return (double)server_calls(server, policy) < room &&
-	    server_pressure(server) < ADMIT_PRESSURE;
+	if ((double)server_calls(server, policy) >= room)
+		return false;
+	/* Other VMs see the same room: one program a report, by chance. */
+	if (server->begun_us > server->load.measured_us)
+		return false;
+	return server->draw * ADMIT_SLOPE <
+	    ADMIT_PRESSURE - server_pressure(server);
 }
--- a/route/event.c
+++ b/route/event.c
@@ -82,7 +82,7 @@
 	struct route_server *server = servers_find(&sched->servers, name);
 
 	if (server != NULL)
-		server_handle_load(server, load, now_us);
+		server_handle_load(server, load, now_us, &sched->rng);
 }
 
 void
--- a/route/sched.c
+++ b/route/sched.c
@@ -145,6 +145,8 @@
 	server->own_calls++;
 	server->newer_calls++;
 	server->newer_prefill_tokens += call->prefill_tokens;
+	if (queue_is_new(call))
+		server->begun_us = now_us;
 	breaker_sent(&server->breaker);
 	sched->counters->attempts_total++;
 	histogram_add(&sched->counters->queue_us, now_us - call->submitted_us);
--- a/route/server.c
+++ b/route/server.c
@@ -93,14 +93,15 @@
 }
 
 void
-server_handle_load(
-    struct route_server *server, const struct sched_load *load, int64_t now_us)
+server_handle_load(struct route_server *server, const struct sched_load *load,
+    int64_t now_us, struct rng *rng)
 {
 	if (server->reported_us != 0 &&
 	    load->measured_us < server->load.measured_us)
 		return;
 	server->load = *load;
 	server->reported_us = now_us;
+	server->draw = rng_real(rng);
 	server->newer_calls = 0;
 	server->newer_prefill_tokens = 0;
 	list_for_each (call, &server->attempts, struct route_call, attempt) {
