Fill servers to 80 % of memory; starving new programs also wait for a report

A bound on the wait that lets all go at once undoes admission at 150 % load, and 70 % of memory refused 2 % of programs at 70 % load.

--- a/route/admit.c
+++ b/route/admit.c
@@ -6,9 +6,9 @@
 };
 
 /** Share of a server's memory above which it begins no programs. */
-static const double ADMIT_PRESSURE = 0.7;
+static const double ADMIT_PRESSURE = 0.8;
 /** Share of memory over which the chance to begin a program falls to none. */
-static const double ADMIT_SLOPE = 0.2;
+static const double ADMIT_SLOPE = 0.1;
 /** Share of its batch above which it begins no programs. */
 static const double ADMIT_RUNNING = 0.7;
 
@@ -39,14 +39,15 @@
 {
 	double room = server->config.max_running * ADMIT_RUNNING;
 
-	if (policy->no_admission || waited_us >= QUEUE_STARVATION_US ||
-	    server->reported_us == 0)
+	if (policy->no_admission || server->reported_us == 0)
 		return true;
-	if ((double)server_calls(server, policy) >= room)
-		return false;
 	/* Other VMs see the same room: one program a report, by chance. */
 	if (server->begun_us > server->load.measured_us)
 		return false;
+	if (waited_us >= QUEUE_STARVATION_US)
+		return true;
+	if ((double)server_calls(server, policy) >= room)
+		return false;
 	return server->draw * ADMIT_SLOPE <
 	    ADMIT_PRESSURE - server_pressure(server);
 }
