--- a/experiment/world.c
+++ b/experiment/world.c
@@ -188,7 +188,7 @@
 		    .region = region,
 		    .failure_domain = domain,
 		    .counters = &node->counters,
-		    .seed = rng_next(&world->rng),
+		    .seed = rng_next(&world->noise),
 		    .policy = world->options.policy,
 		};
 
@@ -222,6 +222,7 @@
 				       options->params->measured_s) *
 	    US_PER_S);
 	rng_init(&world->rng, options->seed);
+	rng_init(&world->noise, ~options->seed);
 	world->engine_count = (uint32_t)world->params.runners;
 	world->node_count = (uint32_t)world->params.nodes;
 	world->rate = options->load * world->params.runners /
--- a/experiment/world_engine.c
+++ b/experiment/world_engine.c
@@ -27,7 +27,7 @@
 world_send_cache_event(struct world *world, uint32_t engine, uint32_t program,
     enum sched_cache_event kind, uint64_t tokens)
 {
-	if (rng_real(&world->rng) < world->params.event_loss)
+	if (rng_real(&world->noise) < world->params.event_loss)
 		return;
 	world_add(world,
 	    world->now_us + (int64_t)(world->params.event_lag_ms * US_PER_MS),
--- a/experiment/world_fault.c
+++ b/experiment/world_fault.c
@@ -60,7 +60,7 @@
 		.a = engine,
 		.b = true,
 		.c = WORLD_ALL_REGIONS});
-	if (rng_real(&world->rng) >= world->params.event_loss)
+	if (rng_real(&world->noise) >= world->params.event_loss)
 		world_add(world,
 		    world->now_us +
 			(int64_t)(world->params.event_lag_ms * US_PER_MS),
--- a/include/experiment/world.h
+++ b/include/experiment/world.h
@@ -81,7 +81,8 @@
 	struct params params;
 	struct world_options options;
 	struct events events;
-	struct rng rng; /**< of arrivals, loss and faults */
+	struct rng rng;   /**< of arrivals, the same for each policy */
+	struct rng noise; /**< of lost events and schedulers */
 	int64_t now_us;
 	int64_t stop_us; /**< of arrivals */
 	double rate;     /**< programs/s */
