--- a/route/admit.c
+++ b/route/admit.c
@@ -6,7 +6,7 @@
 };
 
 /** Share of a server's memory above which it begins no programs. */
-static const double ADMIT_PRESSURE = 0.8;
+static const double ADMIT_PRESSURE = 0.75;
 /** Share of memory over which the chance to begin a program falls to none. */
 static const double ADMIT_SLOPE = 0.1;
 /** Share of its batch above which it begins no programs. */
--- a/route/pause.c
+++ b/route/pause.c
@@ -109,5 +109,5 @@
 		return 2 * memory_us;
 	if (used < 0.05)
 		used = 0.05;
-	return pause_best_keep_us(stats, (double)memory_us / used);
+	return pause_best_keep_us(stats, 4 * (double)memory_us / used);
 }
