--- a/route/admit.c
+++ b/route/admit.c
@@ -7,6 +7,7 @@
 
 /** Share of a server's memory above which it begins no programs. */
 static const double ADMIT_PRESSURE = 0.75;
+static const double ADMIT_STARVING_PRESSURE = 0.9; /**< after a long wait */
 /** Share of memory over which the chance to begin a program falls to none. */
 static const double ADMIT_SLOPE = 0.1;
 /** Share of its batch above which it begins no programs. */
@@ -37,6 +38,7 @@
 admit_new_at(const struct route_server *server,
     const struct sched_policy *policy, int64_t waited_us)
 {
+	double limit = ADMIT_PRESSURE;
 	double room = server->config.max_running * ADMIT_RUNNING;
 
 	if (policy->no_admission || server->reported_us == 0)
@@ -45,9 +47,8 @@
 	if (server->begun_us > server->load.measured_us)
 		return false;
 	if (waited_us >= QUEUE_STARVATION_US)
-		return true;
-	if ((double)server_calls(server, policy) >= room)
+		limit = ADMIT_STARVING_PRESSURE;
+	else if ((double)server_calls(server, policy) >= room)
 		return false;
-	return server->draw * ADMIT_SLOPE <
-	    ADMIT_PRESSURE - server_pressure(server);
+	return server->draw * ADMIT_SLOPE < limit - server_pressure(server);
 }
