Let a late cache event not replace what is known since

A STORED event that came after the program's next turn had ended elsewhere made the old server the newest holder.

Kept as a correction.

--- a/include/route/program.h
+++ b/include/route/program.h
@@ -50,6 +50,10 @@
 /** Notes what a server holds; 0 tokens: nothing. */
 void program_set_holding(struct route_program *program,
     struct route_server *server, uint64_t tokens);
+/** Notes a late event: what a server held a while ago. It does not replace
+ * what is known of other servers. */
+void program_note_holding(struct route_program *program,
+    struct route_server *server, uint64_t tokens);
 /** Notes that a server holds nothing any more. */
 void program_lose_holding(
     struct route_program *program, const struct route_server *server);
--- a/route/event.c
+++ b/route/event.c
@@ -104,7 +104,7 @@
 	if (program == NULL)
 		return;
 	if (event == SCHED_CACHE_STORED)
-		program_set_holding(program, server, tokens);
+		program_note_holding(program, server, tokens);
 	else
 		program_lose_holding(program, server);
 }
--- a/route/program.c
+++ b/route/program.c
@@ -102,6 +102,28 @@
 	    (struct route_holding){.server = server, .tokens = tokens};
 }
 
+void
+program_note_holding(
+    struct route_program *program, struct route_server *server, uint64_t tokens)
+{
+	for (size_t i = 0; i < PROGRAM_HOLDINGS; i++) {
+		struct route_holding *holding = &program->holdings[i];
+
+		if (holding->server == server) {
+			holding->tokens = tokens;
+			return;
+		}
+	}
+	for (size_t i = 0; i < PROGRAM_HOLDINGS; i++) {
+		struct route_holding *holding = &program->holdings[i];
+
+		if (holding->server != NULL && holding->tokens > 0)
+			continue;
+		*holding = (struct route_holding){server, tokens};
+		return;
+	}
+}
+
 void
 program_lose_holding(
     struct route_program *program, const struct route_server *server)
