Price a call to another region

A crossing costs 8 ms each way, which never weighs against seconds, and a bill.

Kept at 1 s for the billed links.

--- a/route/place.c
+++ b/route/place.c
@@ -10,9 +10,10 @@
 	PLACE_SAMPLES = 4, /**< random candidates beside the warm servers */
 	PLACE_DOMAIN_US = 2 * 1500, /**< there and back */
 	PLACE_REGION_US = 2 * 8 * US_PER_MS,
-	PLACE_TOKEN_US = 25 * US_PER_MS, /**< while a speed is unknown */
-	PLACE_MEMORY_US = 30 * US_PER_S, /**< price of a full memory */
-	PLACE_ANSWER_TOKENS = 200,       /**< expected length of an answer */
+	PLACE_REGION_PRICE_US = 1 * US_PER_S, /**< of the billed link */
+	PLACE_TOKEN_US = 25 * US_PER_MS,      /**< while a speed is unknown */
+	PLACE_MEMORY_US = 30 * US_PER_S,      /**< price of a full memory */
+	PLACE_ANSWER_TOKENS = 200, /**< expected length of an answer */
 };
 
 /** Load bound of prefix affinity: times the mean number of calls. */
@@ -143,7 +144,7 @@
     const struct place_context *context, const struct route_server *server)
 {
 	if (strcmp(server->config.region, context->region) != 0)
-		return PLACE_REGION_US;
+		return PLACE_REGION_US + PLACE_REGION_PRICE_US;
 	if (strcmp(server->config.failure_domain, context->failure_domain) != 0)
 		return PLACE_DOMAIN_US;
 	return 0;
