--- a/route/event.c
+++ b/route/event.c
@@ -55,9 +55,12 @@
 	    program, &sched->programs.used, struct route_program, used) {
 		struct route_holding *holding = &program->holdings[0];
 
-		if (program->release_us > now_us)
+		if (program->holdings[1].tokens > 0)
+			holding = &program->holdings[1];
+		else if (program->release_us > now_us)
 			continue;
-		program->release_us = INT64_MAX;
+		else
+			program->release_us = INT64_MAX;
 		if (holding->server == NULL || holding->tokens == 0)
 			continue;
 		holding->tokens = 0;
