--- a/experiment/experiment.c
+++ b/experiment/experiment.c
@@ -60,18 +60,20 @@
 
 	for (size_t i = 0; SUITE_POLICIES[i].name != NULL; i++) {
 		const struct suite_policy *policy = &SUITE_POLICIES[i];
-		bool group = strcmp(word, "all") == 0 ||
+		bool group;
+
+		if (i == SUITE_PRODUCT)
+			continue;
+		group = strcmp(word, "all") == 0 ||
 		    (strcmp(word, "baselines") == 0 && policy->baseline) ||
 		    (strcmp(word, "ablation") == 0 && !policy->baseline);
 
-		if (i == SUITE_PRODUCT ||
-		    (!group && strcmp(policy->name, word) != 0))
+		if (!group && strcmp(policy->name, word) != 0)
 			continue;
 		if (suite->policy_count < SUITE_LIST_MAX)
 			suite->policies[suite->policy_count++] = i;
 	}
-	return suite->policy_count > before ||
-	    strcmp(word, SUITE_POLICIES[SUITE_PRODUCT].name) == 0;
+	return suite->policy_count > before || strcmp(word, "guavakeel") == 0;
 }
 
 static bool
--- a/experiment/params.c
+++ b/experiment/params.c
@@ -28,6 +28,10 @@
 };
 
 enum {
+	PARAMS_SERVERS_MAX = 32,
+	PARAMS_NODES_MAX = 32,
+	PARAMS_RUNNING_MAX = 4096,
+	PARAMS_REPORTS_UNDER_WAY = 20,
 	PARAM_COUNT = sizeof(PARAMS) / sizeof(PARAMS[0]),
 };
 
@@ -77,6 +81,46 @@
 	return 1;
 }
 
+static void
+params_check_range(struct findings *findings, const char *path, const char *key,
+    double value, double lowest, double highest)
+{
+	if (value < lowest || value > highest)
+		finding_add(findings, path, 0, "%s: %g is not in %g .. %g", key,
+		    value, lowest, highest);
+}
+
+static void
+params_check(
+    const struct params *params, const char *path, struct findings *findings)
+{
+	params_check_range(
+	    findings, path, "runners", params->runners, 1, PARAMS_SERVERS_MAX);
+	params_check_range(
+	    findings, path, "nodes", params->nodes, 1, PARAMS_NODES_MAX);
+	params_check_range(
+	    findings, path, "regions", params->regions, 1, PARAMS_SERVERS_MAX);
+	params_check_range(findings, path, "max_running", params->max_running,
+	    1, PARAMS_RUNNING_MAX);
+	params_check_range(findings, path, "prefill_tokens_per_s",
+	    params->prefill_tokens_per_s, 1, INFINITY);
+	params_check_range(findings, path, "prefill_chunk_tokens",
+	    params->prefill_chunk_tokens, 1, INFINITY);
+	params_check_range(
+	    findings, path, "step_ms", params->step_ms, 0.1, INFINITY);
+	params_check_range(findings, path, "kv_tokens", params->kv_tokens,
+	    params->context_tokens, INFINITY);
+	params_check_range(findings, path, "report_interval_ms",
+	    params->report_interval_ms, 100, INFINITY);
+	params_check_range(findings, path, "report_lag_ms",
+	    params->report_lag_ms, 0,
+	    PARAMS_REPORTS_UNDER_WAY * params->report_interval_ms);
+	params_check_range(
+	    findings, path, "measured_s", params->measured_s, 1, INFINITY);
+	params_check_range(findings, path, "burst_every_s",
+	    params->burst_every_s, params->burst_s + 1, INFINITY);
+}
+
 bool
 params_load(struct params *params, const char *path, struct findings *findings)
 {
@@ -88,5 +132,6 @@
 		finding_add(findings, path, 0, "cannot be read");
 	if (line > 0)
 		finding_add(findings, path, line, "syntax error");
+	params_check(params, path, findings);
 	return findings->count == 0;
 }
--- a/experiment/report.c
+++ b/experiment/report.c
@@ -43,6 +43,35 @@
 	}
 }
 
+static void
+print_csv_point(const struct suite *suite, size_t fault, size_t load,
+    size_t policy, FILE *out)
+{
+	for (size_t seed = 0; seed < suite->seeds; seed++) {
+		const struct measures *result =
+		    suite_result(suite, fault, load, policy, seed);
+
+		fprintf(out, "%s,%s,%g,%s,%zu", suite->params.name,
+		    fault_name(suite->faults[fault]), suite->loads[load],
+		    policy_name(suite, policy), suite->first_seed + seed);
+		for (size_t m = 0; m < MEASURE_COUNT; m++)
+			fprintf(out, ",%g", measure_value(result, m));
+		fputc('\n', out);
+	}
+}
+
+static void
+print_points(const struct suite *suite, FILE *out,
+    void (*print)(const struct suite *, size_t, size_t, size_t, FILE *))
+{
+	for (size_t fault = 0; fault < suite->fault_count; fault++) {
+		for (size_t load = 0; load < suite->load_count; load++) {
+			for (size_t i = 0; i < suite->policy_count; i++)
+				print(suite, fault, load, i, out);
+		}
+	}
+}
+
 void
 suite_print_csv(const struct suite *suite, FILE *out)
 {
@@ -50,25 +79,7 @@
 	for (size_t m = 0; m < MEASURE_COUNT; m++)
 		fprintf(out, ",%s", MEASURES[m].name);
 	fputc('\n', out);
-	for (size_t f = 0; f < suite->fault_count; f++)
-		for (size_t l = 0; l < suite->load_count; l++)
-			for (size_t p = 0; p < suite->policy_count; p++)
-				for (size_t s = 0; s < suite->seeds; s++) {
-					fprintf(out, "%s,%s,%g,%s,%zu",
-					    suite->params.name,
-					    fault_name(suite->faults[f]),
-					    suite->loads[l],
-					    policy_name(suite, p),
-					    suite->first_seed + s);
-					for (size_t m = 0; m < MEASURE_COUNT;
-					     m++)
-						fprintf(out, ",%g",
-						    measure_value(
-							suite_result(
-							    suite, f, l, p, s),
-							m));
-					fputc('\n', out);
-				}
+	print_points(suite, out, print_csv_point);
 }
 
 static void
@@ -93,10 +104,7 @@
 void
 suite_print_json(const struct suite *suite, FILE *out)
 {
-	for (size_t f = 0; f < suite->fault_count; f++)
-		for (size_t l = 0; l < suite->load_count; l++)
-			for (size_t p = 0; p < suite->policy_count; p++)
-				print_json_point(suite, f, l, p, out);
+	print_points(suite, out, print_json_point);
 }
 
 static void
--- a/include/experiment/traffic.h
+++ b/include/experiment/traffic.h
@@ -44,7 +44,7 @@
 struct plan plan_create_child(const struct params *params, uint64_t seed);
 /** Draws the next turn (1, 2, ...). */
 struct plan_turn
-plan_next(struct plan *plan, const struct params *params, uint32_t turn);
+plan_next(struct plan *plan, const struct params *params, uint32_t number);
 /** Returns the time to the next arrival at a rate in programs/s that bursts
  * are part of. */
 int64_t traffic_gap_us(
--- a/include/experiment/world.h
+++ b/include/experiment/world.h
@@ -115,9 +115,9 @@
 world_delay_us(const struct world *world, uint32_t node, uint32_t engine);
 bool world_linked(const struct world *world, uint32_t node, uint32_t engine);
 /** Takes what a node's scheduler has decided. */
-void world_pump_node(struct world *world, uint32_t node);
+void world_pump_node(struct world *world, uint32_t index);
 /** Passes on what an engine has put out, and sets its next event. */
-void world_pump_engine(struct world *world, uint32_t engine);
+void world_pump_engine(struct world *world, uint32_t index);
 void
 world_begin_program(struct world *world, struct plan plan, uint32_t parent);
 void world_handle_program(struct world *world, const struct event *event);
