Share servers among workspaces by weight

A workspace that queued many calls first kept all others of equal priority waiting. Start-time fair queueing on each node orders calls of equal priority by their workspace's weight.

--- a/include/route/call.h
+++ b/include/route/call.h
@@ -22,6 +22,7 @@
 	int64_t first_token_us;
 	int64_t prefill_tokens; /**< expected, of the attempt under way */
 	uint32_t priority;
+	double tag; /**< of its workspace's share; lower first */
 	UT_hash_handle hh;
 };
 
--- a/include/route/internal.h
+++ b/include/route/internal.h
@@ -10,6 +10,7 @@
 #include "route/queue.h"
 #include "route/retry.h"
 #include "route/server.h"
+#include "route/share.h"
 
 enum {
 	SCHED_MODELS_MAX = 64,
@@ -29,6 +30,7 @@
 	struct route_programs programs;
 	struct pauses pauses;
 	struct route_queue queue;
+	struct shares shares;
 	struct route_call *calls; /**< uthash by call handle */
 	struct retry_budget retries;
 	size_t turn;         /**< of round robin */
--- a/include/route/queue.h
+++ b/include/route/queue.h
@@ -25,7 +25,7 @@
     const struct sched_policy *policy, const struct sched_call *call);
 /** Returns whether a call would begin a program that may be held back. */
 bool queue_is_new(const struct route_call *call);
-/** Inserts by priority, then by time of submission. */
+/** Inserts by priority, then by the tag of its workspace's share. */
 void queue_insert(struct route_queue *queue, struct route_call *call);
 void queue_remove(struct route_queue *queue, struct route_call *call);
 /** Moves calls that have waited too long to the front. */
--- a/route/queue.c
+++ b/route/queue.c
@@ -59,7 +59,7 @@
 		if (other->priority < call->priority)
 			break;
 		if (other->priority == call->priority &&
-		    other->submitted_us <= call->submitted_us)
+		    other->tag <= call->tag)
 			break;
 		at = at->prev;
 	}
--- a/route/sched.c
+++ b/route/sched.c
@@ -53,6 +53,7 @@
 	programs_reset(&sched->programs);
 	pauses_reset(&sched->pauses);
 	servers_reset(&sched->servers);
+	shares_reset(&sched->shares);
 	free(sched);
 }
 
@@ -66,6 +67,7 @@
 	for (size_t i = 0; i < sched->model_count; i++)
 		memcpy(sched->models[i], config->models[i].name, NAME_BYTES);
 	servers_configure(&sched->servers, config);
+	shares_configure(&sched->shares, config);
 }
 
 static bool
@@ -120,6 +122,8 @@
 		return SCHED_REFUSED;
 	}
 	call->priority = queue_priority(&sched->policy, request);
+	call->tag = shares_tag(&sched->shares, request->workspace,
+	    request->new_tokens + request->max_tokens);
 	HASH_ADD(hh, sched->calls, request.call, sizeof(uint64_t), call);
 	queue_insert(&sched->queue, call);
 	retry_budget_earn(&sched->retries, sched->limits.retry_share);
@@ -135,6 +139,7 @@
 	const struct sched_call *request = &call->request;
 
 	queue_remove(&sched->queue, call);
+	shares_sent(&sched->shares, call->tag);
 	call->server = server;
 	call->attempts++;
 	call->sent_us = now_us;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -412,6 +412,39 @@
 }
 END_TEST
 
+/* One workspace queues 40 calls before another queues 40; their shares are 1
+ * and 3. */
+START_TEST(workspaces_get_their_shares)
+{
+	struct sched *sched =
+	    test_sched((struct sched_policy){.routing = SCHED_ROUTE_RANDOM});
+	struct config_workspace workspaces[] = {
+	    {.name = "first", .share = 1}, {.name = "second", .share = 3}};
+	struct config config = test_config();
+	int sent[2] = {0};
+
+	config.workspaces = workspaces;
+	config.workspace_count = 2;
+	sched_set_config(sched, &config);
+	for (uint64_t i = 1; i <= 80; i++) {
+		struct sched_call call = test_call(i, "p", 2);
+
+		snprintf(call.workspace, sizeof(call.workspace), "%s",
+		    workspaces[i > 40].name);
+		submit(sched, &call, 1);
+	}
+	for (int i = 0; i < 20; i++) {
+		struct sched_dispatch dispatch;
+
+		ck_assert(sched_next(sched, 1, &dispatch));
+		sent[dispatch.call > 40]++;
+	}
+	ck_assert_int_eq(sent[0], 5);
+	ck_assert_int_eq(sent[1], 15);
+	sched_destroy(sched);
+}
+END_TEST
+
 /* Far servers are used only when the near ones are worse by more than the
  * delay between the regions. */
 START_TEST(near_servers_are_preferred)
@@ -449,6 +482,7 @@
 	    own_calls_count_until_reported,
 	    flapping_server_stays_out_longer,
 	    near_servers_are_preferred,
+	    workspaces_get_their_shares,
 	};
 
 	return run_tests("route", tests, sizeof(tests) / sizeof(tests[0]));
