Let held new programs not block late turns in a node's queue

A look at the queue ended after 16 calls without a server; new programs come first in the order, so that 16 held ones kept all late turns of the node waiting. Each kind now has its own count.

--- a/route/sched.c
+++ b/route/sched.c
@@ -170,19 +170,19 @@
 	    .turn = &sched->turn,
 	    .now_us = now_us,
 	};
-	int misses = 0;
+	int misses[2] = {0}; /* of late turns, of new programs */
 
 	queue_promote(&sched->queue, now_us);
 	list_for_each (call, &sched->queue.calls, struct route_call, link) {
 		struct place_choice choice;
 
-		if (call->not_before_us > now_us)
+		if (call->not_before_us > now_us ||
+		    misses[queue_is_new(call)] >= SCHED_MISSES_MAX)
 			continue;
 		choice = place_call(&context, call,
 		    programs_find(&sched->programs, call->request.program));
 		if (choice.server == NULL) {
-			if (++misses >= SCHED_MISSES_MAX)
-				break;
+			misses[queue_is_new(call)]++;
 			continue;
 		}
 		sched_send(sched, call, &choice, now_us);
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -329,6 +329,30 @@
 }
 END_TEST
 
+/* New programs that are held back do not keep late turns waiting. */
+START_TEST(held_programs_do_not_block_late_turns)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_load busy = {.running = MAX_RUNNING, .measured_us = 1};
+	struct sched_dispatch dispatch;
+	struct sched_call late = test_call(1, "late", 2);
+
+	for (int i = 0; i < SERVERS; i++)
+		sched_handle_load(sched, servers[i].name, &busy, 1);
+	late.program_served_tokens = 1000000;
+	submit(sched, &late, 1);
+	for (uint64_t i = 2; i <= 100; i++) {
+		struct sched_call call = test_call(i, "new", 1);
+
+		submit(sched, &call, 1);
+	}
+	ck_assert(sched_next(sched, 1, &dispatch));
+	ck_assert_uint_eq(dispatch.call, 1);
+	ck_assert(!sched_next(sched, 1, &dispatch));
+	sched_destroy(sched);
+}
+END_TEST
+
 /* Pauses of one tool are short, of the other long: only the first is worth
  * its memory on a full server. */
 START_TEST(pauses_decide_by_what_was_learned)
@@ -478,6 +502,7 @@
 	    breaker_takes_a_failing_server_out,
 	    deadline_ends_a_waiting_call,
 	    overload_refuses_new_programs_only,
+	    held_programs_do_not_block_late_turns,
 	    pauses_decide_by_what_was_learned,
 	    own_calls_count_until_reported,
 	    flapping_server_stays_out_longer,
