--- a/experiment/experiment.c
+++ b/experiment/experiment.c
@@ -33,6 +33,7 @@
 struct command {
 	struct suite suite;
 	enum output output;
+	bool policies_given;
 	bool decision_cost;
 	struct findings findings;
 };
@@ -59,18 +60,20 @@
 
 	for (size_t i = 0; SUITE_POLICIES[i].name != NULL; i++) {
 		const struct suite_policy *policy = &SUITE_POLICIES[i];
-		bool group = strcmp(word, "all") == 0 ||
+		bool group;
+
+		if (i == SUITE_PRODUCT)
+			continue;
+		group = strcmp(word, "all") == 0 ||
 		    (strcmp(word, "baselines") == 0 && policy->baseline) ||
 		    (strcmp(word, "ablation") == 0 && !policy->baseline);
 
-		if (i == SUITE_PRODUCT ||
-		    (!group && strcmp(policy->name, word) != 0))
+		if (!group && strcmp(policy->name, word) != 0)
 			continue;
 		if (suite->policy_count < SUITE_LIST_MAX)
 			suite->policies[suite->policy_count++] = i;
 	}
-	return suite->policy_count > before ||
-	    strcmp(word, SUITE_POLICIES[SUITE_PRODUCT].name) == 0;
+	return suite->policy_count > before || strcmp(word, "guavakeel") == 0;
 }
 
 static bool
@@ -141,6 +144,7 @@
 		command_add_list(command, "--load", arg, command_add_load);
 		return 0;
 	case 'p':
+		command->policies_given = true;
 		command_add_list(
 		    command, "--policy", arg, command_add_policies);
 		return 0;
@@ -184,7 +188,7 @@
 {
 	struct suite *suite = &command->suite;
 
-	if (suite->policy_count == 1)
+	if (!command->policies_given)
 		command_add_policies(suite, "baselines");
 	if (suite->fault_count == 0)
 		suite->faults[suite->fault_count++] = FAULT_NONE;
--- a/route/place.c
+++ b/route/place.c
@@ -10,13 +10,17 @@
 	PLACE_SAMPLES = 4, /**< random candidates beside the warm servers */
 	PLACE_DOMAIN_US = 2 * 1500, /**< there and back */
 	PLACE_REGION_US = 2 * 8 * US_PER_MS,
-	PLACE_TOKEN_US = 25 * US_PER_MS, /**< while a speed is unknown */
-	PLACE_ANSWER_TOKENS = 200,       /**< expected length of an answer */
+	PLACE_REGION_PRICE_US = 1 * US_PER_S, /**< of the billed link */
+	PLACE_TOKEN_US = 25 * US_PER_MS,      /**< while a speed is unknown */
+	PLACE_MEMORY_US = 30 * US_PER_S,      /**< price of a full memory */
+	PLACE_ANSWER_TOKENS = 200, /**< expected length of an answer */
 };
 
 /** Load bound of prefix affinity: times the mean number of calls. */
 static const double PLACE_AFFINITY_BOUND = 1.25;
 /** Calls that a server may have beyond those that it batches. */
+/** Share of a prefill by which it delays each other call of the server. */
+static const double PLACE_PREFILL_OTHERS = 0.5;
 static const double PLACE_QUEUE_SHARE = 0.5;
 
 static bool
@@ -140,7 +144,7 @@
     const struct place_context *context, const struct route_server *server)
 {
 	if (strcmp(server->config.region, context->region) != 0)
-		return PLACE_REGION_US;
+		return PLACE_REGION_US + PLACE_REGION_PRICE_US;
 	if (strcmp(server->config.failure_domain, context->failure_domain) != 0)
 		return PLACE_DOMAIN_US;
 	return 0;
@@ -168,10 +172,13 @@
 	work = again + (double)request->new_tokens +
 	    (double)server_prefill_tokens(server, policy);
 	work = work * prefill_us + PLACE_ANSWER_TOKENS * token_us;
-	work *= 1 + 0.5 * calls / server->config.max_running;
+	/* Prefill delays every call of the batch. */
+	work += again * prefill_us * PLACE_PREFILL_OTHERS * calls;
 	if (over > 0)
 		work += over * PLACE_ANSWER_TOKENS * token_us /
 		    server->config.max_running;
+	if (queue_is_new(call))
+		work += server_pressure(server) * PLACE_MEMORY_US;
 	if (!policy->no_waste_price)
 		work += again * context->limits->wasted_token_cost_us;
 	return work + place_distance_us(context, server);
@@ -212,7 +219,8 @@
 		double cost_us;
 
 		if (candidates[i] == NULL ||
-		    !place_has_room(context, call, candidates[i]))
+		    (program_held_tokens(program, candidates[i]) == 0 &&
+			!place_has_room(context, call, candidates[i])))
 			continue;
 		cost_us = place_cost_us(context, call, candidates[i],
 		    program_held_tokens(program, candidates[i]));
