--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -57,12 +57,15 @@
 };
 
 struct message_view {
-	uint64_t incarnation; /**< of the sender */
-	uint64_t number;      /**< rises with each change of the members */
+	uint64_t incarnation;      /**< of the sender */
+	uint64_t base;             /**< changes up to this view are left out */
+	uint64_t number;           /**< rises with each change of the members */
+	uint64_t view_incarnation; /**< as in HELLO */
+	uint64_t view_seen;
 	uint64_t config_version;
 	uint64_t config_end;            /**< end of the configuration stream */
 	int64_t log_age_us;             /**< since the sender last reached it */
-	struct message_member *members; /**< changed since view_seen */
+	struct message_member *members; /**< changed since base */
 	size_t member_count;
 };
 
--- a/peer/message.c
+++ b/peer/message.c
@@ -89,6 +89,9 @@
     F(4, FIELD_UNSIGNED, view.config_end),
     F(5, FIELD_SIGNED, view.log_age_us),
     LIST(6, view.members, &member_layout),
+    F(7, FIELD_UNSIGNED, view.base),
+    F(8, FIELD_UNSIGNED, view.view_incarnation),
+    F(9, FIELD_UNSIGNED, view.view_seen),
 };
 static const struct field stream_fields[] = {
     F(1, FIELD_UNSIGNED, stream.lane),
