Add relays of failure domains

420 daemons that each read and append the log pass its limit of several hundred requests a second. One VM of a failure domain, chosen by rendezvous hashing, now long-polls the configuration and the lanes that its domain follows, and joins its daemons' batches into one append a lane under a share of the limit, priority records before turns. A daemon whose relay is silent for 3 s, or has not reached the log for 4 s, uses the log itself.

--- a/include/peer/failure.h
+++ b/include/peer/failure.h
@@ -84,8 +84,9 @@
  * returns false when there are fewer members. */
 bool failure_relay(const struct failure *failure, const char *domain,
     size_t choice, int64_t now_us, char vm[NAME_BYTES]);
-/** Returns the number of failure domains with a member that is not gone. */
-size_t failure_domains(const struct failure *failure, int64_t now_us);
+/** Returns the number of failure domains with a member that was not gone at
+ * the last tick; at least 1. */
+size_t failure_domains(const struct failure *failure);
 /** Calls back for each member but this VM itself. */
 void failure_each(const struct failure *failure,
     void (*each)(void *context, const struct message_member *member),
--- a/peer/failure_table.c
+++ b/peer/failure_table.c
@@ -8,15 +8,8 @@
 #include "peer/failure_table.h"
 
 enum {
-	RETURNS_MAX = 5,     /* bounds the doubling */
-	FORGET_S = 300,      /* steady time that forgets returns */
-	RELAY_SEED = 0x7e1a, /* rendezvous hashing of relays */
-	/* Ranks of unsuitable relays; the sum decides before the hash. */
-	RANK_UNSTEADY = 1,
-	RANK_LOG_LOST = 2,
-	RANK_DRAINING = 4,
-	RANK_GONE =
-	    8, /* still told of us, so that a lost link is found again */
+	RETURNS_MAX = 5, /* bounds the doubling */
+	FORGET_S = 300,  /* steady time that forgets returns */
 };
 
 static int64_t
@@ -40,6 +33,7 @@
 	struct entry *entry = xcalloc(1, sizeof(*entry));
 
 	snprintf(entry->member.vm, sizeof(entry->member.vm), "%s", vm);
+	entry->weight = hash_text(vm, FAILURE_RELAY_SEED);
 	list_append(&failure->entries, &entry->link);
 	HASH_ADD_STR(failure->by_vm, member.vm, entry);
 	return entry;
@@ -175,6 +169,13 @@
 	return FAILURE_GONE;
 }
 
+enum failure_verdict
+entry_verdict_any(
+    const struct failure *failure, const struct entry *entry, int64_t now_us)
+{
+	return entry_verdict(failure, entry, SCOPE_ANY, now_us);
+}
+
 enum failure_verdict
 failure_verdict(const struct failure *failure, const char *vm, int64_t now_us)
 {
@@ -184,7 +185,7 @@
 		return FAILURE_ALIVE;
 	if (entry == NULL)
 		return FAILURE_UNKNOWN;
-	return entry_verdict(failure, entry, SCOPE_ANY, now_us);
+	return entry_verdict_any(failure, entry, now_us);
 }
 
 bool
@@ -267,118 +268,6 @@
 	entry->changed = ++failure->change;
 }
 
-void
-table_update(struct failure *failure, int64_t now_us)
-{
-	if (failure->started_us == 0)
-		failure->started_us = now_us;
-	list_for_each_safe (entry, tmp, &failure->entries, struct entry, link) {
-		enum failure_verdict verdict =
-		    entry_verdict(failure, entry, SCOPE_ANY, now_us);
-
-		count_return(entry, verdict, now_us);
-		number_change(failure, entry, now_us);
-		if (verdict == FAILURE_GONE && !entry->listed &&
-		    now_us - heard_us(failure, entry, SCOPE_ANY) >
-			(int64_t)FORGET_S * US_PER_S)
-			entry_remove(failure, entry);
-	}
-}
-
-/* ---- relays ---- */
-
-static int
-relay_rank(
-    const struct failure *failure, const struct entry *entry, int64_t now_us)
-{
-	int64_t steady_us = ms(FAILURE_STEADY_MS) << entry->returns;
-	int rank = 0;
-
-	if (entry_verdict(failure, entry, SCOPE_ANY, now_us) != FAILURE_ALIVE)
-		rank += RANK_GONE;
-	if (now_us - entry->returned_us < steady_us)
-		rank += RANK_UNSTEADY;
-	if (entry->member.log_lost)
-		rank += RANK_LOG_LOST;
-	if (entry->member.draining)
-		rank += RANK_DRAINING;
-	return rank;
-}
-
-/** A possible relay. */
-struct candidate {
-	const char *vm;
-	int rank;
-	uint64_t weight;
-};
-
-static struct candidate
-own_candidate(const struct failure *failure, int64_t now_us)
-{
-	const struct message_member *self = &failure->self;
-	bool unsteady = now_us - failure->started_us < ms(FAILURE_STEADY_MS);
-
-	return (struct candidate){
-	    .vm = self->vm,
-	    .rank = (self->log_lost ? RANK_LOG_LOST : 0) +
-		(self->draining ? RANK_DRAINING : 0) +
-		(unsteady ? RANK_UNSTEADY : 0),
-	    .weight = hash_text(self->vm, RELAY_SEED),
-	};
-}
-
-static bool
-is_better(const struct candidate *a, const struct candidate *b)
-{
-	if (a->rank != b->rank)
-		return a->rank < b->rank;
-	if (a->weight != b->weight)
-		return a->weight > b->weight;
-	return strcmp(a->vm, b->vm) < 0;
-}
-
-/* Keeps the best choices in order. */
-static void
-offer(struct candidate *best, size_t count, struct candidate candidate)
-{
-	for (size_t i = 0; i < count; i++) {
-		struct candidate displaced = best[i];
-
-		if (best[i].vm != NULL && !is_better(&candidate, &best[i]))
-			continue;
-		best[i] = candidate;
-		if (displaced.vm == NULL)
-			return;
-		candidate = displaced;
-	}
-}
-
-bool
-failure_relay(const struct failure *failure, const char *domain, size_t choice,
-    int64_t now_us, char vm[NAME_BYTES])
-{
-	struct candidate best[FAILURE_RELAYS] = {0};
-
-	if (choice >= FAILURE_RELAYS)
-		return false;
-	if (strcmp(failure->self.failure_domain, domain) == 0)
-		offer(best, FAILURE_RELAYS, own_candidate(failure, now_us));
-	list_for_each (entry, &failure->entries, struct entry, link) {
-		if (strcmp(entry->member.failure_domain, domain) == 0)
-			offer(best, FAILURE_RELAYS,
-			    (struct candidate){
-				.vm = entry->member.vm,
-				.rank = relay_rank(failure, entry, now_us),
-				.weight =
-				    hash_text(entry->member.vm, RELAY_SEED),
-			    });
-	}
-	if (best[choice].vm == NULL)
-		return false;
-	snprintf(vm, NAME_BYTES, "%s", best[choice].vm);
-	return true;
-}
-
 static bool
 is_first_of_domain(
     const struct failure *failure, const struct entry *entry, int64_t now_us)
@@ -395,8 +284,8 @@
 	return true;
 }
 
-size_t
-failure_domains(const struct failure *failure, int64_t now_us)
+static size_t
+count_domains(const struct failure *failure, int64_t now_us)
 {
 	size_t count = 1; /* our own */
 
@@ -408,3 +297,32 @@
 	}
 	return count;
 }
+
+/* One a tick is enough. */
+static void
+forget_unlisted(struct failure *failure, int64_t now_us)
+{
+	const int64_t forget_us = (int64_t)FORGET_S * US_PER_S;
+
+	list_for_each (entry, &failure->entries, struct entry, link) {
+		if (entry->listed || !entry->was_gone ||
+		    now_us - heard_us(failure, entry, SCOPE_ANY) <= forget_us)
+			continue;
+		entry_remove(failure, entry);
+		return;
+	}
+}
+
+void
+table_update(struct failure *failure, int64_t now_us)
+{
+	if (failure->started_us == 0)
+		failure->started_us = now_us;
+	list_for_each (entry, &failure->entries, struct entry, link) {
+		count_return(entry,
+		    entry_verdict(failure, entry, SCOPE_ANY, now_us), now_us);
+		number_change(failure, entry, now_us);
+	}
+	failure->domains = count_domains(failure, now_us);
+	forget_unlisted(failure, now_us);
+}
--- a/peer/failure_table.h
+++ b/peer/failure_table.h
@@ -10,7 +10,8 @@
 #include "peer/failure.h"
 
 enum {
-	FAILURE_RELAYS = 2,   /**< a relay and its standby */
+	FAILURE_RELAYS = 2,          /**< a relay and its standby */
+	FAILURE_RELAY_SEED = 0x7e1a, /**< rendezvous hashing of relays */
 	FAILURE_VOUCHERS = 4, /**< two of a member's domain, two of our own */
 };
 
@@ -27,6 +28,7 @@
 	struct list link;
 	UT_hash_handle hh;            /**< by member.vm */
 	struct message_member member; /**< as we would describe it */
+	uint64_t weight;              /**< rendezvous hash as a relay */
 	bool listed;
 	int64_t introduced_us; /**< first named by the platform's list */
 	int64_t direct_us;     /**< last message from it */
@@ -47,6 +49,7 @@
 	struct list entries; /**< of struct entry */
 	struct entry *by_vm; /**< hash of the same */
 	uint64_t change;     /**< number of the last change */
+	size_t domains;      /**< with a member that is not gone */
 	int64_t next_us;
 	int64_t started_us; /**< first tick */
 	int64_t hello_us;   /**< last heartbeat of any daemon */
@@ -60,6 +63,9 @@
  * false. */
 struct voucher *
 entry_voucher(struct entry *entry, const struct entry *sender, bool create);
+/** Returns the verdict by everyone's word. */
+enum failure_verdict entry_verdict_any(
+    const struct failure *failure, const struct entry *entry, int64_t now_us);
 /** Numbers changes of what is known first-hand, counts returns, forgets VMs
  * that are gone and not listed. */
 void table_update(struct failure *failure, int64_t now_us);
--- /dev/null
+++ b/peer/relay.c
@@ -0,0 +1,337 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "peer/relay_internal.h"
+
+enum {
+	APPENDS_PER_S = 100,
+	APPEND_DELAY_MS = 50,
+};
+
+struct relay *
+relay_create(
+    const char *vm, const char *failure_domain, const struct failure *failure)
+{
+	struct relay *relay = xcalloc(1, sizeof(*relay));
+
+	snprintf(relay->vm, sizeof(relay->vm), "%s", vm);
+	snprintf(relay->failure_domain, sizeof(relay->failure_domain), "%s",
+	    failure_domain);
+	relay->failure = failure;
+	list_init(&relay->follows);
+	list_init(&relay->pendings);
+	list_init(&relay->events);
+	list_init(&relay->feeds);
+	list_init(&relay->waiting);
+	list_init(&relay->batches);
+	list_init(&relay->messages);
+	relay_set_limits(relay, APPENDS_PER_S, APPEND_DELAY_MS * US_PER_MS);
+	return relay;
+}
+
+void
+relay_set_limits(
+    struct relay *relay, uint32_t appends_per_s, int64_t append_delay_us)
+{
+	relay->appends_per_s = appends_per_s;
+	relay->append_delay_us = append_delay_us;
+}
+
+void
+relay_destroy(struct relay *relay)
+{
+	if (relay == NULL)
+		return;
+	feed_destroy_all(relay);
+	append_destroy_all(relay);
+	list_for_each_safe (follow, tmp, &relay->follows, struct follow, link)
+		free(follow);
+	list_for_each_safe (
+	    pending, tmp, &relay->pendings, struct pending, link)
+		free(pending);
+	relay_destroy_queues(relay);
+	free(relay);
+}
+
+/* ---- following ---- */
+
+static struct follow *
+find_follow(const struct relay *relay, uint32_t stream)
+{
+	list_for_each (follow, &relay->follows, struct follow, link) {
+		if (follow->stream == stream)
+			return follow;
+	}
+	return NULL;
+}
+
+void
+relay_follow(struct relay *relay, uint32_t stream, uint64_t from)
+{
+	struct follow *follow = find_follow(relay, stream);
+
+	if (follow == NULL) {
+		follow = xcalloc(1, sizeof(*follow));
+		follow->stream = stream;
+		list_append(&relay->follows, &follow->link);
+	}
+	follow->position = from;
+	relay->want_us = 0;
+}
+
+void
+relay_unfollow(struct relay *relay, uint32_t stream)
+{
+	struct follow *follow = find_follow(relay, stream);
+
+	if (follow == NULL)
+		return;
+	list_remove(&follow->link);
+	free(follow);
+}
+
+bool
+relay_direct(const struct relay *relay, int64_t now_us)
+{
+	return relay->relay_vm[0] == '\0' ||
+	    now_us - relay->answered_us >
+	    (int64_t)RELAY_DIRECT_MS * US_PER_MS ||
+	    now_us - relay->log_checked_us >
+	    (int64_t)RELAY_STALE_MS * US_PER_MS;
+}
+
+/* Adds an event that owns a copy of the message. */
+static void
+add_records(struct relay *relay, struct follow *follow,
+    const struct message *message, int64_t now_us)
+{
+	struct queued_event *queued =
+	    relay_add_event(relay, RELAY_EVENT_RECORDS);
+	struct message_stream *stream;
+	struct relay_event *event = &queued->event;
+	size_t skip = 0;
+
+	message_encode(message, &queued->wire);
+	if (!message_decode(
+		queued->wire.data, queued->wire.len, &queued->message, NULL))
+		memory_exhausted();
+	stream = &queued->message.stream;
+	while (skip < stream->record_count &&
+	    stream->records[skip].offset < follow->position)
+		skip++;
+	event->stream = follow->stream;
+	event->from = follow->position;
+	event->end = stream->end;
+	event->checked_us = now_us - stream->age_us;
+	event->record_count = stream->record_count - skip;
+	if (event->record_count > 0)
+		event->records = stream->records + skip;
+	if (stream->next > follow->position)
+		follow->position = stream->next;
+	event->next = follow->position;
+}
+
+static void
+add_gap(struct relay *relay, const struct follow *follow,
+    const struct message_stream *stream)
+{
+	struct queued_event *queued = relay_add_event(relay, RELAY_EVENT_GAP);
+
+	queued->event.stream = follow->stream;
+	queued->event.from = follow->position;
+	queued->event.next = stream->from;
+	queued->event.end = stream->end;
+}
+
+static void
+handle_stream(
+    struct relay *relay, const struct message *message, int64_t now_us)
+{
+	const struct message_stream *stream = &message->stream;
+	struct follow *follow = find_follow(relay,
+	    message->type == MESSAGE_CONFIG ? RELAY_CONFIG : stream->lane);
+
+	relay->answered_us = now_us;
+	if (message->type == MESSAGE_CONFIG)
+		relay->log_checked_us = now_us - stream->age_us;
+	if (follow == NULL)
+		return;
+	if (stream->from > follow->position)
+		add_gap(relay, follow, stream);
+	else
+		add_records(relay, follow, message, now_us);
+}
+
+/* ---- submitting ---- */
+
+static void
+finish_pending(struct relay *relay, struct pending *pending,
+    enum append_result result, uint64_t first_offset)
+{
+	struct queued_event *queued =
+	    relay_add_event(relay, RELAY_EVENT_APPENDED);
+
+	queued->event.number = pending->number;
+	queued->event.result = result;
+	queued->event.first_offset = first_offset;
+	list_remove(&pending->link);
+	free(pending);
+}
+
+static void
+handle_appended(struct relay *relay, const struct message_appended *appended,
+    int64_t now_us)
+{
+	enum append_result result = appended->result <= APPEND_UNKNOWN
+	    ? (enum append_result)appended->result
+	    : APPEND_UNKNOWN;
+
+	relay->answered_us = now_us;
+	list_for_each_safe (
+	    pending, tmp, &relay->pendings, struct pending, link) {
+		if (pending->number == appended->number)
+			finish_pending(
+			    relay, pending, result, appended->first_offset);
+	}
+}
+
+static size_t
+batch_bytes(const struct owner_batch *batch)
+{
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < batch->count; i++)
+		bytes += batch->items[i].len;
+	return bytes;
+}
+
+bool
+relay_submit(struct relay *relay, const struct owner_batch *batch,
+    bool priority, int64_t now_us)
+{
+	struct message message = {
+	    .type = MESSAGE_APPEND,
+	    .append =
+		{
+		    .lane = batch->lane,
+		    .number = batch->number,
+		    .priority = priority,
+		    .record_count = batch->count,
+		},
+	};
+	struct pending *pending;
+
+	if (relay_direct(relay, now_us) ||
+	    batch_bytes(batch) > RELAY_BATCH_BYTES)
+		return false;
+	pending = xcalloc(1, sizeof(*pending));
+	pending->number = batch->number;
+	pending->deadline_us = now_us + (int64_t)RELAY_APPEND_MS * US_PER_MS;
+	list_append(&relay->pendings, &pending->link);
+	message.append.records =
+	    xcalloc(batch->count, sizeof(*message.append.records));
+	for (size_t i = 0; i < batch->count; i++)
+		message.append.records[i].data = (struct record_bytes){
+		    batch->items[i].data, batch->items[i].len};
+	relay_post(relay, relay->relay_vm, &message, now_us);
+	free(message.append.records);
+	return true;
+}
+
+/* ---- messages and time ---- */
+
+void
+relay_handle_message(
+    struct relay *relay, const struct message *message, int64_t now_us)
+{
+	bool of_relay = strcmp(message->sender, relay->relay_vm) == 0;
+
+	switch (message->type) {
+	case MESSAGE_CONFIG:
+	case MESSAGE_LANE:
+		if (of_relay)
+			handle_stream(relay, message, now_us);
+		break;
+	case MESSAGE_APPENDED:
+		if (of_relay)
+			handle_appended(relay, &message->appended, now_us);
+		break;
+	case MESSAGE_APPEND:
+		append_handle_message(
+		    relay, message->sender, &message->append, now_us);
+		break;
+	case MESSAGE_WANT:
+		feed_handle_want(
+		    relay, message->sender, &message->want, now_us);
+		break;
+	case MESSAGE_NONE:
+	case MESSAGE_HELLO:
+	case MESSAGE_VIEW:
+	case MESSAGE_DRAIN:
+	case MESSAGE_STATUS:
+		break;
+	}
+}
+
+static void
+send_want(struct relay *relay, int64_t now_us)
+{
+	struct message message = {.type = MESSAGE_WANT};
+	struct message_want *want = &message.want;
+
+	relay->want_us = now_us + (int64_t)RELAY_WANT_MS * US_PER_MS;
+	want->lanes =
+	    xcalloc(list_length(&relay->follows) + 1, sizeof(*want->lanes));
+	list_for_each (follow, &relay->follows, struct follow, link) {
+		if (follow->stream == RELAY_CONFIG) {
+			want->config = true;
+			want->config_from = follow->position;
+			continue;
+		}
+		want->lanes[want->lane_count++] = (struct message_want_item){
+		    .lane = follow->stream, .from = follow->position};
+	}
+	relay_post(relay, relay->relay_vm, &message, now_us);
+	free(want->lanes);
+}
+
+/* Takes another relay; batches at the old one may or may not be appended. */
+static void
+change_relay(struct relay *relay, const char *vm, int64_t now_us)
+{
+	snprintf(relay->relay_vm, sizeof(relay->relay_vm), "%s", vm);
+	relay->answered_us = now_us;
+	relay->log_checked_us = now_us;
+	relay->want_us = now_us;
+	list_for_each_safe (
+	    pending, tmp, &relay->pendings, struct pending, link)
+		finish_pending(relay, pending, APPEND_UNKNOWN, 0);
+}
+
+void
+relay_tick(struct relay *relay, int64_t now_us)
+{
+	char vm[NAME_BYTES] = "";
+
+	failure_relay(relay->failure, relay->failure_domain, 0, now_us, vm);
+	if (strcmp(vm, relay->relay_vm) != 0)
+		change_relay(relay, vm, now_us);
+	if (now_us >= relay->want_us && relay->relay_vm[0] != '\0')
+		send_want(relay, now_us);
+	list_for_each_safe (
+	    pending, tmp, &relay->pendings, struct pending, link) {
+		if (now_us >= pending->deadline_us)
+			finish_pending(relay, pending, APPEND_UNKNOWN, 0);
+	}
+}
+
+int64_t
+relay_next_us(const struct relay *relay)
+{
+	int64_t append_us = append_next_us(relay);
+
+	return append_us < relay->want_us ? append_us : relay->want_us;
+}
--- /dev/null
+++ b/peer/relay_append.c
@@ -0,0 +1,316 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "peer/relay_internal.h"
+
+enum {
+	BURST_MS = 250, /* appends that may start at once, as time's worth */
+};
+
+/** A batch that a daemon wants appended. */
+struct submission {
+	struct list link; /**< in relay->waiting, or a batch's submissions */
+	char vm[NAME_BYTES];
+	uint64_t number;
+	uint32_t lane;
+	bool priority;
+	int64_t arrived_us;
+	struct plog_record *records; /**< into data */
+	size_t count;
+	uint8_t *data;
+	size_t bytes;
+};
+
+/** An append under way. */
+struct batch {
+	struct list link;
+	uint64_t number;
+	uint32_t lane;
+	struct list submissions; /**< in the order of the records */
+	struct plog_record *records;
+	size_t count;
+};
+
+static void
+submission_free(struct submission *submission)
+{
+	list_remove(&submission->link);
+	free(submission->records);
+	free(submission->data);
+	free(submission);
+}
+
+static void
+batch_free(struct batch *batch)
+{
+	list_for_each_safe (
+	    submission, tmp, &batch->submissions, struct submission, link)
+		submission_free(submission);
+	list_remove(&batch->link);
+	free(batch->records);
+	free(batch);
+}
+
+void
+append_destroy_all(struct relay *relay)
+{
+	list_for_each_safe (
+	    submission, tmp, &relay->waiting, struct submission, link)
+		submission_free(submission);
+	list_for_each_safe (batch, tmp, &relay->batches, struct batch, link)
+		batch_free(batch);
+}
+
+size_t
+relay_backlog(const struct relay *relay)
+{
+	return relay->backlog_bytes;
+}
+
+/* ---- taking batches ---- */
+
+static void
+answer(struct relay *relay, const char *vm, uint64_t number,
+    enum append_result result, uint64_t first_offset, int64_t now_us)
+{
+	struct message message = {
+	    .type = MESSAGE_APPENDED,
+	    .appended = {number, (uint32_t)result, first_offset},
+	};
+
+	relay_post(relay, vm, &message, now_us);
+}
+
+static bool
+is_in(const struct list *submissions, const char *vm, uint64_t number)
+{
+	list_for_each (submission, submissions, struct submission, link) {
+		if (submission->number == number &&
+		    strcmp(submission->vm, vm) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+is_known(const struct relay *relay, const char *vm, uint64_t number)
+{
+	list_for_each (batch, &relay->batches, struct batch, link) {
+		if (is_in(&batch->submissions, vm, number))
+			return true;
+	}
+	return is_in(&relay->waiting, vm, number);
+}
+
+static void
+copy_records(struct submission *submission, const struct message_append *append)
+{
+	size_t at = 0;
+
+	submission->data = xcalloc(1, submission->bytes + 1);
+	submission->records =
+	    xcalloc(append->record_count, sizeof(*submission->records));
+	submission->count = append->record_count;
+	for (size_t i = 0; i < append->record_count; i++) {
+		const struct record_bytes *bytes = &append->records[i].data;
+
+		if (bytes->len > 0)
+			memcpy(submission->data + at, bytes->data, bytes->len);
+		submission->records[i].data = submission->data + at;
+		submission->records[i].len = bytes->len;
+		at += bytes->len;
+	}
+}
+
+void
+append_handle_message(struct relay *relay, const char *vm,
+    const struct message_append *append, int64_t now_us)
+{
+	struct submission *submission;
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < append->record_count; i++)
+		bytes += append->records[i].data.len;
+	if (append->record_count == 0 || is_known(relay, vm, append->number))
+		return;
+	if (relay->backlog_bytes + bytes > RELAY_BACKLOG_BYTES) {
+		answer(relay, vm, append->number, APPEND_NOT_DONE, 0, now_us);
+		return;
+	}
+	submission = xcalloc(1, sizeof(*submission));
+	snprintf(submission->vm, sizeof(submission->vm), "%s", vm);
+	submission->number = append->number;
+	submission->lane = append->lane;
+	submission->priority = append->priority;
+	submission->arrived_us = now_us;
+	submission->bytes = bytes;
+	copy_records(submission, append);
+	relay->backlog_bytes += bytes;
+	list_append(&relay->waiting, &submission->link);
+}
+
+/* ---- appending ---- */
+
+static double
+rate_per_s(const struct relay *relay)
+{
+	return (double)relay->appends_per_s /
+	    (double)failure_domains(relay->failure);
+}
+
+static void
+refill(struct relay *relay, int64_t now_us)
+{
+	double rate = rate_per_s(relay);
+	double most = 1 + rate * BURST_MS / MS_PER_S;
+
+	relay->tokens += rate * (double)(now_us - relay->tokens_us) / US_PER_S;
+	relay->tokens_us = now_us;
+	if (relay->tokens > most)
+		relay->tokens = most;
+	relay->token_us = now_us;
+	if (relay->tokens < 1)
+		relay->token_us +=
+		    (int64_t)((1 - relay->tokens) / rate * US_PER_S) + 1;
+}
+
+static bool
+is_busy(const struct relay *relay, uint32_t lane)
+{
+	list_for_each (batch, &relay->batches, struct batch, link) {
+		if (batch->lane == lane)
+			return true;
+	}
+	return false;
+}
+
+static int64_t
+due_us(const struct relay *relay, const struct submission *submission)
+{
+	return submission->priority
+	    ? submission->arrived_us
+	    : submission->arrived_us + relay->append_delay_us;
+}
+
+/* Returns what is due first, priority before turns. */
+static const struct submission *
+find_due(const struct relay *relay, int64_t now_us)
+{
+	const struct submission *turn = NULL;
+
+	list_for_each (submission, &relay->waiting, struct submission, link) {
+		if (now_us < due_us(relay, submission) ||
+		    is_busy(relay, submission->lane))
+			continue;
+		if (submission->priority)
+			return submission;
+		if (turn == NULL)
+			turn = submission;
+	}
+	return turn;
+}
+
+int64_t
+append_next_us(const struct relay *relay)
+{
+	int64_t next_us = INT64_MAX;
+
+	list_for_each (submission, &relay->waiting, struct submission, link) {
+		int64_t at_us = due_us(relay, submission);
+
+		if (!is_busy(relay, submission->lane) && at_us < next_us)
+			next_us = at_us;
+	}
+	if (next_us < relay->token_us)
+		next_us = relay->token_us;
+	return next_us;
+}
+
+/* Moves a lane's submissions of one priority into a batch. */
+static void
+gather(struct relay *relay, struct batch *batch, bool priority, size_t *bytes)
+{
+	list_for_each_safe (
+	    submission, tmp, &relay->waiting, struct submission, link) {
+		if (submission->lane != batch->lane ||
+		    submission->priority != priority ||
+		    (batch->count > 0 &&
+			*bytes + submission->bytes > RELAY_BATCH_BYTES))
+			continue;
+		list_remove(&submission->link);
+		list_append(&batch->submissions, &submission->link);
+		relay->backlog_bytes -= submission->bytes;
+		batch->count += submission->count;
+		*bytes += submission->bytes;
+	}
+}
+
+static void
+collect_records(struct batch *batch)
+{
+	size_t at = 0;
+
+	batch->records = xcalloc(batch->count, sizeof(*batch->records));
+	list_for_each (
+	    submission, &batch->submissions, struct submission, link) {
+		memcpy(batch->records + at, submission->records,
+		    submission->count * sizeof(*batch->records));
+		at += submission->count;
+	}
+}
+
+bool
+relay_next_append(
+    struct relay *relay, int64_t now_us, struct relay_append *append)
+{
+	const struct submission *due = find_due(relay, now_us);
+	struct batch *batch;
+	size_t bytes = 0;
+
+	refill(relay, now_us);
+	if (due == NULL || relay->tokens < 1)
+		return false;
+	relay->tokens -= 1;
+	refill(relay, now_us);
+	batch = xcalloc(1, sizeof(*batch));
+	batch->number = ++relay->last_batch;
+	batch->lane = due->lane;
+	list_init(&batch->submissions);
+	gather(relay, batch, true, &bytes);
+	gather(relay, batch, false, &bytes);
+	collect_records(batch);
+	list_append(&relay->batches, &batch->link);
+	append->lane = batch->lane;
+	append->number = batch->number;
+	append->records = batch->records;
+	append->count = batch->count;
+	return true;
+}
+
+static void
+answer_all(struct relay *relay, const struct batch *batch,
+    enum append_result result, uint64_t first_offset, int64_t now_us)
+{
+	list_for_each (
+	    submission, &batch->submissions, struct submission, link) {
+		answer(relay, submission->vm, submission->number, result,
+		    first_offset, now_us);
+		if (result == APPEND_DONE)
+			first_offset += submission->count;
+	}
+}
+
+void
+relay_handle_appended(struct relay *relay, uint64_t number,
+    enum append_result result, uint64_t first_offset, int64_t now_us)
+{
+	list_for_each_safe (batch, tmp, &relay->batches, struct batch, link) {
+		if (batch->number != number)
+			continue;
+		answer_all(relay, batch, result, first_offset, now_us);
+		batch_free(batch);
+	}
+}
--- /dev/null
+++ b/tests/test_peer_relay.c
@@ -0,0 +1,574 @@
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "common/rng.h"
+#include "peer/relay.h"
+#include "tests/runner.h"
+
+enum {
+	VMS = 60,
+	LANES = 4,
+	STREAMS = LANES + 1, /* the last one is the configuration */
+	STEP_MS = 100,
+	LOG_RECORDS = 20000,
+	APPENDS_PER_S = 20,
+	SEEDS = 2,
+};
+
+/** A log record: who submitted it, and that VM's number of it. */
+struct entry {
+	uint32_t vm;
+	uint64_t number;
+};
+
+struct log_stream {
+	struct entry entries[LOG_RECORDS];
+	uint64_t end;
+};
+
+struct vm {
+	struct failure *failure;
+	struct relay *relay;
+	struct message_member self;
+	bool up;
+	bool log_lost;
+	uint64_t position[STREAMS];
+	uint64_t submitted; /**< number of the last batch */
+	bool waiting;       /**< for its result */
+	uint64_t confirmed; /**< batches with a sure result */
+	uint64_t direct_steps;
+	uint64_t direct_appends;
+};
+
+struct flight {
+	struct flight *next;
+	int to;
+	struct buf wire;
+};
+
+static struct {
+	struct vm vms[VMS];
+	struct log_stream streams[STREAMS];
+	struct rng rng;
+	double loss; /**< of messages and of log replies */
+	bool log_down;
+	int64_t now_us;
+	uint64_t relay_appends;
+	uint64_t reads;
+	struct flight *flights;
+	struct flight **tail;
+} sim;
+
+static int
+stream_index(uint32_t stream)
+{
+	return stream == RELAY_CONFIG ? LANES : (int)stream;
+}
+
+static uint32_t
+stream_name(int index)
+{
+	return index == LANES ? RELAY_CONFIG : (uint32_t)index;
+}
+
+static bool
+is_lost(void)
+{
+	return rng_real(&sim.rng) < sim.loss;
+}
+
+static void
+post(const char *to, const struct buf *wire)
+{
+	struct flight *flight;
+
+	if (is_lost())
+		return;
+	flight = xcalloc(1, sizeof(*flight));
+	flight->to = (int)strtol(to + 3, NULL, 10);
+	buf_append(&flight->wire, wire->data, wire->len);
+	*sim.tail = flight;
+	sim.tail = &flight->next;
+}
+
+static void
+send_failure(void *context, const char *to, struct message *message)
+{
+	struct vm *vm = context;
+	struct buf wire = {0};
+
+	memcpy(message->sender, vm->self.vm, NAME_BYTES);
+	message_encode(message, &wire);
+	post(to, &wire);
+	buf_reset(&wire);
+}
+
+static void
+deliver_all(void)
+{
+	struct flight *flight = sim.flights;
+
+	sim.flights = NULL;
+	sim.tail = &sim.flights;
+	while (flight != NULL) {
+		struct flight *next = flight->next;
+		struct vm *to = &sim.vms[flight->to];
+		struct message message;
+
+		ck_assert(message_decode(
+		    flight->wire.data, flight->wire.len, &message, NULL));
+		if (to->up) {
+			failure_handle_message(
+			    to->failure, &message, sim.now_us);
+			relay_handle_message(to->relay, &message, sim.now_us);
+		}
+		message_reset(&message);
+		buf_reset(&flight->wire);
+		free(flight);
+		flight = next;
+	}
+}
+
+/* ---- the log ---- */
+
+static uint64_t
+log_append(int index, const struct plog_record *records, size_t count)
+{
+	struct log_stream *stream = &sim.streams[index];
+	uint64_t first = stream->end;
+
+	for (size_t i = 0; i < count; i++) {
+		ck_assert_uint_lt(stream->end, LOG_RECORDS);
+		ck_assert_uint_eq(records[i].len, sizeof(struct entry));
+		memcpy(&stream->entries[stream->end++], records[i].data,
+		    sizeof(struct entry));
+	}
+	return first;
+}
+
+static void
+serve_reads(struct vm *vm)
+{
+	struct relay_read want;
+
+	while (relay_next_read(vm->relay, sim.now_us, &want)) {
+		struct log_stream *stream =
+		    &sim.streams[stream_index(want.stream)];
+		struct plog_record records[100];
+		struct plog_read read = {
+		    .status =
+			vm->log_lost || sim.log_down ? PLOG_NOT_SENT : PLOG_OK,
+		    .end = stream->end,
+		    .records = records,
+		};
+
+		sim.reads++;
+		while (
+		    want.from + read.count < stream->end && read.count < 100) {
+			uint64_t offset = want.from + read.count;
+
+			records[read.count++] = (struct plog_record){offset,
+			    (const uint8_t *)&stream->entries[offset],
+			    sizeof(struct entry)};
+		}
+		if (read.status != PLOG_OK)
+			read.count = 0;
+		relay_handle_read(vm->relay, want.stream, &read, sim.now_us);
+	}
+}
+
+static void
+serve_appends(struct vm *vm)
+{
+	struct relay_append append;
+
+	while (relay_next_append(vm->relay, sim.now_us, &append)) {
+		enum append_result result = APPEND_DONE;
+		uint64_t first = 0;
+
+		sim.relay_appends++;
+		if (vm->log_lost || sim.log_down)
+			result = APPEND_NOT_DONE;
+		else
+			first = log_append(
+			    (int)append.lane, append.records, append.count);
+		if (result == APPEND_DONE && is_lost())
+			result = APPEND_UNKNOWN;
+		relay_handle_appended(
+		    vm->relay, append.number, result, first, sim.now_us);
+	}
+}
+
+/* ---- a daemon ---- */
+
+static void
+submit(struct vm *vm, int index)
+{
+	struct entry entry = {(uint32_t)index, vm->submitted};
+	struct buf item = {0};
+	struct owner_batch batch = {
+	    .lane = (uint32_t)index % LANES,
+	    .number = vm->submitted,
+	    .items = &item,
+	    .count = 1,
+	};
+	struct plog_record record = {0, (const uint8_t *)&entry, sizeof(entry)};
+
+	buf_append(&item, &entry, sizeof(entry));
+	if (relay_submit(vm->relay, &batch, index % 3 == 0, sim.now_us)) {
+		vm->waiting = true;
+	} else if (!vm->log_lost && !sim.log_down) {
+		log_append(index % LANES, &record, 1);
+		vm->direct_appends++;
+		vm->confirmed++;
+		vm->submitted++;
+	}
+	buf_reset(&item);
+}
+
+static void
+take_position(struct vm *vm, const struct relay_event *event)
+{
+	int index = stream_index(event->stream);
+	uint64_t at = vm->position[index];
+
+	ck_assert_uint_eq(event->from, at);
+	for (size_t i = 0; i < event->record_count; i++) {
+		ck_assert_uint_eq(event->records[i].offset, at);
+		ck_assert_mem_eq(event->records[i].data.data,
+		    &sim.streams[index].entries[at], sizeof(struct entry));
+		at++;
+	}
+	ck_assert_uint_eq(event->next, at);
+	vm->position[index] = at;
+}
+
+static void
+handle_events(struct vm *vm)
+{
+	struct relay_event event;
+
+	while (relay_next_event(vm->relay, &event)) {
+		switch (event.type) {
+		case RELAY_EVENT_RECORDS:
+			take_position(vm, &event);
+			break;
+		case RELAY_EVENT_GAP:
+			vm->position[stream_index(event.stream)] = event.next;
+			relay_follow(vm->relay, event.stream, event.next);
+			break;
+		case RELAY_EVENT_APPENDED:
+			vm->waiting = false;
+			if (event.result == APPEND_DONE) {
+				vm->confirmed++;
+				vm->submitted++;
+			}
+			break;
+		}
+	}
+}
+
+static void
+read_directly(struct vm *vm)
+{
+	vm->direct_steps++;
+	if (vm->log_lost || sim.log_down)
+		return;
+	for (int i = 0; i < STREAMS; i++) {
+		vm->position[i] = sim.streams[i].end;
+		relay_follow(vm->relay, stream_name(i), vm->position[i]);
+	}
+}
+
+static void
+vm_step(struct vm *vm, int index, const struct message_view *news)
+{
+	struct relay_outgoing out;
+
+	failure_tick(vm->failure, sim.now_us, news, send_failure, vm);
+	relay_tick(vm->relay, sim.now_us);
+	if (relay_direct(vm->relay, sim.now_us))
+		read_directly(vm);
+	if (!vm->waiting && rng_below(&sim.rng, 10) == 0)
+		submit(vm, index);
+	serve_reads(vm);
+	serve_appends(vm);
+	while (relay_next_message(vm->relay, &out))
+		post(out.vm, out.wire);
+	handle_events(vm);
+}
+
+static void
+vm_stop(struct vm *vm)
+{
+	relay_destroy(vm->relay);
+	failure_destroy(vm->failure);
+	vm->up = false;
+}
+
+static void
+vm_start(struct vm *vm, int index)
+{
+	memset(vm, 0, sizeof(*vm));
+	snprintf(vm->self.vm, NAME_BYTES, "vm-%d", index);
+	snprintf(vm->self.failure_domain, NAME_BYTES, "domain-0");
+	vm->self.incarnation = rng_next(&sim.rng);
+	vm->failure = failure_create(&vm->self);
+	vm->relay = relay_create(vm->self.vm, "domain-0", vm->failure);
+	relay_set_limits(vm->relay, APPENDS_PER_S, 100 * US_PER_MS);
+	for (int i = 0; i < STREAMS; i++)
+		relay_follow(vm->relay, stream_name(i), 0);
+	vm->up = true;
+}
+
+static void
+sim_start(uint64_t seed, double loss)
+{
+	memset(&sim, 0, sizeof(sim));
+	sim.loss = loss;
+	sim.now_us = 1;
+	sim.tail = &sim.flights;
+	rng_init(&sim.rng, seed);
+	for (int i = 0; i < VMS; i++)
+		vm_start(&sim.vms[i], i);
+	for (int i = 0; i < VMS * VMS; i++)
+		failure_handle_listed(sim.vms[i / VMS].failure,
+		    &sim.vms[i % VMS].self, sim.now_us);
+}
+
+static void
+sim_run(int total_ms)
+{
+	const struct message_view news = {0};
+
+	for (int past_ms = 0; past_ms < total_ms; past_ms += STEP_MS) {
+		sim.now_us += (int64_t)STEP_MS * US_PER_MS;
+		deliver_all();
+		for (int i = 0; i < VMS; i++) {
+			if (sim.vms[i].up)
+				vm_step(&sim.vms[i], i, &news);
+		}
+	}
+}
+
+static void
+sim_stop(void)
+{
+	for (int i = 0; i < VMS; i++) {
+		if (sim.vms[i].up)
+			vm_stop(&sim.vms[i]);
+	}
+	deliver_all();
+}
+
+static uint64_t
+sum_direct_steps(void)
+{
+	uint64_t sum = 0;
+
+	for (int i = 0; i < VMS; i++)
+		sum += sim.vms[i].direct_steps;
+	return sum;
+}
+
+/* Publishes a configuration record and returns the time until all running
+ * VMs but one (-1: none) have it. */
+static int
+time_to_force_ms(int but)
+{
+	struct entry entry = {VMS, 0};
+	struct plog_record record = {0, (const uint8_t *)&entry, sizeof(entry)};
+	int past_ms = 0;
+	bool all = false;
+
+	log_append(LANES, &record, 1);
+	while (!all && past_ms < 60000) {
+		sim_run(STEP_MS);
+		past_ms += STEP_MS;
+		all = true;
+		for (int i = 0; i < VMS; i++)
+			all &= !sim.vms[i].up || i == but ||
+			    sim.vms[i].position[LANES] ==
+				sim.streams[LANES].end;
+	}
+	return past_ms;
+}
+
+static int
+relay_index(void)
+{
+	char vm[NAME_BYTES];
+	int at = 0;
+
+	while (!sim.vms[at].up)
+		at++;
+	ck_assert(
+	    failure_relay(sim.vms[at].failure, "domain-0", 0, sim.now_us, vm));
+	return (int)strtol(vm + 3, NULL, 10);
+}
+
+/* Each confirmed batch of each VM is in the log. */
+static void
+check_nothing_lost(void)
+{
+	static uint8_t seen[VMS][LOG_RECORDS];
+
+	memset(seen, 0, sizeof(seen));
+	for (int s = 0; s < LANES; s++) {
+		for (uint64_t i = 0; i < sim.streams[s].end; i++) {
+			const struct entry *entry = &sim.streams[s].entries[i];
+
+			seen[entry->vm][entry->number] = 1;
+		}
+	}
+	for (int i = 0; i < VMS; i++) {
+		for (uint64_t n = 0; n < sim.vms[i].confirmed; n++)
+			ck_assert(seen[i][n]);
+	}
+}
+
+START_TEST(one_relay_serves_sixty_vms_within_its_share)
+{
+	uint64_t appends;
+
+	sim_start(1, 0);
+	sim_run(6000);
+	appends = sim.relay_appends;
+	for (int i = 0; i < VMS; i++)
+		sim.vms[i].direct_steps = 0;
+	sim_run(8000);
+	ck_assert_uint_eq(sum_direct_steps(), 0);
+	ck_assert_uint_le(sim.relay_appends - appends, 8 * APPENDS_PER_S + 6);
+	for (int i = 0; i < VMS; i++)
+		ck_assert_uint_gt(sim.vms[i].confirmed, 2);
+	ck_assert_int_le(time_to_force_ms(-1), 1000);
+	check_nothing_lost();
+	sim_stop();
+}
+END_TEST
+
+START_TEST(loss_and_a_dead_relay_lose_nothing)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		int relay;
+
+		sim_start(seed, 0.03);
+		sim_run(8000);
+		relay = relay_index();
+		vm_stop(&sim.vms[relay]);
+		ck_assert_int_le(time_to_force_ms(-1), 7000);
+		sim_run(6000);
+		ck_assert_int_ne(relay_index(), relay);
+		vm_stop(&sim.vms[relay_index()]);
+		ck_assert_int_le(time_to_force_ms(-1), 7000);
+		sim_run(5000);
+		check_nothing_lost();
+		sim_stop();
+	}
+}
+END_TEST
+
+START_TEST(a_relay_without_the_log_is_left)
+{
+	int relay;
+
+	sim_start(1, 0);
+	sim_run(8000);
+	relay = relay_index();
+	sim.vms[relay].log_lost = true;
+	ck_assert_int_le(time_to_force_ms(relay), 7000);
+	sim.vms[relay].self.log_lost = true;
+	failure_set_self(sim.vms[relay].failure, &sim.vms[relay].self);
+	sim_run(5000);
+	ck_assert_int_ne(relay_index(), relay);
+	/* It now has the configuration through the others. */
+	ck_assert_int_le(time_to_force_ms(-1), 1000);
+	check_nothing_lost();
+	sim_stop();
+}
+END_TEST
+
+START_TEST(a_backlog_is_bounded_and_told)
+{
+	struct failure *failure;
+	struct relay *relay;
+	struct message_member self = {.vm = "vm-0", .incarnation = 1};
+	static uint8_t bytes[500 << 10];
+	struct message_record record = {0, {bytes, sizeof(bytes)}};
+	struct message message = {
+	    .type = MESSAGE_APPEND,
+	    .sender = "vm-1",
+	    .append = {.records = &record, .record_count = 1},
+	};
+	struct relay_outgoing out;
+	int refused = 0;
+
+	failure = failure_create(&self);
+	relay = relay_create("vm-0", "", failure);
+	for (int i = 0; i < 20; i++) {
+		message.append.number = (uint64_t)i;
+		relay_handle_message(relay, &message, 1);
+	}
+	ck_assert_uint_le(relay_backlog(relay), RELAY_BACKLOG_BYTES);
+	while (relay_next_message(relay, &out)) {
+		struct message reply;
+
+		ck_assert(message_decode(
+		    out.wire->data, out.wire->len, &reply, NULL));
+		ck_assert_uint_eq(reply.appended.result, APPEND_NOT_DONE);
+		refused++;
+	}
+	ck_assert_int_eq(refused, 20 - RELAY_BACKLOG_BYTES / (500 << 10));
+	relay_destroy(relay);
+	failure_destroy(failure);
+}
+END_TEST
+
+START_TEST(priority_goes_before_turns)
+{
+	struct failure *failure;
+	struct relay *relay;
+	struct message_member self = {.vm = "vm-0", .incarnation = 1};
+	struct message_record record = {0, {(const uint8_t *)"x", 1}};
+	struct message message = {
+	    .type = MESSAGE_APPEND,
+	    .sender = "vm-1",
+	    .append = {.records = &record, .record_count = 1},
+	};
+	struct relay_append append;
+
+	failure = failure_create(&self);
+	relay = relay_create("vm-0", "", failure);
+	relay_set_limits(relay, 1, 0);
+	for (uint32_t lane = 0; lane < 3; lane++) {
+		message.append.number = lane;
+		message.append.lane = lane;
+		message.append.priority = lane == 2;
+		relay_handle_message(relay, &message, 1);
+	}
+	ck_assert(relay_next_append(relay, (int64_t)10 * US_PER_S, &append));
+	ck_assert_uint_eq(append.lane, 2);
+	ck_assert(!relay_next_append(relay, (int64_t)10 * US_PER_S, &append));
+	ck_assert(relay_next_append(relay, (int64_t)12 * US_PER_S, &append));
+	ck_assert_uint_eq(append.lane, 0);
+	relay_destroy(relay);
+	failure_destroy(failure);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    one_relay_serves_sixty_vms_within_its_share,
+	    loss_and_a_dead_relay_lose_nothing,
+	    a_relay_without_the_log_is_left,
+	    a_backlog_is_bounded_and_told,
+	    priority_goes_before_turns,
+	};
+
+	return run_tests("peer_relay", tests, sizeof(tests) / sizeof(tests[0]));
+}
