--- a/include/daemon/call.h
+++ b/include/daemon/call.h
@@ -160,7 +160,7 @@
 void handle_ready(struct daemon *daemon, struct http_exchange *exchange,
     const struct http_request *request, const char *rest);
 /** Entry point of all HTTP requests. */
-void api_handle(void *daemon, struct http_exchange *exchange,
+void api_handle(void *context, struct http_exchange *exchange,
     const struct http_request *request);
 
 /* Checks of a request's sender. */
--- a/peer/message.c
+++ b/peer/message.c
@@ -86,9 +86,9 @@
     F(4, WIRE_UNSIGNED, view.config_end),
     F(5, WIRE_SIGNED, view.log_age_us),
     LIST(6, view.members, &member_layout),
-    F(7, FIELD_UNSIGNED, view.base),
-    F(8, FIELD_UNSIGNED, view.view_incarnation),
-    F(9, FIELD_UNSIGNED, view.view_seen),
+    F(7, WIRE_UNSIGNED, view.base),
+    F(8, WIRE_UNSIGNED, view.view_incarnation),
+    F(9, WIRE_UNSIGNED, view.view_seen),
 };
 static const struct wire_field stream_fields[] = {
     F(1, WIRE_UNSIGNED, stream.lane),
--- a/standins/caller.c
+++ b/standins/caller.c
@@ -58,13 +58,13 @@
 }
 
 static void
-print_quantiles(const char *name, struct samples *samples)
+print_quantiles(const char *name, struct latencies *samples)
 {
 	static const int percents[] = {50, 95, 99};
 
 	for (size_t i = 0; i < sizeof(percents) / sizeof(percents[0]); i++)
 		printf("%s_p%d %.3f ms\n", name, percents[i],
-		    (double)samples_quantile(samples, percents[i] / 100.0) /
+		    (double)latencies_quantile(samples, percents[i] / 100.0) /
 			US_PER_MS);
 }
 
--- a/standins/caller.h
+++ b/standins/caller.h
@@ -40,9 +40,9 @@
 };
 
 struct caller_results {
-	struct samples first_token_us;
-	struct samples inter_token_us;
-	struct samples program_us;
+	struct latencies first_token_us;
+	struct latencies inter_token_us;
+	struct latencies program_us;
 	uint64_t requests;
 	uint64_t retries;
 	uint64_t tokens;
--- a/standins/caller_chat.c
+++ b/standins/caller_chat.c
@@ -27,9 +27,10 @@
 	struct caller_results *results = &answer->program->caller->results;
 
 	if (answer->last_token_us == 0)
-		samples_add(&results->first_token_us, now_us - answer->sent_us);
+		latencies_add(
+		    &results->first_token_us, now_us - answer->sent_us);
 	else
-		samples_add(
+		latencies_add(
 		    &results->inter_token_us, now_us - answer->last_token_us);
 	answer->last_token_us = now_us;
 }
--- a/standins/caller_program.c
+++ b/standins/caller_program.c
@@ -29,7 +29,7 @@
 
 	if (ok) {
 		caller->results.programs_done++;
-		samples_add(&caller->results.program_us,
+		latencies_add(&caller->results.program_us,
 		    clock_monotonic_us() - program->begun_us);
 	} else {
 		caller->results.programs_failed++;
--- a/standins/samples.c
+++ b/standins/samples.c
@@ -8,7 +8,7 @@
 };
 
 void
-samples_add(struct samples *samples, int64_t value)
+latencies_add(struct latencies *samples, int64_t value)
 {
 	if (samples->count == samples->capacity) {
 		samples->capacity = samples->capacity > 0
@@ -30,7 +30,7 @@
 }
 
 int64_t
-samples_quantile(struct samples *samples, double quantile)
+latencies_quantile(struct latencies *samples, double quantile)
 {
 	size_t index;
 
@@ -45,8 +45,8 @@
 }
 
 void
-samples_reset(struct samples *samples)
+latencies_reset(struct latencies *samples)
 {
 	free(samples->values);
-	*samples = (struct samples){0};
+	*samples = (struct latencies){0};
 }
--- a/tests/test_standins.c
+++ b/tests/test_standins.c
@@ -589,15 +589,15 @@
 
 START_TEST(quantiles_are_exact)
 {
-	struct samples samples = {0};
+	struct latencies samples = {0};
 
-	ck_assert_int_eq(samples_quantile(&samples, 0.5), 0);
+	ck_assert_int_eq(latencies_quantile(&samples, 0.5), 0);
 	for (int64_t value = 5000; value > 0; value--)
-		samples_add(&samples, value);
-	ck_assert_int_eq(samples_quantile(&samples, 0.5), 2501);
-	ck_assert_int_eq(samples_quantile(&samples, 0.95), 4751);
-	ck_assert_int_eq(samples_quantile(&samples, 1), 5000);
-	samples_reset(&samples);
+		latencies_add(&samples, value);
+	ck_assert_int_eq(latencies_quantile(&samples, 0.5), 2501);
+	ck_assert_int_eq(latencies_quantile(&samples, 0.95), 4751);
+	ck_assert_int_eq(latencies_quantile(&samples, 1), 5000);
+	latencies_reset(&samples);
 }
 END_TEST
 
