--- a/daemon/chat_reply.c
+++ b/daemon/chat_reply.c
@@ -79,7 +79,7 @@
 	return json_pack("{s:I, s:I, s:I, s:{s:I}}", "prompt_tokens",
 	    (json_int_t)model->prompt_tokens, "completion_tokens",
 	    (json_int_t)model->answer_tokens, "total_tokens",
-	    (json_int_t)(model->prompt_tokens + model->answer_tokens),
+	    (json_int_t)model->prompt_tokens + (json_int_t)model->answer_tokens,
 	    "prompt_tokens_details", "cached_tokens",
 	    (json_int_t)model->cached_tokens);
 }
--- /dev/null
+++ b/tests/end_to_end.sh
@@ -0,0 +1,141 @@
+#!/bin/sh
+# Real daemons, stand-ins and calls over loopback.
+# usage: tests/end_to_end.sh BUILD_DIR
+set -eu
+build=$1
+here=$(dirname "$0")/../tools
+. "$here/processes.sh"
+. "$here/cluster.sh"
+
+fail() {
+	echo "failed: $*"
+	exit 1
+}
+
+workspace=studio
+
+# call PORT METHOD PATH BODY [CURL OPTION...]: sets code; body in $work/body.
+call() {
+	port=$1 method=$2 path=$3 body=$4
+	shift 4
+	code=$(curl -sL --post301 --post302 --max-time 20 -o "$work/body" \
+	    -w '%{http_code}' -X "$method" -d "$body" \
+	    -H "x-guavakeel-workspace: $workspace" "$@" \
+	    "http://127.0.0.1:$port$path")
+}
+
+# expect CODE TEXT: what the last call answered.
+expect() {
+	[ "$code" = "$1" ] || fail "status $code, not $1: $(cat "$work/body")"
+	grep -qF -- "$2" "$work/body" || fail "no $2 in $(cat "$work/body")"
+}
+
+# begin PORT: sets program.
+begin() {
+	call "$1" POST /v1/programs '{"budget_tokens": 9000}'
+	expect 201 '"program"'
+	program=$(sed 's/.*"program": *"\([^"]*\)".*/\1/' "$work/body")
+}
+
+# runs TOOL KEY: prints how often an action ran.
+runs() {
+	curl -s "http://127.0.0.1:$tool_port/runs?tool=$1&key=$2" |
+	    sed 's/.*"runs": *\([0-9]*\).*/\1/'
+}
+
+message='{"model": "draft-1", "messages": [{"role": "user", "content": "go"}]'
+
+echo "bad input has a typed answer and takes nothing down"
+call "$port_1" POST /v1/programs '{"budget_tokens": '
+expect 400 '"reason":"malformed_request","run":"not run"'
+workspace=nobody
+call "$port_1" POST /v1/programs '{}'
+workspace=studio
+expect 403 '"reason":"unknown_workspace"'
+call "$port_1" GET /nowhere ''
+expect 404 '"reason":"unknown_path"'
+begin "$port_1"
+call "$port_1" POST /v1/chat/completions '{"model": "draft-1"' \
+    -H "x-guavakeel-program: $program"
+expect 400 '"reason":"malformed_request"'
+call "$port_1" POST /v1/chat/completions "$(printf '{"model":"\377"}')" \
+    -H "x-guavakeel-program: $program"
+expect 400 '"reason":"malformed_request"'
+call "$port_1" POST /v1/chat/completions '{"model": "x", "messages": []}' \
+    -H "x-guavakeel-program: $program"
+expect 400 'non-empty array'
+call "$port_1" POST /v1/chat/completions "$message}" \
+    -H "x-guavakeel-program: $program" -H 'x-guavakeel-turn: 7'
+expect 409 '"reason":"turn_out_of_order","run":"not run"'
+call "$port_1" POST /v1/chat/completions "$message}" \
+    -H "x-guavakeel-program: p1-00000000000000ff"
+expect 404 '"reason":"unknown_program"'
+call "$port_1" POST /v1/chat/completions "$message, \"max_tokens\": 100000}" \
+    -H "x-guavakeel-program: $program"
+expect 402 '"reason":"budget_exceeded","run":"not run"'
+
+echo "a streamed turn ends with a durable record"
+call "$port_2" POST /v1/chat/completions \
+    "$message, \"stream\": true, \"max_tokens\": 8}" \
+    -H "x-guavakeel-program: $program" -H 'idempotency-key: t1'
+expect 200 '"durable":true'
+expect 200 'data: [DONE]'
+
+echo "the same call again, at another VM, has the same answer and no new turn"
+call "$port_3" POST /v1/chat/completions "$message, \"max_tokens\": 8}" \
+    -H "x-guavakeel-program: $program" -H 'idempotency-key: t1'
+expect 200 '"turn":1'
+
+echo "an invoice whose reply is lost ran once and is never sent again"
+curl -sf -X POST -d '{"lose_replies": 1}' \
+    "http://127.0.0.1:$tool_port/faults" >/dev/null || fail "ordering a fault"
+for port in $port_1 $port_2 $port_3; do
+	call "$port" POST /v1/tools/invoice '{"amount": 5}' \
+	    -H "x-guavakeel-program: $program" -H 'idempotency-key: i1'
+	expect 502 '"reason":"outcome_unknown","run":"outcome unknown"'
+done
+[ "$(runs invoice i1)" = 1 ] || fail "the invoice ran $(runs invoice i1) times"
+call "$port_1" POST /v1/tools/invoice '{"amount": 6}' \
+    -H "x-guavakeel-program: $program" -H 'idempotency-key: i1'
+expect 409 '"reason":"idempotency_key_reused"'
+
+echo "another workspace cannot drive the program"
+workspace=desk
+call "$port_1" POST /v1/chat/completions "$message}" \
+    -H "x-guavakeel-program: $program"
+workspace=studio
+[ "$code" = 403 ] || [ "$code" = 404 ] || fail "workspace: $code"
+
+echo "a caller that hangs up frees what it held"
+curl -s --max-time 0.2 -o /dev/null -X POST \
+    -d "$message, \"stream\": true, \"max_tokens\": 400}" \
+    -H 'x-guavakeel-workspace: studio' -H "x-guavakeel-program: $program" \
+    "http://127.0.0.1:$port_1/v1/chat/completions" -L || :
+tries=0
+for port in $port_1 $port_2 $port_3; do
+	until curl -s "http://127.0.0.1:$port/v1/status" |
+	    grep -q '"open_calls":0'; do
+		tries=$((tries + 1))
+		[ $tries -lt 100 ] || fail "calls stay open"
+		sleep 0.1
+	done
+done
+
+echo "a planned stop moves ownership and cuts nothing"
+call "$port_1" POST /v1/chat/completions "$message, \"max_tokens\": 8}" \
+    -H "x-guavakeel-program: $program"
+expect 200 '"durable":true'
+"$build/guavakeel/guavakeel" drain --address 127.0.0.1 --port "$port_1" \
+    >/dev/null
+wait "$pid_1" || fail "the drained daemon exited with $?"
+grep -q 'calls finished during the drain, 0 cut' "$work/entry-1.err" ||
+    fail "no count of calls: $(tail -n 2 "$work/entry-1.err")"
+tries=0
+until call "$port_2" POST /v1/chat/completions "$message, \"max_tokens\": 8}" \
+    -H "x-guavakeel-program: $program" && [ "$code" = 200 ]; do
+	tries=$((tries + 1))
+	[ $tries -lt 100 ] || fail "no owner: $code $(cat "$work/body")"
+	sleep 0.2
+done
+expect 200 '"durable":true'
+echo "end to end: passed"
