--- a/config/snapshot.c
+++ b/config/snapshot.c
@@ -29,6 +29,25 @@
 	    "comment", version->comment, "patch", version->patch);
 }
 
+struct digest
+config_fold_digest(const struct config_fold *fold)
+{
+	char *document =
+	    json_dumps(fold->document, JSON_COMPACT | JSON_SORT_KEYS);
+	struct digest digest = digest_chain(NULL, document, strlen(document));
+
+	free(document);
+	list_for_each (version, &fold->versions, struct config_version, link) {
+		json_t *entry = encode_version(version);
+		char *text = json_dumps(entry, JSON_COMPACT | JSON_SORT_KEYS);
+
+		digest = digest_chain(&digest, text, strlen(text));
+		free(text);
+		json_decref(entry);
+	}
+	return digest;
+}
+
 void
 config_fold_encode(
     const struct config_fold *fold, int64_t wall_us, struct buf *out)
--- a/include/config/fold.h
+++ b/include/config/fold.h
@@ -70,6 +70,9 @@
  * snapshot record or an export. */
 void config_fold_encode(
     const struct config_fold *fold, int64_t wall_us, struct buf *out);
+/** Digest of the document and the whole numbered history: equal on all nodes
+ * that have the same version. */
+struct digest config_fold_digest(const struct config_fold *fold);
 /** Writes the wire form of a snapshot record, its state compressed. */
 void config_snapshot_encode(const struct config_fold *fold, uint64_t id,
     int64_t wall_us, struct buf *out);
