--- a/guavakeel/history.c
+++ b/guavakeel/history.c
@@ -8,7 +8,7 @@
 
 enum {
 	READ_BYTES = 8 << 20,
-	TRIES = 8,
+	TRIES = 6,
 	FIRST_PAUSE_MS = 100,
 	MAX_PAUSE_MS = 3000,
 };
@@ -66,26 +66,32 @@
 	return operation.status == PLOG_OK || operation.status == PLOG_EXPIRED;
 }
 
+/* An incomplete fold waits a while too: a daemon may be about to write the
+ * history again. */
 bool
 history_read(struct history *history, struct error *err)
 {
 	int pause_ms = FIRST_PAUSE_MS;
 	int failures = 0;
-	bool level = false;
+	bool answered = false;
 
-	while (!level) {
-		if (read_once(history, &level))
+	for (;;) {
+		bool level = false;
+
+		answered = read_once(history, &level);
+		if (answered && !level)
 			continue;
+		if (answered && history->fold.complete)
+			return true;
 		if (++failures == TRIES)
-			return error_set(
-			    err, ERROR_IO, "the log can't be read");
+			break;
 		client_sleep(&history->client, pause_ms);
 		pause_ms = next_pause_ms(pause_ms);
 	}
-	if (!history->fold.complete)
-		return error_set(err, ERROR_STATE,
-		    "the log has no snapshot of the versions that it dropped");
-	return true;
+	if (!answered)
+		return error_set(err, ERROR_IO, "the log can't be read");
+	return error_set(err, ERROR_STATE,
+	    "the log has no snapshot of the versions that it dropped");
 }
 
 bool
