--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -14,7 +14,6 @@
 
 enum {
 	TICK_US = 100 * US_PER_MS,
-	CLOSE_TURNS = 100,
 	KEY_BYTES = 256,
 };
 
@@ -33,7 +32,7 @@
 static void
 dispatch_event(struct daemon *daemon, const struct owner_event *event)
 {
-	struct call *call = call_find(daemon, event->call);
+	struct call *call = daemon_find_call(daemon, event->call);
 
 	switch (event->type) {
 	case OWNER_RELEASE_KV:
@@ -76,7 +75,7 @@
 static void
 expire_call(struct daemon *daemon, uint64_t id, enum refusal reason)
 {
-	struct call *call = call_find(daemon, id);
+	struct call *call = daemon_find_call(daemon, id);
 
 	if (call == NULL)
 		return;
@@ -96,7 +95,7 @@
 	while (sched_expired(daemon->sched, daemon->board.now_us, &id, &reason))
 		expire_call(daemon, id, reason);
 	while (sched_next(daemon->sched, daemon->board.now_us, &dispatch)) {
-		struct call *call = call_find(daemon, dispatch.call);
+		struct call *call = daemon_find_call(daemon, dispatch.call);
 
 		if (call != NULL)
 			model_call_dispatch(call, &dispatch);
@@ -321,10 +320,6 @@
 	uv_close((uv_handle_t *)&daemon->signals[0], NULL);
 	uv_close((uv_handle_t *)&daemon->signals[1], NULL);
 	net_destroy(daemon->net);
-	for (int i = 0; i < CLOSE_TURNS; i++) {
-		if (uv_run(&daemon->loop, UV_RUN_NOWAIT) == 0)
-			break;
-	}
 	uv_loop_close(&daemon->loop);
 }
 
--- a/route/admit.c
+++ b/route/admit.c
@@ -6,9 +6,12 @@
 };
 
 /** Share of a server's memory above which it begins no programs. */
-static const double ADMIT_PRESSURE = 0.85;
+static const double ADMIT_PRESSURE = 0.75;
+static const double ADMIT_STARVING_PRESSURE = 0.9; /**< after a long wait */
+/** Share of memory over which the chance to begin a program falls to none. */
+static const double ADMIT_SLOPE = 0.1;
 /** Share of its batch above which it begins no programs. */
-static const double ADMIT_RUNNING = 1.0;
+static const double ADMIT_RUNNING = 0.7;
 
 bool
 admit_call(const struct route_queue *queue, const struct sched_policy *policy,
@@ -35,10 +38,17 @@
 admit_new_at(const struct route_server *server,
     const struct sched_policy *policy, int64_t waited_us)
 {
+	double limit = ADMIT_PRESSURE;
 	double room = server->config.max_running * ADMIT_RUNNING;
 
-	if (policy->no_admission || waited_us >= QUEUE_STARVATION_US)
+	if (policy->no_admission || server->reported_us == 0)
 		return true;
-	return (double)server_calls(server, policy) < room &&
-	    server_pressure(server) < ADMIT_PRESSURE;
+	/* Other VMs see the same room: one program a report, by chance. */
+	if (server->begun_us > server->load.measured_us)
+		return false;
+	if (waited_us >= QUEUE_STARVATION_US)
+		limit = ADMIT_STARVING_PRESSURE;
+	else if ((double)server_calls(server, policy) >= room)
+		return false;
+	return server->draw * ADMIT_SLOPE < limit - server_pressure(server);
 }
--- a/standins/engine_orders.c
+++ b/standins/engine_orders.c
@@ -272,7 +272,7 @@
 }
 
 void
-handle_orders(struct standin_request *request)
+engine_handle_orders(struct standin_request *request)
 {
 	struct order order;
 	bool stale;
@@ -316,7 +316,7 @@
 }
 
 void
-handle_state(struct standin_request *request)
+engine_handle_state(struct standin_request *request)
 {
 	standin_reply(request, 200,
 	    json_pack("{s:o, s:o, s:s, s:I, s:s}", "models",
@@ -349,3 +349,12 @@
 	uv_timer_start(
 	    &grant_timer, handle_grant_timer, GRANT_TICK_MS, GRANT_TICK_MS);
 }
+
+void
+engine_orders_reset(void)
+{
+	uv_close((uv_handle_t *)&grant_timer, NULL);
+	list_for_each_safe (weights, tmp, &loaded, struct weights, link)
+		weights_free(weights);
+	newest_fencing = 0;
+}
--- a/standins/standin.c
+++ b/standins/standin.c
@@ -1,4 +1,3 @@
-#include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,7 +10,6 @@
 	MAX_BODY_BYTES = 64 << 20,
 	MAX_SEND_QUEUE_BYTES = 64 << 20,
 	DEFAULT_CONNECTIONS = 1024,
-	OPTION_KEY_BASE = 256,
 	COMMON_OPTIONS = 3,
 };
 
@@ -55,97 +53,69 @@
 		handle_own_path(request);
 }
 
-/* ---- start ---- */
-
-/** What the option parser fills in. */
-struct parse_input {
-	struct field_list fields;
-};
-
-static error_t
-parse_option(int key, char *arg, struct argp_state *state)
+static void
+parse_options(struct standin *standin, int argc, char **argv)
 {
-	const struct parse_input *input = state->input;
-	struct error err = {0};
+	struct field_list options = {0};
 
-	if (key == ARGP_KEY_ARG)
-		argp_error(state, "unexpected argument: %s", arg);
-	if (key < OPTION_KEY_BASE ||
-	    key >= OPTION_KEY_BASE + (int)input->fields.count)
-		return ARGP_ERR_UNKNOWN;
-	if (!field_set_text(
-		&input->fields.items[key - OPTION_KEY_BASE], arg, &err))
-		argp_error(state, "%s", err.text);
-	return 0;
+	list_options(standin, &options);
+	fields_parse(options.items, options.count, standin->program->summary,
+	    argc, argv);
 }
 
-static char *
-dashed(const char *name)
+bool
+standin_open(struct standin *standin, const struct standin_program *program,
+    struct error *err)
 {
-	char *text = xstrdup(name);
+	struct net_options options = {
+	    .listen_address = "127.0.0.1",
+	    .listen_port = (int)standin->listen_port,
+	    .max_body_bytes = MAX_BODY_BYTES,
+	    .max_send_queue_bytes = MAX_SEND_QUEUE_BYTES,
+	    .max_connections = (int)standin->max_connections,
+	    .handler = handle_request,
+	    .handler_context = standin,
+	};
 
-	for (char *at = text; *at != '\0'; at++) {
-		if (*at == '_')
-			*at = '-';
-	}
-	return text;
+	standin->program = program;
+	if (standin->seed > 0)
+		rng_init(&standin->rng, (uint64_t)standin->seed);
+	else
+		rng_init_random(&standin->rng);
+	uv_loop_init(&standin->loop);
+	standin->net = net_create(&standin->loop, &options, err);
+	if (standin->net == NULL)
+		return false;
+	if (program->start != NULL)
+		program->start(standin);
+	return true;
 }
 
-static void
-parse_options(struct standin *standin, int argc, char **argv)
+void
+standin_close(struct standin *standin)
 {
-	struct argp_option options[STANDIN_MAX_FIELDS + 1] = {0};
-	struct argp argp = {
-	    .options = options,
-	    .parser = parse_option,
-	    .doc = standin->program->summary,
-	};
-	struct parse_input input = {0};
-
-	list_options(standin, &input.fields);
-	for (size_t i = 0; i < input.fields.count; i++) {
-		const struct field *field = &input.fields.items[i];
-
-		options[i].name = dashed(field->name);
-		options[i].key = OPTION_KEY_BASE + (int)i;
-		options[i].arg = field->arg;
-		options[i].doc = field->help;
-	}
-	argp_parse(&argp, argc, argv, 0, NULL, &input);
-	for (size_t i = 0; i < input.fields.count; i++)
-		free((char *)options[i].name);
+	net_destroy(standin->net);
+	if (standin->program->stop != NULL)
+		standin->program->stop(standin);
+	uv_run(&standin->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&standin->loop);
+	free(standin->match_path);
 }
 
 int
 standin_main(const struct standin_program *program, int argc, char **argv)
 {
-	static struct standin standin;
-	struct net_options options = {
-	    .listen_address = "127.0.0.1",
-	    .max_body_bytes = MAX_BODY_BYTES,
-	    .max_send_queue_bytes = MAX_SEND_QUEUE_BYTES,
-	    .handler = handle_request,
-	    .handler_context = &standin,
+	static struct standin standin = {
+	    .max_connections = DEFAULT_CONNECTIONS,
 	};
 	struct error err = {0};
 
 	standin.program = program;
-	standin.max_connections = DEFAULT_CONNECTIONS;
 	parse_options(&standin, argc, argv);
-	if (standin.seed > 0)
-		rng_init(&standin.rng, (uint64_t)standin.seed);
-	else
-		rng_init_random(&standin.rng);
-	options.listen_port = (int)standin.listen_port;
-	options.max_connections = (int)standin.max_connections;
-	uv_loop_init(&standin.loop);
-	standin.net = net_create(&standin.loop, &options, &err);
-	if (standin.net == NULL) {
+	if (!standin_open(&standin, program, &err)) {
 		fprintf(stderr, "%s: %s\n", program->name, err.text);
 		return EXIT_FAILURE;
 	}
-	if (program->start != NULL)
-		program->start(&standin);
 	printf("listening %d\n", net_port(standin.net));
 	fflush(stdout);
 	uv_run(&standin.loop, UV_RUN_DEFAULT);
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "common/buf.h"
@@ -14,6 +15,7 @@
 	enum http_result result;
 	int status;
 	struct buf body;
+	char location[256];
 	int closes;
 	struct http_exchange *held;
 };
@@ -50,6 +52,14 @@
 		http_stream_begin(exchange, 200, "text/plain", NULL);
 		http_stream_write(exchange, "part", 4);
 		fixture->held = exchange;
+	} else if (strcmp(request->path, "/moved") == 0) {
+		static const struct http_header headers[] = {
+		    {"location", "http://127.0.0.1:9/there"},
+		    {NULL, NULL},
+		};
+
+		http_respond(
+		    exchange, 307, "application/json", headers, "{}", 2);
 	} else if (strcmp(request->path, "/cut") == 0) {
 		http_abort(exchange);
 	} else if (strcmp(request->path, "/header") == 0) {
@@ -102,6 +112,8 @@
 	fixture->done = true;
 	fixture->result = answer->result;
 	fixture->status = answer->status;
+	snprintf(fixture->location, sizeof(fixture->location), "%s",
+	    answer->location);
 	fixture->body.len = 0;
 	buf_append(&fixture->body, answer->body, answer->body_len);
 }
@@ -227,6 +239,20 @@
 }
 END_TEST
 
+START_TEST(a_redirect_is_told_and_not_followed)
+{
+	struct fixture fixture;
+
+	setup(&fixture);
+	start(&fixture, HTTP_POST, "/moved", "x", 1, 0);
+	finish(&fixture);
+	ck_assert_int_eq(fixture.result, HTTP_RESULT_OK);
+	ck_assert_int_eq(fixture.status, 307);
+	ck_assert_str_eq(fixture.location, "http://127.0.0.1:9/there");
+	teardown(&fixture);
+}
+END_TEST
+
 START_TEST(silence_times_out_and_the_server_hears_of_it)
 {
 	struct fixture fixture;
@@ -269,6 +295,7 @@
 	    a_stream_arrives_whole,
 	    a_refused_connection_was_not_sent,
 	    a_cut_before_the_answer_is_a_cut,
+	    a_redirect_is_told_and_not_followed,
 	    silence_times_out_and_the_server_hears_of_it,
 	    a_cancelled_call_is_silent,
 	};
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -329,6 +329,30 @@
 }
 END_TEST
 
+/* New programs that are held back do not keep late turns waiting. */
+START_TEST(held_programs_do_not_block_late_turns)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_load busy = {.running = MAX_RUNNING, .measured_us = 1};
+	struct sched_dispatch dispatch;
+	struct sched_call late = test_call(1, "late", 2);
+
+	for (int i = 0; i < SERVERS; i++)
+		sched_handle_load(sched, servers[i].name, &busy, 1);
+	late.program_served_tokens = 1000000;
+	submit(sched, &late, 1);
+	for (uint64_t i = 2; i <= 100; i++) {
+		struct sched_call call = test_call(i, "new", 1);
+
+		submit(sched, &call, 1);
+	}
+	ck_assert(sched_next(sched, 1, &dispatch));
+	ck_assert_uint_eq(dispatch.call, 1);
+	ck_assert(!sched_next(sched, 1, &dispatch));
+	sched_destroy(sched);
+}
+END_TEST
+
 /* Pauses of one tool are short, of the other long: only the first is worth
  * its memory on a full server. */
 START_TEST(pauses_decide_by_what_was_learned)
@@ -412,6 +436,39 @@
 }
 END_TEST
 
+/* One workspace queues 40 calls before another queues 40; their shares are 1
+ * and 3. */
+START_TEST(workspaces_get_their_shares)
+{
+	struct sched *sched =
+	    test_sched((struct sched_policy){.routing = SCHED_ROUTE_RANDOM});
+	struct config_workspace workspaces[] = {
+	    {.name = "first", .share = 1}, {.name = "second", .share = 3}};
+	struct config config = test_config();
+	int sent[2] = {0};
+
+	config.workspaces = workspaces;
+	config.workspace_count = 2;
+	sched_set_config(sched, &config);
+	for (uint64_t i = 1; i <= 80; i++) {
+		struct sched_call call = test_call(i, "p", 2);
+
+		snprintf(call.workspace, sizeof(call.workspace), "%s",
+		    workspaces[i > 40].name);
+		submit(sched, &call, 1);
+	}
+	for (int i = 0; i < 20; i++) {
+		struct sched_dispatch dispatch;
+
+		ck_assert(sched_next(sched, 1, &dispatch));
+		sent[dispatch.call > 40]++;
+	}
+	ck_assert_int_eq(sent[0], 5);
+	ck_assert_int_eq(sent[1], 15);
+	sched_destroy(sched);
+}
+END_TEST
+
 /* Far servers are used only when the near ones are worse by more than the
  * delay between the regions. */
 START_TEST(near_servers_are_preferred)
@@ -445,10 +502,12 @@
 	    breaker_takes_a_failing_server_out,
 	    deadline_ends_a_waiting_call,
 	    overload_refuses_new_programs_only,
+	    held_programs_do_not_block_late_turns,
 	    pauses_decide_by_what_was_learned,
 	    own_calls_count_until_reported,
 	    flapping_server_stays_out_longer,
 	    near_servers_are_preferred,
+	    workspaces_get_their_shares,
 	};
 
 	return run_tests("route", tests, sizeof(tests) / sizeof(tests[0]));
--- a/tools/processes.sh
+++ b/tools/processes.sh
@@ -24,7 +24,7 @@
 	started_pid=$!
 	pids="$pids $started_pid"
 	tries=0
-	until started_port=$(sed -n 's/^listening //p' "$work/$name.out") &&
+	until started_port=$(sed -n 's/^listening //p' "$work/$name.out" 2>/dev/null) &&
 	    [ -n "$started_port" ]; do
 		tries=$((tries + 1))
 		if [ $tries -gt 200 ] || ! kill -0 "$started_pid" 2>/dev/null; then
@@ -60,7 +60,7 @@
 # list_vm VM FAILURE_DOMAIN REGION PORT: names a VM in the platform's list.
 list_vm() {
 	curl -sf -X PUT -H 'content-type: application/json' \
-	    -d "{\"vm\":\"$1\",\"address\":\"127.0.0.1\",\"port\":$4,\
+	    -d "{\"address\":\"127.0.0.1\",\"port\":$4,\
 \"peer_address\":\"127.0.0.1\",\"peer_port\":0,\"failure_domain\":\"$2\",\
 \"region\":\"$3\",\"state\":\"live\"}" \
 	    "http://127.0.0.1:$vmlist_port/v1/vms/$1" >/dev/null
