Report crashes of backend servers, keep the configuration's history, tell versions

Change: the configuration controller feeds the fold and its keeper; a cut attempt is reported and a quarantined request is given up; /v1/status lists the VMs. Conclusion: the incident's identifier is the server and a 10 s window, which joins reports of one death.

--- a/daemon/config_controller.c
+++ b/daemon/config_controller.c
@@ -5,12 +5,15 @@
 #include "common/clock.h"
 #include "common/diag.h"
 #include "common/memory.h"
+#include "config/keeper.h"
+#include "config/stream.h"
 #include "daemon/controller.h"
 
 enum {
 	CONFIG_READ_BYTES = 1 << 20,
 	CONFIG_WAIT_MS = 1000,
 	CONFIG_RETRY_MS = 500,
+	SNAPSHOT_TAIL_RECORDS = 1000,
 };
 
 static const char config_stream[] = "config";
@@ -21,6 +24,7 @@
 	struct config *current;
 	struct config *previous; /**< kept, as a call in progress may use it */
 	struct plog_request *read;
+	struct config_keeper *keeper;
 	uv_timer_t *retry;
 };
 
@@ -76,29 +80,19 @@
 	member_controller_assign(daemon);
 }
 
+/* Notes the time to force of what came while this VM was level. */
 static void
-apply_record(
-    struct config_controller *controller, const struct plog_record *item)
+note_force(struct config_controller *controller, uint64_t before)
 {
 	struct counters *counters = &controller->daemon->board.counters;
-	struct record record;
-	struct error err = {0};
-	enum config_verdict verdict;
+	int64_t wall_us = clock_wall_us();
 
-	if (!record_decode(item->data, item->len, &record, &err)) {
-		diag(LOG_WARNING, NULL, "configuration stream, offset %llu: %s",
-		    (unsigned long long)item->offset, err.text);
-		return;
+	list_for_each (
+	    version, &controller->fold.versions, struct config_version, link) {
+		if (version->number > before)
+			histogram_add(&counters->config_force_us,
+			    wall_us - version->wall_us);
 	}
-	verdict = config_fold_apply(&controller->fold, item->offset, &record);
-	if (verdict == CONFIG_STALE_BASE || verdict == CONFIG_MALFORMED)
-		counters->config_rejects_total++;
-	if (verdict != CONFIG_ACCEPTED)
-		return;
-	counters->config_patches_total++;
-	if (record.type == RECORD_CONFIG_PATCH)
-		histogram_add(&counters->config_force_us,
-		    clock_wall_us() - record.config_patch.wall_us);
 }
 
 static void read_next(struct config_controller *controller);
@@ -114,6 +108,7 @@
 {
 	struct config_controller *controller = context;
 	struct board *board = &controller->daemon->board;
+	bool level;
 
 	controller->read = NULL;
 	board->now_us = clock_monotonic_us();
@@ -126,17 +121,21 @@
 		return;
 	}
 	board_note_log(board, true);
-	if (read->status == PLOG_EXPIRED)
-		controller->fold.next_offset = read->first;
-	for (size_t i = 0; i < read->count; i++) {
-		apply_record(controller, &read->records[i]);
-		controller->fold.next_offset = read->records[i].offset + 1;
-	}
-	if (controller->fold.next_offset >= read->end) {
-		board->config.maybe_stale = false;
+	level = config_stream_feed(&controller->fold, read, &board->counters);
+	if (level) {
+		bool was_level =
+		    board->config.checked_us != 0 && !board->config.maybe_stale;
+
+		board->config.maybe_stale = !controller->fold.complete;
 		board->config.checked_us = board->now_us;
+		if (was_level)
+			note_force(controller, board->config.version);
 		if (controller->fold.version != board->config.version)
 			put_in_force(controller);
+		config_keeper_check(controller->keeper, &controller->fold,
+		    read->first, clock_wall_us(),
+		    members_rank(&board->members,
+			controller->daemon->settings.vm_name, board->now_us));
 	}
 	read_next(controller);
 }
@@ -156,6 +155,11 @@
 
 	controller->daemon = daemon;
 	config_fold_init(&controller->fold);
+	controller->keeper = config_keeper_create(daemon->plog,
+	    &(struct config_snapshot_policy){
+		.retention_us = daemon->settings.log_retention_us,
+		.max_tail = SNAPSHOT_TAIL_RECORDS,
+	    });
 	controller->retry = xcalloc(1, sizeof(*controller->retry));
 	uv_timer_init(&daemon->loop, controller->retry);
 	controller->retry->data = controller;
@@ -174,6 +178,7 @@
 {
 	if (controller->read != NULL)
 		plog_cancel(controller->read);
+	config_keeper_destroy(controller->keeper);
 	uv_close((uv_handle_t *)controller->retry, handle_closed);
 	config_destroy(controller->previous);
 	config_destroy(controller->current);
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -180,6 +180,7 @@
 	    .address = daemon->address,
 	    .limits = &daemon->board.config.current->limits,
 	    .counters = &daemon->board.counters,
+	    .retention_us = daemon->settings.log_retention_us,
 	};
 	struct rng rng;
 
--- a/daemon/member_controller.c
+++ b/daemon/member_controller.c
@@ -97,7 +97,7 @@
 }
 
 static void
-read_item(struct members *members, json_t *item)
+read_item(struct members *members, json_t *item, int64_t now_us)
 {
 	const char *vm = json_string_value(json_object_get(item, "vm"));
 	struct member *member;
@@ -113,6 +113,8 @@
 	member->peer_port =
 	    (int)json_integer_value(json_object_get(item, "peer_port"));
 	member->listed = listed_state(item);
+	if (member->added_us == 0)
+		member->added_us = now_us;
 }
 
 /* This VM knows of itself without any list. */
@@ -155,7 +157,7 @@
 		for (size_t i = 0; i < members->count; i++)
 			members->items[i].listed = MEMBER_GONE;
 		json_array_foreach (list, index, item)
-			read_item(members, item);
+			read_item(members, item, daemon->board.now_us);
 		members->listed_us = daemon->board.now_us;
 	}
 	json_decref(root);
@@ -195,6 +197,8 @@
 		member_heard(member, daemon->board.now_us);
 		member->draining =
 		    json_is_true(json_object_get(root, "draining"));
+		member->config_version = (uint64_t)json_integer_value(
+		    json_object_get(root, "config_version"));
 	}
 	json_decref(root);
 	list_remove(&probe->link);
--- a/daemon/model_call.c
+++ b/daemon/model_call.c
@@ -13,7 +13,8 @@
 #include "daemon/controller.h"
 
 enum {
-	DURABLE_WAIT_US = 2 * US_PER_S, /**< then the caller is told */
+	DURABLE_WAIT_US = 2 * US_PER_S,  /**< then the caller is told */
+	CRASH_WINDOW_US = 10 * US_PER_S, /**< cuts within it are one crash */
 };
 
 void
@@ -75,6 +76,8 @@
 	}
 	append_items(&model->prompt, model->messages, strlen(model->messages));
 	model->history_tokens = answer->history_tokens;
+	model->fingerprint =
+	    hash_bytes(model->prompt.data, model->prompt.len, 0);
 }
 
 static void
@@ -263,6 +266,45 @@
 	    "the turn was not recorded; send it again");
 }
 
+static void
+give_up_quarantined(struct call *call)
+{
+	sched_cancel(call->daemon->sched, call->id, call->daemon->board.now_us);
+	give_up(call, REFUSAL_QUARANTINED);
+}
+
+/* Requests of this VM that the server is running. */
+static uint32_t
+count_running(const struct daemon *daemon, const char *server)
+{
+	struct call *call;
+	struct call *next;
+	uint32_t count = 0;
+
+	HASH_ITER (hh, daemon->calls, call, next) {
+		if (call->kind == CALL_MODEL && call->state == CALL_RUNNING &&
+		    strcmp(call->model.server, server) == 0)
+			count++;
+	}
+	return count;
+}
+
+/* The server may have died of this request. All requests that the same death
+ * cut, here and on other VMs, name the same incident. */
+static void
+report_crash(struct call *call)
+{
+	struct daemon *daemon = call->daemon;
+	const struct model_call *model = &call->model;
+	int64_t wall_us = clock_wall_us();
+	uint64_t incident =
+	    hash_text(model->server, (uint64_t)(wall_us / CRASH_WINDOW_US));
+
+	owner_report_crash(daemon->owner, model->server, call->workspace,
+	    model->fingerprint, incident, count_running(daemon, model->server),
+	    wall_us, daemon->board.now_us);
+}
+
 /* The share of the budget that a failed attempt used is not known to the
  * token; the text that came is counted. */
 static void
@@ -278,6 +320,8 @@
 
 	model->attempt = NULL;
 	daemon->board.now_us = clock_monotonic_us();
+	if (result == SCHED_CUT)
+		report_crash(call);
 	if (result == SCHED_DONE) {
 		model->prompt_tokens = usage->prompt_tokens;
 		model->cached_tokens = usage->cached_tokens;
@@ -296,6 +340,8 @@
 	    model->server, result, status);
 	if (next == SCHED_GIVE_UP)
 		give_up(call, reason);
+	else if (owner_quarantined(daemon->owner, model->fingerprint))
+		give_up_quarantined(call);
 	else
 		call->state = CALL_WAITING;
 }
--- a/daemon/operator_api.c
+++ b/daemon/operator_api.c
@@ -51,9 +51,34 @@
 	(void)request;
 	(void)rest;
 	answer_exchange(exchange, ready ? 200 : 503,
-	    json_pack("{s:b, s:b, s:b}", "ready", ready, "configuration",
+	    json_pack("{s:b, s:b, s:b, s:I}", "ready", ready, "configuration",
 		daemon->board.config.current != NULL, "draining",
-		daemon->board.draining));
+		daemon->board.draining, "config_version",
+		(json_int_t)daemon->board.config.version));
+}
+
+/* Each VM as this one sees it, with the configuration in force there. */
+static json_t *
+describe_members(const struct daemon *daemon)
+{
+	static const char *const states[] = {
+	    [MEMBER_LIVE] = "live",
+	    [MEMBER_LEAVING] = "leaving",
+	    [MEMBER_GONE] = "gone",
+	};
+	const struct members *members = &daemon->board.members;
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < members->count; i++) {
+		const struct member *member = &members->items[i];
+
+		json_array_append_new(list,
+		    json_pack("{s:s, s:s, s:s, s:I}", "vm", member->vm, "state",
+			states[member_state(member, daemon->board.now_us)],
+			"failure_domain", member->failure_domain,
+			"config_version", (json_int_t)member->config_version));
+	}
+	return list;
 }
 
 void
@@ -62,23 +87,29 @@
 {
 	const struct board *board = &daemon->board;
 	const struct owner *owner = daemon->owner;
+	char digest_text[DIGEST_TEXT_BYTES];
+	struct digest digest;
 
 	(void)rest;
 	if (!api_check_operator(daemon, exchange, request))
 		return;
+	digest = config_fold_digest(config_controller_fold(daemon->config));
+	digest_format(&digest, digest_text);
 	answer_exchange(exchange, 200,
-	    json_pack("{s:s, s:s, s:s, s:s, s:I, s:b, s:b, s:b, s:I, s:I, "
-		      "s:I, s:I}",
+	    json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:b, s:b, s:b, s:I, s:I, "
+		      "s:I, s:I, s:o}",
 		"vm", daemon->settings.vm_name, "address", daemon->address,
 		"failure_domain", daemon->settings.failure_domain, "region",
-		daemon->settings.region, "config_version",
-		(json_int_t)board->config.version, "config_maybe_stale",
-		board->config.maybe_stale, "log_reachable",
-		board->log.reachable, "draining", board->draining, "shards",
+		daemon->settings.region, "config_digest", digest_text,
+		"config_version", (json_int_t)board->config.version,
+		"config_maybe_stale", board->config.maybe_stale,
+		"log_reachable", board->log.reachable, "draining",
+		board->draining, "shards",
 		(json_int_t)(owner != NULL ? owner_owned_shards(owner) : 0),
 		"open_calls", (json_int_t)HASH_COUNT(daemon->calls), "members",
 		(json_int_t)board->members.count, "up_s",
-		(json_int_t)((board->now_us - board->started_us) / US_PER_S)));
+		(json_int_t)((board->now_us - board->started_us) / US_PER_S),
+		"vms", describe_members(daemon)));
 }
 
 void
@@ -125,32 +156,18 @@
 	    "failure_domain", member->failure_domain, "region", member->region);
 }
 
-/* Live members in random order, nearest first: this VM's region before the
- * others, so that callers spread over VMs and stay near. */
+/* Live members, those of this VM's region first, failure domains in turn. */
 static json_t *
 pick_addresses(struct daemon *daemon)
 {
-	struct members *members = &daemon->board.members;
+	const struct member *order[ADDRESSES_TOLD];
+	size_t count = members_order(&daemon->board.members,
+	    daemon->settings.region, daemon->board.next_call++,
+	    daemon->board.now_us, order, ADDRESSES_TOLD);
 	json_t *list = json_array();
-	size_t start = members->count > 0
-	    ? (size_t)(daemon->board.next_call++ % members->count)
-	    : 0;
-
-	for (int far = 0; far < 2; far++) {
-		for (size_t i = 0; i < members->count; i++) {
-			const struct member *member =
-			    &members->items[(start + i) % members->count];
-			bool near = strcmp(member->region,
-					daemon->settings.region) == 0;
-
-			if (near == (far == 1) ||
-			    json_array_size(list) >= ADDRESSES_TOLD ||
-			    member_state(member, daemon->board.now_us) !=
-				MEMBER_LIVE)
-				continue;
-			json_array_append_new(list, member_address(member));
-		}
-	}
+
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(list, member_address(order[i]));
 	return list;
 }
 
--- a/include/daemon/call.h
+++ b/include/daemon/call.h
@@ -32,8 +32,9 @@
 struct model_call {
 	char model[NAME_BYTES];
 	char adapter[NAME_BYTES];
-	char *messages;    /**< new messages: JSON items without brackets */
-	struct buf prompt; /**< history and new messages, without brackets */
+	char *messages;       /**< new messages: JSON items without brackets */
+	struct buf prompt;    /**< history and new messages, without brackets */
+	uint64_t fingerprint; /**< of the prompt */
 	uint64_t history_tokens;
 	uint64_t new_tokens;
 	uint64_t max_tokens;
