Say whether a replayed answer is durable; callers redo steps under new keys

Cause: runs showed that a stale owner replays a turn that is not durable as if it were, and that a caller which redoes a step on another history needs another key.

--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -229,6 +229,8 @@
 void pending_confirm(struct owner *owner, struct slot *slot,
     struct pending *pending, enum fold_verdict verdict, int64_t now_us);
 void waiters_wake(struct owner *owner, call_id first);
+/** Wakes those whose first request is gone without an answer. */
+void waiters_tick(struct owner *owner);
 
 /* intent.c */
 enum owner_verdict once_replay(struct owner *owner, const struct once *once,
--- a/include/program/owner.h
+++ b/include/program/owner.h
@@ -188,6 +188,7 @@
 	uint64_t history_tokens;
 	/* OWNER_REPLAY: content of the recorded turn, or of the outcome */
 	struct record_bytes kept;
+	bool durable; /**< false: what is kept may still be lost */
 	uint32_t kept_status;
 	enum outcome outcome;
 };
--- a/program/call.c
+++ b/program/call.c
@@ -46,6 +46,7 @@
 	answer->kept.data = turn->content;
 	answer->kept.len = turn->len;
 	answer->outcome = OUTCOME_DONE;
+	answer->durable = index < program->durable_turns;
 	return OWNER_REPLAY;
 }
 
--- a/program/confirm.c
+++ b/program/confirm.c
@@ -17,6 +17,22 @@
 	}
 }
 
+void
+waiters_tick(struct owner *owner)
+{
+	struct call *call = NULL;
+	struct call *tmp = NULL;
+
+	HASH_ITER (hh, owner->calls, call, tmp) {
+		if (call->state != CALL_WAITER ||
+		    call_find(owner, call->first) != NULL)
+			continue;
+		if (!call->detached)
+			event_add(owner, OWNER_RESERVED, call->id);
+		call_remove(owner, call);
+	}
+}
+
 /* Tells every request that asked for the same beginning or end. */
 static void
 calls_finish(struct owner *owner, const char *program, enum call_state state,
--- a/program/intent.c
+++ b/program/intent.c
@@ -10,6 +10,7 @@
 		return owner_refuse(owner, answer, REFUSAL_KEY_REUSED);
 	answer->turn = once->turn;
 	answer->outcome = once->outcome;
+	answer->durable = true;
 	answer->kept_status = once->status;
 	answer->kept.data = once->answer.data;
 	answer->kept.len = once->answer.len;
--- a/program/lifecycle.c
+++ b/program/lifecycle.c
@@ -149,6 +149,7 @@
 			return owner_refuse(owner, answer, REFUSAL_KEY_REUSED);
 		answer_fill(owner, program, answer);
 		answer->run = RUN_RAN;
+		answer->durable = true;
 		return OWNER_REPLAY;
 	}
 	parent = shard_find(&slot->fold, begin->parent);
@@ -227,6 +228,7 @@
 	answer_fill(owner, program, answer);
 	if (program->ended) {
 		answer->run = RUN_RAN;
+		answer->durable = true;
 		return OWNER_REPLAY;
 	}
 	if (slot->releasing)
--- a/program/owner.c
+++ b/program/owner.c
@@ -318,6 +318,7 @@
 		slot_tick(owner, &owner->slots[i], now_us);
 	intent_tick(owner, now_us);
 	release_tick(owner, now_us);
+	waiters_tick(owner);
 }
 
 void
--- a/tests/runs/world.h
+++ b/tests/runs/world.h
@@ -126,6 +126,7 @@
 	enum step_kind kinds[RUN_STEPS_MAX];
 	uint64_t costs[RUN_STEPS_MAX];
 	int once_runs[RUN_STEPS_MAX];
+	struct digest once_history[RUN_STEPS_MAX]; /**< that it ran on */
 	int unknown_tries;
 	struct kept_turn history[RUN_STEPS_MAX];
 	int history_count;
