--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -220,6 +220,8 @@
 bool lane_out(const struct owner *owner, uint32_t lane, int64_t now_us);
 
 /* takeover.c */
+/** A VM that claims is alive again. */
+void suspect_clear(struct owner *owner, const char *vm);
 void slot_taken(struct owner *owner, struct slot *slot, int64_t now_us);
 void slot_lost(struct owner *owner, struct slot *slot, int64_t now_us);
 void slot_tick(struct owner *owner, struct slot *slot, int64_t now_us);
--- /dev/null
+++ b/program/lane.c
@@ -0,0 +1,205 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "program/internal.h"
+
+uint32_t
+owner_lane_count(const struct owner *owner)
+{
+	return owner->lane_total;
+}
+
+void
+owner_lane_stream(
+    const struct owner *owner, uint32_t lane, char *name, size_t size)
+{
+	uint32_t lanes = owner->limits.lanes;
+
+	if (lane < lanes)
+		snprintf(name, size, "lane-%u", lane);
+	else if (lane == lanes)
+		snprintf(name, size, "crashes");
+	else
+		snprintf(name, size, "index-%u", lane - lanes - 1);
+}
+
+static bool
+lane_needed(const struct owner *owner, uint32_t lane)
+{
+	for (uint32_t i = lane; i < owner->limits.shards;
+	     i += owner->limits.lanes) {
+		const struct slot *slot = &owner->slots[i];
+
+		if (slot->wanted || slot->owned || !list_empty(&slot->pending))
+			return true;
+	}
+	return release_waits(owner, lane);
+}
+
+bool
+owner_lane_position(const struct owner *owner, uint32_t lane, uint64_t *from)
+{
+	uint32_t lanes = owner->limits.lanes;
+	const struct lane *state = &owner->lanes[lane];
+
+	*from = state->position;
+	if (lane == lanes)
+		return true;
+	if (lane < lanes)
+		return state->started && lane_needed(owner, lane);
+	if (!list_empty(&state->extra))
+		return true;
+	return !owner->lanes[lane - lanes - 1].started &&
+	    lane_needed(owner, lane - lanes - 1);
+}
+
+static void
+handle_claim(struct owner *owner, struct slot *slot,
+    const struct record *record, enum fold_verdict verdict, int64_t now_us)
+{
+	struct pending *pending = pending_find(&slot->pending, record->id);
+
+	if (verdict == FOLD_APPLIED) {
+		suspect_clear(owner, record->claim.vm);
+		if (slot->owned)
+			slot_lost(owner, slot, now_us);
+		if (pending != NULL)
+			slot_taken(owner, slot, now_us);
+	}
+	if (pending != NULL) {
+		slot->claiming = false;
+		pending_free(owner, pending);
+	}
+	if (pending != NULL && verdict != FOLD_APPLIED)
+		owner->counters->retries[RETRY_CLAIM_LOST]++;
+}
+
+static void
+handle_shard_record(struct owner *owner, uint32_t lane, uint64_t offset,
+    const struct record *record, int64_t now_us)
+{
+	struct slot *slot;
+	struct pending *pending;
+	enum fold_verdict verdict;
+	uint64_t snapshot;
+
+	if (record->shard >= owner->limits.shards ||
+	    record->shard % owner->limits.lanes != lane)
+		return;
+	slot = &owner->slots[record->shard];
+	snapshot = slot->fold.snapshot_offset;
+	verdict = shard_apply(&slot->fold, offset, record);
+	owner->cache_bytes -= slot->fold.dropped_bytes;
+	slot->fold.dropped_bytes = 0;
+	if (record->type == RECORD_CLAIM) {
+		handle_claim(owner, slot, record, verdict, now_us);
+		return;
+	}
+	pending = pending_find(&slot->pending, record->id);
+	if (pending != NULL &&
+	    (verdict == FOLD_APPLIED || verdict == FOLD_REJECTED ||
+		(verdict == FOLD_OLD_EPOCH && pending->fact)))
+		pending_confirm(owner, slot, pending, verdict, now_us);
+	if (!slot->owned || record->type != RECORD_SNAPSHOT)
+		return;
+	if (slot->fold.snapshot_offset != snapshot)
+		index_add(owner, slot, now_us);
+	else if (verdict == FOLD_REJECTED)
+		slot->snapshot_wanted = true;
+}
+
+static void
+handle_crash_record(struct owner *owner, const struct record *record)
+{
+	if (record->type == RECORD_CRASH)
+		crash_add(&owner->crashes, &record->crash);
+	else if (record->type == RECORD_QUARANTINE_LIFT)
+		crash_lift(
+		    &owner->crashes, record->quarantine_lift.fingerprint);
+}
+
+void
+owner_handle_record(struct owner *owner, uint32_t lane, uint64_t offset,
+    const struct record *record, int64_t now_us)
+{
+	struct lane *state = &owner->lanes[lane];
+	struct pending *pending;
+
+	if (offset < state->position)
+		return;
+	state->position = offset + 1;
+	state->at_end = false;
+	if (lane < owner->limits.lanes) {
+		handle_shard_record(owner, lane, offset, record, now_us);
+		return;
+	}
+	if (lane == owner->limits.lanes)
+		handle_crash_record(owner, record);
+	else
+		index_apply(owner, lane, record);
+	pending = pending_find(&state->extra, record->id);
+	if (pending != NULL)
+		pending_free(owner, pending);
+}
+
+/* Whatever could still tell a shard's state was read. */
+static void
+lane_base(struct owner *owner, uint32_t lane)
+{
+	for (uint32_t i = lane; i < owner->limits.shards;
+	     i += owner->limits.lanes)
+		shard_base(&owner->slots[i].fold);
+}
+
+void
+owner_handle_lane_end(
+    struct owner *owner, uint32_t lane, uint64_t end, int64_t now_us)
+{
+	struct lane *state = &owner->lanes[lane];
+
+	if (end > state->position)
+		state->position = end;
+	state->at_end = true;
+	pending_lane_end(owner, lane);
+	if (lane > owner->limits.lanes)
+		index_end(owner, lane);
+	if (lane >= owner->limits.lanes)
+		return;
+	lane_base(owner, lane);
+	for (uint32_t i = lane; i < owner->limits.shards;
+	     i += owner->limits.lanes)
+		slot_tick(owner, &owner->slots[i], now_us);
+}
+
+/* The records in between may hold a claim of another VM: nothing that was
+ * folded is current any more. */
+static void
+slot_unbase(struct owner *owner, struct slot *slot, int64_t now_us)
+{
+	if (slot->owned)
+		slot_lost(owner, slot, now_us);
+	shard_unbase(&slot->fold, 0);
+	list_for_each_safe (
+	    pending, tmp, &slot->pending, struct pending, link) {
+		if (!pending->fact)
+			pending_free(owner, pending);
+	}
+	slot->claiming = false;
+}
+
+void
+owner_handle_lane_expired(
+    struct owner *owner, uint32_t lane, uint64_t first, int64_t now_us)
+{
+	struct lane *state = &owner->lanes[lane];
+
+	state->position = first;
+	state->at_end = false;
+	if (lane >= owner->limits.lanes)
+		return;
+	state->first = first;
+	state->started = false;
+	for (uint32_t i = lane; i < owner->limits.shards;
+	     i += owner->limits.lanes)
+		slot_unbase(owner, &owner->slots[i], now_us);
+}
--- a/tests/runs/check.c
+++ b/tests/runs/check.c
@@ -64,8 +64,8 @@
 	    reason == REFUSAL_NOT_OWNER)
 		return;
 	if (client->once_runs[attempt->step] > 0 &&
-	    digest_equal(&client->once_history[attempt->step],
-		&attempt->digest) &&
+	    digest_equal(
+		&client->once_history[attempt->step], &attempt->digest) &&
 	    truly_owns(world, attempt->vm, client->id))
 		violated(world, "%s: call %d ran, its owner said not run (%s)",
 		    client->id, attempt->step, refusal_name(reason));
--- a/tests/runs/vm.c
+++ b/tests/runs/vm.c
@@ -114,8 +114,8 @@
 	vm->alive = false;
 	vm->paused = false;
 	upstreams_cut(world, number);
-	vm->restart_us =
-	    world->now_us + (int64_t)rng_below(&world->rng, 3 * US_PER_S);
+	vm->restart_us = world->now_us +
+	    (int64_t)rng_below(&world->rng, 3 * (uint64_t)US_PER_S);
 }
 
 /* Returns whether the VM can take its next step. */
@@ -137,7 +137,7 @@
 		world->faults++;
 		vm->paused = true;
 		vm->resume_us = world->now_us +
-		    (int64_t)rng_below(&world->rng, 8 * US_PER_S);
+		    (int64_t)rng_below(&world->rng, 8 * (uint64_t)US_PER_S);
 		return false;
 	}
 	return true;
@@ -283,11 +283,11 @@
 	if (chance(world, 0.001)) {
 		world->faults++;
 		world->outage_until_us = world->now_us +
-		    (int64_t)rng_below(&world->rng, 8 * US_PER_S);
+		    (int64_t)rng_below(&world->rng, 8 * (uint64_t)US_PER_S);
 	}
 	if (chance(world, 0.001)) {
 		world->faults++;
 		world->slow_until_us = world->now_us +
-		    (int64_t)rng_below(&world->rng, 5 * US_PER_S);
+		    (int64_t)rng_below(&world->rng, 5 * (uint64_t)US_PER_S);
 	}
 }
--- a/tests/runs/world.h
+++ b/tests/runs/world.h
@@ -177,13 +177,21 @@
 void log_reset(struct world *world);
 
 /* vm.c */
-void vm_start(struct world *world, int vm);
-void vm_kill(struct world *world, int vm);
+void vm_start(struct world *world, int number);
+void vm_kill(struct world *world, int number);
 /** Runs the VM's loop once; it may be paused or killed at any step of it. */
-void vm_step(struct world *world, int vm);
+void vm_step(struct world *world, int number);
 void faults_step(struct world *world);
 
-/* client.c */
+/* client.c and attempt.c */
+bool attempt_current(struct world *world, const struct attempt *attempt);
+void client_advance(struct world *world, struct client *client);
+void client_roll_back(struct client *client);
+void step_key(const struct attempt *attempt, char key[NAME_BYTES]);
+void refused(struct world *world, struct attempt *attempt, enum refusal reason,
+    enum run_state run);
+void upstream_start(struct world *world, struct attempt *attempt,
+    enum owner_call_kind kind, uint64_t spend);
 void client_init(struct world *world, int program);
 void client_step(struct world *world, int program);
 struct attempt *attempt_find(struct world *world, int vm, call_id call);
