--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -220,6 +220,8 @@
 bool lane_out(const struct owner *owner, uint32_t lane, int64_t now_us);
 
 /* takeover.c */
+/** A VM that claims is alive again. */
+void suspect_clear(struct owner *owner, const char *vm);
 void slot_taken(struct owner *owner, struct slot *slot, int64_t now_us);
 void slot_lost(struct owner *owner, struct slot *slot, int64_t now_us);
 void slot_tick(struct owner *owner, struct slot *slot, int64_t now_us);
@@ -229,6 +231,8 @@
 void pending_confirm(struct owner *owner, struct slot *slot,
     struct pending *pending, enum fold_verdict verdict, int64_t now_us);
 void waiters_wake(struct owner *owner, call_id first);
+/** Wakes those whose first request is gone without an answer. */
+void waiters_tick(struct owner *owner);
 
 /* intent.c */
 enum owner_verdict once_replay(struct owner *owner, const struct once *once,
