Refuse a new program that has waited a minute

A program admitted to the queue before an overload could wait for minutes. Nothing of it has run, so that it can be refused.

--- a/experiment/world.c
+++ b/experiment/world.c
@@ -76,9 +76,13 @@
 {
 	struct world_node *node = &world->nodes[index];
 	struct sched_dispatch dispatch;
+	enum refusal reason;
+	uint64_t handle;
 	char id[PROGRAM_ID_BYTES], server[NAME_BYTES];
 	int64_t next_us;
 
+	while (sched_expired(node->sched, world->now_us, &handle, &reason))
+		world_refuse(world, (uint32_t)handle, reason);
 	while (sched_next(node->sched, world->now_us, &dispatch))
 		world_send_call(world, index, &dispatch);
 	while (sched_release_due(node->sched, world->now_us, id, server))
--- a/experiment/world_program.c
+++ b/experiment/world_program.c
@@ -105,8 +105,8 @@
 }
 
 /* A call was refused: a new program goes away, others come again. */
-static void
-world_refused(struct world *world, uint32_t index, enum refusal reason)
+void
+world_refuse(struct world *world, uint32_t index, enum refusal reason)
 {
 	struct world_program *program = &world->programs[index];
 	bool before = program->number == 1 && program->attempt == 0;
@@ -147,7 +147,7 @@
 	node->requests++;
 	if (sched_submit(node->sched, &call, world->now_us, &reason) ==
 	    SCHED_REFUSED)
-		world_refused(world, index, reason);
+		world_refuse(world, index, reason);
 	world_pump_node(world, program->node);
 }
 
@@ -256,7 +256,7 @@
 	if (sched_attempt_end(node->sched, event->a, name,
 		(enum sched_result)event->c, 0, 0, world->now_us,
 		&reason) == SCHED_GIVE_UP)
-		world_refused(world, event->a, reason);
+		world_refuse(world, event->a, reason);
 	world_pump_node(world, program->node);
 }
 
--- a/include/experiment/world.h
+++ b/include/experiment/world.h
@@ -124,6 +124,8 @@
 void world_handle_engine(struct world *world, const struct event *event);
 void world_begin_fault(struct world *world);
 void world_handle_fault(struct world *world, const struct event *event);
+/** A call was refused. */
+void world_refuse(struct world *world, uint32_t index, enum refusal reason);
 /** Counts a program that has ended at a time. */
 void world_count_program(
     struct world *world, const struct world_program *program, int64_t end_us);
--- a/include/route/admit.h
+++ b/include/route/admit.h
@@ -12,6 +12,10 @@
 bool
 admit_call(const struct route_queue *queue, const struct sched_policy *policy,
     const struct route_call *call, int64_t now_us, enum refusal *reason);
+/** Returns whether a waiting call is to be refused, with *reason: it is past
+ * its deadline, or would begin a program and has waited too long. */
+bool admit_expired(
+    const struct route_call *call, int64_t now_us, enum refusal *reason);
 /** Returns whether a server may take a call that begins a program. */
 bool admit_new_at(const struct route_server *server,
     const struct sched_policy *policy, int64_t waited_us);
--- a/include/route/sched.h
+++ b/include/route/sched.h
@@ -145,7 +145,8 @@
 /** Returns when sched_next(), sched_expired() or sched_release_due() may have
  * something without any other event; INT64_MAX: never. */
 int64_t sched_next_us(const struct sched *sched);
-/** Takes the next queued call that is past its deadline; it is forgotten. */
+/** Takes the next queued call that is past its deadline, or that would begin a
+ * program and has waited too long; it is forgotten. */
 bool sched_expired(struct sched *sched, int64_t now_us, uint64_t *handle,
     enum refusal *reason);
 /** The first token of an attempt has come. */
--- a/route/admit.c
+++ b/route/admit.c
@@ -1,8 +1,9 @@
 #include "route/admit.h"
 
 enum {
-	ADMIT_WAIT_US = 20 * US_PER_S, /**< longest wait of a new program */
-	ADMIT_QUEUE_MAX = 10000,       /**< calls waiting on one VM */
+	ADMIT_WAIT_US = 20 * US_PER_S,    /**< longest wait of a new program */
+	ADMIT_GIVE_UP_US = 60 * US_PER_S, /**< a new program is refused then */
+	ADMIT_QUEUE_MAX = 10000,          /**< calls waiting on one VM */
 };
 
 /** Share of a server's memory above which it begins no programs. */
@@ -34,6 +35,18 @@
 	    queue_new_wait_us(queue, now_us);
 }
 
+bool
+admit_expired(
+    const struct route_call *call, int64_t now_us, enum refusal *reason)
+{
+	*reason = REFUSAL_DEADLINE;
+	if (call->request.deadline_us <= now_us)
+		return true;
+	*reason = REFUSAL_OVERLOADED;
+	return queue_is_new(call) && call->attempts == 0 &&
+	    now_us - call->submitted_us >= ADMIT_GIVE_UP_US;
+}
+
 bool
 admit_new_at(const struct route_server *server,
     const struct sched_policy *policy, int64_t waited_us)
--- a/route/sched.c
+++ b/route/sched.c
@@ -218,10 +218,9 @@
     struct sched *sched, int64_t now_us, uint64_t *handle, enum refusal *reason)
 {
 	list_for_each (call, &sched->queue.calls, struct route_call, link) {
-		if (call->request.deadline_us > now_us)
+		if (!admit_expired(call, now_us, reason))
 			continue;
 		*handle = call->request.call;
-		*reason = REFUSAL_DEADLINE;
 		queue_remove(&sched->queue, call);
 		sched_forget(sched, call);
 		return true;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -329,6 +329,26 @@
 }
 END_TEST
 
+START_TEST(new_program_is_refused_after_a_long_wait)
+{
+	struct sched *sched = test_sched((struct sched_policy){0});
+	struct sched_call call = test_call(1, "p", 1);
+	enum refusal reason;
+	uint64_t handle;
+
+	ck_assert_int_eq(submit(sched, &call, 1), SCHED_QUEUED);
+	call.call = 2;
+	call.turn = 2;
+	ck_assert_int_eq(submit(sched, &call, 1), SCHED_QUEUED);
+	ck_assert(!sched_expired(sched, 60 * SECOND, &handle, &reason));
+	ck_assert(sched_expired(sched, 61 * SECOND, &handle, &reason));
+	ck_assert_uint_eq(handle, 1);
+	ck_assert_int_eq(reason, REFUSAL_OVERLOADED);
+	ck_assert(!sched_expired(sched, 600 * SECOND, &handle, &reason));
+	sched_destroy(sched);
+}
+END_TEST
+
 /* New programs that are held back do not keep late turns waiting. */
 START_TEST(held_programs_do_not_block_late_turns)
 {
@@ -502,6 +522,7 @@
 	    breaker_takes_a_failing_server_out,
 	    deadline_ends_a_waiting_call,
 	    overload_refuses_new_programs_only,
+	    new_program_is_refused_after_a_long_wait,
 	    held_programs_do_not_block_late_turns,
 	    pauses_decide_by_what_was_learned,
 	    own_calls_count_until_reported,
