--- a/experiment/world_engine.c
+++ b/experiment/world_engine.c
@@ -1,7 +1,6 @@
 #include <stdio.h>
 
 #include "common/clock.h"
-#include "experiment/engine_cache.h"
 #include "experiment/world.h"
 
 enum {
@@ -175,12 +174,20 @@
 	}
 }
 
+static void
+world_engine_works(struct world *world, const struct event *event)
+{
+	struct engine *engine = &world->engines[event->a].engine;
+
+	if (event->b != engine->generation)
+		return;
+	engine_advance(engine, world->now_us);
+	world_pump_engine(world, event->a);
+}
+
 void
 world_handle_engine(struct world *world, const struct event *event)
 {
-	struct engine *engine =
-	    &world->engines[event->a % WORLD_ENGINES_MAX].engine;
-
 	switch (event->type) {
 	case EVENT_CALL_SENT:
 		world_call_arrives(world, event);
@@ -200,10 +207,7 @@
 		world_pump_engine(world, (uint32_t)event->b);
 		return;
 	default:
-		if (event->b != engine->generation)
-			return;
-		engine_advance(engine, world->now_us);
-		world_pump_engine(world, event->a);
+		world_engine_works(world, event);
 		return;
 	}
 }
