--- a/experiment/params.c
+++ b/experiment/params.c
@@ -1,5 +1,6 @@
 #include "experiment/params.h"
 
+#include <ctype.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -90,10 +91,24 @@
 		    value, lowest, highest);
 }
 
+/* The name goes into reports and file names. */
+static void
+params_check_name(const char *name, const char *path, struct findings *findings)
+{
+	for (const char *at = name; *at != '\0'; at++) {
+		if (isalnum((unsigned char)*at) || *at == '-' || *at == '_')
+			continue;
+		finding_add(findings, path, 0,
+		    "name: only letters, digits, - and _: %s", name);
+		return;
+	}
+}
+
 static void
 params_check(
     const struct params *params, const char *path, struct findings *findings)
 {
+	params_check_name(params->name, path, findings);
 	params_check_range(
 	    findings, path, "runners", params->runners, 1, PARAMS_SERVERS_MAX);
 	params_check_range(
--- a/experiment/targets.c
+++ b/experiment/targets.c
@@ -8,6 +8,7 @@
 static const double TARGET_WASTED = 0.5;
 static const double TARGET_URGENT = 0.5;
 static const double TARGET_IMBALANCE = 2;
+static const double TARGET_WAIT_S = 120; /**< no call starves beyond it */
 
 static size_t
 measure_index(const char *name)
@@ -85,6 +86,10 @@
 	    suite_spread(suite, fault, load, SUITE_PRODUCT,
 		measure_index("imbalance_p95")),
 	    TARGET_IMBALANCE, out);
+	print_line(suite, fault, load, "longest_wait (s)", "",
+	    suite_spread(suite, fault, load, SUITE_PRODUCT,
+		measure_index("longest_wait")),
+	    TARGET_WAIT_S, out);
 	print_line(suite, fault, load, "retry_excess", "",
 	    suite_spread(suite, fault, load, SUITE_PRODUCT,
 		measure_index("retry_excess")),
--- a/tests/test_experiment.c
+++ b/tests/test_experiment.c
@@ -223,7 +223,7 @@
 	FILE *file = fopen(path, "w");
 
 	ck_assert_ptr_nonnull(file);
-	fputs("[deployment]\nname = here\nrunners = 5\n[engine]\n"
+	fputs("[deployment]\nname = he\"re\nrunners = 5\n[engine]\n"
 	      "prefill_tokens_per_s = many\nmissing = 1\nmax_running = 0\n",
 	    file);
 	fclose(file);
@@ -231,8 +231,8 @@
 	params_defaults(&params);
 	ck_assert(!params_load(&params, path, &findings));
 	remove(path);
-	ck_assert_uint_eq(findings.count, 4);
-	ck_assert_str_eq(params.name, "here");
+	ck_assert_uint_eq(findings.count, 5);
+	ck_assert_str_eq(params.name, "he\"re");
 	ck_assert_double_eq(params.runners, 5);
 	findings_reset(&findings);
 }
