Free unused streams of a relay from its tick

The analyzer could not follow the release of a stream behind that of its subscribers. Unused streams are now dropped in relay_tick(), records that are kept in one place.

--- a/peer/relay.c
+++ b/peer/relay.c
@@ -28,7 +28,8 @@
 	list_init(&relay->waiting);
 	list_init(&relay->batches);
 	list_init(&relay->messages);
-	relay_set_limits(relay, APPENDS_PER_S, APPEND_DELAY_MS * US_PER_MS);
+	relay_set_limits(
+	    relay, APPENDS_PER_S, (int64_t)APPEND_DELAY_MS * US_PER_MS);
 	return relay;
 }
 
@@ -321,6 +322,7 @@
 		change_relay(relay, vm, now_us);
 	if (now_us >= relay->want_us && relay->relay_vm[0] != '\0')
 		send_want(relay, now_us);
+	feed_destroy_unused(relay);
 	list_for_each_safe (
 	    pending, tmp, &relay->pendings, struct pending, link) {
 		if (now_us >= pending->deadline_us)
--- a/peer/relay_feed.c
+++ b/peer/relay_feed.c
@@ -73,22 +73,24 @@
 	return feed;
 }
 
+/* Drops the oldest records until at most so many bytes are kept. */
 static void
-drop_oldest(struct feed *feed)
+drop_oldest(struct feed *feed, size_t max_bytes)
 {
-	struct kept *kept = list_entry(feed->kept.next, struct kept, link);
-
-	feed->first = kept->offset + 1;
-	feed->kept_bytes -= kept->len;
-	list_remove(&kept->link);
-	free(kept);
+	list_for_each_safe (kept, tmp, &feed->kept, struct kept, link) {
+		if (feed->kept_bytes <= max_bytes)
+			return;
+		feed->first = kept->offset + 1;
+		feed->kept_bytes -= sizeof(*kept) + kept->len;
+		list_remove(&kept->link);
+		free(kept);
+	}
 }
 
 static void
 feed_destroy(struct feed *feed)
 {
-	while (!list_empty(&feed->kept))
-		drop_oldest(feed);
+	drop_oldest(feed, 0);
 	list_for_each_safe (
 	    subscriber, tmp, &feed->subscribers, struct subscriber, link)
 		free(subscriber);
@@ -256,8 +258,14 @@
 			subscribe(relay, want->lanes[i].lane, vm,
 			    want->lanes[i].from, now_us);
 	}
-	list_for_each_safe (feed, tmp, &relay->feeds, struct feed, link) {
+	list_for_each (feed, &relay->feeds, struct feed, link)
 		prune(feed, vm, is_wanted(want, feed->stream), now_us);
+}
+
+void
+feed_destroy_unused(struct relay *relay)
+{
+	list_for_each_safe (feed, tmp, &relay->feeds, struct feed, link) {
 		if (list_empty(&feed->subscribers) && !feed->reading)
 			feed_destroy(feed);
 	}
@@ -295,7 +303,7 @@
 	kept->len = record->len;
 	memcpy(kept->data, record->data, record->len);
 	list_append(&feed->kept, &kept->link);
-	feed->kept_bytes += record->len;
+	feed->kept_bytes += sizeof(*kept) + record->len;
 	feed->next = record->offset + 1;
 }
 
@@ -309,16 +317,14 @@
 		keep(feed, &result->records[i]);
 	list_for_each (subscriber, &feed->subscribers, struct subscriber, link)
 		send_rest(relay, feed, subscriber, now_us);
-	while (feed->kept_bytes > RELAY_WINDOW_BYTES)
-		drop_oldest(feed);
+	drop_oldest(feed, RELAY_WINDOW_BYTES);
 }
 
 /* The log dropped what was to be read next: begins again at what it has. */
 static void
 restart(struct feed *feed, const struct plog_read *result, int64_t now_us)
 {
-	while (!list_empty(&feed->kept))
-		drop_oldest(feed);
+	drop_oldest(feed, 0);
 	feed->read_us = now_us;
 	feed->first = result->first;
 	feed->next = result->first;
--- a/peer/relay_internal.h
+++ b/peer/relay_internal.h
@@ -71,6 +71,8 @@
 void relay_destroy_queues(struct relay *relay);
 void feed_handle_want(struct relay *relay, const char *vm,
     const struct message_want *want, int64_t now_us);
+/** Forgets streams that nobody follows any more. */
+void feed_destroy_unused(struct relay *relay);
 void feed_destroy_all(struct relay *relay);
 void append_handle_message(struct relay *relay, const char *vm,
     const struct message_append *append, int64_t now_us);
--- a/tests/test_peer_relay.c
+++ b/tests/test_peer_relay.c
@@ -318,7 +318,7 @@
 	vm->self.incarnation = rng_next(&sim.rng);
 	vm->failure = failure_create(&vm->self);
 	vm->relay = relay_create(vm->self.vm, "domain-0", vm->failure);
-	relay_set_limits(vm->relay, APPENDS_PER_S, 100 * US_PER_MS);
+	relay_set_limits(vm->relay, APPENDS_PER_S, (int64_t)100 * US_PER_MS);
 	for (int i = 0; i < STREAMS; i++)
 		relay_follow(vm->relay, stream_name(i), 0);
 	vm->up = true;
