Continue an answer that another engine began

Cause: a daemon whose engine died gives the shown text to the next engine with continue_final_message; the stand-in took it for a message to answer. Change: the stand-in goes on behind that text, to the same whole answer; a tool call's id comes from the prompt, no longer from text that may be short.

--- a/standins/engine.h
+++ b/standins/engine.h
@@ -69,6 +69,7 @@
 	struct buf text; /**< the whole answer */
 	struct text_order order;
 	bool cut_short; /**< by max_tokens */
+	uint64_t question_hash;
 	uint64_t prompt_tokens;
 	uint64_t cached_tokens;
 	uint64_t answer_tokens;
--- a/standins/engine_chat.c
+++ b/standins/engine_chat.c
@@ -22,9 +22,47 @@
 	json_int_t priority;
 	json_int_t max_tokens;
 	int stream;
-	struct buf prompt;
+	int continues;       /**< the last message is the answer's start */
+	json_t *partial;     /**< that message; NULL: none */
+	struct buf prompt;   /**< rendered, with the answer's start */
+	size_t question_len; /**< of the prompt without it */
 };
 
+static const char *
+partial_text(const struct chat *chat)
+{
+	const char *text =
+	    json_string_value(json_object_get(chat->partial, "content"));
+
+	return text != NULL ? text : "";
+}
+
+/* Takes the answer's start off the messages. */
+static bool
+take_partial(struct chat *chat)
+{
+	size_t count = json_array_size(chat->messages);
+	json_t *last = json_array_get(chat->messages, count - 1);
+	const char *role = json_string_value(json_object_get(last, "role"));
+
+	if (count < 2 || role == NULL || strcmp(role, "assistant") != 0)
+		return false;
+	chat->partial = json_incref(last);
+	json_array_remove(chat->messages, count - 1);
+	return true;
+}
+
+static bool
+chat_render(struct chat *chat)
+{
+	if (chat->continues && !take_partial(chat))
+		return false;
+	if (!text_render(chat->messages, &chat->prompt))
+		return false;
+	chat->question_len = chat->prompt.len;
+	return buf_append_text(&chat->prompt, partial_text(chat));
+}
+
 static bool
 chat_parse(struct chat *chat, const struct standin_request *request)
 {
@@ -38,13 +76,14 @@
 	};
 	chat->root = standin_request_json(request);
 	if (json_unpack(chat->root,
-		"{s?o, s?s, s?s, s?s, s?s, s?s, s?s, s?I, s?I, s?I, s?b}",
+		"{s?o, s?s, s?s, s?s, s?s, s?s, s?s, s?I, s?I, s?I, s?b, s?b}",
 		"messages", &chat->messages, "model", &chat->model, "adapter",
 		&chat->adapter, "program", &chat->program, "attempt",
 		&chat->attempt, "cache_salt", &chat->cache_salt,
 		"resume_attempt", &chat->resume_attempt, "resume_from",
 		&chat->resume_from, "priority", &chat->priority, "max_tokens",
-		&chat->max_tokens, "stream", &chat->stream) != 0)
+		&chat->max_tokens, "stream", &chat->stream,
+		"continue_final_message", &chat->continues) != 0)
 		return false;
 	if (strlen(chat->program) >= ENGINE_NAME_BYTES ||
 	    strlen(chat->attempt) >= ENGINE_NAME_BYTES ||
@@ -52,13 +91,13 @@
 	    strpbrk(chat->attempt, "\"\\") != NULL || chat->max_tokens < 0 ||
 	    chat->resume_from < 0)
 		return false;
-	return chat->resume_attempt[0] != '\0' ||
-	    text_render(chat->messages, &chat->prompt);
+	return chat->resume_attempt[0] != '\0' || chat_render(chat);
 }
 
 static void
 chat_reset(struct chat *chat)
 {
+	json_decref(chat->partial);
 	json_decref(chat->root);
 	buf_reset(&chat->prompt);
 }
@@ -88,12 +127,27 @@
 	generation_attach(generation, request, (uint64_t)chat->resume_from);
 }
 
-static uint64_t
-wanted_tokens(const struct generation *generation)
+/* Fills in what is left of the answer. */
+static void
+plan_answer(struct generation *generation, const struct chat *chat)
 {
-	if (generation->order.answer_tokens > 0)
-		return generation->order.answer_tokens;
-	return (uint64_t)engine.settings.answer_tokens;
+	const struct buf question = {
+	    .data = chat->prompt.data,
+	    .len = chat->question_len,
+	};
+	uint64_t total = generation->order.answer_tokens > 0
+	    ? generation->order.answer_tokens
+	    : (uint64_t)engine.settings.answer_tokens;
+	uint64_t begun = text_tokens(strlen(partial_text(chat)));
+	uint64_t most = (uint64_t)chat->max_tokens;
+	uint64_t left = total > begun ? total - begun : 0;
+
+	generation->question_hash = hash_bytes(question.data, question.len, 0);
+	generation->cut_short = most > 0 && left > most;
+	generation->answer_tokens = generation->cut_short ? most : left;
+	text_answer(chat->messages, &question, chat->model,
+	    begun + generation->answer_tokens, &generation->text);
+	buf_consume(&generation->text, begun * TEXT_TOKEN_BYTES);
 }
 
 static bool
@@ -130,7 +184,6 @@
 generation_create(const struct chat *chat)
 {
 	struct generation *generation = xcalloc(1, sizeof(*generation));
-	uint64_t most = (uint64_t)chat->max_tokens;
 
 	generation->id = ++engine.last_id;
 	generation->stream = chat->stream;
@@ -143,13 +196,7 @@
 	memcpy(generation->model, chat->model, strlen(chat->model) + 1);
 	text_read_order(chat->messages, &generation->order);
 	generation->prompt_tokens = text_tokens(chat->prompt.len);
-	generation->answer_tokens = wanted_tokens(generation);
-	if (most > 0 && generation->answer_tokens > most) {
-		generation->answer_tokens = most;
-		generation->cut_short = true;
-	}
-	text_answer(chat->messages, &chat->prompt, chat->model,
-	    generation->answer_tokens, &generation->text);
+	plan_answer(generation, chat);
 	choose_fault(generation, chat);
 	return generation;
 }
@@ -190,6 +237,11 @@
 	struct generation *generation = generation_create(chat);
 
 	generation_add(generation);
+	if (generation->answer_tokens == 0) {
+		generation->finished = true;
+		generation_attach(generation, request, 0);
+		return;
+	}
 	switch (submit(generation, chat)) {
 	case ENGINE_ACCEPTED:
 		engine.counters.started++;
--- a/standins/engine_stream.c
+++ b/standins/engine_stream.c
@@ -97,8 +97,7 @@
 
 	if (order->tool[0] == '\0' || generation->cut_short)
 		return NULL;
-	snprintf(
-	    id, sizeof(id), "call_%.16s", (const char *)generation->text.data);
+	snprintf(id, sizeof(id), "call_%016" PRIx64, generation->question_hash);
 	return json_pack("[{s:i, s:s, s:s, s:{s:s, s:s}}]", "index", 0, "id",
 	    id, "type", "function", "function", "name", order->tool,
 	    "arguments", order->arguments != NULL ? order->arguments : "{}");
@@ -165,9 +164,8 @@
 {
 	struct standin_request *request = generation->request;
 	json_t *calls = tool_calls_json(generation);
-	json_t *message =
-	    json_pack("{s:s, s:s%}", "role", "assistant", "content",
-		(const char *)generation->text.data, generation->text.len);
+	json_t *message = json_pack("{s:s, s:s%}", "role", "assistant",
+	    "content", buf_text(&generation->text), generation->text.len);
 
 	if (calls != NULL)
 		json_object_set_new(message, "tool_calls", calls);
--- a/tests/test_standins_http.c
+++ b/tests/test_standins_http.c
@@ -336,6 +336,37 @@
 }
 END_TEST
 
+START_TEST(an_answer_that_was_begun_elsewhere_is_continued)
+{
+	char body[1024];
+	char begun[17] = "";
+	struct buf whole = {0};
+	struct buf rest = {0};
+	struct fixture fixture;
+
+	setup(&fixture, &engine_program);
+	call(&fixture, HTTP_POST, "/v1/chat/completions", chat);
+	stream_text(&fixture, &whole);
+	ck_assert_uint_eq(whole.len, 32);
+	memcpy(begun, whole.data, sizeof(begun) - 1);
+	snprintf(body, sizeof(body),
+	    "%.*s,{\"role\":\"assistant\",\"content\":\"%s\"}],"
+	    "\"continue_final_message\":true}",
+	    (int)strlen(chat) - 2, chat, begun);
+	teardown(&fixture);
+
+	setup(&fixture, &engine_program);
+	ck_assert_int_eq(
+	    call(&fixture, HTTP_POST, "/v1/chat/completions", body), 200);
+	stream_text(&fixture, &rest);
+	ck_assert_uint_eq(rest.len, 32);
+	ck_assert_mem_eq(rest.data, whole.data + 16, 16);
+	teardown(&fixture);
+	buf_reset(&whole);
+	buf_reset(&rest);
+}
+END_TEST
+
 START_TEST(a_stalled_request_is_cancelled_and_its_memory_released)
 {
 	struct fixture fixture;
@@ -425,6 +456,7 @@
 	    the_log_serves_its_client,
 	    the_log_refuses_malformed_batches,
 	    a_cut_stream_is_resumed_without_a_gap,
+	    an_answer_that_was_begun_elsewhere_is_continued,
 	    a_stalled_request_is_cancelled_and_its_memory_released,
 	    kv_is_exported_and_imported,
 	    an_old_order_is_refused_when_fencing_is_checked,
