--- a/demo/caller.c
+++ b/demo/caller.c
@@ -77,15 +77,19 @@
 	answer->body = NULL;
 }
 
-/* The owner that a not_owner answer names. */
+/* Takes "IP:port" out of "http://IP:port/path". */
 static void
-read_owner(struct pending *pending)
+read_location(struct pending *pending, const char *location)
 {
-	json_t *error = json_object_get(pending->answer->body, "error");
-	const char *owner = json_string_value(json_object_get(error, "owner"));
+	const char *start = strstr(location, "://");
+	size_t len;
 
-	if (owner != NULL)
-		snprintf(pending->location, CALLER_ADDRESS_BYTES, "%s", owner);
+	if (start == NULL)
+		return;
+	start += 3;
+	len = strcspn(start, "/");
+	if (len < sizeof(pending->location))
+		memcpy(pending->location, start, len);
 }
 
 static void
@@ -98,7 +102,7 @@
 	pending->answer->status = http->status;
 	pending->answer->body =
 	    json_loadb((const char *)http->body, http->body_len, 0, NULL);
-	read_owner(pending);
+	read_location(pending, http->location);
 }
 
 static void
@@ -233,10 +237,14 @@
 		const char *run =
 		    json_string_value(json_object_get(error, "run"));
 
-		return error_set(err, ERROR_IO, "%s: %s, status %d, %s, %s",
+		const char *detail =
+		    json_string_value(json_object_get(error, "detail"));
+
+		return error_set(err, ERROR_IO, "%s: %s, status %d, %s, %s: %s",
 		    path, http_result_name(answer->result), answer->status,
 		    reason != NULL ? reason : "no reason",
-		    run != NULL ? run : "outcome unknown");
+		    run != NULL ? run : "outcome unknown",
+		    detail != NULL ? detail : "");
 	}
 	return true;
 }
@@ -293,17 +301,17 @@
 	struct http_header headers[] = {
 	    {"x-guavakeel-workspace", caller->workspace},
 	    {"x-guavakeel-program", program},
-	    {"x-guavakeel-turn", turn_text},
 	    {"idempotency-key", key},
-	    {NULL, NULL}, /* the digest, if any */
+	    {"x-guavakeel-digest", digest},
+	    {NULL, NULL}, /* the turn, if any */
 	    {NULL, NULL},
 	};
 
 	snprintf(
 	    turn_text, sizeof(turn_text), "%llu", (unsigned long long)turn);
-	if (digest != NULL) {
-		headers[4].name = "x-guavakeel-digest";
-		headers[4].value = digest;
+	if (turn > 0) {
+		headers[4].name = "x-guavakeel-turn";
+		headers[4].value = turn_text;
 	}
 	return exchange(caller, HTTP_POST, "/v1/chat/completions", headers,
 	    json_pack("{s:s, s:i, s:o}", "model", model, "max_tokens", 64,
--- a/guavakeel/main.c
+++ b/guavakeel/main.c
@@ -1,6 +1,8 @@
 #include <argp.h>
 #include <stdlib.h>
 
+#include "daemon/daemon.h"
+#include "experiment/experiment.h"
 #include "guavakeel/command.h"
 
 const char *argp_program_version = "guavakeel " GUAVAKEEL_VERSION;
@@ -9,7 +11,10 @@
     {"check-config", "Check a settings file", command_check_config},
     {"config", "Show, change and hand over the configuration", command_config},
     {"counters", "Print a daemon's counters", command_counters},
+    {"daemon", "Run the entry daemon of this VM", daemon_main},
     {"drain", "Let a daemon finish its work and exit", command_drain},
+    {"experiment", "Run the scheduler against engine fakes in virtual time",
+	experiment_main},
     {"programs", "List the programs that a daemon owns", command_programs},
     {"status", "Print the state of the VMs as a daemon sees it",
 	command_status},
--- a/include/daemon/call.h
+++ b/include/daemon/call.h
@@ -98,7 +98,7 @@
     struct http_exchange *exchange, const struct http_request *request);
 /** Frees a call; its exchange must have been answered. */
 void call_destroy(struct call *call);
-struct call *call_find(struct daemon *daemon, call_id id);
+struct call *daemon_find_call(struct daemon *daemon, call_id id);
 /** Refuses the call with a typed error, counts it, and frees it. */
 void call_refuse(struct call *call, enum refusal reason, enum run_state run,
     const char *detail);
@@ -160,7 +160,7 @@
 void handle_ready(struct daemon *daemon, struct http_exchange *exchange,
     const struct http_request *request, const char *rest);
 /** Entry point of all HTTP requests. */
-void api_handle(void *daemon, struct http_exchange *exchange,
+void api_handle(void *context, struct http_exchange *exchange,
     const struct http_request *request);
 
 /* Checks of a request's sender. */
--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -76,7 +76,8 @@
 	uint64_t next_seq;
 	uint64_t claim_id;
 	int64_t claim_after_us;
-	struct list pending; /**< of struct pending, in order of seq */
+	uint64_t suspected_epoch; /**< its owner seems gone; 0: none */
+	struct list pending;      /**< of struct pending, in order of seq */
 };
 
 struct lane {
@@ -93,8 +94,8 @@
 	uint32_t failures;
 	size_t backlog_bytes;
 	size_t backlog;
-	struct list extra;  /**< of struct pending, that belong to no shard */
-	uint64_t index_min; /**< index lanes: oldest of the newest snapshots */
+	struct list extra; /**< of struct pending, that belong to no shard */
+	uint64_t first;    /**< oldest offset kept, as far as is known */
 };
 
 enum call_state {
@@ -148,6 +149,14 @@
 	bool given;
 };
 
+/** KV cache that a call of a lost shard left. */
+struct late_release {
+	struct list link;
+	char program[PROGRAM_ID_BYTES];
+	char server[NAME_BYTES];
+	int64_t due_us;
+};
+
 struct suspect_vm {
 	struct list link;
 	char vm[NAME_BYTES];
@@ -168,11 +177,12 @@
 	uint32_t next_lane; /**< where the search for a batch goes on */
 	uint64_t batches;
 	int64_t retention_us;
-	uint64_t *index_offsets; /**< by shard; UINT64_MAX: none */
+	struct record_index *index; /**< by shard; snapshot 0: none */
 	struct call *calls;
 	struct list events;
 	struct list fetches;
 	struct list suspects;
+	struct list late_releases;
 	struct list cache; /**< programs by last use of their history */
 	size_t cache_bytes;
 	struct record_bytes *pieces;
@@ -211,7 +221,7 @@
 
 /* takeover.c */
 void slot_taken(struct owner *owner, struct slot *slot, int64_t now_us);
-void slot_lost(struct owner *owner, struct slot *slot);
+void slot_lost(struct owner *owner, struct slot *slot, int64_t now_us);
 void slot_tick(struct owner *owner, struct slot *slot, int64_t now_us);
 
 /* confirm.c */
@@ -263,6 +273,18 @@
 void answer_fill(struct owner *owner, const struct program *program,
     struct owner_answer *answer);
 
+/* release.c */
+/** Asks a server to drop what a call of a lost shard left there: the new owner
+ * may have had the program released before the call reached the server. */
+void release_late(struct owner *owner, const char *program, const char *server,
+    int64_t now_us);
+/** Returns whether a lane has to be read for such a release. */
+bool release_waits(const struct owner *owner, uint32_t lane);
+void release_tick(struct owner *owner, int64_t now_us);
+void
+release_program(struct owner *owner, struct program *program, int64_t now_us);
+void release_reset(struct owner *owner);
+
 /* snapshot.c */
 void snapshot_tick(struct owner *owner, struct slot *slot, int64_t now_us);
 void index_add(struct owner *owner, struct slot *slot, int64_t now_us);
--- a/route/event.c
+++ b/route/event.c
@@ -55,9 +55,12 @@
 	    program, &sched->programs.used, struct route_program, used) {
 		struct route_holding *holding = &program->holdings[0];
 
-		if (program->release_us > now_us)
+		if (program->holdings[1].tokens > 0)
+			holding = &program->holdings[1];
+		else if (program->release_us > now_us)
 			continue;
-		program->release_us = INT64_MAX;
+		else
+			program->release_us = INT64_MAX;
 		if (holding->server == NULL || holding->tokens == 0)
 			continue;
 		holding->tokens = 0;
@@ -82,7 +85,7 @@
 	struct route_server *server = servers_find(&sched->servers, name);
 
 	if (server != NULL)
-		server_handle_load(server, load, now_us);
+		server_handle_load(server, load, now_us, &sched->rng);
 }
 
 void
@@ -104,7 +107,7 @@
 	if (program == NULL)
 		return;
 	if (event == SCHED_CACHE_STORED)
-		program_set_holding(program, server, tokens);
+		program_note_holding(program, server, tokens);
 	else
 		program_lose_holding(program, server);
 }
