Let only calls that may be repeated be abandoned

Cause: abandoning a once-call by mistake would have dropped its outcome. Change: other states are left alone.

--- a/program/call.c
+++ b/program/call.c
@@ -234,7 +234,9 @@
 	struct call *call = call_find(owner, id);
 	struct program *program;
 
-	if (call == NULL || call->state == CALL_RECORDING)
+	if (call == NULL ||
+	    (call->state != CALL_RUNNING && call->state != CALL_RESERVING &&
+		call->state != CALL_FETCHING))
 		return;
 	program = call_program(owner, call);
 	if (program != NULL && (spent_tokens > 0 || server[0] != '\0'))
