Test brief view items with members behind relays

With two VMs a domain all are relays and heard directly, so that a brief item that lost its sender's first-hand standing went unseen. With four a domain that broken variant fails the test; the right one passes.

--- a/tests/test_peer_failure.c
+++ b/tests/test_peer_failure.c
@@ -378,7 +378,7 @@
 {
 	struct failure_sign sign;
 
-	sim_start(14, 7, 0, 1);
+	sim_start(28, 7, 0, 1);
 	sim_run(20000);
 	for (int i = 0; i < sim.count; i++) {
 		sim.vms[i].self.config_version = 9;
