--- a/daemon/chat_reply.c
+++ b/daemon/chat_reply.c
@@ -174,7 +174,8 @@
 }
 
 void
-chat_reply_kept(struct call *call, const struct record_bytes *content)
+chat_reply_kept(
+    struct call *call, const struct record_bytes *content, bool durable)
 {
 	json_t *messages =
 	    json_loadb((const char *)content->data, content->len, 0, NULL);
@@ -195,9 +196,9 @@
 		    json_incref(json_object_get(message, "tool_calls"));
 		json_decref(message);
 		if (call->exchange != NULL)
-			stream_end(call, true);
+			stream_end(call, durable);
 	} else {
-		answer_whole(call, message, true);
+		answer_whole(call, message, durable);
 	}
 	count_answer(call);
 }
--- a/daemon/member_controller.c
+++ b/daemon/member_controller.c
@@ -60,6 +60,21 @@
 	}
 }
 
+/* Each VM that is up has an equal part of the system's appends. */
+static void
+set_share(struct daemon *daemon)
+{
+	const struct members *members = &daemon->board.members;
+	size_t up = 0;
+
+	for (size_t i = 0; i < members->count; i++) {
+		if (member_state(&members->items[i], daemon->board.now_us) !=
+		    MEMBER_GONE)
+			up++;
+	}
+	owner_set_share(daemon->owner, up > 0 ? 1.0 / (double)up : 1.0);
+}
+
 void
 member_controller_assign(struct daemon *daemon)
 {
@@ -68,6 +83,7 @@
 	if (daemon->owner == NULL)
 		return;
 	suspect_gone(daemon);
+	set_share(daemon);
 	for (uint32_t shard = 0; shard < config->limits.shards; shard++) {
 		const struct member *owner = members_shard_owner(
 		    &daemon->board.members, shard, daemon->board.now_us);
--- a/daemon/model_call.c
+++ b/daemon/model_call.c
@@ -125,7 +125,7 @@
 {
 	call->turn = answer->turn;
 	call->digest = answer->digest;
-	chat_reply_kept(call, &answer->kept);
+	chat_reply_kept(call, &answer->kept, answer->durable);
 	call_destroy(call);
 }
 
--- a/program/batch.c
+++ b/program/batch.c
@@ -226,8 +226,6 @@
 			batch_take(state, group, &bytes);
 		}
 	}
-	owner->counters->log_append_bytes_total += bytes;
-	owner->counters->log_records_total += state->item_count;
 }
 
 bool
@@ -246,7 +244,6 @@
 		batch_fill(owner, lane, now_us);
 		owner->credit -= 1;
 		owner->next_lane = lane + 1;
-		owner->counters->log_appends_total++;
 		state->sending = true;
 		state->batch = ++owner->batches;
 		batch->lane = lane;
