Retry a program's step as callers should

Cause: in a trial against three daemons just started, 11 of 20 programs were given up with 'recovering': each try went to the same address. Change: a try without a known owner goes to the next address, after the error's retry_after_s; the last reason of a program given up is printed.

--- a/standins/caller.h
+++ b/standins/caller.h
@@ -101,9 +101,9 @@
 /** The present call has its whole answer. */
 void
 load_program_answered(struct load_program *program, struct load_answer *answer);
-/** The present step failed; it is tried again, or the program given up.
- * owner: "IP:PORT" to try next, or NULL. */
-void load_program_retry(struct load_program *program, const char *owner);
+/** The present step failed; it is tried again, at the owner if the answer names
+ * one, or the program is given up. answer may be NULL. */
+void load_program_retry(struct load_program *program, const json_t *answer);
 
 /* ---- caller_chat.c ---- */
 
--- a/standins/caller_chat.c
+++ b/standins/caller_chat.c
@@ -114,10 +114,8 @@
 retry(struct load_program *program, struct load_answer *answer)
 {
 	json_t *root = json_loads(buf_text(&answer->input), 0, NULL);
-	const char *owner = json_string_value(
-	    json_object_get(json_object_get(root, "error"), "owner"));
 
-	load_program_retry(program, owner);
+	load_program_retry(program, root);
 	json_decref(root);
 }
 
--- a/standins/caller_program.c
+++ b/standins/caller_program.c
@@ -56,18 +56,42 @@
 	uv_timer_start(&program->timer, handle_timer, (uint64_t)delay_ms, 0);
 }
 
+/* Each try without a known owner goes to the next address. */
+static void
+choose_address(struct load_program *program)
+{
+	const struct caller *caller = program->caller;
+	size_t index = (size_t)(program->number + program->tries);
+
+	program->address = caller->addresses[index % caller->address_count];
+}
+
 void
-load_program_retry(struct load_program *program, const char *owner)
+load_program_retry(struct load_program *program, const json_t *answer)
 {
+	const json_t *error = json_object_get(answer, "error");
+	const char *owner = json_string_value(json_object_get(error, "owner"));
+	const char *reason =
+	    json_string_value(json_object_get(error, "reason"));
+	json_int_t after_s =
+	    json_integer_value(json_object_get(error, "retry_after_s"));
+	int64_t delay_ms = after_s > 0 ? (int64_t)after_s * MS_PER_S
+				       : (int64_t)RETRY_MS * program->tries;
+
 	program->caller->results.retries++;
 	if (++program->tries > MAX_TRIES) {
+		fprintf(stderr, "program %" PRId64 " turn %" PRId64 ": %s\n",
+		    program->number, program->turn,
+		    reason != NULL ? reason : "no answer");
 		program_finish(program, false);
 		return;
 	}
-	if (owner != NULL && caller_parse_address(owner, &program->address))
+	if (owner != NULL && caller_parse_address(owner, &program->address)) {
 		next_step_later(program, 0);
-	else
-		next_step_later(program, (int64_t)RETRY_MS * program->tries);
+	} else {
+		choose_address(program);
+		next_step_later(program, delay_ms);
+	}
 }
 
 /* ---- begin and end ---- */
@@ -79,13 +103,11 @@
 	json_t *root =
 	    json_loadb((const char *)answer->body, answer->body_len, 0, NULL);
 	const char *id = json_string_value(json_object_get(root, "program"));
-	const char *owner = json_string_value(
-	    json_object_get(json_object_get(root, "error"), "owner"));
 	bool ok = answer->result == HTTP_RESULT_OK && answer->status < 300 &&
 	    id != NULL;
 
 	if (!ok) {
-		load_program_retry(program, owner);
+		load_program_retry(program, root);
 	} else if (program->id[0] == '\0') {
 		snprintf(program->id, sizeof(program->id), "%s", id);
 		program->tries = 0;
@@ -210,8 +232,7 @@
 
 	program->caller = caller;
 	program->number = number;
-	program->address =
-	    caller->addresses[(size_t)number % caller->address_count];
+	choose_address(program);
 	program->turn = 1;
 	program->history = json_array();
 	program->begun_us = clock_monotonic_us();
