--- a/standins/standin.c
+++ b/standins/standin.c
@@ -94,9 +94,9 @@
 void
 standin_close(struct standin *standin)
 {
-	net_destroy(standin->net);
 	if (standin->program->stop != NULL)
 		standin->program->stop(standin);
+	net_destroy(standin->net);
 	uv_run(&standin->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&standin->loop);
 	free(standin->match_path);
