Take turns sent again by callers; redirect begins by shard; test both

Cause: a turn answered with durable false could not be sent along, and a keyed begin at a VM that does not own its shard was refused as recovering for ever (seen: 15 of 20 programs of the load client, which keeps to one address), as there was no program id to find the owner by. Change: chat bodies take 'resend'; redirects go by the owner's answer.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -195,17 +195,14 @@
 	call_destroy(call);
 }
 
-/* Copies the address of the program's owner, as far as it is known. */
+/* Copies the address of a shard's owner, as far as it is known. */
 static void
-owner_address(struct call *call, char *address, size_t size)
+owner_address(
+    const struct call *call, uint32_t shard, char *address, size_t size)
 {
 	struct daemon *daemon = call->daemon;
 	const struct member *member;
-	uint32_t shard;
 
-	address[0] = '\0';
-	if (!program_shard(call->program, &shard))
-		return;
 	owner_shard_address(daemon->owner, shard, address, size);
 	if (address[0] != '\0' && strcmp(address, daemon->address) != 0)
 		return;
@@ -217,7 +214,7 @@
 }
 
 void
-call_redirect(struct call *call)
+call_redirect(struct call *call, uint32_t shard)
 {
 	char address[2 * NAME_BYTES];
 	char location[2 * HTTP_PATH_BYTES];
@@ -228,7 +225,7 @@
 	    {NULL, NULL},
 	};
 
-	owner_address(call, address, sizeof(address));
+	owner_address(call, shard, address, sizeof(address));
 	if (address[0] == '\0' || call->exchange == NULL) {
 		call_refuse(call, REFUSAL_RECOVERING, RUN_NOT_RUN,
 		    "the program's owner is not known yet");
--- a/daemon/chat.c
+++ b/daemon/chat.c
@@ -11,6 +11,7 @@
 	BYTES_PER_TOKEN = 4,
 	DEFAULT_MAX_TOKENS = 512,
 	MAX_MAX_TOKENS = 1 << 20,
+	MAX_RESEND = 64, /**< turns in one request */
 };
 
 /* Serialises the new messages without the array's brackets. */
@@ -40,6 +41,33 @@
 	return NULL;
 }
 
+static const char *
+check_resend(json_t *resend)
+{
+	const char *key;
+	const char *arguments;
+	const char *content;
+	struct digest digest;
+	json_int_t tokens;
+	size_t index;
+	json_t *turn;
+	int tool;
+
+	if (resend != NULL && !json_is_array(resend))
+		return "resend must be an array";
+	if (json_array_size(resend) > MAX_RESEND)
+		return "resend has too many turns";
+	json_array_foreach (resend, index, turn) {
+		if (json_unpack(turn, "{s:b, s:s, s:s, s:I, s:s}", "tool",
+			&tool, "key", &key, "arguments", &arguments,
+			"prompt_tokens", &tokens, "content", &content) != 0 ||
+		    strlen(key) >= NAME_BYTES || tokens < 0 ||
+		    !digest_parse(arguments, &digest))
+			return "each turn of resend must be as it was answered";
+	}
+	return NULL;
+}
+
 /* Fills the call from its body; returns what is wrong, or NULL. */
 static const char *
 parse_chat(struct call *call, json_t *root)
@@ -48,20 +76,24 @@
 	const char *adapter = "";
 	json_t *messages = NULL;
 	json_int_t max_tokens = DEFAULT_MAX_TOKENS;
+	json_t *resend = NULL;
 	int stream = 0;
 	const char *wrong;
 
-	if (json_unpack(root, "{s:s, s?s, s:o, s?I, s?b}", "model", &model,
+	if (json_unpack(root, "{s:s, s?s, s:o, s?I, s?b, s?o}", "model", &model,
 		"adapter", &adapter, "messages", &messages, "max_tokens",
-		&max_tokens, "stream", &stream) != 0)
+		&max_tokens, "stream", &stream, "resend", &resend) != 0)
 		return "body must be a JSON object with model and messages";
 	if (strlen(model) >= NAME_BYTES || strlen(adapter) >= NAME_BYTES)
 		return "model or adapter name is too long";
 	if (max_tokens < 1 || max_tokens > MAX_MAX_TOKENS)
 		return "max_tokens is out of range";
 	wrong = check_messages(messages);
+	if (wrong == NULL)
+		wrong = check_resend(resend);
 	if (wrong != NULL)
 		return wrong;
+	call->model.resend = json_incref(resend);
 	snprintf(call->model.model, NAME_BYTES, "%s", model);
 	snprintf(call->model.adapter, NAME_BYTES, "%s", adapter);
 	call->model.messages = messages_text(messages);
--- a/daemon/chat_reply.c
+++ b/daemon/chat_reply.c
@@ -58,17 +58,43 @@
 		drop_caller(call);
 }
 
+/* What the caller sends along until a later answer is durable. The content is
+ * text, as its digest is of these very bytes. */
+static json_t *
+undurable_turn(const struct call *call)
+{
+	struct digest digest = model_call_arguments(call);
+	char arguments[DIGEST_TEXT_BYTES];
+	struct buf content = {0};
+	json_t *turn;
+
+	digest_format(&digest, arguments);
+	chat_reply_content(call, &content);
+	turn = json_pack("{s:b, s:s, s:s, s:I, s:s}", "tool", 0, "key",
+	    call->key, "arguments", arguments, "prompt_tokens",
+	    (json_int_t)call->model.prompt_tokens +
+		(json_int_t)call->model.answer_tokens,
+	    "content", buf_text(&content));
+	buf_reset(&content);
+	return turn;
+}
+
 /* What guavakeel adds to the standard answer. */
 static json_t *
 extension(const struct call *call, bool durable)
 {
 	char digest[DIGEST_TEXT_BYTES];
+	json_t *own;
 
 	digest_format(&call->digest, digest);
-	return json_pack("{s:s, s:I, s:s, s:b, s:s, s:s}", "program",
+	own = json_pack("{s:s, s:I, s:s, s:b, s:s, s:s}", "program",
 	    call->program, "turn", (json_int_t)call->turn, "digest", digest,
 	    "durable", durable, "server", call->model.server, "request",
 	    call->request);
+	/* A repeated call has no copy of its turn here. */
+	if (!durable && call->model.answer.len > 0)
+		json_object_set_new(own, "resend", undurable_turn(call));
+	return own;
 }
 
 static json_t *
--- a/daemon/model_call.c
+++ b/daemon/model_call.c
@@ -28,6 +28,7 @@
 	buf_reset(&model->prompt);
 	buf_reset(&model->answer);
 	json_decref(model->tool_calls);
+	json_decref(model->resend);
 }
 
 /* One token is at least one byte. */
@@ -129,12 +130,50 @@
 	call_destroy(call);
 }
 
+/* Gives the caller's turns that may be missing here; to be freed. */
+static struct owner_resend *
+build_resend(json_t *turns)
+{
+	struct owner_resend *resend =
+	    xcalloc(json_array_size(turns) + 1, sizeof(*resend));
+	size_t index;
+	json_t *turn;
+
+	json_array_foreach (turns, index, turn) {
+		struct owner_resend *item = &resend[index];
+		json_t *content = json_object_get(turn, "content");
+
+		item->tool = json_is_true(json_object_get(turn, "tool"));
+		item->key = json_string_value(json_object_get(turn, "key"));
+		digest_parse(
+		    json_string_value(json_object_get(turn, "arguments")),
+		    &item->arguments);
+		item->prompt_tokens = (uint64_t)json_integer_value(
+		    json_object_get(turn, "prompt_tokens"));
+		item->content.data =
+		    (const uint8_t *)json_string_value(content);
+		item->content.len = json_string_length(content);
+	}
+	return resend;
+}
+
+struct digest
+model_call_arguments(const struct call *call)
+{
+	return digest_chain(
+	    NULL, call->model.messages, strlen(call->model.messages));
+}
+
 void
 model_call_begin(struct call *call)
 {
 	struct daemon *daemon = call->daemon;
 	struct owner_answer answer = {0};
+	struct owner_resend *resend = build_resend(call->model.resend);
+	enum owner_verdict verdict;
 	const struct owner_call request = {
+	    .resend = resend,
+	    .resend_count = json_array_size(call->model.resend),
 	    .kind = OWNER_CALL_MODEL,
 	    .program = call->program,
 	    .workspace = call->workspace,
@@ -142,15 +181,16 @@
 	    .tool = "",
 	    .turn = call->turn,
 	    .digest = call->has_digest ? &call->digest : NULL,
-	    .arguments = digest_chain(
-		NULL, call->model.messages, strlen(call->model.messages)),
+	    .arguments = model_call_arguments(call),
 	    .cost_tokens = most_tokens(&call->model),
 	    .wall_us = clock_wall_us(),
 	};
 
 	call->state = CALL_ADMITTING;
-	switch (owner_call_admit(
-	    daemon->owner, call->id, &request, daemon->board.now_us, &answer)) {
+	verdict = owner_call_admit(
+	    daemon->owner, call->id, &request, daemon->board.now_us, &answer);
+	free(resend);
+	switch (verdict) {
 	case OWNER_OK:
 		call->turn = answer.turn + 1;
 		build_prompt(call, &answer);
@@ -163,7 +203,7 @@
 		replay(call, &answer);
 		break;
 	case OWNER_NOT_MINE:
-		call_redirect(call);
+		call_redirect(call, answer.shard);
 		break;
 	case OWNER_REFUSE:
 		call_refuse(call, answer.reason, answer.run, NULL);
--- a/daemon/program_api.c
+++ b/daemon/program_api.c
@@ -65,7 +65,7 @@
 	case OWNER_FETCH:
 		break;
 	case OWNER_NOT_MINE:
-		call_redirect(call);
+		call_redirect(call, answer.shard);
 		break;
 	case OWNER_REFUSE:
 		call_refuse(call, answer.reason, answer.run, NULL);
@@ -128,7 +128,7 @@
 	case OWNER_FETCH:
 		break;
 	case OWNER_NOT_MINE:
-		call_redirect(call);
+		call_redirect(call, answer.shard);
 		break;
 	case OWNER_REFUSE:
 		call_refuse(call, answer.reason, answer.run, NULL);
--- a/daemon/service_call.c
+++ b/daemon/service_call.c
@@ -272,7 +272,7 @@
 		replay(call, &kept);
 		break;
 	case OWNER_NOT_MINE:
-		call_redirect(call);
+		call_redirect(call, kept.shard);
 		break;
 	case OWNER_REFUSE:
 		call_refuse(call, kept.reason, kept.run, NULL);
--- a/include/daemon/call.h
+++ b/include/daemon/call.h
@@ -32,6 +32,7 @@
 struct model_call {
 	char model[NAME_BYTES];
 	char adapter[NAME_BYTES];
+	json_t *resend;       /**< turns that were told to be not durable */
 	char *messages;       /**< new messages: JSON items without brackets */
 	struct buf prompt;    /**< history and new messages, without brackets */
 	uint64_t fingerprint; /**< of the prompt */
@@ -103,8 +104,8 @@
 /** Refuses the call with a typed error, counts it, and frees it. */
 void call_refuse(struct call *call, enum refusal reason, enum run_state run,
     const char *detail);
-/** Sends the caller to the owner of the program, and frees the call. */
-void call_redirect(struct call *call);
+/** Sends the caller to the owner of the program's shard, and frees the call. */
+void call_redirect(struct call *call, uint32_t shard);
 /** Answers with a JSON object (whose reference is taken) and frees the call.
  */
 void call_answer(struct call *call, int status, json_t *body);
@@ -119,6 +120,8 @@
 /* Steps of each kind of call. */
 void program_call_event(struct call *call, const struct owner_event *event);
 void model_call_begin(struct call *call);
+/** Digest of the new messages, which a repeat must have too. */
+struct digest model_call_arguments(const struct call *call);
 void model_call_event(struct call *call, const struct owner_event *event);
 void
 model_call_dispatch(struct call *call, const struct sched_dispatch *dispatch);
--- a/tests/end_to_end.sh
+++ b/tests/end_to_end.sh
@@ -19,9 +19,10 @@
 	port=$1 method=$2 path=$3 body=$4
 	shift 4
 	code=$(curl -sL --post301 --post302 --max-time 20 -o "$work/body" \
-	    -w '%{http_code}' -X "$method" -d "$body" \
+	    -w '%{stderr}%{url_effective}%{stdout}%{http_code}' -X "$method" \
+	    -d "$body" \
 	    -H "x-guavakeel-workspace: $workspace" "$@" \
-	    "http://127.0.0.1:$port$path")
+	    "http://127.0.0.1:$port$path" 2>"$work/url")
 }
 
 # expect CODE TEXT: what the last call answered.
@@ -138,4 +139,35 @@
 	sleep 0.2
 done
 expect 200 '"durable":true'
+echo "a turn told to be not durable survives its VM, sent along by the caller"
+tools_owner() { sed 's/.*:\([0-9]*\)\/.*/\1/' "$work/url"; }
+curl -sf -X POST -d '{"outage_ms": 9000}' \
+    "http://127.0.0.1:$log_port/faults" >/dev/null || fail "ordering an outage"
+call "$port_2" POST /v1/chat/completions "$message, \"max_tokens\": 8}" \
+    -H "x-guavakeel-program: $program" -H 'idempotency-key: undurable-1'
+expect 200 '"durable":false'
+digest=$(sed 's/.*"digest":"\([0-9a-f]*\)".*/\1/' "$work/body")
+resend=$(sed 's/.*"resend":\({.*}\)}}.*/\1/' "$work/body")
+owner=$(tools_owner)
+if [ "$owner" = "$port_2" ]; then
+	victim=$pid_2 other=$port_3
+else
+	victim=$pid_3 other=$port_2
+fi
+call "$other" POST /v1/tools/invoice '{"amount": 9}' \
+    -H "x-guavakeel-program: $program" -H 'idempotency-key: i9'
+[ "$code" = 503 ] || fail "an invoice during the outage: $code"
+expect 503 '"run":"not run"'
+kill -KILL "$victim"
+tries=0
+until call "$other" POST /v1/chat/completions \
+    "$message, \"max_tokens\": 8, \"resend\": [$resend]}" \
+    -H "x-guavakeel-program: $program" -H "x-guavakeel-digest: $digest" &&
+    [ "$code" = 200 ]; do
+	tries=$((tries + 1))
+	[ $tries -lt 150 ] || fail "no takeover: $code $(cat "$work/body")"
+	sleep 0.2
+done
+expect 200 '"durable":true'
+[ "$(runs invoice i9)" = 0 ] || fail "an invoice refused as not run ran"
 echo "end to end: passed"
