--- a/peer/message.c
+++ b/peer/message.c
@@ -2,8 +2,8 @@
 
 #include <msgpack.h>
 
-#include "common/wire.h"
 #include "common/pack.h"
+#include "common/wire.h"
 #include "peer/message.h"
 
 enum {
@@ -32,8 +32,7 @@
 		label, table, sizeof(table) / sizeof((table)[0]), true \
 	}
 
-#define MEMBER(key, kind, member) \
-	WIRE(struct message_member, key, kind, member)
+#define MEMBER(key, kind, member) WIRE(struct message_member, key, kind, member)
 static const struct wire_field member_fields[] = {
     MEMBER(1, WIRE_TEXT, vm),
     MEMBER(2, WIRE_TEXT, address),
@@ -50,15 +49,13 @@
     MEMBER(13, WIRE_BOOL, gone),
     MEMBER(14, WIRE_BOOL, brief),
 };
-static const struct wire_layout member_layout =
-    SPARSE("member", member_fields);
+static const struct wire_layout member_layout = SPARSE("member", member_fields);
 
 static const struct wire_field record_fields[] = {
     WIRE(struct message_record, 1, WIRE_UNSIGNED, offset),
     WIRE(struct message_record, 2, WIRE_BYTES, data),
 };
-static const struct wire_layout record_layout =
-    SPARSE("record", record_fields);
+static const struct wire_layout record_layout = SPARSE("record", record_fields);
 
 static const struct wire_field want_item_fields[] = {
     WIRE(struct message_want_item, 1, WIRE_UNSIGNED, lane),
