--- a/daemon/model_call.c
+++ b/daemon/model_call.c
@@ -264,9 +264,6 @@
 	call->recording_us = daemon->board.now_us;
 	call->digest =
 	    owner_turn_end(daemon->owner, call->id, &end, daemon->board.now_us);
-	daemon->board.counters.turns_total++;
-	daemon->board.counters.prompt_tokens_total += model->prompt_tokens;
-	daemon->board.counters.cached_tokens_total += model->cached_tokens;
 	buf_reset(&content);
 }
 
@@ -425,9 +422,6 @@
 		return;
 	}
 	snprintf(id, sizeof(id), "%s-%u", call->request, dispatch->attempt);
-	histogram_add(&daemon->board.counters.queue_us,
-	    daemon->board.now_us - call->started_us);
-	daemon->board.counters.attempts_total++;
 	call->state = CALL_RUNNING;
 	model->attempt = attempt_start(daemon->net, &params, &callbacks);
 }
@@ -441,8 +435,6 @@
 		model_call_begin(call);
 		break;
 	case OWNER_TURN_DURABLE:
-		histogram_add(&call->daemon->board.counters.durable_us,
-		    call->daemon->board.now_us - call->recording_us);
 		chat_reply_end(call, true);
 		call_destroy(call);
 		break;
--- a/daemon/program_api.c
+++ b/daemon/program_api.c
@@ -169,11 +169,9 @@
 {
 	switch (event->type) {
 	case OWNER_PROGRAM_BEGUN:
-		call->daemon->board.counters.programs_begun_total++;
 		answer_begun(call, event->program);
 		break;
 	case OWNER_PROGRAM_ENDED:
-		call->daemon->board.counters.programs_ended_total++;
 		sched_program_end(call->daemon->sched, call->program);
 		call_answer(call, 200,
 		    json_pack(
--- a/daemon/server_controller.c
+++ b/daemon/server_controller.c
@@ -297,7 +297,6 @@
 	params.body_len = (size_t)snprintf(
 	    body, sizeof(body), "{\"program\":\"%s\"}", program);
 	list_append(&controller->releases, &release->link);
-	daemon->board.counters.kv_releases_total++;
 	release->call =
 	    http_fetch(daemon->net, &params, handle_released, release);
 }
