--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -27,6 +27,7 @@
 	LOG_OUT_US = 1000000,       /**< failures for this long: log is out */
 	INTENT_WAIT_US = 5000000,   /**< then a queued intent is withdrawn */
 	RELEASE_RETRY_US = 2000000, /**< between orders to release KV */
+	SNAPSHOT_RECORDS = 1024,    /**< default tail of a shard */
 	RETENTION_PERIODS = 4,      /**< a record is carried by its third */
 	CARRY_BACKLOG_BYTES = 1 << 20,
 	CLAIM_GRACE_US = 2000000, /**< for the one named in a release */
@@ -69,6 +70,7 @@
 	bool releasing; /**< a RELEASE record is queued */
 	bool claiming;  /**< a CLAIM record is queued */
 	bool snapshot_wanted;
+	uint32_t tail_records; /**< applied since the last snapshot */
 	uint64_t mark_offset;  /**< lane's end at the last period's start */
 	int64_t mark_us;       /**< start of the period */
 	uint64_t carry_before; /**< older turns are appended again */
@@ -177,6 +179,7 @@
 	uint32_t next_lane; /**< where the search for a batch goes on */
 	uint64_t batches;
 	int64_t retention_us;
+	uint32_t snapshot_records;  /**< longest tail without a snapshot */
 	struct record_index *index; /**< by shard; snapshot 0: none */
 	struct call *calls;
 	struct list events;
--- a/include/program/owner.h
+++ b/include/program/owner.h
@@ -38,6 +38,8 @@
 	const struct config_limits *limits;
 	struct counters *counters;
 	uint64_t seed;
+	uint32_t snapshot_records; /**< records of a shard after which it is
+				    * written anew; 0: 1024 */
 	int64_t retention_us; /**< shortest time that the log keeps records;
 			       * 0: a day */
 };
--- a/program/lane.c
+++ b/program/lane.c
@@ -100,7 +100,12 @@
 	    (verdict == FOLD_APPLIED || verdict == FOLD_REJECTED ||
 		(verdict == FOLD_OLD_EPOCH && pending->fact)))
 		pending_confirm(owner, slot, pending, verdict, now_us);
-	if (!slot->owned || record->type != RECORD_SNAPSHOT)
+	if (!slot->owned)
+		return;
+	if (verdict == FOLD_APPLIED &&
+	    ++slot->tail_records >= owner->snapshot_records)
+		slot->snapshot_wanted = true;
+	if (record->type != RECORD_SNAPSHOT)
 		return;
 	if (slot->fold.snapshot_offset != snapshot)
 		index_add(owner, slot, now_us);
--- a/program/owner.c
+++ b/program/owner.c
@@ -17,6 +17,9 @@
 	strncpy(owner->address, options->address, NAME_BYTES - 1);
 	owner->limits = *options->limits;
 	owner->counters = options->counters;
+	owner->snapshot_records = options->snapshot_records > 0
+	    ? options->snapshot_records
+	    : SNAPSHOT_RECORDS;
 	owner->retention_us = options->retention_us > 0 ? options->retention_us
 							: RETENTION_DEFAULT_US;
 	owner->share = 1;
--- a/program/snapshot.c
+++ b/program/snapshot.c
@@ -308,6 +308,7 @@
 	if (!slot->snapshot_wanted || !list_empty(&slot->pending))
 		return;
 	slot->snapshot_wanted = false;
+	slot->tail_records = 0;
 	shard_encode(&slot->fold, &state);
 	parts = (state.len + SNAPSHOT_PART_BYTES - 1) / SNAPSHOT_PART_BYTES;
 	for (size_t i = 0; i < parts; i++) {
--- a/tests/runs/vm.c
+++ b/tests/runs/vm.c
@@ -28,6 +28,8 @@
 	    .counters = &vm->counters,
 	    .seed = rng_next(&world->rng),
 	    .retention_us = world->retention_us,
+	    .snapshot_records = SNAPSHOT_RECORDS_MIN +
+		(uint32_t)(world->seed % SNAPSHOT_RECORDS_SPREAD),
 	};
 
 	snprintf(name, sizeof(name), "vm-%d", number);
--- a/tests/runs/world.h
+++ b/tests/runs/world.h
@@ -9,6 +9,9 @@
 #include "program/internal.h"
 
 enum {
+	/* Tails after which a shard is written anew, by seed. */
+	SNAPSHOT_RECORDS_MIN = 4,
+	SNAPSHOT_RECORDS_SPREAD = 60,
 	RUN_LANES = 2,
 	RUN_SHARDS = 4,
 	RUN_STREAMS = 2 * RUN_LANES + 1,
