Do not redirect callers to a VM that is gone

Cause: a VM that does not follow a lane keeps its last owner's address, and sent callers to the dead VM until it read the lane (seen in the demo: 10.8 s from SIGKILL to the next turn, the new owner had claimed after 4.0 s). Change: an address of a member that is gone is passed over.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -195,6 +195,25 @@
 	call_destroy(call);
 }
 
+/* A lane that this VM does not follow may still name a VM that died. */
+static bool
+address_is_gone(const struct daemon *daemon, const char *address)
+{
+	const struct members *members = &daemon->board.members;
+	char own[2 * NAME_BYTES];
+
+	for (size_t i = 0; i < members->count; i++) {
+		const struct member *member = &members->items[i];
+
+		snprintf(
+		    own, sizeof(own), "%s:%d", member->address, member->port);
+		if (strcmp(own, address) == 0)
+			return member_state(member, daemon->board.now_us) ==
+			    MEMBER_GONE;
+	}
+	return false;
+}
+
 /* Copies the address of a shard's owner, as far as it is known. */
 static void
 owner_address(
@@ -204,7 +223,8 @@
 	const struct member *member;
 
 	owner_shard_address(daemon->owner, shard, address, size);
-	if (address[0] != '\0' && strcmp(address, daemon->address) != 0)
+	if (address[0] != '\0' && strcmp(address, daemon->address) != 0 &&
+	    !address_is_gone(daemon, address))
 		return;
 	address[0] = '\0';
 	member = members_shard_owner(
