--- a/demo/caller.c
+++ b/demo/caller.c
@@ -14,7 +14,8 @@
 	TRY_TIMEOUT_US = 20 * US_PER_S,
 	DEFAULT_PATIENCE_US = 30 * US_PER_S,
 	BACKOFF_MIN_MS = 50,
-	BACKOFF_MAX_MS = 1000,
+	BACKOFF_MAX_MS = 500,
+	MAX_HOPS = 2, /**< redirects followed without a pause */
 	REDIRECT_STATUS = 307,
 };
 
@@ -180,6 +181,7 @@
 {
 	int64_t end_us = clock_monotonic_us() + caller->patience_us;
 	uint64_t backoff_ms = BACKOFF_MIN_MS;
+	int hops = 0;
 
 	memset(answer, 0, sizeof(*answer));
 	for (;;) {
@@ -197,10 +199,13 @@
 		if (pending.location[0] != '\0') {
 			memcpy(caller->owner, pending.location,
 			    sizeof(caller->owner));
+			if (++hops <= MAX_HOPS)
+				continue;
 		} else {
 			caller->owner[0] = '\0';
 			caller->current++;
 		}
+		hops = 0;
 		if (clock_monotonic_us() > end_us)
 			return;
 		wait_ms(caller,
