Let only its workspace end a program; join what calls do with a verdict

Cause: a caller of one workspace could end another's program: the end of a program was not checked (found on the read-through; the new end-to-end check asks for it). Change: owner_program_end() takes the workspace; the four switches over a verdict are one, call_goes_on().

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -267,3 +267,24 @@
 	json_decref(body);
 	call_destroy(call);
 }
+
+bool
+call_goes_on(struct call *call, enum owner_verdict verdict,
+    const struct owner_answer *answer)
+{
+	switch (verdict) {
+	case OWNER_OK:
+	case OWNER_REPLAY:
+		return true;
+	case OWNER_WAIT:
+	case OWNER_FETCH:
+		return false;
+	case OWNER_NOT_MINE:
+		call_redirect(call, answer->shard);
+		return false;
+	case OWNER_REFUSE:
+		break;
+	}
+	call_refuse(call, answer->reason, answer->run, NULL);
+	return false;
+}
--- a/daemon/model_call.c
+++ b/daemon/model_call.c
@@ -190,25 +190,15 @@
 	verdict = owner_call_admit(
 	    daemon->owner, call->id, &request, daemon->board.now_us, &answer);
 	free(resend);
-	switch (verdict) {
-	case OWNER_OK:
-		call->turn = answer.turn + 1;
-		build_prompt(call, &answer);
-		submit(call);
-		break;
-	case OWNER_WAIT:
-	case OWNER_FETCH:
-		break;
-	case OWNER_REPLAY:
+	if (!call_goes_on(call, verdict, &answer))
+		return;
+	if (verdict == OWNER_REPLAY) {
 		replay(call, &answer);
-		break;
-	case OWNER_NOT_MINE:
-		call_redirect(call, answer.shard);
-		break;
-	case OWNER_REFUSE:
-		call_refuse(call, answer.reason, answer.run, NULL);
-		break;
+		return;
 	}
+	call->turn = answer.turn + 1;
+	build_prompt(call, &answer);
+	submit(call);
 }
 
 static void
--- a/daemon/program_api.c
+++ b/daemon/program_api.c
@@ -53,24 +53,13 @@
 	    .wall_us = clock_wall_us(),
 	};
 	struct owner_answer answer = {0};
+	enum owner_verdict verdict;
 
 	snprintf(call->program, sizeof(call->program), "%s", request->parent);
-	switch (owner_program_begin(
-	    daemon->owner, call->id, &begin, daemon->board.now_us, &answer)) {
-	case OWNER_OK:
-	case OWNER_REPLAY:
+	verdict = owner_program_begin(
+	    daemon->owner, call->id, &begin, daemon->board.now_us, &answer);
+	if (call_goes_on(call, verdict, &answer))
 		answer_begun(call, answer.program);
-		break;
-	case OWNER_WAIT:
-	case OWNER_FETCH:
-		break;
-	case OWNER_NOT_MINE:
-		call_redirect(call, answer.shard);
-		break;
-	case OWNER_REFUSE:
-		call_refuse(call, answer.reason, answer.run, NULL);
-		break;
-	}
 }
 
 void
@@ -110,30 +99,24 @@
 	json_decref(root);
 }
 
+static void
+answer_ended(struct call *call)
+{
+	call_answer(call, 200,
+	    json_pack("{s:s, s:b}", "program", call->program, "ended", 1));
+}
+
 static void
 end_program(struct call *call)
 {
 	struct daemon *daemon = call->daemon;
 	struct owner_answer answer = {0};
+	enum owner_verdict verdict;
 
-	switch (owner_program_end(daemon->owner, call->id, call->program,
-	    "caller", daemon->board.now_us, &answer)) {
-	case OWNER_OK:
-	case OWNER_REPLAY:
-		call_answer(call, 200,
-		    json_pack(
-			"{s:s, s:b}", "program", call->program, "ended", 1));
-		break;
-	case OWNER_WAIT:
-	case OWNER_FETCH:
-		break;
-	case OWNER_NOT_MINE:
-		call_redirect(call, answer.shard);
-		break;
-	case OWNER_REFUSE:
-		call_refuse(call, answer.reason, answer.run, NULL);
-		break;
-	}
+	verdict = owner_program_end(daemon->owner, call->id, call->program,
+	    call->workspace, "caller", daemon->board.now_us, &answer);
+	if (call_goes_on(call, verdict, &answer))
+		answer_ended(call);
 }
 
 /* DELETE or POST .../end on /v1/programs/ID. */
@@ -173,9 +156,7 @@
 		break;
 	case OWNER_PROGRAM_ENDED:
 		sched_program_end(call->daemon->sched, call->program);
-		call_answer(call, 200,
-		    json_pack(
-			"{s:s, s:b}", "program", call->program, "ended", 1));
+		answer_ended(call);
 		break;
 	case OWNER_REFUSED:
 		call_refuse(call, event->reason, event->run, NULL);
--- a/daemon/service_call.c
+++ b/daemon/service_call.c
@@ -241,6 +241,7 @@
 {
 	struct daemon *daemon = call->daemon;
 	struct owner_answer kept = {0};
+	enum owner_verdict verdict;
 	const struct owner_call request = {
 	    .kind =
 		call->service.once ? OWNER_CALL_ONCE : OWNER_CALL_REPEATABLE,
@@ -260,24 +261,14 @@
 		send_request(call);
 		return;
 	}
-	switch (owner_call_admit(
-	    daemon->owner, call->id, &request, daemon->board.now_us, &kept)) {
-	case OWNER_OK:
-		send_request(call);
-		break;
-	case OWNER_WAIT:
-	case OWNER_FETCH:
-		break;
-	case OWNER_REPLAY:
+	verdict = owner_call_admit(
+	    daemon->owner, call->id, &request, daemon->board.now_us, &kept);
+	if (!call_goes_on(call, verdict, &kept))
+		return;
+	if (verdict == OWNER_REPLAY)
 		replay(call, &kept);
-		break;
-	case OWNER_NOT_MINE:
-		call_redirect(call, kept.shard);
-		break;
-	case OWNER_REFUSE:
-		call_refuse(call, kept.reason, kept.run, NULL);
-		break;
-	}
+	else
+		send_request(call);
 }
 
 static void
--- a/include/daemon/call.h
+++ b/include/daemon/call.h
@@ -106,6 +106,11 @@
     const char *detail);
 /** Sends the caller to the owner of the program's shard, and frees the call. */
 void call_redirect(struct call *call, uint32_t shard);
+/** Does what is the same for each kind of call: refuses it, sends it to the
+ * owner (both free it), or leaves it waiting for an event. Returns true for
+ * OWNER_OK and OWNER_REPLAY, which are the caller's. */
+bool call_goes_on(struct call *call, enum owner_verdict verdict,
+    const struct owner_answer *answer);
 /** Answers with a JSON object (whose reference is taken) and frees the call.
  */
 void call_answer(struct call *call, int status, json_t *body);
--- a/include/program/owner.h
+++ b/include/program/owner.h
@@ -200,10 +200,11 @@
 enum owner_verdict owner_program_begin(struct owner *owner, call_id call,
     const struct owner_begin *begin, int64_t now_us,
     struct owner_answer *answer);
-/** Ends a program; ends with OWNER_PROGRAM_ENDED. */
-enum owner_verdict
-owner_program_end(struct owner *owner, call_id call, const char *id,
-    const char *reason, int64_t now_us, struct owner_answer *answer);
+/** Ends a program; ends with OWNER_PROGRAM_ENDED. workspace: of the caller,
+ * must be the program's; NULL for an operator. */
+enum owner_verdict owner_program_end(struct owner *owner, call_id call,
+    const char *id, const char *workspace, const char *reason, int64_t now_us,
+    struct owner_answer *answer);
 
 enum owner_call_kind {
 	OWNER_CALL_MODEL,
--- a/program/lifecycle.c
+++ b/program/lifecycle.c
@@ -211,7 +211,8 @@
 
 enum owner_verdict
 owner_program_end(struct owner *owner, call_id call, const char *id,
-    const char *reason, int64_t now_us, struct owner_answer *answer)
+    const char *workspace, const char *reason, int64_t now_us,
+    struct owner_answer *answer)
 {
 	struct slot *slot = owner_slot(owner, id);
 	struct program *program;
@@ -225,6 +226,8 @@
 	program = shard_find(&slot->fold, id);
 	if (program == NULL)
 		return owner_refuse(owner, answer, REFUSAL_UNKNOWN_PROGRAM);
+	if (workspace != NULL && strcmp(program->workspace, workspace) != 0)
+		return owner_refuse(owner, answer, REFUSAL_FORBIDDEN);
 	answer_fill(owner, program, answer);
 	if (program->ended) {
 		answer->run = RUN_RAN;
--- a/tests/end_to_end.sh
+++ b/tests/end_to_end.sh
@@ -105,7 +105,11 @@
 call "$port_1" POST /v1/chat/completions "$message}" \
     -H "x-guavakeel-program: $program"
 workspace=studio
-[ "$code" = 403 ] || [ "$code" = 404 ] || fail "workspace: $code"
+[ "$code" = 403 ] || fail "workspace: $code"
+workspace=desk
+call "$port_1" POST "/v1/programs/$program/end" '{}'
+workspace=studio
+expect 403 '"reason":"forbidden","run":"not run"'
 
 echo "a caller that hangs up frees what it held"
 curl -s --max-time 0.2 -o /dev/null -X POST \
--- a/tests/runs/attempt.c
+++ b/tests/runs/attempt.c
@@ -175,7 +175,7 @@
 	struct owner_answer answer;
 	enum owner_verdict verdict =
 	    owner_program_end(world->vms[attempt->vm].owner, attempt->call,
-		client->id, "done", world->now_us, &answer);
+		client->id, NULL, "done", world->now_us, &answer);
 
 	if (!known_already(world, attempt, verdict, &answer))
 		return;
--- a/tests/test_program.c
+++ b/tests/test_program.c
@@ -34,7 +34,7 @@
 	    admit(0, 5, OWNER_CALL_MODEL, program, "k1", 50, &answer),
 	    OWNER_REPLAY);
 	ck_assert_mem_eq(answer.kept.data, "[1]", 3);
-	ck_assert_int_eq(owner_program_end(fixture->owners[0], 6, program,
+	ck_assert_int_eq(owner_program_end(fixture->owners[0], 6, program, NULL,
 			     "done", fixture->now_us, &answer),
 	    OWNER_WAIT);
 	run_for(fixture->owners[0], 3);
@@ -232,8 +232,8 @@
 	ck_assert_int_eq(answer.reason, REFUSAL_BUDGET_EXCEEDED);
 	admit(0, 4, OWNER_CALL_MODEL, child, "k1", 100, &answer);
 	finish(0, 4, "[1]", 100);
-	owner_program_end(
-	    fixture->owners[0], 5, child, "done", fixture->now_us, &answer);
+	owner_program_end(fixture->owners[0], 5, child, NULL, "done",
+	    fixture->now_us, &answer);
 	run_for(fixture->owners[0], 5);
 	ck_assert_int_eq(
 	    admit(0, 6, OWNER_CALL_MODEL, parent, "k2", 901, &answer),
