--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 MESON_FLAGS ?=
 
-.PHONY: all deps build check demo bench matrix lint format clean
+.PHONY: all deps build check demo bench lint format clean
 
 all: build
 
@@ -24,9 +24,6 @@
 bench: build
 	./tools/bench $(BUILD)
 
-matrix: build
-	$(BUILD)/tests/matrix
-
 lint: $(BUILD)/build.ninja
 	./tools/lint $(BUILD)
 
