--- a/route/place.c
+++ b/route/place.c
@@ -18,9 +18,9 @@
 
 /** Load bound of prefix affinity: times the mean number of calls. */
 static const double PLACE_AFFINITY_BOUND = 1.25;
-/** Calls that a server may have beyond those that it batches. */
 /** Share of a prefill by which it delays each other call of the server. */
 static const double PLACE_PREFILL_OTHERS = 0.5;
+/** Calls that a server may have beyond those that it batches, as a share. */
 static const double PLACE_QUEUE_SHARE = 0.5;
 
 static bool
