Add HTTP/1.1 for relays on http-parser and libuv

The client tells how much of a request may have left and whether a connection may serve another one.

--- /dev/null
+++ b/h1/client.c
@@ -0,0 +1,669 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <http_parser.h>
+#include <uthash.h>
+
+#include "common/clock.h"
+#include "common/list.h"
+#include "common/memory.h"
+#include "h1/client.h"
+#include "h1/socket.h"
+
+enum {
+	READ_BYTES = 65536,
+	CONNECT_SWEEP_MS = 10, /* while connections are being opened */
+	IDLE_SWEEP_MS = 250,
+	/* Kept back from the time that a server says it keeps a connection, so
+	 * that a request does not cross its close. */
+	KEEP_MARGIN_US = 500 * US_PER_MS,
+};
+
+/** Unused connections to one address. */
+struct h1_pool {
+	UT_hash_handle hh;
+	char address[H1_ADDRESS_BYTES];
+	struct list idle; /**< of connections, the latest used first */
+};
+
+struct h1_connection {
+	struct list link; /**< in a pool's idle or the client's connecting */
+	struct h1_client *client;
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	http_parser parser;
+	struct h1_call *call; /**< NULL while unused */
+	char address[H1_ADDRESS_BYTES];
+	bool connected;
+	bool closing;
+	bool served;     /**< a call before this one */
+	bool reusable;   /**< nothing speaks against another call */
+	bool extra_data; /**< bytes came that belong to no answer */
+	int64_t idle_since_us;
+	int64_t keep_us; /**< how long it may stay unused */
+};
+
+struct h1_call {
+	struct list link; /**< in the client */
+	struct h1_client *client;
+	struct h1_connection *connection;
+	struct h1_call_params params; /**< texts and body are not kept */
+	struct buf request;           /**< until it is sent */
+	struct h1_head head;
+	bool sent;
+	bool skipping;    /**< this answer belongs to another call */
+	bool complete;    /**< the answer's end has been parsed */
+	bool head_method; /**< HEAD: the answer has no body */
+	int64_t connect_by_us;
+	uv_timer_t *defer; /**< reports a failure of the start */
+};
+
+struct h1_client {
+	uv_loop_t *loop;
+	struct h1_client_options options;
+	struct h1_pool *pools; /**< uthash by address */
+	struct list calls;
+	struct list connecting;
+	uv_timer_t connect_sweep;
+	uv_timer_t idle_sweep;
+	size_t connection_count;
+	uint64_t opened;
+	int open_handles;
+	bool destroyed;
+	char read_buffer[READ_BYTES];
+};
+
+static void
+client_free_if_closed(struct h1_client *client)
+{
+	struct h1_pool *pool;
+	struct h1_pool *next;
+
+	if (!client->destroyed || client->open_handles > 0 ||
+	    client->connection_count > 0)
+		return;
+	HASH_ITER (hh, client->pools, pool, next) {
+		HASH_DEL(client->pools, pool);
+		free(pool);
+	}
+	free(client);
+}
+
+static void
+handle_connection_closed(uv_handle_t *handle)
+{
+	struct h1_connection *connection = handle->data;
+	struct h1_client *client = connection->client;
+
+	free(connection);
+	client->connection_count--;
+	client_free_if_closed(client);
+}
+
+static void
+connection_close(struct h1_connection *connection)
+{
+	if (connection->closing)
+		return;
+	connection->closing = true;
+	connection->call = NULL;
+	list_remove(&connection->link);
+	uv_close((uv_handle_t *)&connection->tcp, handle_connection_closed);
+}
+
+static struct h1_pool *
+pool_get(struct h1_client *client, const char *address)
+{
+	struct h1_pool *pool;
+
+	HASH_FIND_STR(client->pools, address, pool);
+	if (pool != NULL)
+		return pool;
+	pool = xcalloc(1, sizeof(*pool));
+	snprintf(pool->address, sizeof(pool->address), "%s", address);
+	list_init(&pool->idle);
+	HASH_ADD_STR(client->pools, address, pool);
+	return pool;
+}
+
+/* ---- the end of a call ---- */
+
+static void
+call_free(struct h1_call *call)
+{
+	list_remove(&call->link);
+	buf_reset(&call->request);
+	h1_head_reset(&call->head);
+	free(call);
+}
+
+static void
+connection_make_idle(struct h1_connection *connection)
+{
+	struct h1_pool *pool =
+	    pool_get(connection->client, connection->address);
+
+	connection->call = NULL;
+	connection->served = true;
+	connection->idle_since_us = clock_monotonic_us();
+	list_insert(&pool->idle, &connection->link);
+}
+
+/* A request that is still being written when its answer is over leaves the
+ * server waiting for the rest of the body. */
+static bool
+connection_is_clean(const struct h1_connection *connection)
+{
+	return connection->reusable && !connection->extra_data &&
+	    uv_stream_get_write_queue_size(
+		(const uv_stream_t *)&connection->tcp) == 0;
+}
+
+static void
+call_finish(struct h1_call *call, const struct h1_outcome *outcome)
+{
+	struct h1_connection *connection = call->connection;
+	void (*done)(void *, const struct h1_outcome *) = call->params.on_done;
+	void *context = call->params.context;
+
+	if (connection != NULL) {
+		if (outcome->result == H1_COMPLETE &&
+		    connection_is_clean(connection))
+			connection_make_idle(connection);
+		else
+			connection_close(connection);
+	}
+	call_free(call);
+	done(context, outcome);
+}
+
+static void
+call_fail(struct h1_call *call, enum h1_result result, int code)
+{
+	struct h1_outcome outcome = {
+	    .result = result,
+	    .reused = call->connection != NULL && call->connection->served,
+	    .refused = result == H1_CONNECT_FAILED && code == UV_ECONNREFUSED,
+	    .reset = result == H1_CUT && code != UV_EOF,
+	};
+
+	call_finish(call, &outcome);
+}
+
+/* ---- answers ---- */
+
+/* The head keeps no status phrase. */
+static int
+handle_header_field(http_parser *parser, const char *at, size_t len)
+{
+	struct h1_connection *connection = parser->data;
+
+	h1_head_add_name(&connection->call->head, at, len);
+	return 0;
+}
+
+static int
+handle_header_value(http_parser *parser, const char *at, size_t len)
+{
+	struct h1_connection *connection = parser->data;
+
+	h1_head_add_value(&connection->call->head, at, len);
+	return 0;
+}
+
+static int64_t
+keep_time(const struct h1_headers *headers, int64_t default_us)
+{
+	const char *value = h1_headers_find(headers, "keep-alive");
+	const char *timeout = value == NULL ? NULL : strstr(value, "timeout=");
+	int64_t keep_us;
+
+	if (timeout == NULL)
+		return default_us;
+	keep_us =
+	    (int64_t)strtol(timeout + strlen("timeout="), NULL, 10) * US_PER_S -
+	    KEEP_MARGIN_US;
+	return keep_us < default_us ? keep_us : default_us;
+}
+
+static int
+handle_headers_complete(http_parser *parser)
+{
+	struct h1_connection *connection = parser->data;
+	struct h1_call *call = connection->call;
+	enum h1_verdict verdict;
+
+	h1_head_complete(&call->head);
+	call->head.status = (int)parser->status_code;
+	if (parser->status_code / 100 == 1)
+		return 0;
+	connection->keep_us =
+	    keep_time(&call->head.headers, connection->client->options.idle_us);
+	verdict = call->params.on_head == NULL
+	    ? H1_TAKE
+	    : call->params.on_head(call->params.context, &call->head);
+	/* The callback may have cancelled the call. */
+	if (connection->call == NULL)
+		return -1;
+	call->skipping = verdict == H1_SKIP;
+	if (call->skipping)
+		connection->reusable = false;
+	return call->head_method ? 1 : 0;
+}
+
+static int
+handle_body(http_parser *parser, const char *at, size_t len)
+{
+	struct h1_connection *connection = parser->data;
+	struct h1_call *call = connection->call;
+
+	if (!call->skipping && call->params.on_data != NULL)
+		call->params.on_data(call->params.context, at, len);
+	return connection->call == NULL ? -1 : 0;
+}
+
+static int
+handle_message_complete(http_parser *parser)
+{
+	struct h1_connection *connection = parser->data;
+	struct h1_call *call = connection->call;
+
+	if (parser->status_code / 100 == 1 || call->skipping) {
+		h1_head_reset(&call->head);
+		call->skipping = false;
+		return 0;
+	}
+	if (http_should_keep_alive(parser) == 0)
+		connection->reusable = false;
+	call->complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_header_field = handle_header_field,
+    .on_header_value = handle_header_value,
+    .on_headers_complete = handle_headers_complete,
+    .on_body = handle_body,
+    .on_message_complete = handle_message_complete,
+};
+
+static void
+call_complete(struct h1_call *call)
+{
+	const struct h1_outcome outcome = {
+	    .result = H1_COMPLETE,
+	    .reused = call->connection->served,
+	};
+
+	call_finish(call, &outcome);
+}
+
+static void
+connection_parse(struct h1_connection *connection, const char *data, size_t len)
+{
+	size_t used = http_parser_execute(
+	    &connection->parser, &parser_settings, data, len);
+	struct h1_call *call = connection->call;
+
+	if (call == NULL) /* cancelled by a callback */
+		return;
+	if (call->complete) {
+		http_parser_pause(&connection->parser, 0);
+		connection->extra_data = used < len;
+		call_complete(call);
+		return;
+	}
+	if (HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK ||
+	    connection->parser.upgrade)
+		call_fail(call, H1_MALFORMED, 0);
+}
+
+/* An answer without a length ends with its connection, if that is closed in
+ * order; a reset leaves it incomplete. */
+static void
+connection_ended(struct h1_connection *connection, int code)
+{
+	struct h1_call *call = connection->call;
+
+	if (call == NULL) {
+		connection_close(connection);
+		return;
+	}
+	connection->reusable = false;
+	if (code == UV_EOF)
+		http_parser_execute(
+		    &connection->parser, &parser_settings, NULL, 0);
+	if (connection->call == NULL)
+		return;
+	if (call->complete)
+		call_complete(call);
+	else
+		call_fail(call, H1_CUT, code);
+}
+
+static void
+handle_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+	struct h1_connection *connection = handle->data;
+
+	(void)suggested;
+	*buffer = uv_buf_init(connection->client->read_buffer, READ_BYTES);
+}
+
+static void
+handle_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buffer)
+{
+	struct h1_connection *connection = stream->data;
+
+	if (connection->closing || len == 0)
+		return;
+	if (len < 0)
+		connection_ended(connection, (int)len);
+	else if (connection->call == NULL)
+		connection_close(connection); /* bytes of no answer */
+	else
+		connection_parse(connection, buffer->base, (size_t)len);
+}
+
+/* ---- requests ---- */
+
+static void
+append_request(struct h1_call *call, const struct h1_call_params *params)
+{
+	struct buf *out = &call->request;
+	const struct h1_headers *headers = params->headers;
+
+	buf_append_text(out, params->method);
+	buf_append(out, " ", 1);
+	buf_append_text(out, params->target);
+	buf_append_text(out, " HTTP/1.1\r\n");
+	for (size_t i = 0; headers != NULL && i < headers->count; i++) {
+		buf_append_text(out, h1_headers_name(headers, i));
+		buf_append(out, ": ", 2);
+		buf_append_text(out, h1_headers_value(headers, i));
+		buf_append(out, "\r\n", 2);
+	}
+	if (headers == NULL || h1_headers_find(headers, "host") == NULL)
+		buf_printf(out, "Host: %s\r\n", params->address);
+	if (params->body_len > 0 || strcmp(params->method, "GET") != 0)
+		buf_printf(out, "Content-Length: %zu\r\n", params->body_len);
+	buf_append(out, "\r\n", 2);
+	buf_append(out, params->body, params->body_len);
+}
+
+static void
+call_send(struct h1_call *call)
+{
+	struct h1_connection *connection = call->connection;
+
+	http_parser_init(&connection->parser, HTTP_RESPONSE);
+	connection->parser.data = connection;
+	connection->reusable = true;
+	call->sent = true;
+	/* A broken connection is reported by its reader. */
+	(void)h1_socket_write(
+	    &connection->tcp, call->request.data, call->request.len);
+	buf_reset(&call->request);
+}
+
+static void
+handle_connected(uv_connect_t *request, int status)
+{
+	struct h1_connection *connection = request->data;
+
+	if (connection->closing || connection->call == NULL)
+		return;
+	list_remove(&connection->link);
+	if (status != 0) {
+		call_fail(connection->call, H1_CONNECT_FAILED, status);
+		return;
+	}
+	connection->connected = true;
+	h1_socket_tune(
+	    &connection->tcp, connection->client->options.silence_us);
+	uv_read_start(
+	    (uv_stream_t *)&connection->tcp, handle_alloc, handle_read);
+	call_send(connection->call);
+}
+
+static void
+handle_connect_sweep(uv_timer_t *timer)
+{
+	struct h1_client *client = timer->data;
+	int64_t now_us = clock_monotonic_us();
+
+	list_for_each_safe (
+	    connection, tmp, &client->connecting, struct h1_connection, link) {
+		if (connection->call != NULL &&
+		    connection->call->connect_by_us <= now_us)
+			call_fail(
+			    connection->call, H1_CONNECT_FAILED, UV_ETIMEDOUT);
+	}
+	if (list_empty(&client->connecting))
+		uv_timer_stop(timer);
+}
+
+static bool
+parse_address(const char *text, struct sockaddr_in *address)
+{
+	char host[H1_ADDRESS_BYTES];
+	const char *colon = strrchr(text, ':');
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	snprintf(host, sizeof(host), "%.*s", (int)(colon - text), text);
+	return uv_ip4_addr(host, (int)strtol(colon + 1, NULL, 10), address) ==
+	    0;
+}
+
+static bool
+connection_open(struct h1_call *call, const char *address)
+{
+	struct h1_client *client = call->client;
+	struct h1_connection *connection;
+	struct sockaddr_in target;
+
+	if (!parse_address(address, &target))
+		return false;
+	connection = xcalloc(1, sizeof(*connection));
+	connection->client = client;
+	connection->call = call;
+	connection->keep_us = client->options.idle_us;
+	snprintf(
+	    connection->address, sizeof(connection->address), "%s", address);
+	call->connection = connection;
+	uv_tcp_init(client->loop, &connection->tcp);
+	connection->tcp.data = connection;
+	connection->connect.data = connection;
+	client->connection_count++;
+	client->opened++;
+	list_append(&client->connecting, &connection->link);
+	if (uv_tcp_connect(&connection->connect, &connection->tcp,
+		(const struct sockaddr *)&target, handle_connected) != 0)
+		return false;
+	uv_timer_start(&client->connect_sweep, handle_connect_sweep,
+	    CONNECT_SWEEP_MS, CONNECT_SWEEP_MS);
+	return true;
+}
+
+/* Returns the connection that was used last, if that is recent enough: the
+ * longer one is unused, the likelier its server has dropped it. */
+static struct h1_connection *
+take_idle(struct h1_client *client, const char *address, int64_t max_reuse_us)
+{
+	int64_t now_us = clock_monotonic_us();
+	struct h1_connection *connection;
+	struct h1_pool *pool;
+
+	HASH_FIND_STR(client->pools, address, pool);
+	if (pool == NULL || list_empty(&pool->idle))
+		return NULL;
+	connection = list_entry(pool->idle.next, struct h1_connection, link);
+	if (now_us - connection->idle_since_us >= max_reuse_us ||
+	    now_us - connection->idle_since_us >= connection->keep_us)
+		return NULL;
+	list_remove(&connection->link);
+	return connection;
+}
+
+static void
+handle_defer_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+static void
+handle_deferred_failure(uv_timer_t *timer)
+{
+	struct h1_call *call = timer->data;
+
+	call->defer = NULL;
+	uv_close((uv_handle_t *)timer, handle_defer_closed);
+	call_fail(call, H1_CONNECT_FAILED, UV_EINVAL);
+}
+
+static void
+defer_failure(struct h1_call *call)
+{
+	call->defer = xcalloc(1, sizeof(*call->defer));
+	uv_timer_init(call->client->loop, call->defer);
+	call->defer->data = call;
+	uv_timer_start(call->defer, handle_deferred_failure, 0, 0);
+}
+
+struct h1_call *
+h1_call_start(struct h1_client *client, const struct h1_call_params *params)
+{
+	struct h1_call *call = xcalloc(1, sizeof(*call));
+
+	call->client = client;
+	call->params = *params;
+	call->head_method = strcmp(params->method, "HEAD") == 0;
+	call->connect_by_us = clock_monotonic_us() + params->connect_timeout_us;
+	list_append(&client->calls, &call->link);
+	append_request(call, params);
+	call->connection =
+	    take_idle(client, params->address, params->max_reuse_us);
+	if (call->connection != NULL) {
+		call->connection->call = call;
+		call_send(call);
+	} else if (!connection_open(call, params->address)) {
+		defer_failure(call);
+	}
+	return call;
+}
+
+void
+h1_call_cancel(struct h1_call *call)
+{
+	if (call->connection != NULL)
+		connection_close(call->connection);
+	if (call->defer != NULL)
+		uv_close((uv_handle_t *)call->defer, handle_defer_closed);
+	call_free(call);
+}
+
+void
+h1_call_discard_connection(struct h1_call *call)
+{
+	if (call->connection != NULL)
+		call->connection->reusable = false;
+}
+
+bool
+h1_call_sent(const struct h1_call *call)
+{
+	return call->sent;
+}
+
+/* ---- the client ---- */
+
+static void
+pool_close_older(struct h1_pool *pool, int64_t now_us)
+{
+	list_for_each_safe (
+	    connection, tmp, &pool->idle, struct h1_connection, link) {
+		if (now_us - connection->idle_since_us >= connection->keep_us)
+			connection_close(connection);
+	}
+}
+
+static void
+handle_idle_sweep(uv_timer_t *timer)
+{
+	struct h1_client *client = timer->data;
+	int64_t now_us = clock_monotonic_us();
+	struct h1_pool *pool;
+	struct h1_pool *next;
+
+	HASH_ITER (hh, client->pools, pool, next) {
+		pool_close_older(pool, now_us);
+		if (!list_empty(&pool->idle))
+			continue;
+		HASH_DEL(client->pools, pool);
+		free(pool);
+	}
+}
+
+struct h1_client *
+h1_client_create(uv_loop_t *loop, const struct h1_client_options *options)
+{
+	struct h1_client *client = xcalloc(1, sizeof(*client));
+
+	client->loop = loop;
+	client->options = *options;
+	list_init(&client->calls);
+	list_init(&client->connecting);
+	client->open_handles = 2;
+	uv_timer_init(loop, &client->connect_sweep);
+	uv_timer_init(loop, &client->idle_sweep);
+	client->connect_sweep.data = client;
+	client->idle_sweep.data = client;
+	uv_timer_start(&client->idle_sweep, handle_idle_sweep, IDLE_SWEEP_MS,
+	    IDLE_SWEEP_MS);
+	return client;
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	struct h1_client *client = handle->data;
+
+	client->open_handles--;
+	client_free_if_closed(client);
+}
+
+void
+h1_client_forget(struct h1_client *client, const char *address)
+{
+	struct h1_pool *pool;
+
+	HASH_FIND_STR(client->pools, address, pool);
+	if (pool != NULL)
+		pool_close_older(pool, INT64_MAX);
+}
+
+void
+h1_client_destroy(struct h1_client *client)
+{
+	struct h1_pool *pool;
+	struct h1_pool *next;
+
+	if (client == NULL)
+		return;
+	list_for_each_safe (call, tmp, &client->calls, struct h1_call, link)
+		h1_call_cancel(call);
+	HASH_ITER (hh, client->pools, pool, next)
+		pool_close_older(pool, INT64_MAX);
+	client->destroyed = true;
+	uv_close((uv_handle_t *)&client->connect_sweep, handle_timer_closed);
+	uv_close((uv_handle_t *)&client->idle_sweep, handle_timer_closed);
+}
+
+uint64_t
+h1_client_opened(const struct h1_client *client)
+{
+	return client->opened;
+}
--- /dev/null
+++ b/h1/socket.c
@@ -0,0 +1,79 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "common/memory.h"
+#include "h1/socket.h"
+
+enum {
+	KEEPALIVE_IDLE_S = 5,     /* before the first probe */
+	KEEPALIVE_INTERVAL_S = 2, /* between probes */
+	KEEPALIVE_PROBES = 3,
+};
+
+/** A write that the kernel has not taken yet; the data follows. */
+struct pending_write {
+	uv_write_t request;
+	char data[];
+};
+
+static void
+set_option(uv_os_fd_t fd, int option, int value)
+{
+	if (setsockopt(fd, IPPROTO_TCP, option, &value, sizeof(value)) != 0)
+		diag(LOG_DEBUG, NULL, "socket option %d is not set", option);
+}
+
+void
+h1_socket_tune(uv_tcp_t *tcp, int64_t silence_us)
+{
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(tcp, 1);
+	uv_tcp_keepalive(tcp, 1, KEEPALIVE_IDLE_S);
+	if (uv_fileno((uv_handle_t *)tcp, &fd) != 0)
+		return;
+	set_option(fd, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+	set_option(fd, TCP_KEEPCNT, KEEPALIVE_PROBES);
+	set_option(fd, TCP_USER_TIMEOUT, (int)(silence_us / US_PER_MS));
+}
+
+static void
+handle_written(uv_write_t *request, int status)
+{
+	(void)status; /* the reader sees a broken connection */
+	free(request->data);
+}
+
+bool
+h1_socket_write(uv_tcp_t *tcp, const void *data, size_t len)
+{
+	uv_buf_t buffer = uv_buf_init((char *)data, (unsigned int)len);
+	struct pending_write *pending;
+	int taken;
+
+	if (len == 0)
+		return true;
+	taken = uv_try_write((uv_stream_t *)tcp, &buffer, 1);
+	if (taken < 0 && taken != UV_EAGAIN)
+		return false;
+	if (taken < 0)
+		taken = 0;
+	if ((size_t)taken == len)
+		return true;
+	pending = xcalloc(1, sizeof(*pending) + len - (size_t)taken);
+	memcpy(pending->data, (const char *)data + taken, len - (size_t)taken);
+	pending->request.data = pending;
+	buffer =
+	    uv_buf_init(pending->data, (unsigned int)(len - (size_t)taken));
+	if (uv_write(&pending->request, (uv_stream_t *)tcp, &buffer, 1,
+		handle_written) == 0)
+		return true;
+	free(pending);
+	return false;
+}
