Read the settings of a gateway

Cause: the platform renders a settings file for each start. A file with a section [gateway] is a gateway's; endpoints, lists, fractions of a unit and free-form failure domains are new forms.

--- a/config/settings.c
+++ b/config/settings.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <syslog.h>
 
@@ -12,6 +13,13 @@
 #include "config/settings_table.h"
 #include "config/units.h"
 
+enum {
+	MAX_PORT = 65535,
+};
+
+/* Its keys are the names of failure domains. */
+static const char DOMAINS_SECTION[] = "failure_domains";
+
 /** State of reading one file. */
 struct reading {
 	struct settings *settings;
@@ -34,12 +42,24 @@
 	    .max_connections = 1024,
 	    .stop_grace_us = (int64_t)60 * US_PER_S,
 	    .log_level = LOG_INFO,
+	    .gateway_drain_us = (int64_t)2500 * US_PER_MS,
+	    .gateway_config_apply_us = (int64_t)2500 * US_PER_MS,
+	    .gateway_lease_us = US_PER_S,
 	};
 }
 
+static bool
+is_domains_section(const char *name, size_t len)
+{
+	return len == strlen(DOMAINS_SECTION) &&
+	    memcmp(DOMAINS_SECTION, name, len) == 0;
+}
+
 static bool
 is_known_section(const char *name, size_t len)
 {
+	if (is_domains_section(name, len))
+		return true;
 	for (size_t i = 0; i < SETTING_COUNT; i++) {
 		if (strlen(settings_table[i].section) == len &&
 		    memcmp(settings_table[i].section, name, len) == 0)
@@ -118,6 +138,21 @@
 	    inet_pton(AF_INET6, text, address) == 1;
 }
 
+static bool
+is_endpoint(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	char address[SETTING_BYTES];
+	int64_t port;
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(address))
+		return false;
+	memcpy(address, text, (size_t)(colon - text));
+	address[colon - text] = '\0';
+	return is_ip_address(address) && units_parse_count(colon + 1, &port) &&
+	    port <= MAX_PORT;
+}
+
 static bool
 parse_number(enum setting_kind kind, const char *value, int64_t *number)
 {
@@ -156,11 +191,15 @@
 	bool ok;
 
 	switch (setting->kind) {
+	case SETTING_ENDPOINT:
+		ok = is_endpoint(value) && store_text(setting, at, value);
+		break;
 	case SETTING_ADDRESS:
 		ok = is_ip_address(value) && store_text(setting, at, value);
 		break;
 	case SETTING_NAME:
 	case SETTING_PATH:
+	case SETTING_LIST:
 		ok = store_text(setting, at, value);
 		break;
 	case SETTING_LEVEL:
@@ -184,6 +223,26 @@
 		    setting_kind_form(setting->kind));
 }
 
+static void
+add_domain(struct reading *reading, const char *name, const char *region)
+{
+	struct settings *settings = reading->settings;
+	struct settings_domain *domain =
+	    &settings->domains[settings->domain_count];
+
+	if (settings->domain_count == SETTINGS_DOMAINS_MAX ||
+	    strlen(name) >= SETTING_BYTES || strlen(region) >= SETTING_BYTES ||
+	    region[0] == '\0') {
+		finding_add(reading->findings, reading->path, reading->line,
+		    "%s: '%s' is no region, or too many failure domains", name,
+		    region);
+		return;
+	}
+	memcpy(domain->name, name, strlen(name) + 1);
+	memcpy(domain->region, region, strlen(region) + 1);
+	settings->domain_count++;
+}
+
 static int
 handle_key(
     void *context, const char *section, const char *name, const char *value)
@@ -197,6 +256,12 @@
 	}
 	if (!is_known_section(section, strlen(section)))
 		return 1;
+	if (is_domains_section(section, strlen(section))) {
+		add_domain(reading, name, value);
+		return 1;
+	}
+	if (strcmp(section, "gateway") == 0)
+		reading->settings->gateway = true;
 	for (size_t i = 0; i < SETTING_COUNT; i++) {
 		if (strcmp(settings_table[i].section, section) != 0 ||
 		    strcmp(settings_table[i].key, name) != 0)
@@ -214,11 +279,28 @@
 	return 1;
 }
 
+static bool
+is_needed(const struct reading *reading, enum setting_need need)
+{
+	switch (need) {
+	case SETTING_OPTIONAL:
+		return false;
+	case SETTING_REQUIRED:
+		return true;
+	case SETTING_DAEMON:
+		return !reading->settings->gateway;
+	case SETTING_GATEWAY:
+		return reading->settings->gateway;
+	}
+	return false;
+}
+
 static void
 check_required(struct reading *reading)
 {
 	for (size_t i = 0; i < SETTING_COUNT; i++) {
-		if (settings_table[i].required && reading->lines[i] == 0)
+		if (is_needed(reading, settings_table[i].need) &&
+		    reading->lines[i] == 0)
 			finding_add(reading->findings, reading->path, 0,
 			    "%s in section [%s] is missing",
 			    settings_table[i].key, settings_table[i].section);
@@ -281,3 +363,24 @@
 	check_contradictions(&reading);
 	return findings->count == before;
 }
+
+void
+settings_split_endpoint(
+    const char *endpoint, char address[SETTING_BYTES], int *port)
+{
+	const char *colon = strrchr(endpoint, ':');
+
+	snprintf(
+	    address, SETTING_BYTES, "%.*s", (int)(colon - endpoint), endpoint);
+	*port = (int)strtol(colon + 1, NULL, 10);
+}
+
+const char *
+settings_region(const struct settings *settings, const char *domain)
+{
+	for (size_t i = 0; i < settings->domain_count; i++) {
+		if (strcmp(settings->domains[i].name, domain) == 0)
+			return settings->domains[i].region;
+	}
+	return "";
+}
--- a/config/settings_table.c
+++ b/config/settings_table.c
@@ -4,6 +4,7 @@
 
 enum {
 	MAX_PORT = 65535,
+	MAX_PARTITIONS = SETTINGS_PARTITIONS_MAX,
 	MAX_CONNECTIONS = 1 << 20,
 	MAX_SIZE_BYTES = 1 << 30,
 };
@@ -11,57 +12,82 @@
 #define MAX_RETENTION_US ((int64_t)365 * 24 * 3600 * US_PER_S)
 #define MAX_DURATION_US  ((int64_t)24 * 3600 * US_PER_S)
 
-#define SETTING(section, key, kind, field, min, max, required) \
+#define SETTING(section, key, kind, field, min, max, need) \
 	{ \
 		section, key, kind, offsetof(struct settings, field), \
-		    sizeof(((struct settings *)0)->field), min, max, required \
+		    sizeof(((struct settings *)0)->field), min, max, need \
 	}
 
 const struct setting settings_table[SETTING_COUNT] = {
-    [VM_NAME] = SETTING("vm", "name", SETTING_NAME, vm_name, 0, 0, true),
-    [VM_FAILURE_DOMAIN] = SETTING(
-	"vm", "failure_domain", SETTING_NAME, failure_domain, 0, 0, true),
-    [VM_REGION] = SETTING("vm", "region", SETTING_NAME, region, 0, 0, true),
-    [LISTEN_ADDRESS] = SETTING(
-	"listen", "address", SETTING_ADDRESS, listen_address, 0, 0, true),
-    [LISTEN_PORT] = SETTING(
-	"listen", "port", SETTING_PORT, listen_port, 0, MAX_PORT, false),
-    [LISTEN_PEER_ADDRESS] = SETTING(
-	"listen", "peer_address", SETTING_ADDRESS, peer_address, 0, 0, false),
-    [LISTEN_PEER_PORT] = SETTING(
-	"listen", "peer_port", SETTING_PORT, peer_port, 0, MAX_PORT, false),
-    [LOG_ADDRESS] =
-	SETTING("log", "address", SETTING_ADDRESS, log_address, 0, 0, true),
-    [LOG_PORT] =
-	SETTING("log", "port", SETTING_PORT, log_port, 1, MAX_PORT, true),
+    [VM_NAME] =
+	SETTING("vm", "name", SETTING_NAME, vm_name, 0, 0, SETTING_REQUIRED),
+    [VM_FAILURE_DOMAIN] = SETTING("vm", "failure_domain", SETTING_NAME,
+	failure_domain, 0, 0, SETTING_REQUIRED),
+    [VM_REGION] =
+	SETTING("vm", "region", SETTING_NAME, region, 0, 0, SETTING_REQUIRED),
+    [LISTEN_ADDRESS] = SETTING("listen", "address", SETTING_ADDRESS,
+	listen_address, 0, 0, SETTING_DAEMON),
+    [LISTEN_PORT] = SETTING("listen", "port", SETTING_PORT, listen_port, 0,
+	MAX_PORT, SETTING_OPTIONAL),
+    [LISTEN_PEER_ADDRESS] = SETTING("listen", "peer_address", SETTING_ADDRESS,
+	peer_address, 0, 0, SETTING_OPTIONAL),
+    [LISTEN_PEER_PORT] = SETTING("listen", "peer_port", SETTING_PORT, peer_port,
+	0, MAX_PORT, SETTING_OPTIONAL),
+    [LOG_ADDRESS] = SETTING(
+	"log", "address", SETTING_ADDRESS, log_address, 0, 0, SETTING_DAEMON),
+    [LOG_PORT] = SETTING(
+	"log", "port", SETTING_PORT, log_port, 1, MAX_PORT, SETTING_DAEMON),
     [LOG_RETENTION] = SETTING("log", "retention", SETTING_DURATION,
-	log_retention_us, US_PER_S, MAX_RETENTION_US, false),
-    [MEMBERS_ADDRESS] = SETTING(
-	"members", "address", SETTING_ADDRESS, members_address, 0, 0, false),
-    [MEMBERS_PORT] = SETTING(
-	"members", "port", SETTING_PORT, members_port, 1, MAX_PORT, false),
+	log_retention_us, US_PER_S, MAX_RETENTION_US, SETTING_OPTIONAL),
+    [MEMBERS_ADDRESS] = SETTING("members", "address", SETTING_ADDRESS,
+	members_address, 0, 0, SETTING_OPTIONAL),
+    [MEMBERS_PORT] = SETTING("members", "port", SETTING_PORT, members_port, 1,
+	MAX_PORT, SETTING_OPTIONAL),
     [MEMBERS_POLL] = SETTING("members", "poll_interval", SETTING_DURATION,
-	members_poll_us, US_PER_MS, MAX_DURATION_US, false),
+	members_poll_us, US_PER_MS, MAX_DURATION_US, SETTING_OPTIONAL),
     [LIMITS_BODY] = SETTING("limits", "max_body", SETTING_SIZE, max_body_bytes,
-	1, MAX_SIZE_BYTES, false),
+	1, MAX_SIZE_BYTES, SETTING_OPTIONAL),
     [LIMITS_HEADER] = SETTING("limits", "max_header", SETTING_SIZE,
-	max_header_bytes, 1, MAX_SIZE_BYTES, false),
+	max_header_bytes, 1, MAX_SIZE_BYTES, SETTING_OPTIONAL),
     [LIMITS_SEND_QUEUE] = SETTING("limits", "max_send_queue", SETTING_SIZE,
-	max_send_queue_bytes, 1, MAX_SIZE_BYTES, false),
+	max_send_queue_bytes, 1, MAX_SIZE_BYTES, SETTING_OPTIONAL),
     [LIMITS_CONNECTIONS] = SETTING("limits", "max_connections", SETTING_NUMBER,
-	max_connections, 1, MAX_CONNECTIONS, false),
+	max_connections, 1, MAX_CONNECTIONS, SETTING_OPTIONAL),
     [LIMITS_STOP_GRACE] = SETTING("limits", "stop_grace", SETTING_DURATION,
-	stop_grace_us, US_PER_MS, MAX_DURATION_US, false),
-    [KEYS_TLS_CERTIFICATE] = SETTING(
-	"keys", "tls_certificate", SETTING_PATH, tls_certificate, 0, 0, false),
-    [KEYS_TLS_KEY] =
-	SETTING("keys", "tls_key", SETTING_PATH, tls_key, 0, 0, false),
+	stop_grace_us, US_PER_MS, MAX_DURATION_US, SETTING_OPTIONAL),
+    [KEYS_TLS_CERTIFICATE] = SETTING("keys", "tls_certificate", SETTING_PATH,
+	tls_certificate, 0, 0, SETTING_OPTIONAL),
+    [KEYS_TLS_KEY] = SETTING(
+	"keys", "tls_key", SETTING_PATH, tls_key, 0, 0, SETTING_OPTIONAL),
     [KEYS_OPERATOR] = SETTING("keys", "operator_key_file", SETTING_PATH,
-	operator_key_file, 0, 0, false),
+	operator_key_file, 0, 0, SETTING_OPTIONAL),
     [KEYS_PEER_SECRET] = SETTING("keys", "peer_secret_key_file", SETTING_PATH,
-	peer_secret_key_file, 0, 0, false),
-    [DIAGNOSTICS_LEVEL] =
-	SETTING("diagnostics", "level", SETTING_LEVEL, log_level, 0, 0, false),
+	peer_secret_key_file, 0, 0, SETTING_OPTIONAL),
+    [DIAGNOSTICS_LEVEL] = SETTING("diagnostics", "level", SETTING_LEVEL,
+	log_level, 0, 0, SETTING_OPTIONAL),
+    [GATEWAY_CALLERS] = SETTING("gateway", "callers", SETTING_ENDPOINT,
+	gateway_callers, 0, 0, SETTING_GATEWAY),
+    [GATEWAY_READINESS] = SETTING("gateway", "readiness", SETTING_ENDPOINT,
+	gateway_readiness, 0, 0, SETTING_GATEWAY),
+    [GATEWAY_DIRECTORY] = SETTING("gateway", "directory", SETTING_ENDPOINT,
+	gateway_directory, 0, 0, SETTING_GATEWAY),
+    [GATEWAY_PEERS] = SETTING("gateway", "peers", SETTING_ENDPOINT,
+	gateway_peers, 0, 0, SETTING_GATEWAY),
+    [GATEWAY_METRICS] = SETTING("gateway", "metrics", SETTING_ENDPOINT,
+	gateway_metrics, 0, 0, SETTING_OPTIONAL),
+    [GATEWAY_STORE] = SETTING("gateway", "store", SETTING_ENDPOINT,
+	gateway_store, 0, 0, SETTING_GATEWAY),
+    [GATEWAY_PARTITIONS] = SETTING("gateway", "partitions", SETTING_NUMBER,
+	gateway_partitions, 1, MAX_PARTITIONS, SETTING_GATEWAY),
+    [GATEWAY_SEEDS] = SETTING("gateway", "seeds", SETTING_LIST, gateway_seeds,
+	0, 0, SETTING_OPTIONAL),
+    [GATEWAY_DRAIN] = SETTING("gateway", "drain", SETTING_DURATION,
+	gateway_drain_us, US_PER_MS, MAX_DURATION_US, SETTING_OPTIONAL),
+    [GATEWAY_CONFIG_APPLY] = SETTING("gateway", "config_apply",
+	SETTING_DURATION, gateway_config_apply_us, US_PER_MS, MAX_DURATION_US,
+	SETTING_OPTIONAL),
+    [GATEWAY_LEASE] = SETTING("gateway", "lease", SETTING_DURATION,
+	gateway_lease_us, US_PER_MS, MAX_DURATION_US, SETTING_OPTIONAL),
 };
 
 const char *
@@ -84,6 +110,10 @@
 		return "a path";
 	case SETTING_LEVEL:
 		return "err, warning, notice, info or debug";
+	case SETTING_ENDPOINT:
+		return "of the form IP:PORT";
+	case SETTING_LIST:
+		return "a list of texts";
 	}
 	return "";
 }
--- a/config/units.c
+++ b/config/units.c
@@ -34,24 +34,44 @@
     {NULL, 0},
 };
 
+/* Reads the digits behind a decimal point as a share of the unit. */
+static bool
+parse_fraction(char **at, bool whole, double *fraction)
+{
+	char *start = *at + 1;
+
+	*fraction = 0;
+	if (**at != '.')
+		return true;
+	if (whole || !isdigit((unsigned char)*start))
+		return false;
+	*fraction = strtod(*at, at);
+	return true;
+}
+
 static bool
 parse(const char *text, const struct unit *units, int64_t *value)
 {
 	long long number;
+	double fraction;
 	char *end;
 
 	if (!isdigit((unsigned char)*text))
 		return false;
 	errno = 0;
 	number = strtoll(text, &end, 10);
-	if (errno != 0)
+	if (errno != 0 || !parse_fraction(&end, units == plain, &fraction))
 		return false;
 	while (*end == ' ')
 		end++;
 	for (; units->name != NULL; units++) {
-		if (strcmp(units->name, end) == 0)
-			return !__builtin_mul_overflow(
-			    (int64_t)number, units->factor, value);
+		if (strcmp(units->name, end) != 0)
+			continue;
+		if (__builtin_mul_overflow(
+			(int64_t)number, units->factor, value))
+			return false;
+		*value += (int64_t)(fraction * (double)units->factor);
+		return true;
 	}
 	return false;
 }
--- a/include/config/settings.h
+++ b/include/config/settings.h
@@ -13,6 +13,14 @@
 enum {
 	SETTING_BYTES = 128,
 	SETTINGS_PATH_BYTES = 256,
+	SETTINGS_DOMAINS_MAX = 64,
+	SETTINGS_PARTITIONS_MAX = 64,
+};
+
+/** A failure domain and its region. */
+struct settings_domain {
+	char name[SETTING_BYTES];
+	char region[SETTING_BYTES];
 };
 
 struct settings {
@@ -46,8 +54,31 @@
 	char peer_secret_key_file[SETTINGS_PATH_BYTES];
 	/* [diagnostics] */
 	int log_level; /**< LOG_ERR .. LOG_DEBUG */
+	/* [gateway]: endpoints are of the form IP:port */
+	bool gateway;                            /**< the section is there */
+	char gateway_callers[SETTING_BYTES];     /**< requests to route */
+	char gateway_readiness[SETTING_BYTES];   /**< whether it is ready */
+	char gateway_directory[SETTING_BYTES];   /**< which VMs to use */
+	char gateway_peers[SETTING_BYTES];       /**< other gateways */
+	char gateway_metrics[SETTING_BYTES];     /**< counters; "": none */
+	char gateway_store[SETTING_BYTES];       /**< the platform's store */
+	int gateway_partitions;                  /**< of a topic in it */
+	char gateway_seeds[SETTINGS_PATH_BYTES]; /**< peers to begin with */
+	int64_t gateway_drain_us; /**< bound on new work to a leaving server */
+	int64_t gateway_config_apply_us; /**< bound on a version's force */
+	int64_t gateway_lease_us;        /**< shortest lease of the store */
+	/* [failure_domains] */
+	struct settings_domain domains[SETTINGS_DOMAINS_MAX];
+	size_t domain_count;
 };
 
+/** Splits an endpoint that settings_load() has accepted. */
+void settings_split_endpoint(
+    const char *endpoint, char address[SETTING_BYTES], int *port);
+/** Returns the region of a failure domain, or "" when it is not known. */
+const char *
+settings_region(const struct settings *settings, const char *domain);
+
 /** Sets every setting to its default. */
 void settings_defaults(struct settings *settings);
 /** Reads an INI file. All findings are collected; returns false if there are
--- a/include/config/settings_table.h
+++ b/include/config/settings_table.h
@@ -17,6 +17,17 @@
 	SETTING_NUMBER,
 	SETTING_PATH,
 	SETTING_LEVEL,
+	SETTING_ENDPOINT, /**< "IP:port" */
+	SETTING_LIST,     /**< of texts, with commas between them */
+};
+
+/** Which processes can't do without a setting. A file with a section
+ * [gateway] is a gateway's, any other one a daemon's. */
+enum setting_need {
+	SETTING_OPTIONAL,
+	SETTING_REQUIRED,
+	SETTING_DAEMON,  /**< required of a daemon */
+	SETTING_GATEWAY, /**< required of a gateway */
 };
 
 /** How one key of the file is read. */
@@ -28,7 +39,7 @@
 	size_t size;
 	int64_t min; /**< in the setting's own unit */
 	int64_t max;
-	bool required;
+	enum setting_need need;
 };
 
 enum setting_id {
@@ -55,6 +66,17 @@
 	KEYS_OPERATOR,
 	KEYS_PEER_SECRET,
 	DIAGNOSTICS_LEVEL,
+	GATEWAY_CALLERS,
+	GATEWAY_READINESS,
+	GATEWAY_DIRECTORY,
+	GATEWAY_PEERS,
+	GATEWAY_METRICS,
+	GATEWAY_STORE,
+	GATEWAY_PARTITIONS,
+	GATEWAY_SEEDS,
+	GATEWAY_DRAIN,
+	GATEWAY_CONFIG_APPLY,
+	GATEWAY_LEASE,
 	SETTING_COUNT,
 };
 
