Add turn records, ledger and history; messages between gateways

Cause: the platform's programs name the turn that they continue, at any VM. Kept turns are facts that any VM may append; the ledger, without I/O, grants turns against budgets and indexes what is kept.

--- a/include/common/refusal.h
+++ b/include/common/refusal.h
@@ -45,7 +45,13 @@
 	X(OUTCOME_UNKNOWN, "outcome_unknown", 502, 0) \
 	X(SERVER_FAILED, "server_failed", 502, 1) \
 	X(SERVER_REFUSED, "server_refused", 502, 1) \
-	X(RETRY_BUDGET, "retry_budget_spent", 503, 2)
+	X(RETRY_BUDGET, "retry_budget_spent", 503, 2) \
+	X(UNKNOWN_ROUTE, "unknown_route", 404, 0) \
+	X(UNKNOWN_TURN, "unknown_turn", 404, 0) \
+	X(STALE_CONFIG, "configuration_may_be_stale", 503, 1) \
+	X(NO_OWNER, "program_owner_unreachable", 503, 1) \
+	X(HISTORY, "history_unavailable", 503, 1) \
+	X(CALLER_GONE, "caller_gone", 499, 0)
 
 enum refusal {
 #define REFUSAL_ENUM(name, text, status, after_s) REFUSAL_##name,
--- a/include/member/member.h
+++ b/include/member/member.h
@@ -32,12 +32,15 @@
 	int64_t trusted_us;       /**< it counts as gone until then */
 	uint32_t returns;         /**< times it came back after a silence */
 	uint64_t config_version;  /**< in force there */
+	int64_t silence_us;       /**< that means it is gone; 0: 4 s */
 };
 
 struct members {
 	struct member *items;
 	size_t count;
 	int64_t listed_us; /**< when the list was last read */
+	/** Silence after which a member is gone; 0: 4 s. */
+	int64_t silence_us;
 };
 
 /** Returns what is believed of a member at a time: its own signs of life
--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -15,6 +15,7 @@
 #include "common/buf.h"
 #include "common/error.h"
 #include "record/record.h"
+#include "turn/record.h"
 
 enum {
 	MESSAGE_FORMAT = 1,
@@ -31,6 +32,20 @@
 	MESSAGE_WANT = 7,     /**< streams that a daemon follows */
 	MESSAGE_DRAIN = 8,    /**< a VM is to leave, or stays after all */
 	MESSAGE_STATUS = 9,   /**< state of a daemon, for operators */
+	/* between gateways */
+	MESSAGE_PULSE = 10,        /**< sign of life of a gateway */
+	MESSAGE_TURN_BEGIN = 11,   /**< asks a program's owner for a turn */
+	MESSAGE_TURN_GRANTED = 12, /**< its answer */
+	MESSAGE_TURN_END = 13,     /**< tells the owner how a turn ended */
+	MESSAGE_TURN_ENDED = 14,   /**< the owner has it */
+	MESSAGE_TURN_FIND = 15,    /**< asks an owner for a kept turn */
+	MESSAGE_TURN_FOUND = 16,   /**< its answer */
+	MESSAGE_HISTORY_GET = 17,  /**< asks a gateway for a turn's chain */
+	MESSAGE_HISTORY = 18,      /**< its answer */
+	MESSAGE_CRASHED = 19,      /**< a server died while it ran a request */
+	MESSAGE_DECLARED = 20,     /**< an encoded configuration */
+	MESSAGE_STORE = 21,        /**< records for another gateway to append */
+	MESSAGE_STORED = 22,       /**< how that append went */
 };
 
 /** A daemon as it describes itself, or as a relay describes it. */
@@ -128,6 +143,134 @@
 	uint64_t backlog_bytes; /**< waiting to be appended */
 };
 
+/** Requests that a gateway has running on a backend server. */
+struct message_load {
+	uint64_t server; /**< hash of its id */
+	uint32_t running;
+};
+
+struct message_pulse {
+	struct message_member self;
+	uint64_t generation; /**< of the partitions' distribution */
+	uint64_t owned;      /**< bit N: owns partition N */
+	struct message_load *loads;
+	size_t load_count;
+	bool wants_reply; /**< the sender has just started */
+};
+
+struct message_turn_begin {
+	char turn[NAME_BYTES];
+	char program[NAME_BYTES];
+	char previous[NAME_BYTES];
+	bool has_budget;
+	uint64_t budget;
+	uint64_t most;
+	int64_t left_us;  /**< until the turn's deadline */
+	bool wants_chain; /**< the sender lacks the previous turn */
+};
+
+/** How an owner answers. */
+enum turn_answer {
+	TURN_ANSWER_GRANTED = 1,
+	TURN_ANSWER_EXHAUSTED = 2, /**< the budget does not hold the turn */
+	TURN_ANSWER_BUSY = 3,      /**< until other turns have ended */
+	TURN_ANSWER_NOT_OWNER = 4,
+	TURN_ANSWER_UNSURE = 5, /**< it can't read the log now */
+};
+
+struct message_turn_granted {
+	char turn[NAME_BYTES];
+	uint32_t answer; /**< enum turn_answer */
+	uint64_t epoch;
+	bool known;             /**< the previous turn is kept here */
+	struct turn_ref *chain; /**< of the previous turn, oldest first */
+	size_t chain_count;
+	char vm[NAME_BYTES];     /**< that served the previous turn */
+	char server[NAME_BYTES]; /**< that has the program's cache */
+};
+
+struct message_turn_end {
+	uint32_t type; /**< enum turn_record_type */
+	char turn[NAME_BYTES];
+	char program[NAME_BYTES];
+	uint64_t epoch;
+	uint64_t spent;
+	uint64_t most;
+	uint64_t budget;
+	/* of kept ones */
+	char previous[NAME_BYTES];
+	char server[NAME_BYTES];
+	uint64_t offset;
+	uint32_t bytes;
+	struct turn_ref *ancestors;
+	size_t ancestor_count;
+};
+
+struct message_turn_ended {
+	char turn[NAME_BYTES];
+	bool owner; /**< false: the receiver does not own the program */
+};
+
+struct message_turn_find {
+	char turn[NAME_BYTES];
+	uint32_t part;
+	bool certain; /**< look into the log before saying no */
+};
+
+struct message_turn_found {
+	char turn[NAME_BYTES];
+	uint32_t part;
+	uint32_t answer; /**< enum turn_answer; granted: it was looked for */
+	bool known;
+	struct turn_ref *chain;
+	size_t chain_count;
+	char vm[NAME_BYTES];
+	char server[NAME_BYTES];
+};
+
+struct message_history_turn {
+	char turn[NAME_BYTES];
+	char previous[NAME_BYTES];
+	uint32_t part;
+	uint64_t offset;
+	uint32_t bytes;
+	struct record_bytes input;
+	struct record_bytes output;
+};
+
+struct message_history_get {
+	char turn[NAME_BYTES];
+};
+
+struct message_history {
+	char turn[NAME_BYTES];
+	struct message_history_turn *turns; /**< oldest first; none: unknown */
+	size_t turn_count;
+};
+
+struct message_crashed {
+	uint64_t fingerprint;
+	char server[NAME_BYTES];
+	int64_t born_wall_ms; /**< life of the server that ended */
+};
+
+struct message_declared {
+	struct record_bytes data;
+};
+
+struct message_store {
+	uint64_t number; /**< given by the sender */
+	uint32_t part;
+	struct message_record *records; /**< offsets unused */
+	size_t record_count;
+};
+
+struct message_stored {
+	uint64_t number;
+	bool ok;
+	uint64_t first_offset;
+};
+
 struct message {
 	enum message_type type;
 	uint32_t format;
@@ -141,6 +284,19 @@
 		struct message_want want;
 		struct message_drain drain;
 		struct message_status status;
+		struct message_pulse pulse;
+		struct message_turn_begin turn_begin;
+		struct message_turn_granted turn_granted;
+		struct message_turn_end turn_end;
+		struct message_turn_ended turn_ended;
+		struct message_turn_find turn_find;
+		struct message_turn_found turn_found;
+		struct message_history_get history_get;
+		struct message_history history;
+		struct message_crashed crashed;
+		struct message_declared declared;
+		struct message_store store;
+		struct message_stored stored;
 	};
 };
 
--- a/include/peer/peer.h
+++ b/include/peer/peer.h
@@ -32,6 +32,7 @@
 	const char *secret_key_file;
 	int queue_messages; /**< bound of each queue; 0: 64 */
 	int64_t idle_us;    /**< unused connections close; 0: 30 s */
+	int64_t silence_us; /**< unacknowledged bytes close one; 0: 5 s */
 	struct counters *counters;
 	peer_handler handler;
 	void *handler_context;
--- /dev/null
+++ b/include/turn/ledger.h
@@ -0,0 +1,95 @@
+/** @file
+ * Ledger of one partition of programs: which turns are kept and where, and
+ * what each program has spent of its budget. Its owner grants turns by it.
+ * No I/O; time is handed in.
+ *
+ * What has to survive every VM is a record in the platform's log. A program
+ * may have one fact that is not there yet: a turn that runs, or what an ended
+ * one spent. Any further turn is granted only when its own record is durable,
+ * so that a new owner, who reads the log, knows all but one turn of a program,
+ * and counts that one at its most.
+ */
+#ifndef TURN_LEDGER_H
+#define TURN_LEDGER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "turn/record.h"
+
+struct ledger;
+
+/** A turn that a VM wants to run. */
+struct ledger_ask {
+	const char *turn;
+	const char *program;
+	bool has_budget;
+	uint64_t budget;
+	uint64_t most;       /**< tokens that it may generate */
+	int64_t deadline_us; /**< when it has surely ended */
+};
+
+enum ledger_verdict {
+	LEDGER_GRANTED,
+	LEDGER_WAITS,     /**< ask again when records have become durable */
+	LEDGER_BUSY,      /**< ask again when other turns have ended */
+	LEDGER_EXHAUSTED, /**< the budget does not hold the turn */
+	LEDGER_ENDED,     /**< it has run already */
+};
+
+/** A kept turn. */
+struct ledger_kept {
+	struct turn_ref ref;
+	const char *previous; /**< "" for the first of a chain */
+	const char *vm;       /**< that served it */
+	const char *server;   /**< backend server that has its cache */
+};
+
+struct ledger *ledger_create(uint32_t part);
+void ledger_destroy(struct ledger *ledger);
+/** Takes a record from the log. */
+void ledger_apply(struct ledger *ledger, uint64_t offset, uint32_t bytes,
+    const struct turn_record *record, int64_t now_us);
+/** All records are read, and this VM owns the partition from now on. What the
+ * owner before had granted is not all known. */
+void ledger_own(struct ledger *ledger, uint64_t epoch, int64_t now_us);
+
+enum ledger_verdict ledger_begin(
+    struct ledger *ledger, const struct ledger_ask *ask, int64_t now_us);
+/** A VM tells how a turn ended. offset: of its record, if it is of the type
+ * TURN_KEPT and therefore in the log. */
+void ledger_end(struct ledger *ledger, const struct turn_record *record,
+    uint64_t offset, uint32_t bytes, int64_t now_us);
+/** Returns whether the end of a turn is known and durable. */
+bool ledger_has_ended(const struct ledger *ledger, const char *turn);
+/** Finds a kept turn; false: none is known. */
+bool ledger_find(
+    const struct ledger *ledger, const char *turn, struct ledger_kept *kept);
+/** Fills refs with the chain of a kept turn, oldest first and the turn itself
+ * last. Returns its length, or 0 when it is longer than max. */
+size_t ledger_chain(const struct ledger *ledger, const char *turn,
+    struct turn_ref *refs, size_t max);
+
+/** Appends the wire form of a record that has to become durable; at most one
+ * batch is under way. False: there is none left. */
+bool ledger_next_record(struct ledger *ledger, struct buf *out);
+/** Returns whether a turn waits for a record. */
+bool ledger_is_urgent(const struct ledger *ledger);
+/** Returns whether there are records to be appended. */
+bool ledger_has_records(const struct ledger *ledger);
+/** The records taken since the last call are durable, or have to be taken
+ * again. */
+void ledger_batch_done(struct ledger *ledger, bool durable);
+/** Gives up on turns whose VM has not told their end, and forgets what is too
+ * old to be asked for. */
+void ledger_expire(struct ledger *ledger, int64_t now_us);
+/** Returns the offset before which no record is needed any more. */
+uint64_t ledger_trim_offset(const struct ledger *ledger, int64_t now_us);
+
+/** Tokens that a program has surely spent; for tests and logs. */
+uint64_t ledger_spent(const struct ledger *ledger, const char *program);
+size_t ledger_programs(const struct ledger *ledger);
+size_t ledger_turns(const struct ledger *ledger);
+
+#endif
--- a/member/member.c
+++ b/member/member.c
@@ -20,12 +20,20 @@
 	return now_us - since_us > (int64_t)ms * US_PER_MS;
 }
 
+static bool
+is_silent(const struct member *member, int64_t now_us)
+{
+	if (member->silence_us > 0)
+		return now_us - member->heard_us > member->silence_us;
+	return elapsed(member->heard_us, now_us, SILENCE_MS);
+}
+
 /* The list lags both ways: it names VMs that are gone, and lacks new ones. */
 static bool
 is_up(const struct member *member, int64_t now_us)
 {
 	if (member->heard_us != 0)
-		return !elapsed(member->heard_us, now_us, SILENCE_MS) &&
+		return !is_silent(member, now_us) &&
 		    now_us >= member->trusted_us;
 	if (member->added_us != 0 &&
 	    elapsed(member->added_us, now_us, INTRODUCE_MS))
@@ -48,8 +56,7 @@
 {
 	int64_t damping_ms = FIRST_DAMPING_MS;
 
-	if (member->heard_us != 0 &&
-	    elapsed(member->heard_us, now_us, SILENCE_MS)) {
+	if (member->heard_us != 0 && is_silent(member, now_us)) {
 		if (elapsed(member->trusted_us, now_us, STEADY_MS))
 			member->returns = 0;
 		for (uint32_t i = 0;
@@ -82,6 +89,7 @@
 	    members->items, (members->count + 1) * sizeof(*members->items));
 	member = &members->items[members->count++];
 	memset(member, 0, sizeof(*member));
+	member->silence_us = members->silence_us;
 	snprintf(member->vm, sizeof(member->vm), "%s", vm);
 	return member;
 }
--- a/peer/message.c
+++ b/peer/message.c
@@ -25,6 +25,12 @@
 LIST_IS_ADJACENT(stream.records, stream.record_count);
 LIST_IS_ADJACENT(append.records, append.record_count);
 LIST_IS_ADJACENT(want.lanes, want.lane_count);
+LIST_IS_ADJACENT(pulse.loads, pulse.load_count);
+LIST_IS_ADJACENT(turn_granted.chain, turn_granted.chain_count);
+LIST_IS_ADJACENT(turn_end.ancestors, turn_end.ancestor_count);
+LIST_IS_ADJACENT(turn_found.chain, turn_found.chain_count);
+LIST_IS_ADJACENT(history.turns, history.turn_count);
+LIST_IS_ADJACENT(store.records, store.record_count);
 
 #define F(key, kind, member) WIRE(struct message, key, kind, member)
 #define SPARSE(label, table) \
@@ -128,6 +134,128 @@
     F(6, WIRE_UNSIGNED, status.backlog_bytes),
 };
 
+static const struct wire_field load_fields[] = {
+    WIRE(struct message_load, 1, WIRE_UNSIGNED, server),
+    WIRE(struct message_load, 2, WIRE_UNSIGNED, running),
+};
+static const struct wire_layout load_layout = SPARSE("load", load_fields);
+
+static const struct wire_field ref_fields[] = {
+    WIRE(struct turn_ref, 1, WIRE_TEXT, turn),
+    WIRE(struct turn_ref, 2, WIRE_UNSIGNED, part),
+    WIRE(struct turn_ref, 3, WIRE_UNSIGNED, offset),
+    WIRE(struct turn_ref, 4, WIRE_UNSIGNED, bytes),
+};
+static const struct wire_layout ref_layout = SPARSE("turn_ref", ref_fields);
+
+#define TURN(key, kind, member) \
+	WIRE(struct message_history_turn, key, kind, member)
+static const struct wire_field history_turn_fields[] = {
+    TURN(1, WIRE_TEXT, turn),
+    TURN(2, WIRE_TEXT, previous),
+    TURN(3, WIRE_UNSIGNED, part),
+    TURN(4, WIRE_UNSIGNED, offset),
+    TURN(5, WIRE_UNSIGNED, bytes),
+    TURN(6, WIRE_BYTES, input),
+    TURN(7, WIRE_BYTES, output),
+};
+static const struct wire_layout history_turn_layout =
+    SPARSE("history_turn", history_turn_fields);
+
+static const struct wire_field pulse_fields[] = {
+    F(1, WIRE_TEXT, pulse.self.vm),
+    F(2, WIRE_TEXT, pulse.self.address),
+    F(3, WIRE_UNSIGNED, pulse.self.port),
+    F(4, WIRE_TEXT, pulse.self.peer_address),
+    F(5, WIRE_UNSIGNED, pulse.self.peer_port),
+    F(6, WIRE_TEXT, pulse.self.failure_domain),
+    F(7, WIRE_TEXT, pulse.self.region),
+    F(8, WIRE_UNSIGNED, pulse.self.incarnation),
+    F(9, WIRE_UNSIGNED, pulse.self.config_version),
+    F(11, WIRE_BOOL, pulse.self.draining),
+    F(12, WIRE_BOOL, pulse.self.log_lost),
+    F(20, WIRE_UNSIGNED, pulse.generation),
+    F(21, WIRE_UNSIGNED, pulse.owned),
+    LIST(22, pulse.loads, &load_layout),
+    F(23, WIRE_BOOL, pulse.wants_reply),
+};
+static const struct wire_field turn_begin_fields[] = {
+    F(1, WIRE_TEXT, turn_begin.turn),
+    F(2, WIRE_TEXT, turn_begin.program),
+    F(3, WIRE_TEXT, turn_begin.previous),
+    F(4, WIRE_BOOL, turn_begin.has_budget),
+    F(5, WIRE_UNSIGNED, turn_begin.budget),
+    F(6, WIRE_UNSIGNED, turn_begin.most),
+    F(7, WIRE_SIGNED, turn_begin.left_us),
+    F(8, WIRE_BOOL, turn_begin.wants_chain),
+};
+static const struct wire_field turn_granted_fields[] = {
+    F(1, WIRE_TEXT, turn_granted.turn),
+    F(2, WIRE_UNSIGNED, turn_granted.answer),
+    F(3, WIRE_UNSIGNED, turn_granted.epoch),
+    F(4, WIRE_BOOL, turn_granted.known),
+    LIST(5, turn_granted.chain, &ref_layout),
+    F(6, WIRE_TEXT, turn_granted.vm),
+    F(7, WIRE_TEXT, turn_granted.server),
+};
+static const struct wire_field turn_end_fields[] = {
+    F(1, WIRE_UNSIGNED, turn_end.type),
+    F(2, WIRE_TEXT, turn_end.turn),
+    F(3, WIRE_TEXT, turn_end.program),
+    F(4, WIRE_UNSIGNED, turn_end.epoch),
+    F(5, WIRE_UNSIGNED, turn_end.spent),
+    F(6, WIRE_UNSIGNED, turn_end.most),
+    F(7, WIRE_UNSIGNED, turn_end.budget),
+    F(8, WIRE_TEXT, turn_end.previous),
+    F(9, WIRE_TEXT, turn_end.server),
+    F(10, WIRE_UNSIGNED, turn_end.offset),
+    F(11, WIRE_UNSIGNED, turn_end.bytes),
+    LIST(12, turn_end.ancestors, &ref_layout),
+};
+static const struct wire_field turn_ended_fields[] = {
+    F(1, WIRE_TEXT, turn_ended.turn),
+    F(2, WIRE_BOOL, turn_ended.owner),
+};
+static const struct wire_field turn_find_fields[] = {
+    F(1, WIRE_TEXT, turn_find.turn),
+    F(2, WIRE_UNSIGNED, turn_find.part),
+    F(3, WIRE_BOOL, turn_find.certain),
+};
+static const struct wire_field turn_found_fields[] = {
+    F(1, WIRE_TEXT, turn_found.turn),
+    F(2, WIRE_UNSIGNED, turn_found.part),
+    F(3, WIRE_UNSIGNED, turn_found.answer),
+    F(4, WIRE_BOOL, turn_found.known),
+    LIST(5, turn_found.chain, &ref_layout),
+    F(6, WIRE_TEXT, turn_found.vm),
+    F(7, WIRE_TEXT, turn_found.server),
+};
+static const struct wire_field history_get_fields[] = {
+    F(1, WIRE_TEXT, history_get.turn),
+};
+static const struct wire_field history_fields[] = {
+    F(1, WIRE_TEXT, history.turn),
+    LIST(2, history.turns, &history_turn_layout),
+};
+static const struct wire_field crashed_fields[] = {
+    F(1, WIRE_UNSIGNED, crashed.fingerprint),
+    F(2, WIRE_TEXT, crashed.server),
+    F(3, WIRE_SIGNED, crashed.born_wall_ms),
+};
+static const struct wire_field declared_fields[] = {
+    F(1, WIRE_BYTES, declared.data),
+};
+static const struct wire_field store_fields[] = {
+    F(1, WIRE_UNSIGNED, store.number),
+    F(2, WIRE_UNSIGNED, store.part),
+    LIST(3, store.records, &record_layout),
+};
+static const struct wire_field stored_fields[] = {
+    F(1, WIRE_UNSIGNED, stored.number),
+    F(2, WIRE_BOOL, stored.ok),
+    F(3, WIRE_UNSIGNED, stored.first_offset),
+};
+
 static const struct wire_layout layouts[] = {
     [MESSAGE_HELLO] = SPARSE("hello", hello_fields),
     [MESSAGE_VIEW] = SPARSE("view", view_fields),
@@ -138,6 +266,19 @@
     [MESSAGE_WANT] = SPARSE("want", want_fields),
     [MESSAGE_DRAIN] = SPARSE("drain", drain_fields),
     [MESSAGE_STATUS] = SPARSE("status", status_fields),
+    [MESSAGE_PULSE] = SPARSE("pulse", pulse_fields),
+    [MESSAGE_TURN_BEGIN] = SPARSE("turn_begin", turn_begin_fields),
+    [MESSAGE_TURN_GRANTED] = SPARSE("turn_granted", turn_granted_fields),
+    [MESSAGE_TURN_END] = SPARSE("turn_end", turn_end_fields),
+    [MESSAGE_TURN_ENDED] = SPARSE("turn_ended", turn_ended_fields),
+    [MESSAGE_TURN_FIND] = SPARSE("turn_find", turn_find_fields),
+    [MESSAGE_TURN_FOUND] = SPARSE("turn_found", turn_found_fields),
+    [MESSAGE_HISTORY_GET] = SPARSE("history_get", history_get_fields),
+    [MESSAGE_HISTORY] = SPARSE("history", history_fields),
+    [MESSAGE_CRASHED] = SPARSE("crashed", crashed_fields),
+    [MESSAGE_DECLARED] = SPARSE("declared", declared_fields),
+    [MESSAGE_STORE] = SPARSE("store", store_fields),
+    [MESSAGE_STORED] = SPARSE("stored", stored_fields),
 };
 
 static const struct wire_layout *
--- a/peer/socket.c
+++ b/peer/socket.c
@@ -39,6 +39,7 @@
 	void *handler_context;
 	int queue_messages;
 	int64_t idle_us;
+	int64_t silence_us;
 	void *zmq;
 	void *receiver;
 	struct watch *watch;
@@ -63,7 +64,8 @@
 	return set_int(socket, ZMQ_SNDHWM, peer->queue_messages) &&
 	    set_int(socket, ZMQ_RCVHWM, peer->queue_messages) &&
 	    set_int(socket, ZMQ_LINGER, LINGER_MS) &&
-	    set_int(socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_MS) &&
+	    set_int(
+		socket, ZMQ_TCP_MAXRT, (int)(peer->silence_us / US_PER_MS)) &&
 	    zmq_setsockopt(
 		socket, ZMQ_MAXMSGSIZE, &max_bytes, sizeof(max_bytes)) == 0;
 }
@@ -347,6 +349,9 @@
 	peer->idle_us = options->idle_us;
 	if (peer->idle_us == 0)
 		peer->idle_us = (int64_t)IDLE_S * US_PER_S;
+	peer->silence_us = options->silence_us;
+	if (peer->silence_us == 0)
+		peer->silence_us = (int64_t)UNACKNOWLEDGED_MS * US_PER_MS;
 	if (start(peer, loop, options, err))
 		return peer;
 	peer_destroy(peer);
--- /dev/null
+++ b/turn/ledger.c
@@ -0,0 +1,659 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "common/clock.h"
+#include "common/list.h"
+#include "common/memory.h"
+#include "turn/ledger.h"
+
+/* Kept turns and programs are asked for within a retention that operators set
+ * to a minute or two. */
+static const int64_t KEEP_US = (int64_t)150 * US_PER_S;
+/* An end that is not told so long after the turn's deadline never will be. */
+static const int64_t TELL_US = (int64_t)5 * US_PER_S;
+/* Longest time to the deadline of a turn whose grant is not known. */
+static const int64_t DEADLINE_US = (int64_t)30 * US_PER_S;
+/* Between two marks of the log's age. */
+static const int64_t MARK_US = (int64_t)10 * US_PER_S;
+
+enum {
+	MARKS = 32,
+};
+
+/** State of a fact with regard to the log. */
+enum durability {
+	DURABLE,
+	NOT_WRITTEN, /**< to be appended */
+	IN_BATCH,    /**< being appended */
+	UNWRITTEN,   /**< needs no record of its own: the program's one fact */
+};
+
+struct ledger_program {
+	UT_hash_handle hh; /**< by id */
+	char id[NAME_BYTES];
+	uint64_t budget;
+	uint64_t spent;
+	uint64_t
+	    charge;    /**< for a turn that an earlier owner may have granted */
+	uint64_t most; /**< of its largest turn */
+	uint32_t loose;   /**< facts that are not durable */
+	struct list open; /**< turns */
+	int64_t used_us;
+};
+
+/** A turn that runs or has ended. */
+struct ledger_turn {
+	UT_hash_handle hh; /**< by id */
+	struct list link;  /**< in the program's open ones, or in ended */
+	struct list write; /**< in to_write or in_batch, by durability */
+	struct ledger_program *program;
+	char id[NAME_BYTES];
+	bool ended;
+	bool kept;
+	enum durability durability;
+	uint64_t epoch;
+	uint64_t most;
+	uint64_t spent;
+	int64_t deadline_us; /**< while it runs */
+	int64_t ended_us;
+	/* of kept ones */
+	uint64_t offset;
+	uint32_t bytes;
+	char previous[NAME_BYTES];
+	char vm[NAME_BYTES];
+	char server[NAME_BYTES];
+	struct turn_ref *ancestors; /**< if previous is not in this ledger */
+	size_t ancestor_count;
+};
+
+/** The log's end at a time. */
+struct ledger_mark {
+	int64_t at_us;
+	uint64_t offset;
+};
+
+struct ledger {
+	uint32_t part;
+	uint64_t epoch;
+	struct ledger_program *programs; /**< uthash */
+	struct ledger_turn *turns;       /**< uthash */
+	struct list ended;               /**< of turns, oldest first */
+	struct list to_write;            /**< turns that are NOT_WRITTEN */
+	struct list in_batch;            /**< turns that are IN_BATCH */
+	struct ledger_mark marks[MARKS]; /**< oldest first */
+	size_t mark_count;
+	uint32_t waiting; /**< turns that wait for their record */
+};
+
+struct ledger *
+ledger_create(uint32_t part)
+{
+	struct ledger *ledger = xcalloc(1, sizeof(*ledger));
+
+	ledger->part = part;
+	list_init(&ledger->ended);
+	list_init(&ledger->to_write);
+	list_init(&ledger->in_batch);
+	return ledger;
+}
+
+static void
+turn_free(struct ledger *ledger, struct ledger_turn *turn)
+{
+	list_remove(&turn->link);
+	list_remove(&turn->write);
+	HASH_DEL(ledger->turns, turn);
+	free(turn->ancestors);
+	free(turn);
+}
+
+void
+ledger_destroy(struct ledger *ledger)
+{
+	struct ledger_turn *turn, *next_turn;
+	struct ledger_program *program, *next_program;
+
+	if (ledger == NULL)
+		return;
+	HASH_ITER (hh, ledger->turns, turn, next_turn)
+		turn_free(ledger, turn);
+	HASH_ITER (hh, ledger->programs, program, next_program) {
+		HASH_DEL(ledger->programs, program);
+		free(program);
+	}
+	free(ledger);
+}
+
+static struct ledger_program *
+find_program(const struct ledger *ledger, const char *id)
+{
+	struct ledger_program *program;
+
+	HASH_FIND_STR(ledger->programs, id, program);
+	return program;
+}
+
+static struct ledger_turn *
+find_turn(const struct ledger *ledger, const char *id)
+{
+	struct ledger_turn *turn;
+
+	HASH_FIND_STR(ledger->turns, id, turn);
+	return turn;
+}
+
+static struct ledger_program *
+use_program(struct ledger *ledger, const char *id, int64_t now_us)
+{
+	struct ledger_program *program = find_program(ledger, id);
+
+	if (program == NULL) {
+		program = xcalloc(1, sizeof(*program));
+		snprintf(program->id, sizeof(program->id), "%s", id);
+		list_init(&program->open);
+		HASH_ADD_STR(ledger->programs, id, program);
+	}
+	program->used_us = now_us;
+	return program;
+}
+
+static struct ledger_turn *
+add_turn(struct ledger *ledger, struct ledger_program *program, const char *id,
+    uint64_t most)
+{
+	struct ledger_turn *turn = xcalloc(1, sizeof(*turn));
+
+	snprintf(turn->id, sizeof(turn->id), "%s", id);
+	turn->program = program;
+	turn->most = most;
+	turn->epoch = ledger->epoch;
+	list_append(&program->open, &turn->link);
+	list_init(&turn->write);
+	HASH_ADD_STR(ledger->turns, id, turn);
+	if (most > program->most)
+		program->most = most;
+	return turn;
+}
+
+/* ---- durability ---- */
+
+static bool
+is_loose(enum durability durability)
+{
+	return durability != DURABLE;
+}
+
+static bool
+has_record_to_write(enum durability durability)
+{
+	return durability == NOT_WRITTEN || durability == IN_BATCH;
+}
+
+static void
+set_durability(
+    struct ledger *ledger, struct ledger_turn *turn, enum durability durability)
+{
+	struct ledger_program *program = turn->program;
+
+	program->loose -= is_loose(turn->durability);
+	ledger->waiting -=
+	    has_record_to_write(turn->durability) && !turn->ended;
+	turn->durability = durability;
+	program->loose += is_loose(durability);
+	ledger->waiting += has_record_to_write(durability) && !turn->ended;
+	list_remove(&turn->write);
+	list_init(&turn->write);
+	if (durability == NOT_WRITTEN)
+		list_append(&ledger->to_write, &turn->write);
+	else if (durability == IN_BATCH)
+		list_append(&ledger->in_batch, &turn->write);
+}
+
+bool
+ledger_has_records(const struct ledger *ledger)
+{
+	return !list_empty(&ledger->to_write);
+}
+
+bool
+ledger_is_urgent(const struct ledger *ledger)
+{
+	return ledger->waiting > 0;
+}
+
+static void
+encode_fact(const struct ledger *ledger, const struct ledger_turn *turn,
+    struct buf *out)
+{
+	struct turn_record record = {
+	    .type = turn->ended ? TURN_SPENT : TURN_OPEN,
+	    .epoch = ledger->epoch,
+	    .spent = turn->spent,
+	    .most = turn->most,
+	    .budget = turn->program->budget,
+	};
+
+	memcpy(record.turn, turn->id, sizeof(record.turn));
+	memcpy(record.program, turn->program->id, sizeof(record.program));
+	turn_record_encode(&record, out);
+}
+
+bool
+ledger_next_record(struct ledger *ledger, struct buf *out)
+{
+	struct ledger_turn *turn;
+
+	if (list_empty(&ledger->to_write))
+		return false;
+	turn = list_entry(ledger->to_write.next, struct ledger_turn, write);
+	encode_fact(ledger, turn, out);
+	set_durability(ledger, turn, IN_BATCH);
+	return true;
+}
+
+void
+ledger_batch_done(struct ledger *ledger, bool durable)
+{
+	while (!list_empty(&ledger->in_batch)) {
+		struct ledger_turn *turn = list_entry(
+		    ledger->in_batch.next, struct ledger_turn, write);
+
+		set_durability(ledger, turn, durable ? DURABLE : NOT_WRITTEN);
+	}
+}
+
+/* ---- ends ---- */
+
+static void
+set_ended(struct ledger *ledger, struct ledger_turn *turn, uint64_t spent,
+    int64_t now_us)
+{
+	bool waits = has_record_to_write(turn->durability);
+
+	ledger->waiting -= waits;
+	turn->ended = true;
+	turn->ended_us = now_us;
+	turn->spent = spent;
+	turn->program->spent += spent;
+	list_remove(&turn->link);
+	list_append(&ledger->ended, &turn->link);
+}
+
+/* A chain is kept for as long as its newest turn. */
+static void
+renew_chain(struct ledger *ledger, const char *id, int64_t now_us)
+{
+	struct ledger_turn *turn = find_turn(ledger, id);
+
+	while (turn != NULL && turn->ended) {
+		turn->ended_us = now_us;
+		list_remove(&turn->link);
+		list_append(&ledger->ended, &turn->link);
+		turn = find_turn(ledger, turn->previous);
+	}
+}
+
+static void
+set_kept(struct ledger *ledger, struct ledger_turn *turn,
+    const struct turn_record *record, uint64_t offset, uint32_t bytes)
+{
+	if (turn->kept)
+		return;
+	turn->kept = true;
+	turn->offset = offset;
+	turn->bytes = bytes;
+	memcpy(turn->previous, record->previous, sizeof(turn->previous));
+	memcpy(turn->vm, record->vm, sizeof(turn->vm));
+	memcpy(turn->server, record->server, sizeof(turn->server));
+	renew_chain(ledger, record->previous, turn->ended_us);
+	if (record->ancestor_count == 0 ||
+	    find_turn(ledger, record->previous) != NULL)
+		return;
+	turn->ancestor_count = record->ancestor_count;
+	turn->ancestors =
+	    xcalloc(record->ancestor_count, sizeof(*turn->ancestors));
+	memcpy(turn->ancestors, record->ancestors,
+	    record->ancestor_count * sizeof(*turn->ancestors));
+}
+
+/* A turn that an earlier owner had granted has ended: it was the one that the
+ * program is charged for. */
+static void
+settle_charge(
+    const struct ledger *ledger, struct ledger_program *program, uint64_t epoch)
+{
+	if (epoch < ledger->epoch)
+		program->charge = 0;
+}
+
+static struct ledger_turn *
+take_end(
+    struct ledger *ledger, const struct turn_record *record, int64_t now_us)
+{
+	struct ledger_program *program =
+	    use_program(ledger, record->program, now_us);
+	struct ledger_turn *turn = find_turn(ledger, record->turn);
+
+	if (record->budget > program->budget)
+		program->budget = record->budget;
+	if (turn == NULL) {
+		turn = add_turn(ledger, program, record->turn, record->most);
+		settle_charge(ledger, program, record->epoch);
+	}
+	if (!turn->ended)
+		set_ended(ledger, turn, record->spent, now_us);
+	return turn;
+}
+
+static void
+take_open(
+    struct ledger *ledger, const struct turn_record *record, int64_t now_us)
+{
+	struct ledger_program *program =
+	    use_program(ledger, record->program, now_us);
+	struct ledger_turn *turn = find_turn(ledger, record->turn);
+
+	if (record->budget > program->budget)
+		program->budget = record->budget;
+	if (turn == NULL) {
+		turn = add_turn(ledger, program, record->turn, record->most);
+		turn->deadline_us = now_us + DEADLINE_US;
+	}
+	if (!turn->ended)
+		set_durability(ledger, turn, DURABLE);
+}
+
+static void
+set_mark(struct ledger *ledger, uint64_t offset, int64_t now_us)
+{
+	if (ledger->mark_count > 0 &&
+	    now_us - ledger->marks[ledger->mark_count - 1].at_us < MARK_US)
+		return;
+	if (ledger->mark_count == MARKS) {
+		memmove(ledger->marks, ledger->marks + 1,
+		    (MARKS - 1) * sizeof(ledger->marks[0]));
+		ledger->mark_count--;
+	}
+	ledger->marks[ledger->mark_count++] = (struct ledger_mark){
+	    .at_us = now_us,
+	    .offset = offset,
+	};
+}
+
+void
+ledger_apply(struct ledger *ledger, uint64_t offset, uint32_t bytes,
+    const struct turn_record *record, int64_t now_us)
+{
+	struct ledger_turn *turn;
+
+	set_mark(ledger, offset, now_us);
+	switch (record->type) {
+	case TURN_KEPT:
+		turn = take_end(ledger, record, now_us);
+		set_kept(ledger, turn, record, offset, bytes);
+		set_durability(ledger, turn, DURABLE);
+		return;
+	case TURN_SPENT:
+		turn = take_end(ledger, record, now_us);
+		set_durability(ledger, turn, DURABLE);
+		return;
+	case TURN_OPEN:
+		take_open(ledger, record, now_us);
+		return;
+	}
+}
+
+void
+ledger_end(struct ledger *ledger, const struct turn_record *record,
+    uint64_t offset, uint32_t bytes, int64_t now_us)
+{
+	struct ledger_turn *turn = find_turn(ledger, record->turn);
+
+	if (record->type == TURN_KEPT) {
+		ledger_apply(ledger, offset, bytes, record, now_us);
+		return;
+	}
+	if (turn != NULL && turn->ended)
+		return;
+	/* Without a record of its beginning, a turn that spent nothing leaves
+	 * nothing to be remembered. */
+	if (record->spent == 0 &&
+	    (turn == NULL || turn->durability == UNWRITTEN)) {
+		if (turn != NULL) {
+			set_durability(ledger, turn, DURABLE);
+			turn_free(ledger, turn);
+		}
+		return;
+	}
+	turn = take_end(ledger, record, now_us);
+	set_durability(ledger, turn, NOT_WRITTEN);
+}
+
+bool
+ledger_has_ended(const struct ledger *ledger, const char *turn)
+{
+	const struct ledger_turn *found = find_turn(ledger, turn);
+
+	return found == NULL || (found->ended && found->durability == DURABLE);
+}
+
+/* ---- grants ---- */
+
+void
+ledger_own(struct ledger *ledger, uint64_t epoch, int64_t now_us)
+{
+	struct ledger_program *program;
+
+	ledger->epoch = epoch;
+	for (program = ledger->programs; program != NULL;
+	     program = program->hh.next) {
+		program->charge = program->most;
+		program->used_us = now_us;
+	}
+}
+
+static uint64_t
+open_most(const struct ledger_program *program)
+{
+	uint64_t most = 0;
+
+	list_for_each (turn, &program->open, struct ledger_turn, link)
+		most += turn->most;
+	return most;
+}
+
+/* Whether the budget holds a turn, counting what runs and what an earlier
+ * owner may have granted at its most. */
+static enum ledger_verdict
+check_budget(const struct ledger_program *program, const struct ledger_ask *ask)
+{
+	if (!ask->has_budget)
+		return LEDGER_GRANTED;
+	if (program->spent + program->charge + ask->most > ask->budget)
+		return LEDGER_EXHAUSTED;
+	if (program->spent + program->charge + open_most(program) + ask->most >
+	    ask->budget)
+		return LEDGER_BUSY;
+	return LEDGER_GRANTED;
+}
+
+static enum ledger_verdict
+repeat_verdict(const struct ledger_turn *turn)
+{
+	if (turn->ended)
+		return LEDGER_ENDED;
+	return has_record_to_write(turn->durability) ? LEDGER_WAITS
+						     : LEDGER_GRANTED;
+}
+
+enum ledger_verdict
+ledger_begin(
+    struct ledger *ledger, const struct ledger_ask *ask, int64_t now_us)
+{
+	struct ledger_turn *turn = find_turn(ledger, ask->turn);
+	struct ledger_program *program;
+	enum ledger_verdict verdict;
+
+	if (turn != NULL)
+		return repeat_verdict(turn);
+	program = use_program(ledger, ask->program, now_us);
+	if (ask->budget > program->budget)
+		program->budget = ask->budget;
+	verdict = check_budget(program, ask);
+	if (verdict != LEDGER_GRANTED)
+		return verdict;
+	turn = add_turn(ledger, program, ask->turn, ask->most);
+	turn->deadline_us = ask->deadline_us;
+	if (program->loose == 0) {
+		set_durability(ledger, turn, UNWRITTEN);
+		return LEDGER_GRANTED;
+	}
+	set_durability(ledger, turn, NOT_WRITTEN);
+	return LEDGER_WAITS;
+}
+
+/* ---- kept turns ---- */
+
+bool
+ledger_find(
+    const struct ledger *ledger, const char *id, struct ledger_kept *kept)
+{
+	const struct ledger_turn *turn = find_turn(ledger, id);
+
+	if (turn == NULL || !turn->kept)
+		return false;
+	*kept = (struct ledger_kept){
+	    .ref =
+		{
+		    .part = ledger->part,
+		    .offset = turn->offset,
+		    .bytes = turn->bytes,
+		},
+	    .previous = turn->previous,
+	    .vm = turn->vm,
+	    .server = turn->server,
+	};
+	memcpy(kept->ref.turn, turn->id, sizeof(kept->ref.turn));
+	return true;
+}
+
+size_t
+ledger_chain(const struct ledger *ledger, const char *id, struct turn_ref *refs,
+    size_t max)
+{
+	const struct ledger_turn *turn = find_turn(ledger, id);
+	size_t at = max; /* filled from the end */
+	size_t count;
+
+	while (turn != NULL && turn->kept && at > 0) {
+		struct turn_ref *ref = &refs[--at];
+
+		*ref = (struct turn_ref){
+		    .part = ledger->part,
+		    .offset = turn->offset,
+		    .bytes = turn->bytes,
+		};
+		memcpy(ref->turn, turn->id, sizeof(ref->turn));
+		if (turn->ancestor_count > at)
+			return 0;
+		if (turn->ancestor_count > 0) {
+			at -= turn->ancestor_count;
+			memcpy(&refs[at], turn->ancestors,
+			    turn->ancestor_count * sizeof(*refs));
+			break;
+		}
+		if (turn->previous[0] == '\0')
+			break;
+		turn = find_turn(ledger, turn->previous);
+		if (turn == NULL || !turn->kept || at == 0)
+			return 0;
+	}
+	count = max - at;
+	memmove(refs, &refs[at], count * sizeof(*refs));
+	return count;
+}
+
+/* ---- age ---- */
+
+static void
+expire_open(
+    struct ledger *ledger, struct ledger_program *program, int64_t now_us)
+{
+	list_for_each_safe (
+	    turn, tmp, &program->open, struct ledger_turn, link) {
+		if (now_us - turn->deadline_us < TELL_US)
+			continue;
+		set_ended(ledger, turn, turn->most, now_us);
+		set_durability(ledger, turn, NOT_WRITTEN);
+	}
+}
+
+static void
+expire_ended(struct ledger *ledger, int64_t now_us)
+{
+	list_for_each_safe (
+	    turn, tmp, &ledger->ended, struct ledger_turn, link) {
+		if (now_us - turn->ended_us < KEEP_US)
+			return;
+		set_durability(ledger, turn, DURABLE);
+		turn_free(ledger, turn);
+	}
+}
+
+void
+ledger_expire(struct ledger *ledger, int64_t now_us)
+{
+	struct ledger_program *program, *next;
+
+	HASH_ITER (hh, ledger->programs, program, next)
+		expire_open(ledger, program, now_us);
+	expire_ended(ledger, now_us);
+	HASH_ITER (hh, ledger->programs, program, next) {
+		/* Its ended turns point at it for as long as they are kept. */
+		if (now_us - program->used_us < 2 * KEEP_US ||
+		    !list_empty(&program->open))
+			continue;
+		HASH_DEL(ledger->programs, program);
+		free(program);
+	}
+}
+
+uint64_t
+ledger_trim_offset(const struct ledger *ledger, int64_t now_us)
+{
+	uint64_t offset = 0;
+
+	for (size_t i = 0; i < ledger->mark_count; i++) {
+		if (now_us - ledger->marks[i].at_us > 2 * KEEP_US)
+			offset = ledger->marks[i].offset;
+	}
+	for (const struct ledger_turn *turn = ledger->turns;
+	     turn != NULL && offset > 0; turn = turn->hh.next) {
+		if (turn->kept && turn->offset < offset)
+			offset = turn->offset;
+	}
+	return offset;
+}
+
+uint64_t
+ledger_spent(const struct ledger *ledger, const char *id)
+{
+	const struct ledger_program *program = find_program(ledger, id);
+
+	return program != NULL ? program->spent : 0;
+}
+
+size_t
+ledger_programs(const struct ledger *ledger)
+{
+	return HASH_COUNT(ledger->programs);
+}
+
+size_t
+ledger_turns(const struct ledger *ledger)
+{
+	return HASH_COUNT(ledger->turns);
+}
