--- /dev/null
+++ b/include/dispatch/backends.h
@@ -0,0 +1,81 @@
+/** @file
+ * Backend servers as this VM sees them, and the choice of one for a request.
+ * No I/O; time and random numbers are handed in.
+ */
+#ifndef DISPATCH_BACKENDS_H
+#define DISPATCH_BACKENDS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "common/rng.h"
+#include "dispatch/entry.h"
+
+enum {
+	BACKEND_TRIED_MAX = 8, /**< servers that one request may be sent to */
+};
+
+/** A server. It is kept while requests run there. */
+struct backend {
+	UT_hash_handle hh; /**< by entry.id */
+	struct backend_entry entry;
+	char region[NAME_BYTES];
+	bool listed;            /**< the platform's list has it, not draining */
+	uint32_t running;       /**< requests of this VM */
+	uint32_t remote;        /**< requests of other VMs, as last told */
+	int64_t avoid_until_us; /**< after failures to connect */
+	uint32_t failures;      /**< in a row */
+	double token_us;        /**< time a token; 0: not known */
+	double answer_us;       /**< time of a plain answer; 0: not known */
+};
+
+struct backends {
+	struct backend *by_id;           /**< uthash */
+	char region[NAME_BYTES];         /**< of this VM */
+	char failure_domain[NAME_BYTES]; /**< of this VM */
+	struct rng rng;
+};
+
+/** What a request needs of a server. */
+struct backend_request {
+	const char *service;
+	const char *preferred; /**< server that has its cache, or "" */
+	bool streams;
+	uint64_t prompt_tokens;
+	uint64_t max_tokens;
+	/** Servers that must not be chosen. */
+	const char (*tried)[NAME_BYTES];
+	size_t tried_count;
+};
+
+void backends_init(struct backends *backends, const char *region,
+    const char *failure_domain, uint64_t seed);
+void backends_reset(struct backends *backends);
+struct backend *backends_find(const struct backends *backends, const char *id);
+/** Takes what the list says of a server. region: of its failure domain.
+ * Returns whether that changes where requests may go. */
+bool backends_update(struct backends *backends,
+    const struct backend_entry *entry, const char *region);
+/** The list has the server no longer, or what it says names none. Returns
+ * whether it was in use. */
+bool backends_remove(struct backends *backends, const char *id);
+/** Returns the server that should run a request; NULL: none may. */
+struct backend *backends_choose(struct backends *backends,
+    const struct backend_request *request, int64_t now_us);
+/** Returns whether a service has a server that may take requests. */
+bool backends_serve(const struct backends *backends, const char *service);
+
+void backend_started(struct backend *backend);
+/** A request has ended there; the server is forgotten if it is not listed and
+ * runs nothing more. */
+void backend_ended(struct backends *backends, struct backend *backend);
+/** It could not be connected to, or broke a connection. */
+void backend_failed(struct backend *backend, int64_t now_us);
+/** It gave a whole answer. tokens: of a stream, 0 for a plain answer. */
+void
+backend_answered(struct backend *backend, int64_t elapsed_us, uint64_t tokens);
+
+#endif
--- /dev/null
+++ b/include/platform/registry.h
@@ -0,0 +1,17 @@
+/** @file
+ * Backend servers as they register themselves in the platform's store.
+ */
+#ifndef PLATFORM_REGISTRY_H
+#define PLATFORM_REGISTRY_H
+
+#include <stddef.h>
+
+#include "common/error.h"
+#include "dispatch/entry.h"
+
+/** Decodes what a server says of itself; id is the key of its record.
+ * Errors: ERROR_INVALID: it names no server to use. */
+bool platform_registry_decode(const char *id, const void *data, size_t len,
+    struct backend_entry *entry, struct error *err);
+
+#endif
