--- /dev/null
+++ b/gateway/config_watch.c
@@ -0,0 +1,207 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "common/memory.h"
+#include "common/trace.h"
+#include "gateway/gateway.h"
+#include "platform/config.h"
+
+enum {
+	/* The store holds a read open for so long; half of it is the longest
+	 * time for which a connection that went silent goes unnoticed. */
+	WAIT_US = 1 * US_PER_S,
+	READ_MARGIN_US = 500 * US_PER_MS,
+	NEWEST_TIMEOUT_US = 1 * US_PER_S,
+	RETRY_US = 250 * US_PER_MS, /* after a failed read */
+	READ_MAX_BYTES = 4 << 20,
+};
+
+struct config_watch {
+	struct gateway *gateway;
+	struct store_call *call;
+	uv_timer_t *retry;
+	uint64_t next;   /**< offset to read from */
+	bool positioned; /**< next is valid */
+	bool lost;       /**< the last read failed */
+};
+
+static void watch_start(struct config_watch *watch);
+
+static void
+trace_change(
+    const struct gateway_config *config, const char *from, uint64_t before)
+{
+	struct trace trace;
+
+	trace_begin_rare(&trace, "config_in_force");
+	trace_number(&trace, "config_version", (int64_t)config->version);
+	trace_number(&trace, "before", (int64_t)before);
+	trace_text(&trace, "from", from);
+	trace_number(&trace, "routes", (int64_t)HASH_COUNT(config->routes));
+	trace_number(&trace, "services", (int64_t)HASH_COUNT(config->services));
+	trace_end(&trace);
+}
+
+static void
+report_findings(struct findings *findings)
+{
+	list_for_each (finding, &findings->items, struct finding, link)
+		diag(LOG_WARNING, NULL, "configuration: %s: %s", finding->place,
+		    finding->text);
+	findings_reset(findings);
+}
+
+void
+config_watch_offer(
+    struct config_watch *watch, const void *data, size_t len, const char *from)
+{
+	struct gateway *gateway = watch->gateway;
+	struct gateway_config *old = gateway->board.config;
+	struct gateway_config *config;
+	struct findings findings;
+
+	findings_init(&findings);
+	config = platform_config_decode(data, len, &findings);
+	report_findings(&findings);
+	if (config == NULL)
+		return;
+	if (old != NULL && config->version <= old->version) {
+		gateway_config_unref(config);
+		return;
+	}
+	trace_change(config, from, old != NULL ? old->version : 0);
+	gateway->board.config = config;
+	gateway_config_unref(old);
+	h1_server_set_limits(gateway->callers, &config->limits);
+}
+
+static void
+confirm(struct config_watch *watch)
+{
+	struct trace trace;
+
+	watch->gateway->board.config_confirmed_us = clock_monotonic_us();
+	if (!watch->lost)
+		return;
+	watch->lost = false;
+	trace_begin_rare(&trace, "dependency_regained");
+	trace_text(&trace, "dependency", "store/configuration");
+	trace_end(&trace);
+}
+
+static void
+handle_retry(uv_timer_t *timer)
+{
+	watch_start(timer->data);
+}
+
+static void
+retry_later(struct config_watch *watch, enum store_status status)
+{
+	struct trace trace;
+
+	uv_timer_start(watch->retry, handle_retry, RETRY_US / US_PER_MS, 0);
+	if (watch->lost)
+		return;
+	watch->lost = true;
+	trace_begin_rare(&trace, "dependency_lost");
+	trace_text(&trace, "dependency", "store/configuration");
+	trace_number(&trace, "store_status", (int64_t)status);
+	trace_end(&trace);
+}
+
+static void
+handle_newest(void *context, const struct store_newest *newest)
+{
+	struct config_watch *watch = context;
+
+	watch->call = NULL;
+	if (newest->status != STORE_OK) {
+		retry_later(watch, newest->status);
+		return;
+	}
+	for (size_t i = 0; i < newest->count; i++) {
+		if (strcmp(newest->items[i].key, STORE_KEY_CONFIG) == 0)
+			config_watch_offer(watch, newest->items[i].value.data,
+			    newest->items[i].value.len, "store");
+	}
+	watch->next = newest->end;
+	watch->positioned = true;
+	confirm(watch);
+	watch_start(watch);
+}
+
+static void
+handle_read(void *context, const struct store_read *read)
+{
+	struct config_watch *watch = context;
+	char key[NAME_BYTES];
+	struct record_bytes value;
+
+	watch->call = NULL;
+	if (read->status == STORE_EXPIRED) {
+		watch->positioned = false;
+		watch_start(watch);
+		return;
+	}
+	if (read->status != STORE_OK) {
+		retry_later(watch, read->status);
+		return;
+	}
+	for (size_t i = 0; i < read->count; i++) {
+		if (store_keyed_decode(&read->records[i], key, &value) &&
+		    strcmp(key, STORE_KEY_CONFIG) == 0 && value.len > 0)
+			config_watch_offer(
+			    watch, value.data, value.len, "store");
+	}
+	watch->next += read->count;
+	/* An end before our place: the topic has been made anew. */
+	if (read->end < watch->next)
+		watch->positioned = false;
+	confirm(watch);
+	watch_start(watch);
+}
+
+static void
+watch_start(struct config_watch *watch)
+{
+	struct store *store = watch->gateway->store;
+
+	if (!watch->positioned)
+		watch->call = store_newest(store, STORE_TOPIC_OPERATOR, "",
+		    NEWEST_TIMEOUT_US, handle_newest, watch);
+	else
+		watch->call = store_read(store, STORE_TOPIC_OPERATOR, 0,
+		    watch->next, READ_MAX_BYTES, WAIT_US,
+		    WAIT_US + READ_MARGIN_US, handle_read, watch);
+}
+
+struct config_watch *
+config_watch_create(struct gateway *gateway)
+{
+	struct config_watch *watch = xcalloc(1, sizeof(*watch));
+
+	watch->gateway = gateway;
+	watch->retry = xcalloc(1, sizeof(*watch->retry));
+	uv_timer_init(&gateway->loop, watch->retry);
+	watch->retry->data = watch;
+	watch_start(watch);
+	return watch;
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+void
+config_watch_destroy(struct config_watch *watch)
+{
+	if (watch->call != NULL)
+		store_cancel(watch->call);
+	uv_close((uv_handle_t *)watch->retry, handle_timer_closed);
+	free(watch);
+}
--- /dev/null
+++ b/gateway/event_stream.c
@@ -0,0 +1,121 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "gateway/event_stream.h"
+
+/* Returns the value of "name: value" when the line has that name. */
+static const char *
+field_value(const char *line, size_t len, const char *name, size_t *value_len)
+{
+	size_t name_len = strlen(name);
+
+	if (len <= name_len || line[name_len] != ':' ||
+	    memcmp(line, name, name_len) != 0)
+		return NULL;
+	line += name_len + 1;
+	len -= name_len + 1;
+	if (len > 0 && *line == ' ') {
+		line++;
+		len--;
+	}
+	*value_len = len;
+	return line;
+}
+
+static void
+take_data(struct event_stream *events, const char *value, size_t len)
+{
+	if (events->keep_data) {
+		if (events->has_data)
+			buf_append(&events->next_data, "\n", 1);
+		buf_append(&events->next_data, value, len);
+	}
+	events->has_data = true;
+}
+
+static void
+take_line(struct event_stream *events, const char *line, size_t len)
+{
+	const char *value;
+	size_t value_len;
+
+	value = field_value(line, len, "data", &value_len);
+	if (value != NULL)
+		take_data(events, value, value_len);
+	value = field_value(line, len, "id", &value_len);
+	if (value != NULL && value_len < sizeof(events->next_id)) {
+		memcpy(events->next_id, value, value_len);
+		events->next_id[value_len] = '\0';
+	}
+}
+
+/* A blank line ends an event. */
+static void
+end_event(struct event_stream *events)
+{
+	if (events->has_data) {
+		events->count++;
+		if (events->keep_data) {
+			buf_append(&events->data, events->next_data.data,
+			    events->next_data.len);
+			buf_append(&events->data, "\n", 1);
+		}
+	}
+	memcpy(events->last_id, events->next_id, sizeof(events->last_id));
+	events->next_data.len = 0;
+	events->has_data = false;
+}
+
+size_t
+event_stream_feed(struct event_stream *events, const void *data, size_t len)
+{
+	size_t whole = 0;
+
+	buf_append(&events->pending, data, len);
+	for (;;) {
+		const char *line =
+		    (const char *)events->pending.data + events->scanned;
+		size_t left = events->pending.len - events->scanned;
+		const char *end = left > 0 ? memchr(line, '\n', left) : NULL;
+		size_t line_len;
+
+		if (end == NULL)
+			return whole;
+		line_len = (size_t)(end - line);
+		events->scanned += line_len + 1;
+		if (line_len > 0 && line[line_len - 1] == '\r')
+			line_len--;
+		if (line_len > 0) {
+			take_line(events, line, line_len);
+			continue;
+		}
+		end_event(events);
+		whole = events->scanned;
+	}
+}
+
+void
+event_stream_consume(struct event_stream *events, size_t len)
+{
+	buf_consume(&events->pending, len);
+	events->scanned -= len;
+}
+
+void
+event_stream_drop_partial(struct event_stream *events)
+{
+	events->pending.len = 0;
+	events->scanned = 0;
+	events->next_data.len = 0;
+	events->has_data = false;
+	memcpy(events->next_id, events->last_id, sizeof(events->next_id));
+}
+
+void
+event_stream_reset(struct event_stream *events)
+{
+	buf_reset(&events->pending);
+	buf_reset(&events->data);
+	buf_reset(&events->next_data);
+	*events = (struct event_stream){0};
+}
--- /dev/null
+++ b/gateway/gateway.c
@@ -0,0 +1,248 @@
+#include <argp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "common/memory.h"
+#include "common/trace.h"
+#include "gateway/fellows.h"
+#include "gateway/gateway.h"
+#include "gateway/ownership.h"
+#include "gateway/recorder.h"
+#include "gateway/request.h"
+#include "gateway/turn.h"
+
+enum {
+	TICK_MS = 100,
+	/* Until a configuration is in force. */
+	HEADER_MAX_BYTES = 16384,
+	BODY_MAX_BYTES = 4 << 20,
+	HEADER_TIMEOUT_US = 3 * US_PER_S,
+	IDLE_TIMEOUT_US = 15 * US_PER_S,
+	BACKEND_SILENCE_US = 4 * US_PER_S, /* of unacknowledged bytes */
+	BACKEND_IDLE_US = 4 * US_PER_S,    /* of a kept connection */
+};
+
+static void
+handle_rejected(void *context, const struct h1_rejection *rejection)
+{
+	struct trace trace;
+
+	(void)context;
+	trace_begin(&trace, "request_rejected");
+	trace_number(&trace, "status", rejection->status);
+	trace_text(&trace, "reason", rejection->reason);
+	trace_text(&trace, "why", rejection->detail);
+	trace_text(&trace, "peer", rejection->peer);
+	trace_end(&trace);
+}
+
+static bool
+create_callers_server(struct gateway *gateway, struct error *err)
+{
+	char address[SETTING_BYTES];
+	struct h1_server_options options = {
+	    .address = address,
+	    .limits =
+		{
+		    .max_header_bytes = HEADER_MAX_BYTES,
+		    .max_body_bytes = BODY_MAX_BYTES,
+		    .header_timeout_us = HEADER_TIMEOUT_US,
+		    .idle_timeout_us = IDLE_TIMEOUT_US,
+		},
+	    .handle = request_handle,
+	    .rejected = handle_rejected,
+	    .context = gateway,
+	};
+
+	settings_split_endpoint(
+	    gateway->settings.gateway_callers, address, &options.port);
+	gateway->callers = h1_server_create(&gateway->loop, &options, err);
+	return gateway->callers != NULL;
+}
+
+static void
+handle_tick(uv_timer_t *timer)
+{
+	(void)timer;
+	trace_flush();
+}
+
+static void
+handle_signal(uv_signal_t *signal, int number)
+{
+	struct gateway *gateway = signal->data;
+	struct trace trace;
+
+	if (number == SIGHUP)
+		return;
+	trace_begin_rare(&trace, "stopped");
+	trace_end(&trace);
+	uv_stop(&gateway->loop);
+}
+
+static void
+start_handles(struct gateway *gateway)
+{
+	static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
+
+	uv_timer_init(&gateway->loop, &gateway->tick);
+	gateway->tick.data = gateway;
+	uv_timer_start(&gateway->tick, handle_tick, TICK_MS, TICK_MS);
+	for (int i = 0; i < 3; i++) {
+		uv_signal_init(&gateway->loop, &gateway->signals[i]);
+		gateway->signals[i].data = gateway;
+		uv_signal_start(
+		    &gateway->signals[i], handle_signal, numbers[i]);
+	}
+}
+
+static bool
+gateway_create(struct gateway *gateway, struct error *err)
+{
+	const struct h1_client_options client_options = {
+	    .silence_us = BACKEND_SILENCE_US,
+	    .idle_us = BACKEND_IDLE_US,
+	};
+
+	uv_loop_init(&gateway->loop);
+	list_init(&gateway->requests);
+	rng_init_random(&gateway->rng);
+	gateway->board.started_us = clock_monotonic_us();
+	backends_init(&gateway->board.backends, gateway->settings.region,
+	    gateway->settings.failure_domain, rng_next(&gateway->rng));
+	gateway->client = h1_client_create(&gateway->loop, &client_options);
+	gateway->store = store_create(&gateway->loop, gateway->client,
+	    gateway->settings.gateway_store, &gateway->counters);
+	if (!create_callers_server(gateway, err))
+		return false;
+	gateway->directory = directory_create(gateway, err);
+	if (gateway->directory == NULL)
+		return false;
+	gateway->fellows = fellows_create(gateway, err);
+	if (gateway->fellows == NULL)
+		return false;
+	gateway->recorder = recorder_create(gateway);
+	gateway->turns = turns_create(gateway);
+	gateway->ownership = ownership_create(gateway);
+	fellows_start(gateway->fellows);
+	gateway->config_watch = config_watch_create(gateway);
+	gateway->server_watch = server_watch_create(gateway);
+	start_handles(gateway);
+	return true;
+}
+
+static void
+gateway_destroy(struct gateway *gateway)
+{
+	request_fail_all(gateway);
+	config_watch_destroy(gateway->config_watch);
+	server_watch_destroy(gateway->server_watch);
+	directory_destroy(gateway->directory);
+	ownership_destroy(gateway->ownership);
+	turns_destroy(gateway->turns);
+	recorder_destroy(gateway->recorder);
+	fellows_destroy(gateway->fellows);
+	store_destroy(gateway->store);
+	h1_server_destroy(gateway->callers);
+	h1_client_destroy(gateway->client);
+	uv_close((uv_handle_t *)&gateway->tick, NULL);
+	for (int i = 0; i < 3; i++)
+		uv_close((uv_handle_t *)&gateway->signals[i], NULL);
+	uv_run(&gateway->loop, UV_RUN_DEFAULT);
+	gateway_config_unref(gateway->board.config);
+	backends_reset(&gateway->board.backends);
+	uv_loop_close(&gateway->loop);
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+	const char **path = state->input;
+
+	switch (key) {
+	case ARGP_KEY_ARG:
+		if (*path != NULL)
+			argp_usage(state);
+		*path = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (*path == NULL)
+			argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp gateway_argp = {
+    .parser = parse_option,
+    .args_doc = "SETTINGS",
+    .doc = "Runs the entry gateway with an INI settings file. It stops "
+	   "gracefully on SIGTERM, and reads the file again on SIGHUP.",
+};
+
+static bool
+load_settings(struct gateway *gateway, const char *path)
+{
+	struct findings findings;
+	bool ok;
+
+	findings_init(&findings);
+	ok = settings_load(&gateway->settings, path, &findings);
+	if (ok && !gateway->settings.gateway) {
+		finding_add(&findings, path, 0, "section [gateway] is missing");
+		ok = false;
+	}
+	if (!ok)
+		findings_print(&findings, stderr);
+	findings_reset(&findings);
+	return ok;
+}
+
+static void
+trace_start(const struct gateway *gateway)
+{
+	struct trace trace;
+
+	trace_begin_rare(&trace, "started");
+	trace_text(&trace, "version", GUAVAKEEL_VERSION);
+	trace_text(&trace, "callers", gateway->settings.gateway_callers);
+	trace_text(&trace, "failure_domain", gateway->settings.failure_domain);
+	trace_text(&trace, "region", gateway->settings.region);
+	trace_end(&trace);
+	trace_flush();
+}
+
+int
+gateway_main(int argc, char **argv)
+{
+	struct gateway *gateway = xcalloc(1, sizeof(*gateway));
+	const char *path = NULL;
+	struct error err = {0};
+
+	argp_parse(&gateway_argp, argc, argv, 0, NULL, &path);
+	gateway->settings_path = path;
+	if (!load_settings(gateway, path)) {
+		free(gateway);
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	diag_set_level(gateway->settings.log_level);
+	diag_set_process(gateway->settings.vm_name);
+	trace_set_process(gateway->settings.vm_name);
+	if (sodium_init() < 0 || !gateway_create(gateway, &err)) {
+		diag(LOG_ERR, NULL, "cannot start: %s", err.text);
+		return 1;
+	}
+	trace_start(gateway);
+	uv_run(&gateway->loop, UV_RUN_DEFAULT);
+	gateway_destroy(gateway);
+	trace_flush();
+	free(gateway);
+	return 0;
+}
--- /dev/null
+++ b/gateway/recorder.c
@@ -0,0 +1,460 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "common/memory.h"
+#include "common/trace.h"
+#include "gateway/fellows.h"
+#include "gateway/recorder.h"
+
+enum {
+	/* An append usually takes some ten milliseconds. */
+	APPEND_TIMEOUT_US = 600 * US_PER_MS,
+	RETRY_US = 60 * US_PER_MS,    /* after a refusal */
+	FULL_RETRY_US = 1 * US_PER_S, /* while the store has no room */
+	RELAY_TIMEOUT_US = 700 * US_PER_MS,
+	BATCH_MAX_BYTES = 512 << 10,
+};
+
+const char TOPIC_TURNS[] = "turns";
+
+/** A record on its way to the store. */
+struct recording {
+	struct list link; /**< in a queue, or in a batch */
+	struct buf data;
+	void (*done)(void *context, bool ok, uint64_t offset);
+	void *context;
+};
+
+/** Records that are appended together. */
+struct batch {
+	struct list link; /**< in the recorder */
+	struct recorder *recorder;
+	uint32_t part;
+	uint64_t number;
+	struct list recordings;
+	struct store_call *call; /**< while this gateway appends */
+	bool relayed;            /**< another gateway appends */
+	uint32_t failures;
+	int64_t started_us;
+	int64_t due_us; /**< when to go on, if nothing else happens */
+};
+
+/** An append on behalf of another gateway. */
+struct errand {
+	struct list link;
+	struct recorder *recorder;
+	struct store_call *call;
+	char vm[NAME_BYTES];
+	uint64_t number;
+};
+
+struct recorder {
+	struct gateway *gateway;
+	struct list queues[SETTINGS_PARTITIONS_MAX]; /**< of recordings */
+	bool busy[SETTINGS_PARTITIONS_MAX]; /**< a batch is under way */
+	struct list batches;
+	struct list errands;
+	uint64_t next_number;
+	uv_timer_t *timer;
+	int64_t lost_us; /**< first failure since the last success; 0: none */
+	bool lost_reported;
+};
+
+static void batch_send(struct batch *batch);
+static void handle_timer(uv_timer_t *timer);
+
+/* ---- state of the store ---- */
+
+bool
+recorder_store_is_lost(const struct recorder *recorder)
+{
+	return recorder->lost_us != 0;
+}
+
+int64_t
+recorder_lost_since_us(const struct recorder *recorder)
+{
+	return recorder->lost_us;
+}
+
+static void
+note_success(struct recorder *recorder)
+{
+	struct trace trace;
+
+	if (recorder->lost_us == 0)
+		return;
+	trace_begin_rare(&trace, "dependency_regained");
+	trace_text(&trace, "dependency", "store/appends");
+	trace_ms(&trace, "lost_ms", clock_monotonic_us() - recorder->lost_us);
+	trace_end(&trace);
+	recorder->lost_us = 0;
+}
+
+static void
+note_failure(struct recorder *recorder, enum store_status status)
+{
+	struct trace trace;
+
+	if (recorder->lost_us != 0)
+		return;
+	recorder->lost_us = clock_monotonic_us();
+	trace_begin_rare(&trace, "dependency_lost");
+	trace_text(&trace, "dependency", "store/appends");
+	trace_number(&trace, "store_status", (int64_t)status);
+	trace_end(&trace);
+}
+
+/* ---- batches ---- */
+
+static void
+arm_timer(struct recorder *recorder)
+{
+	int64_t next_us = INT64_MAX;
+	int64_t wait_us;
+
+	list_for_each (batch, &recorder->batches, struct batch, link) {
+		if (batch->due_us < next_us)
+			next_us = batch->due_us;
+	}
+	if (next_us == INT64_MAX) {
+		uv_timer_stop(recorder->timer);
+		return;
+	}
+	wait_us = next_us - clock_monotonic_us();
+	uv_timer_start(recorder->timer, handle_timer,
+	    wait_us > 0 ? (uint64_t)(wait_us / US_PER_MS) + 1 : 0, 0);
+}
+
+static void
+recording_free(struct recording *recording)
+{
+	list_remove(&recording->link);
+	buf_reset(&recording->data);
+	free(recording);
+}
+
+static void start_batch(struct recorder *recorder, uint32_t part);
+
+/* The batch's records are durable from an offset on, or never will be. */
+static void
+batch_finish(struct batch *batch, bool ok, uint64_t first)
+{
+	struct recorder *recorder = batch->recorder;
+	uint32_t part = batch->part;
+
+	list_remove(&batch->link);
+	if (batch->call != NULL)
+		store_cancel(batch->call);
+	while (!list_empty(&batch->recordings)) {
+		struct recording *recording =
+		    list_entry(batch->recordings.next, struct recording, link);
+		void (*done)(void *, bool, uint64_t) = recording->done;
+		void *context = recording->context;
+
+		recording_free(recording);
+		if (done != NULL)
+			done(context, ok, first);
+		first++;
+	}
+	free(batch);
+	recorder->busy[part] = false;
+	start_batch(recorder, part);
+	arm_timer(recorder);
+}
+
+static void
+handle_appended(void *context, const struct store_appended *appended)
+{
+	struct batch *batch = context;
+	struct recorder *recorder = batch->recorder;
+
+	batch->call = NULL;
+	if (appended->status == STORE_OK) {
+		note_success(recorder);
+		batch_finish(batch, true, appended->first);
+		return;
+	}
+	if (appended->status == STORE_INVALID) {
+		diag(LOG_ERR, NULL, "the store rejects records of turns");
+		batch_finish(batch, false, 0);
+		return;
+	}
+	note_failure(recorder, appended->status);
+	batch->failures++;
+	batch->due_us = clock_monotonic_us() +
+	    (appended->status == STORE_FULL ? FULL_RETRY_US : RETRY_US);
+	/* Another gateway may be served: ask one without delay. */
+	if (batch->failures == 1)
+		batch->due_us = clock_monotonic_us();
+	arm_timer(recorder);
+}
+
+static size_t
+list_records(const struct batch *batch, struct record_bytes *records)
+{
+	size_t count = 0;
+
+	list_for_each (recording, &batch->recordings, struct recording, link)
+		records[count++] = (struct record_bytes){
+		    .data = recording->data.data,
+		    .len = recording->data.len,
+		};
+	return count;
+}
+
+static bool
+batch_relay(struct batch *batch)
+{
+	struct gateway *gateway = batch->recorder->gateway;
+	const char *vm = fellows_relay(gateway->fellows);
+	size_t count = list_length(&batch->recordings);
+	struct record_bytes *records = xcalloc(count, sizeof(*records));
+	struct message message = {
+	    .type = MESSAGE_STORE,
+	    .store =
+		{
+		    .number = batch->number,
+		    .part = batch->part,
+		    .record_count = count,
+		},
+	};
+	bool sent;
+
+	list_records(batch, records);
+	message.store.records = xcalloc(count, sizeof(*message.store.records));
+	for (size_t i = 0; i < count; i++)
+		message.store.records[i].data = records[i];
+	sent = vm != NULL && fellows_send(gateway->fellows, vm, &message);
+	free(message.store.records);
+	free(records);
+	return sent;
+}
+
+/* Appends, by turns here and through another gateway once that has failed. */
+static void
+batch_send(struct batch *batch)
+{
+	struct recorder *recorder = batch->recorder;
+	size_t count = list_length(&batch->recordings);
+	struct record_bytes *records;
+
+	if (batch->failures % 2 == 1 && batch_relay(batch)) {
+		batch->relayed = true;
+		batch->due_us = clock_monotonic_us() + RELAY_TIMEOUT_US;
+		return;
+	}
+	batch->relayed = false;
+	records = xcalloc(count, sizeof(*records));
+	list_records(batch, records);
+	batch->call =
+	    store_append(recorder->gateway->store, TOPIC_TURNS, batch->part,
+		records, count, APPEND_TIMEOUT_US, handle_appended, batch);
+	batch->due_us = INT64_MAX;
+	free(records);
+}
+
+static void
+handle_timer(uv_timer_t *timer)
+{
+	struct recorder *recorder = timer->data;
+	int64_t now_us = clock_monotonic_us();
+
+	list_for_each (batch, &recorder->batches, struct batch, link) {
+		if (batch->due_us > now_us)
+			continue;
+		if (batch->relayed)
+			batch->failures++;
+		batch_send(batch);
+	}
+	arm_timer(recorder);
+}
+
+static void
+start_batch(struct recorder *recorder, uint32_t part)
+{
+	struct list *queue = &recorder->queues[part];
+	struct batch *batch;
+	size_t bytes = 0;
+
+	if (recorder->busy[part] || list_empty(queue))
+		return;
+	batch = xcalloc(1, sizeof(*batch));
+	batch->recorder = recorder;
+	batch->part = part;
+	batch->number = ++recorder->next_number;
+	batch->started_us = clock_monotonic_us();
+	list_init(&batch->recordings);
+	list_append(&recorder->batches, &batch->link);
+	while (!list_empty(queue) && bytes < BATCH_MAX_BYTES) {
+		struct recording *recording =
+		    list_entry(queue->next, struct recording, link);
+
+		list_remove(&recording->link);
+		list_append(&batch->recordings, &recording->link);
+		bytes += recording->data.len;
+	}
+	recorder->busy[part] = true;
+	batch_send(batch);
+}
+
+struct recording *
+recorder_append(struct recorder *recorder, uint32_t part, struct buf *record,
+    void (*done)(void *context, bool ok, uint64_t offset), void *context)
+{
+	struct recording *recording = xcalloc(1, sizeof(*recording));
+
+	recording->data = *record;
+	*record = (struct buf){0};
+	recording->done = done;
+	recording->context = context;
+	list_append(&recorder->queues[part], &recording->link);
+	start_batch(recorder, part);
+	arm_timer(recorder);
+	return recording;
+}
+
+void
+recorder_abandon(struct recording *recording)
+{
+	recording->done = NULL;
+}
+
+/* ---- errands for other gateways ---- */
+
+static void
+errand_free(struct errand *errand)
+{
+	list_remove(&errand->link);
+	free(errand);
+}
+
+static void
+handle_errand_done(void *context, const struct store_appended *appended)
+{
+	struct errand *errand = context;
+	struct recorder *recorder = errand->recorder;
+	struct message message = {
+	    .type = MESSAGE_STORED,
+	    .stored =
+		{
+		    .number = errand->number,
+		    .ok = appended->status == STORE_OK,
+		    .first_offset = appended->first,
+		},
+	};
+
+	errand->call = NULL;
+	fellows_send(recorder->gateway->fellows, errand->vm, &message);
+	errand_free(errand);
+}
+
+static void
+run_errand(struct recorder *recorder, const struct message *message)
+{
+	const struct message_store *store = &message->store;
+	struct errand *errand;
+	struct record_bytes *records;
+
+	if (store->part >= SETTINGS_PARTITIONS_MAX || store->record_count == 0)
+		return;
+	errand = xcalloc(1, sizeof(*errand));
+	errand->recorder = recorder;
+	errand->number = store->number;
+	memcpy(errand->vm, message->sender, NAME_BYTES);
+	list_append(&recorder->errands, &errand->link);
+	records = xcalloc(store->record_count, sizeof(*records));
+	for (size_t i = 0; i < store->record_count; i++)
+		records[i] = store->records[i].data;
+	errand->call = store_append(recorder->gateway->store, TOPIC_TURNS,
+	    store->part, records, store->record_count, APPEND_TIMEOUT_US,
+	    handle_errand_done, errand);
+	free(records);
+}
+
+static void
+take_stored(struct recorder *recorder, const struct message_stored *stored)
+{
+	list_for_each (batch, &recorder->batches, struct batch, link) {
+		if (batch->number != stored->number)
+			continue;
+		if (stored->ok) {
+			batch_finish(batch, true, stored->first_offset);
+			return;
+		}
+		if (batch->relayed) {
+			batch->due_us = clock_monotonic_us() + RETRY_US;
+			arm_timer(recorder);
+		}
+		return;
+	}
+}
+
+void
+recorder_handle_message(
+    struct recorder *recorder, const struct message *message)
+{
+	if (message->type == MESSAGE_STORE)
+		run_errand(recorder, message);
+	else if (message->type == MESSAGE_STORED)
+		take_stored(recorder, &message->stored);
+}
+
+/* ---- start and end ---- */
+
+struct recorder *
+recorder_create(struct gateway *gateway)
+{
+	struct recorder *recorder = xcalloc(1, sizeof(*recorder));
+
+	recorder->gateway = gateway;
+	recorder->next_number = rng_next(&gateway->rng) >> 1;
+	for (size_t i = 0; i < SETTINGS_PARTITIONS_MAX; i++)
+		list_init(&recorder->queues[i]);
+	list_init(&recorder->batches);
+	list_init(&recorder->errands);
+	recorder->timer = xcalloc(1, sizeof(*recorder->timer));
+	uv_timer_init(&gateway->loop, recorder->timer);
+	recorder->timer->data = recorder;
+	return recorder;
+}
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+void
+recorder_destroy(struct recorder *recorder)
+{
+	while (!list_empty(&recorder->batches)) {
+		struct batch *batch =
+		    list_entry(recorder->batches.next, struct batch, link);
+
+		if (batch->call != NULL)
+			store_cancel(batch->call);
+		while (!list_empty(&batch->recordings))
+			recording_free(list_entry(
+			    batch->recordings.next, struct recording, link));
+		list_remove(&batch->link);
+		free(batch);
+	}
+	for (size_t i = 0; i < SETTINGS_PARTITIONS_MAX; i++) {
+		while (!list_empty(&recorder->queues[i]))
+			recording_free(list_entry(
+			    recorder->queues[i].next, struct recording, link));
+	}
+	while (!list_empty(&recorder->errands)) {
+		struct errand *errand =
+		    list_entry(recorder->errands.next, struct errand, link);
+
+		if (errand->call != NULL)
+			store_cancel(errand->call);
+		errand_free(errand);
+	}
+	uv_close((uv_handle_t *)recorder->timer, handle_timer_closed);
+	free(recorder);
+}
--- /dev/null
+++ b/gateway/request.c
@@ -0,0 +1,469 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/hash.h"
+#include "common/memory.h"
+#include "common/trace.h"
+#include "gateway/request.h"
+#include "gateway/turn.h"
+
+enum {
+	RETRY_NO_CONFIG_US = 500 * US_PER_MS,
+	RETRY_NO_SERVER_US = 500 * US_PER_MS,
+	RETRY_DECLINED_US = 200 * US_PER_MS,
+	DECLINED_MAX = 4, /* servers that may decline a request */
+	RETRY_TEXT_BYTES = 24,
+	/* A safe request is sent to another server when its answer takes so
+	 * many times as long as answers of that service usually do. */
+	PATIENCE_FACTOR = 6,
+	PATIENCE_MIN_US = 80 * US_PER_MS,
+	PATIENCE_MAX_US = 400 * US_PER_MS,
+};
+
+/* ---- the end ---- */
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+static void
+request_destroy(struct request *request)
+{
+	if (request->turn != NULL)
+		turn_destroy(request);
+	if (request->attempt != NULL)
+		forward_cancel(request);
+	uv_close((uv_handle_t *)request->timer, handle_timer_closed);
+	list_remove(&request->link);
+	gateway_config_unref(request->config);
+	event_stream_reset(&request->events);
+	buf_reset(&request->body);
+	free(request);
+}
+
+static void
+request_trace(const struct request *request, int status, const char *reason,
+    const char *why)
+{
+	const struct attributes *attributes = &request->attributes;
+	int64_t now_us = clock_monotonic_us();
+	struct trace trace;
+
+	trace_begin(&trace, "request");
+	trace_text(&trace, "request", attributes->request);
+	trace_text(&trace, "program", attributes->program);
+	trace_text(
+	    &trace, "route", request->route ? request->route->name : NULL);
+	trace_text(&trace, "service", request->service);
+	trace_number(&trace, "status", status);
+	trace_text(&trace, "reason", reason);
+	trace_text(&trace, "why", why);
+	trace_text(&trace, "server", request->backend);
+	trace_number(&trace, "sent", (int64_t)request->tried_count);
+	trace_number(&trace, "may_have_run", request->runs);
+	if (request->config != NULL)
+		trace_number(&trace, "config_version",
+		    (int64_t)request->config->version);
+	trace_ms(&trace, "elapsed_ms", now_us - request->received_us);
+	trace_ms(&trace, "left_ms", request->deadline_us - now_us);
+	if (request->first_us != 0)
+		trace_ms(&trace, "first_ms",
+		    request->first_us - request->received_us);
+	trace_end(&trace);
+}
+
+/* Answers with an error of the system's own, and ends the request. */
+static void
+request_answer_error(struct request *request, enum refusal reason,
+    enum run_state run, int64_t retry_us, const char *why)
+{
+	struct h1_headers headers = {0};
+	struct buf body = {0};
+	char text[RETRY_TEXT_BYTES];
+
+	request->gateway->counters.refusals[reason]++;
+	request_trace(
+	    request, refusal_http_status(reason), refusal_name(reason), why);
+	platform_answer_name(&headers, request->attributes.request);
+	h1_headers_add(&headers, "Content-Type", "application/json");
+	if (retry_us > 0) {
+		snprintf(
+		    text, sizeof(text), "%.3f", (double)retry_us / US_PER_S);
+		h1_headers_add(&headers, "Retry-After", text);
+	}
+	buf_printf(&body,
+	    "{\"error\":{\"reason\":\"%s\",\"detail\":\"%s\",\"run\":\"%s\"}}",
+	    refusal_name(reason), why != NULL ? why : "", run_state_name(run));
+	h1_respond(request->exchange, refusal_http_status(reason), &headers,
+	    body.data, body.len);
+	buf_reset(&body);
+	h1_headers_reset(&headers);
+	request->exchange = NULL;
+	request_destroy(request);
+}
+
+void
+request_refuse(struct request *request, enum refusal reason, int64_t retry_us,
+    const char *why)
+{
+	request_answer_error(request, reason, RUN_NOT_RUN, retry_us, why);
+}
+
+void
+request_fail(struct request *request, enum refusal reason, const char *why)
+{
+	if (!request->begun) {
+		request_answer_error(request, reason, RUN_UNKNOWN, 0, why);
+		return;
+	}
+	request->gateway->counters.refusals[reason]++;
+	request_trace(request, 0, refusal_name(reason), why);
+	h1_exchange_abort(request->exchange);
+	request->exchange = NULL;
+	request_destroy(request);
+}
+
+/* Ends a request that may have run if it was sent, and surely has not if it
+ * was not. */
+static void
+request_give_up(struct request *request, enum refusal reason)
+{
+	const struct forward *attempt = request->attempt;
+	bool sent = attempt != NULL && h1_call_sent(attempt->call);
+
+	if (request->runs > 0 || request->begun || sent)
+		request_fail(request, REFUSAL_DEADLINE, refusal_name(reason));
+	else
+		request_refuse(request, reason, 0, NULL);
+}
+
+void
+request_fail_all(struct gateway *gateway)
+{
+	while (!list_empty(&gateway->requests))
+		request_give_up(
+		    list_entry(gateway->requests.next, struct request, link),
+		    REFUSAL_DRAINING);
+}
+
+static void
+handle_caller_gone(void *context)
+{
+	struct request *request = context;
+
+	request->exchange = NULL;
+	request->gateway->counters.refusals[REFUSAL_CALLER_GONE]++;
+	request_trace(request, 0, refusal_name(REFUSAL_CALLER_GONE), NULL);
+	request_destroy(request);
+}
+
+void
+request_complete(struct request *request)
+{
+	struct gateway *gateway = request->gateway;
+
+	gateway->counters.responses_total++;
+	histogram_add(&gateway->counters.request_us,
+	    clock_monotonic_us() - request->received_us);
+	request_trace(request, request->status, NULL, NULL);
+	h1_respond_end(request->exchange);
+	request->exchange = NULL;
+	request_destroy(request);
+}
+
+/* ---- time ---- */
+
+static bool
+may_run_again(const struct request *request)
+{
+	return request->route->kind == ROUTE_SAFE &&
+	    request->runs < request->route->max_attempts &&
+	    request->tried_count < BACKEND_TRIED_MAX;
+}
+
+/* Returns how long to wait for the answer of a server before a safe request
+ * is sent to another one. */
+static int64_t
+patience_us(const struct request *request)
+{
+	double usual_us = request->attempt->backend->answer_us;
+	int64_t us = (int64_t)(usual_us * PATIENCE_FACTOR);
+
+	if (us < PATIENCE_MIN_US)
+		us = PATIENCE_MIN_US;
+	return us > PATIENCE_MAX_US ? PATIENCE_MAX_US : us;
+}
+
+static void handle_timer(uv_timer_t *timer);
+
+static void
+request_arm(struct request *request)
+{
+	int64_t due_us = request->deadline_us;
+	int64_t wait_us;
+
+	if (request->state == REQUEST_SENT && may_run_again(request)) {
+		int64_t us =
+		    request->attempt->started_us + patience_us(request);
+
+		if (us < due_us)
+			due_us = us;
+	}
+	if (request->wake_us != 0 && request->wake_us < due_us)
+		due_us = request->wake_us;
+	wait_us = due_us - clock_monotonic_us();
+	uv_timer_start(request->timer, handle_timer,
+	    wait_us > 0 ? (uint64_t)(wait_us / US_PER_MS) + 1 : 0, 0);
+}
+
+void
+request_wake_at(struct request *request, int64_t at_us)
+{
+	request->wake_us = at_us;
+	request_arm(request);
+}
+
+static void
+handle_timer(uv_timer_t *timer)
+{
+	struct request *request = timer->data;
+
+	if (clock_monotonic_us() >= request->deadline_us) {
+		request_give_up(request, REFUSAL_DEADLINE);
+		return;
+	}
+	if (request->state == REQUEST_SENT && may_run_again(request)) {
+		backend_failed(request->attempt->backend, clock_monotonic_us());
+		forward_cancel(request);
+		request_attempt_ended(request, ATTEMPT_BROKEN, "no answer");
+		return;
+	}
+	if (request->wake_us != 0 && request->wake_us <= clock_monotonic_us()) {
+		request->wake_us = 0;
+		turn_handle_time(request);
+		return;
+	}
+	request_arm(request);
+}
+
+/* ---- sending ---- */
+
+void
+request_dispatch(struct request *request)
+{
+	struct gateway *gateway = request->gateway;
+	const struct backend_request wanted = {
+	    .service = request->service,
+	    .preferred = turn_server(request),
+	    .streams = request->route->kind == ROUTE_STREAM,
+	    .prompt_tokens = request->attributes.prompt_tokens,
+	    .max_tokens = request->attributes.max_tokens,
+	    .tried = request->tried,
+	    .tried_count = request->tried_count,
+	};
+	struct backend *backend = backends_choose(
+	    &gateway->board.backends, &wanted, clock_monotonic_us());
+
+	if (backend == NULL) {
+		if (request->runs > 0)
+			request_fail(
+			    request, REFUSAL_SERVER_FAILED, "no other server");
+		else
+			request_refuse(request,
+			    request->declined > 0 ? REFUSAL_OVERLOADED
+						  : REFUSAL_NO_SERVER,
+			    request->declined > 0 ? RETRY_DECLINED_US
+						  : RETRY_NO_SERVER_US,
+			    NULL);
+		return;
+	}
+	memcpy(request->tried[request->tried_count++], backend->entry.id,
+	    NAME_BYTES);
+	memcpy(request->backend, backend->entry.id, NAME_BYTES);
+	forward_start(request, backend);
+	request->state = REQUEST_SENT;
+	request->wake_us = 0;
+	request_arm(request);
+}
+
+static void
+trace_attempt(
+    const struct request *request, const char *result, const char *why)
+{
+	struct trace trace;
+
+	trace_begin(&trace, "attempt_failed");
+	trace_text(&trace, "request", request->attributes.request);
+	trace_text(&trace, "server", request->backend);
+	trace_text(&trace, "result", result);
+	trace_text(&trace, "why", why);
+	trace_ms(
+	    &trace, "left_ms", request->deadline_us - clock_monotonic_us());
+	trace_end(&trace);
+}
+
+void
+request_attempt_ended(
+    struct request *request, enum attempt_result result, const char *why)
+{
+	bool has_room = request->tried_count < BACKEND_TRIED_MAX;
+
+	request->state = REQUEST_WAITING;
+	switch (result) {
+	case ATTEMPT_ANSWERED:
+		request->ended_us = clock_monotonic_us();
+		request->state = REQUEST_SEALING;
+		if (request->turn != NULL)
+			turn_seal(request);
+		else
+			request_complete(request);
+		return;
+	case ATTEMPT_UNREACHABLE:
+		trace_attempt(request, "unreachable", why);
+		if (has_room)
+			request_dispatch(request);
+		else if (request->runs > 0)
+			request_fail(request, REFUSAL_SERVER_FAILED, why);
+		else
+			request_refuse(request, REFUSAL_NO_SERVER,
+			    RETRY_NO_SERVER_US, why);
+		return;
+	case ATTEMPT_DECLINED:
+		trace_attempt(request, "declined", why);
+		request->declined++;
+		if (has_room && request->declined < DECLINED_MAX)
+			request_dispatch(request);
+		else if (request->runs > 0)
+			request_fail(request, REFUSAL_SERVER_REFUSED, why);
+		else
+			request_refuse(request, REFUSAL_OVERLOADED,
+			    RETRY_DECLINED_US, why);
+		return;
+	case ATTEMPT_BROKEN:
+		trace_attempt(request, "broken", why);
+		request->runs++;
+		if (!request->begun && may_run_again(request))
+			request_dispatch(request);
+		else
+			request_fail(request, REFUSAL_SERVER_FAILED, why);
+		return;
+	}
+}
+
+/* ---- arrival ---- */
+
+static struct request *
+request_create(struct gateway *gateway, struct h1_exchange *exchange)
+{
+	struct request *request = xcalloc(1, sizeof(*request));
+
+	request->gateway = gateway;
+	request->exchange = exchange;
+	request->received_us = h1_exchange_received_us(exchange);
+	request->deadline_us = INT64_MAX;
+	if (gateway->board.config != NULL)
+		request->config = gateway_config_ref(gateway->board.config);
+	request->timer = xcalloc(1, sizeof(*request->timer));
+	uv_timer_init(&gateway->loop, request->timer);
+	request->timer->data = request;
+	list_append(&gateway->requests, &request->link);
+	h1_exchange_on_gone(exchange, handle_caller_gone, request);
+	gateway->counters.requests_total++;
+	return request;
+}
+
+/* Requests of a program go to the same service while the weights stay. */
+static uint64_t
+spread_of(const struct attributes *attributes)
+{
+	return hash_text(attributes->program[0] != '\0' ? attributes->program
+							: attributes->request,
+	    0);
+}
+
+/* A gateway that has not heard of newer versions for long does not know that
+ * a route is missing. */
+static bool
+config_may_be_stale(const struct gateway *gateway)
+{
+	return clock_monotonic_us() - gateway->board.config_confirmed_us >
+	    gateway->settings.gateway_config_apply_us;
+}
+
+static bool
+request_find_route(struct request *request, const struct h1_head *head)
+{
+	const char *host = h1_headers_find(&head->headers, "host");
+	const char *target = (const char *)head->target.data;
+	const struct route_target *service;
+	char path[2048];
+
+	snprintf(path, sizeof(path), "%.*s", (int)strcspn(target, "?"), target);
+	request->route = gateway_config_find_route(request->config, host, path);
+	if (request->route == NULL)
+		return false;
+	service = route_choose_target(
+	    request->route, spread_of(&request->attributes));
+	if (service != NULL)
+		memcpy(request->service, service->service,
+		    sizeof(request->service));
+	return true;
+}
+
+static void
+request_set_deadline(struct request *request)
+{
+	int64_t wait_us = request->route->timeout_us;
+
+	if (request->attributes.has_wait &&
+	    request->attributes.wait_us < wait_us)
+		wait_us = request->attributes.wait_us;
+	request->deadline_us = request->received_us + wait_us;
+}
+
+static bool
+is_turn(const struct request *request)
+{
+	return request->route->kind == ROUTE_STREAM &&
+	    (request->route->retained || request->attributes.has_budget);
+}
+
+void
+request_handle(void *context, struct h1_exchange *exchange)
+{
+	struct gateway *gateway = context;
+	struct request *request = request_create(gateway, exchange);
+	const struct h1_head *head = h1_exchange_head(exchange);
+	struct error err = {0};
+
+	if (!platform_request_decode(
+		&head->headers, &request->attributes, &err)) {
+		request_answer_error(
+		    request, REFUSAL_MALFORMED, RUN_NOT_RUN, 0, err.text);
+		return;
+	}
+	if (request->config == NULL) {
+		request_refuse(
+		    request, REFUSAL_NO_CONFIG, RETRY_NO_CONFIG_US, NULL);
+		return;
+	}
+	if (!request_find_route(request, head)) {
+		if (config_may_be_stale(gateway))
+			request_refuse(request, REFUSAL_STALE_CONFIG,
+			    RETRY_NO_CONFIG_US, NULL);
+		else
+			request_refuse(request, REFUSAL_UNKNOWN_ROUTE, 0, NULL);
+		return;
+	}
+	request_set_deadline(request);
+	request->events.keep_data = request->route->retained;
+	request->body = h1_exchange_take_body(exchange);
+	if (is_turn(request))
+		turn_begin(request);
+	else
+		request_dispatch(request);
+}
--- a/guavakeel/main.c
+++ b/guavakeel/main.c
@@ -3,6 +3,7 @@
 
 #include "daemon/daemon.h"
 #include "experiment/experiment.h"
+#include "gateway/gateway.h"
 #include "guavakeel/command.h"
 
 const char *argp_program_version = "guavakeel " GUAVAKEEL_VERSION;
@@ -15,6 +16,7 @@
     {"drain", "Let a daemon finish its work and exit", command_drain},
     {"experiment", "Run the scheduler against engine fakes in virtual time",
 	experiment_main},
+    {"gateway", "Run the entry gateway of this VM", gateway_main},
     {"programs", "List the programs that a daemon owns", command_programs},
     {"status", "Print the state of the VMs as a daemon sees it",
 	command_status},
--- /dev/null
+++ b/include/gateway/attributes.h
@@ -0,0 +1,46 @@
+/** @file
+ * What a caller says of its request, besides method, path and body.
+ */
+#ifndef GATEWAY_ATTRIBUTES_H
+#define GATEWAY_ATTRIBUTES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "record/record.h"
+
+enum {
+	ATTRIBUTES_PARTS = 16, /**< of a prompt; more are counted as one */
+};
+
+/** A part of a prompt; equal ids stand for equal tokens. */
+struct prompt_part {
+	uint64_t id;
+	uint32_t tokens;
+};
+
+struct attributes {
+	char request[NAME_BYTES]; /**< of this sending; a retry has another */
+	bool has_wait;
+	int64_t wait_us; /**< how long the caller will wait */
+
+	char program[NAME_BYTES];  /**< "": of no program */
+	char session[NAME_BYTES];  /**< one line of a program's turns */
+	char previous[NAME_BYTES]; /**< request of the turn that this one
+				      continues; "" for the first */
+	bool has_finish;
+	int64_t finish_us; /**< until the program should have finished */
+	bool has_budget;
+	uint64_t
+	    budget_tokens; /**< that all turns of the program may generate */
+
+	uint64_t prompt_tokens;
+	uint64_t max_tokens; /**< that this turn may generate */
+	struct prompt_part parts[ATTRIBUTES_PARTS];
+	size_t part_count;
+
+	char affinity[NAME_BYTES]; /**< object that the request concerns */
+};
+
+#endif
--- /dev/null
+++ b/include/gateway/gateway.h
@@ -0,0 +1,84 @@
+/** @file
+ * The entry gateway of one VM: one process, one loop. Controllers write their
+ * part of the board and read the others'.
+ */
+#ifndef GATEWAY_GATEWAY_H
+#define GATEWAY_GATEWAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "common/counter.h"
+#include "common/list.h"
+#include "common/rng.h"
+#include "config/settings.h"
+#include "dispatch/backends.h"
+#include "gateway/config.h"
+#include "h1/client.h"
+#include "h1/server.h"
+#include "platform/store.h"
+
+struct config_watch;
+struct directory;
+struct fellows;
+struct message;
+struct ownership;
+struct recorder;
+struct server_watch;
+struct turns;
+
+/** What the controllers know. */
+struct gateway_board {
+	int64_t started_us;
+	struct gateway_config *config; /**< in force; NULL: none yet */
+	int64_t config_confirmed_us; /**< when it was last known to be newest */
+	struct backends backends;
+	bool backends_known; /**< the list was read once */
+	bool stopping;
+	int64_t stop_us; /**< when the stop began */
+};
+
+struct gateway {
+	uv_loop_t loop;
+	struct settings settings;
+	const char *settings_path;
+	struct counters counters;
+	struct rng rng;
+	struct gateway_board board;
+	struct h1_client *client; /**< to backend servers and the store */
+	struct h1_server *callers;
+	struct store *store;
+	struct list requests; /**< of struct request */
+	struct config_watch *config_watch;
+	struct server_watch *server_watch;
+	struct directory *directory;
+	struct fellows *fellows;
+	struct ownership *ownership;
+	struct recorder *recorder;
+	struct turns *turns;
+	uv_timer_t tick;
+	uv_signal_t signals[3];
+};
+
+/** Runs `guavakeel gateway`. */
+int gateway_main(int argc, char **argv);
+
+/* The configuration as the store and other gateways tell it. */
+struct config_watch *config_watch_create(struct gateway *gateway);
+void config_watch_destroy(struct config_watch *watch);
+/** Takes an encoded configuration; an older version than that in force is
+ * ignored. */
+void config_watch_offer(
+    struct config_watch *watch, const void *data, size_t len, const char *from);
+
+/* The list of backend servers. */
+struct server_watch *server_watch_create(struct gateway *gateway);
+void server_watch_destroy(struct server_watch *watch);
+
+/* Answers to where to connect, whether this VM is ready, and its counters. */
+struct directory *directory_create(struct gateway *gateway, struct error *err);
+void directory_destroy(struct directory *directory);
+
+#endif
--- /dev/null
+++ b/include/gateway/ownership.h
@@ -0,0 +1,26 @@
+/** @file
+ * The partitions of programs that this gateway owns: it keeps their ledgers
+ * and grants turns. The store deals the partitions out.
+ */
+#ifndef GATEWAY_OWNERSHIP_H
+#define GATEWAY_OWNERSHIP_H
+
+#include <stdint.h>
+
+#include "gateway/gateway.h"
+#include "peer/message.h"
+
+struct ownership *ownership_create(struct gateway *gateway);
+void ownership_destroy(struct ownership *owner);
+/** Gives all partitions up, as the process stops. */
+void ownership_leave(struct ownership *owner);
+/** Generation of the distribution that ownership_owned() is of. */
+uint64_t ownership_generation(const struct ownership *owner);
+/** Returns a bit for each partition that is owned. */
+uint64_t ownership_owned(const struct ownership *owner);
+/** Takes a message to an owner, from another gateway or from this one; it
+ * answers with a message to the sender. */
+void ownership_handle_message(
+    struct ownership *owner, const struct message *message);
+
+#endif
