Stop gracefully; read changed settings

Now readiness and directory leave the VM out at once, other gateways are told, answers close their connections, partitions are given up, and the process ends when nothing is in flight, within its grace. SIGHUP, or a new time of the settings file, reads it again.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -13,7 +13,9 @@
 #include "gateway/gateway.h"
 #include "gateway/ownership.h"
 #include "gateway/recorder.h"
+#include "gateway/reload.h"
 #include "gateway/request.h"
+#include "gateway/stop.h"
 #include "gateway/turn.h"
 
 enum {
@@ -68,7 +70,10 @@
 static void
 handle_tick(uv_timer_t *timer)
 {
-	(void)timer;
+	struct gateway *gateway = timer->data;
+
+	stop_tick(gateway);
+	reload_tick(gateway);
 	trace_flush();
 }
 
@@ -76,13 +81,11 @@
 handle_signal(uv_signal_t *signal, int number)
 {
 	struct gateway *gateway = signal->data;
-	struct trace trace;
 
 	if (number == SIGHUP)
-		return;
-	trace_begin_rare(&trace, "stopped");
-	trace_end(&trace);
-	uv_stop(&gateway->loop);
+		reload_now(gateway, "signal");
+	else
+		stop_begin(gateway);
 }
 
 static void
@@ -186,24 +189,6 @@
 	   "gracefully on SIGTERM, and reads the file again on SIGHUP.",
 };
 
-static bool
-load_settings(struct gateway *gateway, const char *path)
-{
-	struct findings findings;
-	bool ok;
-
-	findings_init(&findings);
-	ok = settings_load(&gateway->settings, path, &findings);
-	if (ok && !gateway->settings.gateway) {
-		finding_add(&findings, path, 0, "section [gateway] is missing");
-		ok = false;
-	}
-	if (!ok)
-		findings_print(&findings, stderr);
-	findings_reset(&findings);
-	return ok;
-}
-
 static void
 trace_start(const struct gateway *gateway)
 {
@@ -226,8 +211,7 @@
 	struct error err = {0};
 
 	argp_parse(&gateway_argp, argc, argv, 0, NULL, &path);
-	gateway->settings_path = path;
-	if (!load_settings(gateway, path)) {
+	if (!reload_first(gateway, path)) {
 		free(gateway);
 		return 2;
 	}
--- /dev/null
+++ b/gateway/stop.c
@@ -0,0 +1,70 @@
+#include <stdlib.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "common/trace.h"
+#include "gateway/fellows.h"
+#include "gateway/ownership.h"
+#include "gateway/request.h"
+#include "gateway/stop.h"
+#include "gateway/turn.h"
+
+enum {
+	/* Callers keep an address for the directory's lifetime of two seconds;
+	 * until then they may still send requests on kept connections. */
+	NOTICE_US = 2500 * US_PER_MS,
+	/* A connection without requests for so long is closed. */
+	IDLE_US = 1500 * US_PER_MS,
+	/* Kept back from the grace, to end what is left with an answer. */
+	MARGIN_US = 400 * US_PER_MS,
+};
+
+void
+stop_begin(struct gateway *gateway)
+{
+	struct trace trace;
+
+	if (gateway->board.stopping)
+		return;
+	gateway->board.stopping = true;
+	gateway->board.stop_us = clock_monotonic_us();
+	trace_begin_rare(&trace, "stopping");
+	trace_number(
+	    &trace, "requests", (int64_t)list_length(&gateway->requests));
+	trace_number(&trace, "connections",
+	    (int64_t)h1_server_connections(gateway->callers));
+	trace_end(&trace);
+	h1_server_drain(gateway->callers, IDLE_US);
+	ownership_leave(gateway->ownership);
+	fellows_pulse(gateway->fellows);
+}
+
+static bool
+is_finished(const struct gateway *gateway)
+{
+	int64_t elapsed_us = clock_monotonic_us() - gateway->board.stop_us;
+
+	if (elapsed_us > gateway->settings.stop_grace_us - MARGIN_US)
+		return true;
+	return list_empty(&gateway->requests) &&
+	    turns_unreported(gateway->turns) == 0 &&
+	    (elapsed_us > NOTICE_US ||
+		h1_server_connections(gateway->callers) == 0);
+}
+
+void
+stop_tick(struct gateway *gateway)
+{
+	struct trace trace;
+
+	if (!gateway->board.stopping || gateway->board.stopped ||
+	    !is_finished(gateway))
+		return;
+	gateway->board.stopped = true;
+	trace_begin_rare(&trace, "stopped");
+	trace_number(&trace, "cut", (int64_t)list_length(&gateway->requests));
+	trace_ms(
+	    &trace, "took_ms", clock_monotonic_us() - gateway->board.stop_us);
+	trace_end(&trace);
+	uv_stop(&gateway->loop);
+}
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -37,6 +37,7 @@
 	struct backends backends;
 	bool backends_known; /**< the list was read once */
 	bool stopping;
+	bool stopped;
 	int64_t stop_us; /**< when the stop began */
 };
 
@@ -44,6 +45,8 @@
 	uv_loop_t loop;
 	struct settings settings;
 	const char *settings_path;
+	int64_t settings_modified_us; /**< time of the file that was read */
+	int64_t settings_checked_us;
 	struct counters counters;
 	struct rng rng;
 	struct gateway_board board;
