Choose servers by cached prompt, learned speed and loads of other VMs

Turns of a session moved between servers, and each prompt read again holds up all requests of its server. Ruled out: gateway processor time (0.03 of 0.25 cores), uneven servers (busiest/mean 1.09), tools (7 ms). Change: the owner tells which server ran a session last; a server's cost is the prompt it lacks and the answer's tokens at a speed learned by load, with the delay it causes others; gateways of a domain tell loads ten times a second and shared parts twice.

--- a/dispatch/backends.c
+++ b/dispatch/backends.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/hash.h"
 #include "common/memory.h"
 #include "dispatch/backends.h"
 
@@ -12,7 +13,6 @@
 	AVOID_MAX_US = 2 * US_PER_S,
 	DOMAIN_US = 3 * US_PER_MS,  /* there and back between domains */
 	REGION_US = 16 * US_PER_MS, /* there and back between regions */
-	DEFAULT_TOKEN_US = 1000,    /* while no answer was seen */
 	DEFAULT_ANSWER_US = 20 * US_PER_MS,
 };
 
@@ -20,8 +20,17 @@
 static const double AVERAGE_WEIGHT = 0.2;
 /* Price of a link between regions, which is billed, as a time. */
 static const double REGION_PRICE_US = 30.0 * US_PER_MS;
-/* What a server gains by a prompt that it has cached, as a time. */
-static const double CACHE_GAIN_US = 15.0 * US_PER_MS;
+/* Part of a request's own delay that it causes each other one of its server:
+ * a prompt that is read holds up the tokens of all. */
+static const double SHARED_DELAY = 0.5;
+/* Most of the longest answer that a stream is expected to have. */
+static const double ANSWER_SHARE = 0.5;
+/* Tokens that a turn adds to what its server has cached, at most. */
+static const uint32_t NEW_TOKENS = 1000;
+/* A server is not crowded up to this part of its slots. */
+static const double CROWDED_SHARE = 0.5;
+static const double SLOWNESS_MIN = 0.3;
+static const double SLOWNESS_MAX = 20;
 
 void
 backends_init(struct backends *backends, const char *region,
@@ -45,9 +54,37 @@
 backends_reset(struct backends *backends)
 {
 	struct backend *backend, *next;
+	struct backend_pool *pool, *next_pool;
 
 	HASH_ITER (hh, backends->by_id, backend, next)
 		backend_forget(backends, backend);
+	HASH_ITER (hh, backends->pools, pool, next_pool) {
+		HASH_DEL(backends->pools, pool);
+		free(pool);
+	}
+	residency_reset(&backends->residency);
+}
+
+static struct backend_pool *
+find_pool(const struct backends *backends, const char *service)
+{
+	struct backend_pool *pool;
+
+	HASH_FIND_STR(backends->pools, service, pool);
+	return pool;
+}
+
+static struct backend_pool *
+use_pool(struct backends *backends, const char *service)
+{
+	struct backend_pool *pool = find_pool(backends, service);
+
+	if (pool != NULL)
+		return pool;
+	pool = xcalloc(1, sizeof(*pool));
+	snprintf(pool->service, sizeof(pool->service), "%s", service);
+	HASH_ADD_STR(backends->pools, service, pool);
+	return pool;
 }
 
 struct backend *
@@ -61,12 +98,13 @@
 
 /* A server that starts again under its id knows nothing of before. */
 static void
-backend_begin_life(struct backend *backend)
+backend_begin_life(struct backends *backends, struct backend *backend)
 {
 	backend->avoid_until_us = 0;
 	backend->failures = 0;
-	backend->token_us = 0;
+	backend->slowness = 1;
 	backend->answer_us = 0;
+	residency_forget_server(&backends->residency, backend->hash);
 }
 
 bool
@@ -80,6 +118,9 @@
 	if (backend == NULL) {
 		backend = xcalloc(1, sizeof(*backend));
 		memcpy(backend->entry.id, entry->id, sizeof(entry->id));
+		backend->hash = hash_text(entry->id, 0);
+		backend->slowness = 1;
+		use_pool(backends, entry->service);
 		HASH_ADD_STR(backends->by_id, entry.id, backend);
 	}
 	changed = backend->listed != listed ||
@@ -87,7 +128,7 @@
 	    strcmp(backend->entry.service, entry->service) != 0 ||
 	    backend->entry.born_wall_ms != entry->born_wall_ms;
 	if (backend->entry.born_wall_ms != entry->born_wall_ms)
-		backend_begin_life(backend);
+		backend_begin_life(backends, backend);
 	backend->entry = *entry;
 	backend->listed = listed;
 	snprintf(backend->region, sizeof(backend->region), "%s", region);
@@ -147,16 +188,76 @@
 	return 0;
 }
 
-/* Time of the request's own work on a server that runs nothing else. */
+double
+backend_load(const struct backend *backend)
+{
+	return (double)backend->running + (double)backend->remote;
+}
+
+static bool
+is_preferred(
+    const struct backend *backend, const struct backend_request *request)
+{
+	return strcmp(request->preferred, backend->entry.id) == 0;
+}
+
+uint64_t
+backend_missing_tokens(const struct backends *backends,
+    const struct backend *backend, const struct backend_request *request)
+{
+	uint64_t cached = 0;
+	uint64_t total = 0;
+	uint32_t last;
+
+	if (request->part_count == 0)
+		return request->prompt_tokens;
+	last = request->parts[request->part_count - 1].tokens;
+	for (size_t i = 0; i < request->part_count; i++)
+		total += request->parts[i].tokens;
+	if (is_preferred(backend, request))
+		return last < NEW_TOKENS ? last : NEW_TOKENS;
+	for (size_t i = 0; i < request->part_count; i++) {
+		const struct prompt_part *part = &request->parts[i];
+		uint32_t tokens = residency_tokens(
+		    &backends->residency, part->id, backend->hash);
+
+		if (tokens >= part->tokens) {
+			cached += part->tokens;
+			continue;
+		}
+		cached += tokens;
+		break;
+	}
+	return total - cached;
+}
+
+/* Expected time of a stream there, with the delay that it causes others. */
 static double
-work_us(const struct backend *backend, const struct backend_request *request)
+stream_us(const struct backends *backends, const struct backend *backend,
+    const struct backend_request *request)
 {
-	double token_us =
-	    backend->token_us > 0 ? backend->token_us : DEFAULT_TOKEN_US;
+	const struct backend_pool *pool =
+	    find_pool(backends, backend->entry.service);
+	double load = backend_load(backend);
+	double tokens = (double)request->max_tokens * ANSWER_SHARE;
+	double prompt_us =
+	    (double)backend_missing_tokens(backends, backend, request) *
+	    speed_prompt_token_us(&pool->speed);
+	double token_us = speed_token_us(&pool->speed, load);
+	double slope_us = speed_token_slope_us(&pool->speed);
 
-	if (request->streams)
-		return token_us * (double)request->max_tokens / 2;
-	return backend->answer_us > 0 ? backend->answer_us : DEFAULT_ANSWER_US;
+	return backend->slowness *
+	    (prompt_us * (1 + SHARED_DELAY * load) + tokens * token_us +
+		SHARED_DELAY * load * tokens * slope_us);
+}
+
+static double
+answer_us(const struct backend *backend)
+{
+	double us =
+	    backend->answer_us > 0 ? backend->answer_us : DEFAULT_ANSWER_US;
+
+	return us * (1 + backend_load(backend) / backend->entry.slots);
 }
 
 /* Requests beyond the server's slots wait for those before them. */
@@ -164,17 +265,13 @@
 cost_us(const struct backends *backends, const struct backend *backend,
     const struct backend_request *request)
 {
-	double load = backend->running + backend->remote;
-	double slots = backend->entry.slots;
-	double work = work_us(backend, request);
-	double cost =
-	    distance_us(backends, backend) + work * (1 + load / slots);
+	double over = backend_load(backend) - backend->entry.slots + 1;
+	double work = request->streams ? stream_us(backends, backend, request)
+				       : answer_us(backend);
 
-	if (load >= slots)
-		cost += work * (load - slots + 1) / slots;
-	if (strcmp(request->preferred, backend->entry.id) == 0)
-		cost -= CACHE_GAIN_US;
-	return cost;
+	if (over > 0)
+		work += work * over / backend->entry.slots;
+	return distance_us(backends, backend) + work;
 }
 
 struct backend *
@@ -204,10 +301,16 @@
 	return best;
 }
 
+/* What it reads now, it holds from then on. */
 void
-backend_started(struct backend *backend)
+backend_started(struct backends *backends, struct backend *backend,
+    const struct backend_request *request, int64_t now_us)
 {
 	backend->running++;
+	for (size_t i = 0; i < request->part_count; i++)
+		residency_note(&backends->residency, request->parts[i].id,
+		    backend->hash, request->parts[i].tokens,
+		    i + 1 < request->part_count, now_us);
 }
 
 void
@@ -240,14 +343,37 @@
 }
 
 void
-backend_answered(struct backend *backend, int64_t elapsed_us, uint64_t tokens)
+backend_answered(struct backend *backend, int64_t elapsed_us)
 {
 	backend->failures = 0;
 	backend->avoid_until_us = 0;
-	if (tokens > 0)
-		backend->token_us = average(
-		    backend->token_us, (double)elapsed_us / (double)tokens);
-	else
-		backend->answer_us =
-		    average(backend->answer_us, (double)elapsed_us);
+	backend->answer_us = average(backend->answer_us, (double)elapsed_us);
+}
+
+void
+backend_streamed(struct backends *backends, struct backend *backend,
+    const struct backend_stream *stream)
+{
+	struct speed *speed =
+	    &use_pool(backends, backend->entry.service)->speed;
+	double expected_us;
+	double token_us;
+
+	backend->failures = 0;
+	backend->avoid_until_us = 0;
+	if (stream->load <= CROWDED_SHARE * backend->entry.slots)
+		speed_learn_prompt(speed, (double)stream->missing_tokens,
+		    (double)stream->first_us);
+	if (stream->tokens == 0)
+		return;
+	token_us = (double)stream->rest_us / (double)stream->tokens;
+	expected_us = speed_token_us(speed, stream->load);
+	if (expected_us > 0)
+		backend->slowness =
+		    average(backend->slowness, token_us / expected_us);
+	if (backend->slowness < SLOWNESS_MIN)
+		backend->slowness = SLOWNESS_MIN;
+	if (backend->slowness > SLOWNESS_MAX)
+		backend->slowness = SLOWNESS_MAX;
+	speed_learn_token(speed, stream->load, token_us);
 }
--- /dev/null
+++ b/dispatch/residency.c
@@ -0,0 +1,125 @@
+#include <stdlib.h>
+
+#include <uthash.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "dispatch/residency.h"
+
+enum {
+	/* Servers drop what was not used for longest; a part that was used
+	 * within this time is likely still there. */
+	KEEP_US = 60 * US_PER_S,
+	ENTRIES_MAX = 8192,
+};
+
+struct residency_key {
+	uint64_t part;
+	uint64_t server;
+};
+
+struct residency_entry {
+	UT_hash_handle hh;
+	struct residency_key key;
+	uint32_t tokens;
+	bool shared;
+	int64_t used_us;
+};
+
+static struct residency_entry *
+find(const struct residency *residency, uint64_t part, uint64_t server)
+{
+	const struct residency_key key = {.part = part, .server = server};
+	struct residency_entry *entry;
+
+	HASH_FIND(hh, residency->entries, &key, sizeof(key), entry);
+	return entry;
+}
+
+static void
+forget(struct residency *residency, struct residency_entry *entry)
+{
+	HASH_DEL(residency->entries, entry);
+	free(entry);
+}
+
+void
+residency_reset(struct residency *residency)
+{
+	struct residency_entry *entry, *next;
+
+	HASH_ITER (hh, residency->entries, entry, next)
+		forget(residency, entry);
+}
+
+void
+residency_note(struct residency *residency, uint64_t part, uint64_t server,
+    uint32_t tokens, bool shared, int64_t now_us)
+{
+	struct residency_entry *entry = find(residency, part, server);
+
+	if (entry == NULL) {
+		/* The first one in the table is the one added first. */
+		if (HASH_COUNT(residency->entries) >= ENTRIES_MAX)
+			forget(residency, residency->entries);
+		entry = xcalloc(1, sizeof(*entry));
+		entry->key.part = part;
+		entry->key.server = server;
+		HASH_ADD(
+		    hh, residency->entries, key, sizeof(entry->key), entry);
+	}
+	if (tokens > entry->tokens)
+		entry->tokens = tokens;
+	entry->shared = entry->shared || shared;
+	entry->used_us = now_us;
+}
+
+uint32_t
+residency_tokens(
+    const struct residency *residency, uint64_t part, uint64_t server)
+{
+	const struct residency_entry *entry = find(residency, part, server);
+
+	return entry != NULL ? entry->tokens : 0;
+}
+
+void
+residency_forget_server(struct residency *residency, uint64_t server)
+{
+	struct residency_entry *entry, *next;
+
+	HASH_ITER (hh, residency->entries, entry, next) {
+		if (entry->key.server == server)
+			forget(residency, entry);
+	}
+}
+
+void
+residency_expire(struct residency *residency, int64_t now_us)
+{
+	struct residency_entry *entry, *next;
+
+	HASH_ITER (hh, residency->entries, entry, next) {
+		if (now_us - entry->used_us > KEEP_US)
+			forget(residency, entry);
+	}
+}
+
+size_t
+residency_list_shared(const struct residency *residency,
+    struct residency_shared *list, size_t max)
+{
+	size_t count = 0;
+
+	for (const struct residency_entry *entry = residency->entries;
+	     entry != NULL && count < max; entry = entry->hh.next) {
+		if (!entry->shared)
+			continue;
+		list[count++] = (struct residency_shared){
+		    .part = entry->key.part,
+		    .server = entry->key.server,
+		    .tokens = entry->tokens,
+		};
+	}
+	return count;
+}
--- a/gateway/fellows.c
+++ b/gateway/fellows.c
@@ -14,9 +14,12 @@
 #include "peer/peer.h"
 
 enum {
-	PULSE_MS = 250, /* between signs of life in a failure domain */
-	FAR_PULSES = 2, /* of which so many make one to the others */
-	FAR_FANOUT = 2, /* gateways of each other failure domain */
+	PULSE_MS = 100,     /* between signs of life in a failure domain */
+	FAR_PULSES = 5,     /* of which so many make one to the others */
+	PARTS_PULSES = 5,   /* and so many tell of caches */
+	EXPIRE_PULSES = 50, /* and so many forget old caches */
+	PARTS_MAX = 256,    /* of which a pulse tells */
+	FAR_FANOUT = 2,     /* gateways of each other failure domain */
 	SILENCE_US = 1500 * US_PER_MS, /* that means a gateway is gone */
 	FORGET_US = 60 * US_PER_S,     /* silence after which it is dropped */
 	PEER_SILENCE_US = 1200 * US_PER_MS, /* of unacknowledged bytes */
@@ -330,6 +333,36 @@
 	return better < FAR_FANOUT;
 }
 
+static size_t
+list_parts(const struct gateway *gateway, struct message_part **parts)
+{
+	struct residency_shared shared[PARTS_MAX];
+	size_t count = residency_list_shared(
+	    &gateway->board.backends.residency, shared, PARTS_MAX);
+
+	*parts = xcalloc(count + 1, sizeof(**parts));
+	for (size_t i = 0; i < count; i++)
+		(*parts)[i] = (struct message_part){
+		    .part = shared[i].part,
+		    .server = shared[i].server,
+		    .tokens = shared[i].tokens,
+		};
+	return count;
+}
+
+static void
+take_parts(struct fellows *fellows, const struct message_pulse *pulse)
+{
+	struct residency *residency =
+	    &fellows->gateway->board.backends.residency;
+	int64_t now_us = clock_monotonic_us();
+
+	for (size_t i = 0; i < pulse->part_count; i++)
+		residency_note(residency, pulse->parts[i].part,
+		    pulse->parts[i].server, pulse->parts[i].tokens, false,
+		    now_us);
+}
+
 static void
 send_pulses(struct fellows *fellows, bool far)
 {
@@ -338,6 +371,9 @@
 	describe_self(fellows, &message);
 	message.pulse.load_count =
 	    list_loads(fellows->gateway, &message.pulse.loads);
+	if (fellows->pulses % PARTS_PULSES == 0)
+		message.pulse.part_count =
+		    list_parts(fellows->gateway, &message.pulse.parts);
 	for (size_t i = 0; i < fellows->members.count; i++) {
 		const struct member *member = &fellows->members.items[i];
 
@@ -346,6 +382,7 @@
 			fellows_send(fellows, member->vm, &message);
 	}
 	free(message.pulse.loads);
+	free(message.pulse.parts);
 }
 
 static void
@@ -403,6 +440,9 @@
 	send_pulses(fellows, fellows->pulses % FAR_PULSES == 0);
 	drop_silent(fellows);
 	sum_loads(fellows);
+	if (fellows->pulses % EXPIRE_PULSES == 0)
+		residency_expire(&fellows->gateway->board.backends.residency,
+		    clock_monotonic_us());
 }
 
 void
@@ -447,6 +487,7 @@
 		    pulse->load_count * sizeof(*fellow->loads));
 		fellow->load_count = pulse->load_count;
 	}
+	take_parts(fellows, pulse);
 	take_owned(fellows, message->sender, pulse->generation, pulse->owned);
 	if (!was_live)
 		trace_fellow("gateway_live", fellow);
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -86,6 +86,8 @@
 
 	if (whole == 0)
 		return;
+	if (request->attempt->first_us == 0)
+		request->attempt->first_us = clock_monotonic_us();
 	buf_append(&out, events->pending.data, whole);
 	event_stream_consume(events, whole);
 	pass_on(request, out.data, out.len);
@@ -146,7 +148,6 @@
 	if (named && !attempt->answer.ours)
 		return H1_SKIP;
 	attempt->has_head = true;
-	attempt->first_us = clock_monotonic_us();
 	attempt->length = content_length(&head->headers);
 	if (!may_take(request)) {
 		h1_call_discard_connection(attempt->call);
@@ -184,16 +185,42 @@
 	    request->runs + 1 < request->route->max_attempts;
 }
 
+static void
+learn(struct request *request)
+{
+	struct gateway *gateway = request->gateway;
+	const struct forward *attempt = request->attempt;
+	int64_t now_us = clock_monotonic_us();
+	uint64_t events = request->events.count - attempt->events_before;
+	const struct service *service =
+	    gateway_config_find_service(request->config, request->service);
+	struct backend_stream stream = {
+	    .missing_tokens = attempt->missing_tokens,
+	    .load = attempt->load,
+	    .first_us = attempt->first_us - attempt->started_us,
+	    .rest_us = now_us - attempt->first_us,
+	};
+
+	if (!is_stream(request)) {
+		backend_answered(
+		    attempt->backend, now_us - attempt->started_us);
+		return;
+	}
+	if (attempt->first_us == 0)
+		return;
+	if (events > 1 && service != NULL)
+		stream.tokens = (events - 1) * service->tokens_per_event;
+	backend_streamed(&gateway->board.backends, attempt->backend, &stream);
+}
+
 /* The answer is whole. */
 static void
 finish_answer(struct request *request)
 {
 	struct forward *attempt = request->attempt;
 	struct event_stream *events = &request->events;
-	int64_t now_us = clock_monotonic_us();
 
-	backend_answered(attempt->backend, now_us - attempt->started_us,
-	    is_stream(request) ? events->count : 0);
+	learn(request);
 	if (is_stream(request)) {
 		/* What is left is no event, but part of the body. */
 		if (events->pending.len > 0)
@@ -243,8 +270,10 @@
 }
 
 void
-forward_start(struct request *request, struct backend *backend)
+forward_start(struct request *request, struct backend *backend,
+    const struct backend_request *wanted)
 {
+	struct backends *backends = &request->gateway->board.backends;
 	const struct h1_head *head = h1_exchange_head(request->exchange);
 	struct forward *attempt = xcalloc(1, sizeof(*attempt));
 	int64_t now_us = clock_monotonic_us();
@@ -273,7 +302,11 @@
 	attempt->backend = backend;
 	attempt->started_us = now_us;
 	request->attempt = attempt;
-	backend_started(backend);
+	attempt->missing_tokens =
+	    backend_missing_tokens(backends, backend, wanted);
+	attempt->load = backend_load(backend);
+	attempt->events_before = request->events.count;
+	backend_started(backends, backend, wanted, now_us);
 	request->gateway->counters.attempts_total++;
 	platform_request_forward(&head->headers, &fields, &headers);
 	attempt->call = h1_call_start(request->gateway->client, &params);
--- a/gateway/ownership.c
+++ b/gateway/ownership.c
@@ -165,6 +165,8 @@
 	struct ledger_kept kept;
 
 	memcpy(granted->turn, begin->turn, NAME_BYTES);
+	snprintf(granted->server, NAME_BYTES, "%s",
+	    ledger_server(partition->ledger, begin->program, begin->session));
 	if (begin->previous[0] != '\0' &&
 	    ledger_find(partition->ledger, begin->previous, &kept)) {
 		granted->known = true;
@@ -342,6 +344,8 @@
 		memcpy(record.server, end->server, NAME_BYTES);
 		ledger_end(partition->ledger, &record, end->offset, end->bytes,
 		    clock_monotonic_us());
+		ledger_note_server(
+		    partition->ledger, end->program, end->session, end->server);
 		if (ledger_has_records(partition->ledger) &&
 		    partition->flush_due_us == 0)
 			partition->flush_due_us =
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -45,6 +45,14 @@
 	free(request);
 }
 
+static void
+trace_since(struct trace *trace, const char *name,
+    const struct request *request, int64_t at_us)
+{
+	if (at_us != 0)
+		trace_ms(trace, name, at_us - request->received_us);
+}
+
 static void
 request_trace(const struct request *request, int status, const char *reason,
     const char *why)
@@ -70,9 +78,9 @@
 		    (int64_t)request->config->version);
 	trace_ms(&trace, "elapsed_ms", now_us - request->received_us);
 	trace_ms(&trace, "left_ms", request->deadline_us - now_us);
-	if (request->first_us != 0)
-		trace_ms(&trace, "first_ms",
-		    request->first_us - request->received_us);
+	trace_since(&trace, "sent_ms", request, request->sent_us);
+	trace_since(&trace, "first_ms", request, request->first_us);
+	trace_since(&trace, "ended_ms", request, request->ended_us);
 	trace_end(&trace);
 }
 
@@ -260,6 +268,8 @@
 	    .service = request->service,
 	    .preferred = turn_server(request),
 	    .streams = request->route->kind == ROUTE_STREAM,
+	    .parts = request->attributes.parts,
+	    .part_count = request->attributes.part_count,
 	    .prompt_tokens = request->attributes.prompt_tokens,
 	    .max_tokens = request->attributes.max_tokens,
 	    .tried = request->tried,
@@ -284,7 +294,9 @@
 	memcpy(request->tried[request->tried_count++], backend->entry.id,
 	    NAME_BYTES);
 	memcpy(request->backend, backend->entry.id, NAME_BYTES);
-	forward_start(request, backend);
+	if (request->sent_us == 0)
+		request->sent_us = clock_monotonic_us();
+	forward_start(request, backend, &wanted);
 	request->state = REQUEST_SENT;
 	request->wake_us = 0;
 	request_arm(request);
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -198,6 +198,8 @@
 	end->type = TURN_SPENT;
 	memcpy(end->turn, turn->id, NAME_BYTES);
 	memcpy(end->program, attributes->program, NAME_BYTES);
+	memcpy(end->session, attributes->session, NAME_BYTES);
+	memcpy(end->server, turn->request->backend, NAME_BYTES);
 	end->epoch = turn->epoch;
 	end->spent = spent;
 	end->most = attributes->max_tokens;
@@ -283,6 +285,7 @@
 	turn->state = TURN_ASKING;
 	memcpy(begin->turn, turn->id, NAME_BYTES);
 	memcpy(begin->program, attributes->program, NAME_BYTES);
+	memcpy(begin->session, attributes->session, NAME_BYTES);
 	memcpy(begin->previous, attributes->previous, NAME_BYTES);
 	begin->has_budget = attributes->has_budget;
 	begin->budget = attributes->budget_tokens;
@@ -758,6 +761,7 @@
 	end->type = TURN_KEPT;
 	memcpy(end->turn, turn->id, NAME_BYTES);
 	memcpy(end->program, attributes->program, NAME_BYTES);
+	memcpy(end->session, attributes->session, NAME_BYTES);
 	memcpy(end->previous, attributes->previous, NAME_BYTES);
 	memcpy(end->server, request->backend, NAME_BYTES);
 	end->epoch = turn->epoch;
--- a/include/dispatch/backends.h
+++ b/include/dispatch/backends.h
@@ -13,6 +13,8 @@
 
 #include "common/rng.h"
 #include "dispatch/entry.h"
+#include "dispatch/residency.h"
+#include "dispatch/speed.h"
 
 enum {
 	BACKEND_TRIED_MAX = 8, /**< servers that one request may be sent to */
@@ -28,12 +30,37 @@
 	uint32_t remote;        /**< requests of other VMs, as last told */
 	int64_t avoid_until_us; /**< after failures to connect */
 	uint32_t failures;      /**< in a row */
-	double token_us;        /**< time a token; 0: not known */
+	uint64_t hash;          /**< of entry.id */
+	double slowness;        /**< times that of its service's servers */
 	double answer_us;       /**< time of a plain answer; 0: not known */
 };
 
+/** What is learned of the servers of one service. */
+struct backend_pool {
+	UT_hash_handle hh; /**< by service */
+	char service[NAME_BYTES];
+	struct speed speed;
+};
+
+/** A part of a prompt; equal ids stand for equal tokens. */
+struct prompt_part {
+	uint64_t id;
+	uint32_t tokens;
+};
+
+/** How a whole stream went. */
+struct backend_stream {
+	uint64_t missing_tokens; /**< of the prompt, as expected */
+	double load;             /**< requests there when it was sent */
+	int64_t first_us;        /**< from sending to the first event */
+	int64_t rest_us;         /**< from there to the end */
+	uint64_t tokens;         /**< after the first event */
+};
+
 struct backends {
-	struct backend *by_id;           /**< uthash */
+	struct backend *by_id;      /**< uthash */
+	struct backend_pool *pools; /**< uthash */
+	struct residency residency;
 	char region[NAME_BYTES];         /**< of this VM */
 	char failure_domain[NAME_BYTES]; /**< of this VM */
 	struct rng rng;
@@ -44,6 +71,8 @@
 	const char *service;
 	const char *preferred; /**< server that has its cache, or "" */
 	bool streams;
+	const struct prompt_part *parts; /**< of the prompt, in order */
+	size_t part_count;
 	uint64_t prompt_tokens;
 	uint64_t max_tokens;
 	/** Servers that must not be chosen. */
@@ -68,14 +97,24 @@
 /** Returns whether a service has a server that may take requests. */
 bool backends_serve(const struct backends *backends, const char *service);
 
-void backend_started(struct backend *backend);
+/** Returns the prompt tokens that a server would have to read. */
+uint64_t backend_missing_tokens(const struct backends *backends,
+    const struct backend *backend, const struct backend_request *request);
+
+/** A request is sent there. */
+void backend_started(struct backends *backends, struct backend *backend,
+    const struct backend_request *request, int64_t now_us);
 /** A request has ended there; the server is forgotten if it is not listed and
  * runs nothing more. */
 void backend_ended(struct backends *backends, struct backend *backend);
 /** It could not be connected to, or broke a connection. */
 void backend_failed(struct backend *backend, int64_t now_us);
-/** It gave a whole answer. tokens: of a stream, 0 for a plain answer. */
-void
-backend_answered(struct backend *backend, int64_t elapsed_us, uint64_t tokens);
+/** It gave a whole plain answer. */
+void backend_answered(struct backend *backend, int64_t elapsed_us);
+/** It gave a whole stream. */
+void backend_streamed(struct backends *backends, struct backend *backend,
+    const struct backend_stream *stream);
+/** Returns the requests that are believed to run there. */
+double backend_load(const struct backend *backend);
 
 #endif
--- a/include/gateway/attributes.h
+++ b/include/gateway/attributes.h
@@ -8,18 +8,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "record/record.h"
+#include "dispatch/backends.h"
 
 enum {
 	ATTRIBUTES_PARTS = 16, /**< of a prompt; more are counted as one */
 };
 
-/** A part of a prompt; equal ids stand for equal tokens. */
-struct prompt_part {
-	uint64_t id;
-	uint32_t tokens;
-};
-
 struct attributes {
 	char request[NAME_BYTES]; /**< of this sending; a retry has another */
 	bool has_wait;
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -28,8 +28,11 @@
 struct forward {
 	struct backend *backend;
 	struct h1_call *call;
+	uint64_t missing_tokens; /**< of the prompt, as expected */
+	double load;             /**< of the server when it was sent */
+	uint64_t events_before;  /**< that an earlier sending gave */
 	int64_t started_us;
-	int64_t first_us; /**< head of the answer; 0: none yet */
+	int64_t first_us; /**< first event of a stream; 0: none yet */
 	bool has_head;
 	struct backend_answer answer;
 	struct h1_headers headers; /**< of the answer, to pass on */
@@ -59,6 +62,7 @@
 	int status;        /**< of the answer that is passed on; 0: none */
 	struct event_stream events;
 	int64_t first_us;         /**< first byte of the answer's body */
+	int64_t sent_us;          /**< first sending to a server */
 	int64_t ended_us;         /**< the answer has passed but for its end */
 	char backend[NAME_BYTES]; /**< that it was last sent to */
 	struct turn *turn;        /**< NULL: it is no turn of a program */
@@ -97,7 +101,8 @@
 void request_fail_all(struct gateway *gateway);
 
 /** Sends the request to a server. */
-void forward_start(struct request *request, struct backend *backend);
+void forward_start(struct request *request, struct backend *backend,
+    const struct backend_request *wanted);
 /** Gives the attempt under way up and closes its connection. */
 void forward_cancel(struct request *request);
 
--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -149,18 +149,28 @@
 	uint32_t running;
 };
 
+/** A part of prompts that a backend server's cache holds. */
+struct message_part {
+	uint64_t part;
+	uint64_t server; /**< hash of its id */
+	uint32_t tokens;
+};
+
 struct message_pulse {
 	struct message_member self;
 	uint64_t generation; /**< of the partitions' distribution */
 	uint64_t owned;      /**< bit N: owns partition N */
 	struct message_load *loads;
 	size_t load_count;
+	struct message_part *parts; /**< shared ones; now and then */
+	size_t part_count;
 	bool wants_reply; /**< the sender has just started */
 };
 
 struct message_turn_begin {
 	char turn[NAME_BYTES];
 	char program[NAME_BYTES];
+	char session[NAME_BYTES];
 	char previous[NAME_BYTES];
 	bool has_budget;
 	uint64_t budget;
@@ -197,9 +207,10 @@
 	uint64_t spent;
 	uint64_t most;
 	uint64_t budget;
+	char session[NAME_BYTES];
+	char server[NAME_BYTES]; /**< that ran it; "": none */
 	/* of kept ones */
 	char previous[NAME_BYTES];
-	char server[NAME_BYTES];
 	uint64_t offset;
 	uint32_t bytes;
 	struct turn_ref *ancestors;
--- a/include/turn/ledger.h
+++ b/include/turn/ledger.h
@@ -61,6 +61,13 @@
  * TURN_KEPT and therefore in the log. */
 void ledger_end(struct ledger *ledger, const struct turn_record *record,
     uint64_t offset, uint32_t bytes, int64_t now_us);
+/** Notes the backend server that ran a turn of a session: it has its cache. */
+void ledger_note_server(struct ledger *ledger, const char *program,
+    const char *session, const char *server);
+/** Returns the server that has the cache of a session, or else that of the
+ * program's latest turn; "": none is known. */
+const char *ledger_server(
+    const struct ledger *ledger, const char *program, const char *session);
 /** Returns whether the end of a turn is known and durable. */
 bool ledger_has_ended(const struct ledger *ledger, const char *turn);
 /** Finds a kept turn; false: none is known. */
--- a/peer/message.c
+++ b/peer/message.c
@@ -26,6 +26,7 @@
 LIST_IS_ADJACENT(append.records, append.record_count);
 LIST_IS_ADJACENT(want.lanes, want.lane_count);
 LIST_IS_ADJACENT(pulse.loads, pulse.load_count);
+LIST_IS_ADJACENT(pulse.parts, pulse.part_count);
 LIST_IS_ADJACENT(turn_granted.chain, turn_granted.chain_count);
 LIST_IS_ADJACENT(turn_end.ancestors, turn_end.ancestor_count);
 LIST_IS_ADJACENT(turn_found.chain, turn_found.chain_count);
@@ -140,6 +141,13 @@
 };
 static const struct wire_layout load_layout = SPARSE("load", load_fields);
 
+static const struct wire_field part_fields[] = {
+    WIRE(struct message_part, 1, WIRE_UNSIGNED, part),
+    WIRE(struct message_part, 2, WIRE_UNSIGNED, server),
+    WIRE(struct message_part, 3, WIRE_UNSIGNED, tokens),
+};
+static const struct wire_layout part_layout = SPARSE("part", part_fields);
+
 static const struct wire_field ref_fields[] = {
     WIRE(struct turn_ref, 1, WIRE_TEXT, turn),
     WIRE(struct turn_ref, 2, WIRE_UNSIGNED, part),
@@ -178,6 +186,7 @@
     F(21, WIRE_UNSIGNED, pulse.owned),
     LIST(22, pulse.loads, &load_layout),
     F(23, WIRE_BOOL, pulse.wants_reply),
+    LIST(24, pulse.parts, &part_layout),
 };
 static const struct wire_field turn_begin_fields[] = {
     F(1, WIRE_TEXT, turn_begin.turn),
@@ -188,6 +197,7 @@
     F(6, WIRE_UNSIGNED, turn_begin.most),
     F(7, WIRE_SIGNED, turn_begin.left_us),
     F(8, WIRE_BOOL, turn_begin.wants_chain),
+    F(9, WIRE_TEXT, turn_begin.session),
 };
 static const struct wire_field turn_granted_fields[] = {
     F(1, WIRE_TEXT, turn_granted.turn),
@@ -211,6 +221,7 @@
     F(10, WIRE_UNSIGNED, turn_end.offset),
     F(11, WIRE_UNSIGNED, turn_end.bytes),
     LIST(12, turn_end.ancestors, &ref_layout),
+    F(13, WIRE_TEXT, turn_end.session),
 };
 static const struct wire_field turn_ended_fields[] = {
     F(1, WIRE_TEXT, turn_ended.turn),
--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -5,6 +5,7 @@
 #include <uthash.h>
 
 #include "common/clock.h"
+#include "common/hash.h"
 #include "common/list.h"
 #include "common/memory.h"
 #include "turn/ledger.h"
@@ -23,6 +24,16 @@
 	MARKS = 32,
 };
 
+enum {
+	SESSIONS = 6, /**< of a program, whose servers are remembered */
+};
+
+/** Where a line of a program's turns has its cache. */
+struct ledger_session {
+	uint64_t id; /**< hash */
+	char server[NAME_BYTES];
+};
+
 /** State of a fact with regard to the log. */
 enum durability {
 	DURABLE,
@@ -41,6 +52,8 @@
 	uint64_t most; /**< of its largest turn */
 	uint32_t loose;   /**< facts that are not durable */
 	struct list open; /**< turns */
+	struct ledger_session sessions[SESSIONS]; /**< the latest first */
+	size_t session_count;
 	int64_t used_us;
 };
 
@@ -515,6 +528,46 @@
 	return LEDGER_WAITS;
 }
 
+/* ---- servers of sessions ---- */
+
+void
+ledger_note_server(struct ledger *ledger, const char *id, const char *session,
+    const char *server)
+{
+	struct ledger_program *program = find_program(ledger, id);
+	uint64_t hash = hash_text(session, 0);
+	size_t at = 0;
+
+	if (program == NULL || server[0] == '\0')
+		return;
+	while (at < program->session_count && program->sessions[at].id != hash)
+		at++;
+	if (at == program->session_count) {
+		if (program->session_count < SESSIONS)
+			program->session_count++;
+		at = program->session_count - 1;
+	}
+	memmove(&program->sessions[1], &program->sessions[0],
+	    at * sizeof(program->sessions[0]));
+	program->sessions[0].id = hash;
+	snprintf(program->sessions[0].server, NAME_BYTES, "%s", server);
+}
+
+const char *
+ledger_server(const struct ledger *ledger, const char *id, const char *session)
+{
+	const struct ledger_program *program = find_program(ledger, id);
+	uint64_t hash = hash_text(session, 0);
+
+	if (program == NULL || program->session_count == 0)
+		return "";
+	for (size_t i = 0; i < program->session_count; i++) {
+		if (program->sessions[i].id == hash)
+			return program->sessions[i].server;
+	}
+	return program->sessions[0].server;
+}
+
 /* ---- kept turns ---- */
 
 bool
