Append by way of others, keep ledgers over a lapse, hold turns while the store is away

Now relayed appends count as service, an append goes by way of another VM first while this one is denied, a resumed partition reads only what is new, and a turn waits up to 1.5 s before it is refused with Retry-After 1 s.

--- a/gateway/ownership.c
+++ b/gateway/ownership.c
@@ -69,7 +69,8 @@
 	int64_t join_sent_us;
 	int64_t expired_us;
 	bool leaving;
-	bool lost; /**< the last join failed */
+	bool lost;      /**< the last join failed */
+	bool suspended; /**< the lease has run out */
 	uv_timer_t *join_timer;
 	uv_timer_t *tick;
 };
@@ -77,6 +78,12 @@
 static void partition_read(struct partition *partition);
 static void partition_flush(struct partition *partition);
 
+static bool
+ownership_is_sure(const struct ownership *owner)
+{
+	return clock_monotonic_us() < owner->lease_until_us;
+}
+
 /* ---- answers ---- */
 
 static void
@@ -253,12 +260,6 @@
 	return true;
 }
 
-static bool
-ownership_is_sure(const struct ownership *owner)
-{
-	return clock_monotonic_us() < owner->lease_until_us;
-}
-
 /* Returns whether the ask is answered. */
 static bool
 try_ask(struct partition *partition, struct ask *ask)
@@ -451,6 +452,11 @@
 static void
 partition_read_through(struct partition *partition)
 {
+	if (partition->read_again) {
+		partition->read_again = false;
+		partition_read(partition);
+		return;
+	}
 	if (!partition->ready) {
 		partition->ready = true;
 		ledger_own(
@@ -458,11 +464,6 @@
 		trace_partition(partition, "partition_ready");
 		fellows_pulse(partition->owner->gateway->fellows);
 	}
-	if (partition->read_again) {
-		partition->read_again = false;
-		partition_read(partition);
-		return;
-	}
 	partition_mark_read(partition);
 	partition_answer_asks(partition);
 }
@@ -516,6 +517,20 @@
 	partition_read(partition);
 }
 
+/* The lease had run out, and this VM has the partition again. Another one may
+ * have had it in between. */
+static void
+partition_resume(struct partition *partition, uint64_t generation)
+{
+	if (partition->epoch == generation)
+		return;
+	partition->epoch = generation;
+	partition->ready = false;
+	partition->taken_us = clock_monotonic_us();
+	trace_partition(partition, "partition_resumed");
+	partition_catch_up(partition);
+}
+
 static void
 partition_drop(struct partition *partition)
 {
@@ -549,7 +564,8 @@
 {
 	uint64_t owned = 0;
 
-	for (uint32_t i = 0; i < owner->count; i++) {
+	for (uint32_t i = 0; i < owner->count && ownership_is_sure(owner);
+	     i++) {
 		if (owner->partitions[i].held)
 			owned |= (uint64_t)1 << i;
 	}
@@ -603,9 +619,12 @@
 
 		if (dealt && !partition->held)
 			partition_take(partition, joined->generation);
+		else if (dealt && owner->suspended)
+			partition_resume(partition, joined->generation);
 		else if (!dealt && partition->held)
 			partition_drop(partition);
 	}
+	owner->suspended = false;
 	if (ownership_owned(owner) != before)
 		fellows_pulse(owner->gateway->fellows);
 }
@@ -631,16 +650,18 @@
 	join(timer->data);
 }
 
-/* A lease that ran out may have gone to another VM. */
+/* A lease that ran out may have gone to another VM. The ledgers are kept: if
+ * the store deals the partitions to this VM again, only what was appended
+ * since has to be read. */
 static void
-drop_if_expired(struct ownership *owner, int64_t now_us)
+suspend_if_expired(struct ownership *owner)
 {
-	if (owner->generation == 0 || now_us < owner->lease_until_us)
-		return;
-	if (ownership_owned(owner) == 0)
+	if (owner->suspended || owner->generation == 0 ||
+	    ownership_is_sure(owner))
 		return;
+	owner->suspended = true;
 	for (uint32_t i = 0; i < owner->count; i++)
-		partition_drop(&owner->partitions[i]);
+		partition_answer_asks(&owner->partitions[i]);
 	fellows_pulse(owner->gateway->fellows);
 }
 
@@ -680,7 +701,7 @@
 	int64_t now_us = clock_monotonic_us();
 	bool expire = now_us - owner->expired_us > EXPIRE_US;
 
-	drop_if_expired(owner, now_us);
+	suspend_if_expired(owner);
 	if (expire)
 		owner->expired_us = now_us;
 	for (uint32_t i = 0; i < owner->count; i++)
--- a/gateway/recorder.c
+++ b/gateway/recorder.c
@@ -15,6 +15,7 @@
 	FULL_RETRY_US = 1 * US_PER_S, /* while the store has no room */
 	RELAY_TIMEOUT_US = 700 * US_PER_MS,
 	BATCH_MAX_BYTES = 512 << 10,
+	DENIED_US = 1 * US_PER_S, /* then an append from here is tried again */
 };
 
 const char TOPIC_TURNS[] = "turns";
@@ -59,7 +60,7 @@
 	uint64_t next_number;
 	uv_timer_t *timer;
 	int64_t lost_us; /**< first failure since the last success; 0: none */
-	bool lost_reported;
+	int64_t denied_us; /**< last failure of an append from here; 0: none */
 };
 
 static void batch_send(struct batch *batch);
@@ -174,6 +175,7 @@
 	batch->call = NULL;
 	if (appended->status == STORE_OK) {
 		note_success(recorder);
+		recorder->denied_us = 0;
 		batch_finish(batch, true, appended->first);
 		return;
 	}
@@ -183,6 +185,7 @@
 		return;
 	}
 	note_failure(recorder, appended->status);
+	recorder->denied_us = clock_monotonic_us();
 	batch->failures++;
 	batch->due_us = clock_monotonic_us() +
 	    (appended->status == STORE_FULL ? FULL_RETRY_US : RETRY_US);
@@ -233,7 +236,18 @@
 	return sent;
 }
 
-/* Appends, by turns here and through another gateway once that has failed. */
+/* The store may turn this gateway away and serve others: an append goes by
+ * way of another one if the last from here has failed, and by turns then. */
+static bool
+by_relay(const struct batch *batch)
+{
+	int64_t denied_us = batch->recorder->denied_us;
+	bool denied = denied_us != 0 &&
+	    clock_monotonic_us() - denied_us < DENIED_US;
+
+	return denied ? batch->failures % 2 == 0 : batch->failures % 2 == 1;
+}
+
 static void
 batch_send(struct batch *batch)
 {
@@ -241,7 +255,7 @@
 	size_t count = list_length(&batch->recordings);
 	struct record_bytes *records;
 
-	if (batch->failures % 2 == 1 && batch_relay(batch)) {
+	if (by_relay(batch) && batch_relay(batch)) {
 		batch->relayed = true;
 		batch->due_us = clock_monotonic_us() + RELAY_TIMEOUT_US;
 		return;
@@ -381,6 +395,7 @@
 		if (batch->number != stored->number)
 			continue;
 		if (stored->ok) {
+			note_success(recorder);
 			batch_finish(batch, true, stored->first_offset);
 			return;
 		}
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -26,7 +26,8 @@
 	PATIENCE_MAX_US = 1500 * US_PER_MS, /* for the owner and the history */
 	PATIENCE_SHARE = 2, /* and at most this part of what is left */
 	RETRY_OWNER_US = 300 * US_PER_MS,
-	RETRY_STORE_US = 700 * US_PER_MS,
+	RETRY_STORE_US = 1000 * US_PER_MS,
+	HELD_AGAIN_US = 50 * US_PER_MS, /* between looks at the store */
 	/* While the store has not taken appends for so long, a turn that has
 	 * to be kept could not end. */
 	STORE_LOST_US = 400 * US_PER_MS,
@@ -41,6 +42,7 @@
 static const char GROUP[] = "programs";
 
 enum turn_state {
+	TURN_HELD,    /**< the store is away: it could not be kept */
 	TURN_ASKING,  /**< the owner is asked */
 	TURN_FINDING, /**< all owners are asked for the previous turn */
 	TURN_LOADING, /**< its history is collected */
@@ -650,6 +652,25 @@
 
 /* ---- the turn's life ---- */
 
+/* While the store takes no appends, a turn that has to be kept could run but
+ * not end. */
+static bool
+turn_must_wait(const struct turn *turn)
+{
+	int64_t lost_us =
+	    recorder_lost_since_us(turn->request->gateway->recorder);
+
+	return turn->request->route->retained && lost_us != 0 &&
+	    clock_monotonic_us() - lost_us > STORE_LOST_US;
+}
+
+static void
+turn_hold(struct turn *turn)
+{
+	turn->state = TURN_HELD;
+	turn_wait(turn, HELD_AGAIN_US);
+}
+
 void
 turn_begin(struct request *request)
 {
@@ -657,7 +678,6 @@
 	const struct attributes *attributes = &request->attributes;
 	struct turn *turn = xcalloc(1, sizeof(*turn));
 	int64_t now_us = clock_monotonic_us();
-	int64_t lost_us = recorder_lost_since_us(gateway->recorder);
 	int64_t patience_us = (request->deadline_us - now_us) / PATIENCE_SHARE;
 	struct turn_ref chain[CHAIN_MAX];
 	size_t count = 0;
@@ -675,17 +695,31 @@
 		return;
 	}
 	HASH_ADD_STR(gateway->turns->by_id, id, turn);
-	if (request->route->retained && lost_us != 0 &&
-	    now_us - lost_us > STORE_LOST_US) {
-		turn_refuse(turn, REFUSAL_LOG_UNAVAILABLE, RETRY_STORE_US);
-		return;
-	}
 	if (request->route->retained && attributes->previous[0] != '\0')
 		count = history_chain(gateway->turns->history,
 		    attributes->previous, chain, CHAIN_MAX);
 	if (count > 0)
 		turn_set_chain(turn, chain, count);
-	turn_ask(turn);
+	if (turn_must_wait(turn))
+		turn_hold(turn);
+	else
+		turn_ask(turn);
+}
+
+static void
+turn_give_up(struct turn *turn)
+{
+	switch (turn->state) {
+	case TURN_HELD:
+		turn_refuse(turn, REFUSAL_LOG_UNAVAILABLE, RETRY_STORE_US);
+		return;
+	case TURN_LOADING:
+		turn_refuse(turn, REFUSAL_HISTORY, RETRY_OWNER_US);
+		return;
+	default:
+		turn_refuse(turn, REFUSAL_NO_OWNER, RETRY_OWNER_US);
+		return;
+	}
 }
 
 void
@@ -695,10 +729,7 @@
 	int64_t now_us = clock_monotonic_us();
 
 	if (now_us >= turn->give_up_us) {
-		turn_refuse(turn,
-		    turn->state == TURN_LOADING ? REFUSAL_HISTORY
-						: REFUSAL_NO_OWNER,
-		    RETRY_OWNER_US);
+		turn_give_up(turn);
 		return;
 	}
 	if (now_us < turn->due_us) {
@@ -706,6 +737,12 @@
 		return;
 	}
 	switch (turn->state) {
+	case TURN_HELD:
+		if (turn_must_wait(turn))
+			turn_hold(turn);
+		else
+			turn_ask(turn);
+		return;
 	case TURN_ASKING:
 		/* Whether silent or not: the owner may be another one. */
 		refresh_owners(turns_of(turn));
