--- /dev/null
+++ b/gateway/partition.c
@@ -0,0 +1,401 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/diag.h"
+#include "common/memory.h"
+#include "common/trace.h"
+#include "gateway/fellows.h"
+#include "gateway/partition.h"
+#include "gateway/recorder.h"
+
+enum {
+	READ_TIMEOUT_US = 1500 * US_PER_MS,
+	READ_MAX_BYTES = 256 << 10, /* a takeover's memory is bounded by it */
+	READ_RETRY_US = 100 * US_PER_MS,
+	FLUSH_US = 20 * US_PER_MS, /* what ended turns spent waits so long */
+	FLUSH_RETRY_US = 100 * US_PER_MS,
+	APPEND_TIMEOUT_US = 600 * US_PER_MS,
+	GAP_US = 1 * US_PER_S,       /* news of a record may be late so long */
+	INDEX_US = 1500 * US_PER_MS, /* between appends to the index */
+	BATCH_MAX = 256,             /* records in an append */
+};
+
+static const char TOPIC_INDEX[] = "index";
+
+static void
+trace_partition(const struct partition *partition, const char *event)
+{
+	struct trace trace;
+
+	trace_begin_rare(&trace, event);
+	trace_number(&trace, "partition", partition->part);
+	trace_number(&trace, "epoch", (int64_t)partition->epoch);
+	trace_number(&trace, "next_offset", (int64_t)partition->offsets.next);
+	if (partition->ledger != NULL) {
+		trace_number(&trace, "programs",
+		    (int64_t)ledger_programs(partition->ledger));
+		trace_number(
+		    &trace, "turns", (int64_t)ledger_turns(partition->ledger));
+	}
+	trace_ms(
+	    &trace, "since_ms", clock_monotonic_us() - partition->taken_us);
+	trace_end(&trace);
+}
+
+/* ---- reading ---- */
+
+static void partition_read(struct partition *partition);
+
+static void
+apply_records(
+    struct partition *partition, const struct store_read *read, bool index)
+{
+	int64_t now_us = clock_monotonic_us();
+
+	for (size_t i = 0; i < read->count; i++) {
+		struct turn_record record;
+		struct error err = {0};
+
+		if (!turn_record_decode(read->records[i].data,
+			read->records[i].len, &record, &err)) {
+			diag(LOG_WARNING, NULL, "partition %u: %s",
+			    partition->part, err.text);
+			continue;
+		}
+		if (!index)
+			ledger_apply(partition->ledger, read->from + i,
+			    (uint32_t)read->records[i].len, &record, now_us);
+		else if (record.type == TURN_COVERED)
+			offsets_advance(&partition->offsets, record.offset);
+		else
+			ledger_apply(partition->ledger, record.offset,
+			    record.bytes, &record, now_us);
+		turn_record_reset(&record);
+	}
+}
+
+/* All that was in the log when the read began is known. */
+static void
+read_through(struct partition *partition)
+{
+	if (partition->read_again) {
+		partition->read_again = false;
+		partition_read(partition);
+		return;
+	}
+	if (!partition->ready) {
+		partition->ready = true;
+		ledger_own(
+		    partition->ledger, partition->epoch, clock_monotonic_us());
+		trace_partition(partition, "partition_ready");
+		fellows_pulse(partition->gateway->fellows);
+	}
+	partition_mark_read(partition);
+	partition_answer_asks(partition);
+}
+
+static void
+handle_index(void *context, const struct store_read *read)
+{
+	struct partition *partition = context;
+
+	partition->read = NULL;
+	switch (read->status) {
+	case STORE_OK:
+		apply_records(partition, read, true);
+		partition->index_next = read->from + read->count;
+		partition->index_read = partition->index_next >= read->end;
+		break;
+	case STORE_EXPIRED:
+		partition->index_next = read->first;
+		break;
+	default:
+		partition->read_due_us = clock_monotonic_us() + READ_RETRY_US;
+		return;
+	}
+	partition_read(partition);
+}
+
+static void
+handle_turns(void *context, const struct store_read *read)
+{
+	struct partition *partition = context;
+
+	partition->read = NULL;
+	switch (read->status) {
+	case STORE_OK:
+		apply_records(partition, read, false);
+		offsets_advance(&partition->offsets, read->from + read->count);
+		if (partition->offsets.next < read->end)
+			partition_read(partition);
+		else
+			read_through(partition);
+		return;
+	case STORE_EXPIRED:
+		offsets_advance(&partition->offsets, read->first);
+		partition_read(partition);
+		return;
+	default:
+		partition->read_due_us = clock_monotonic_us() + READ_RETRY_US;
+		return;
+	}
+}
+
+static void
+partition_read(struct partition *partition)
+{
+	struct store *store = partition->gateway->store;
+
+	partition->read_due_us = 0;
+	if (!partition->index_read)
+		partition->read = store_read(store, TOPIC_INDEX,
+		    partition->part, partition->index_next, READ_MAX_BYTES, 0,
+		    READ_TIMEOUT_US, handle_index, partition);
+	else
+		partition->read = store_read(store, TOPIC_TURNS,
+		    partition->part, partition->offsets.next, READ_MAX_BYTES, 0,
+		    READ_TIMEOUT_US, handle_turns, partition);
+}
+
+/* A read that is under way may have begun before what is asked for. */
+void
+partition_catch_up(struct partition *partition)
+{
+	if (partition->read != NULL)
+		partition->read_again = true;
+	else if (partition->read_due_us == 0)
+		partition_read(partition);
+}
+
+/* News of a record does not come: reads it. */
+static void
+check_gap(struct partition *partition, int64_t now_us)
+{
+	if (!offsets_have_gap(&partition->offsets))
+		partition->gap_us = 0;
+	else if (partition->gap_us == 0)
+		partition->gap_us = now_us;
+	else if (now_us - partition->gap_us > GAP_US) {
+		partition->gap_us = now_us;
+		partition_catch_up(partition);
+	}
+}
+
+/* ---- facts that have to become durable ---- */
+
+static void
+handle_appended(void *context, const struct store_appended *appended)
+{
+	struct partition *partition = context;
+	bool durable = appended->status == STORE_OK;
+
+	partition->append = NULL;
+	ledger_batch_done(partition->ledger, durable);
+	if (!durable) {
+		partition->flush_due_us = clock_monotonic_us() + FLUSH_RETRY_US;
+		return;
+	}
+	for (size_t i = 0; i < partition->append_count; i++)
+		offsets_note(&partition->offsets, appended->first + i);
+	partition_answer_asks(partition);
+	if (ledger_is_urgent(partition->ledger))
+		partition_flush(partition);
+	else if (ledger_has_records(partition->ledger))
+		partition->flush_due_us = clock_monotonic_us() + FLUSH_US;
+}
+
+static struct store_call *
+append_batch(struct partition *partition, const char *topic,
+    struct buf *buffers, size_t count,
+    void (*done)(void *context, const struct store_appended *appended))
+{
+	struct record_bytes records[BATCH_MAX];
+
+	for (size_t i = 0; i < count; i++)
+		records[i] = (struct record_bytes){
+		    .data = buffers[i].data,
+		    .len = buffers[i].len,
+		};
+	return store_append(partition->gateway->store, topic, partition->part,
+	    records, count, APPEND_TIMEOUT_US, done, partition);
+}
+
+void
+partition_flush(struct partition *partition)
+{
+	struct buf buffers[BATCH_MAX] = {{0}};
+	size_t count = 0;
+
+	partition->flush_due_us = 0;
+	if (partition->append != NULL)
+		return;
+	while (count < BATCH_MAX &&
+	    ledger_next_record(partition->ledger, &buffers[count]))
+		count++;
+	if (count == 0)
+		return;
+	partition->append_count = count;
+	partition->append = append_batch(
+	    partition, TOPIC_TURNS, buffers, count, handle_appended);
+	for (size_t i = 0; i < count; i++)
+		buf_reset(&buffers[i]);
+}
+
+/* ---- the index ---- */
+
+static void
+index_batch_reset(struct partition *partition)
+{
+	for (size_t i = 0; i < partition->index_count; i++)
+		buf_reset(&partition->index_batch[i]);
+	free(partition->index_batch);
+	partition->index_batch = NULL;
+	partition->index_count = 0;
+}
+
+static void
+handle_indexed(void *context, const struct store_appended *appended)
+{
+	struct partition *partition = context;
+
+	partition->index_append = NULL;
+	/* Otherwise the same records are appended again. */
+	if (appended->status == STORE_OK)
+		index_batch_reset(partition);
+}
+
+/* Collects the facts that the index lacks, and says up to where they cover
+ * the topic of turns. */
+static void
+collect_index_batch(struct partition *partition)
+{
+	struct turn_record covered = {
+	    .type = TURN_COVERED,
+	    .offset = partition->offsets.next,
+	};
+	struct buf *batch = xcalloc(BATCH_MAX, sizeof(*batch));
+	size_t count = 0;
+
+	while (count < BATCH_MAX - 1 &&
+	    ledger_next_index(partition->ledger, &batch[count]))
+		count++;
+	/* A full batch may have left facts behind. */
+	if (count > 0 && count < BATCH_MAX - 1)
+		turn_record_encode(&covered, &batch[count++]);
+	partition->index_batch = batch;
+	partition->index_count = count;
+	if (count == 0)
+		index_batch_reset(partition);
+}
+
+static void
+append_index(struct partition *partition, int64_t now_us)
+{
+	if (partition->index_append != NULL || now_us < partition->index_due_us)
+		return;
+	partition->index_due_us = now_us + INDEX_US;
+	if (partition->index_batch == NULL)
+		collect_index_batch(partition);
+	if (partition->index_batch != NULL)
+		partition->index_append =
+		    append_batch(partition, TOPIC_INDEX, partition->index_batch,
+			partition->index_count, handle_indexed);
+}
+
+/* ---- life ---- */
+
+void
+partition_init(
+    struct partition *partition, struct gateway *gateway, uint32_t part)
+{
+	*partition = (struct partition){.gateway = gateway, .part = part};
+	list_init(&partition->asks);
+}
+
+void
+partition_take(struct partition *partition, uint64_t generation)
+{
+	partition->held = true;
+	partition->ready = false;
+	partition->epoch = generation;
+	partition->index_next = 0;
+	partition->index_read = false;
+	partition->taken_us = clock_monotonic_us();
+	partition->index_due_us = partition->taken_us + INDEX_US;
+	partition->ledger = ledger_create(partition->part);
+	partition->gateway->counters.takeovers_total++;
+	trace_partition(partition, "partition_taken");
+	partition_read(partition);
+}
+
+/* Another VM may have had the partition in between. */
+void
+partition_resume(struct partition *partition, uint64_t generation)
+{
+	if (partition->epoch == generation)
+		return;
+	partition->epoch = generation;
+	partition->ready = false;
+	partition->taken_us = clock_monotonic_us();
+	trace_partition(partition, "partition_resumed");
+	partition_catch_up(partition);
+}
+
+static void
+cancel(struct store_call **call)
+{
+	if (*call != NULL)
+		store_cancel(*call);
+	*call = NULL;
+}
+
+void
+partition_drop(struct partition *partition)
+{
+	if (!partition->held)
+		return;
+	trace_partition(partition, "partition_dropped");
+	partition->held = false;
+	partition->ready = false;
+	partition->read_again = false;
+	partition->read_due_us = 0;
+	partition->flush_due_us = 0;
+	partition->gap_us = 0;
+	cancel(&partition->read);
+	cancel(&partition->append);
+	cancel(&partition->index_append);
+	index_batch_reset(partition);
+	partition_answer_asks(partition);
+	offsets_reset(&partition->offsets);
+	ledger_destroy(partition->ledger);
+	partition->ledger = NULL;
+}
+
+void
+partition_reset(struct partition *partition)
+{
+	partition_drop(partition);
+	partition_drop_asks(partition, 0, true);
+}
+
+void
+partition_tick(struct partition *partition, int64_t now_us, bool expire)
+{
+	partition_drop_asks(partition, now_us, false);
+	if (!partition->held)
+		return;
+	if (partition->read_due_us != 0 && partition->read_due_us <= now_us)
+		partition_read(partition);
+	if (!partition->ready)
+		return;
+	check_gap(partition, now_us);
+	if (expire)
+		ledger_expire(partition->ledger, now_us);
+	if (partition->flush_due_us == 0 &&
+	    ledger_has_records(partition->ledger))
+		partition->flush_due_us = now_us + FLUSH_US;
+	if (partition->flush_due_us != 0 && partition->flush_due_us <= now_us)
+		partition_flush(partition);
+	append_index(partition, now_us);
+}
--- /dev/null
+++ b/gateway/partition_ask.c
@@ -0,0 +1,295 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "gateway/fellows.h"
+#include "gateway/ownership.h"
+#include "gateway/partition.h"
+
+enum {
+	ASK_MAX_US = 1200 * US_PER_MS, /* an ask waits; then it is dropped */
+	CHAIN_MAX = 512,               /* turns of a chain */
+};
+
+/** A question that can't be answered yet. */
+struct ask {
+	struct list link; /**< in its partition */
+	char vm[NAME_BYTES];
+	int64_t since_us;
+	bool read_through; /**< the log was read to its end since it came */
+	enum message_type type;
+	struct message_turn_begin begin;
+	struct message_turn_find find;
+};
+
+/* ---- answers ---- */
+
+static void
+reply(struct gateway *gateway, const char *vm, struct message *message)
+{
+	fellows_send(gateway->fellows, vm, message);
+}
+
+static void
+answer_begin(struct gateway *gateway, const char *vm, const char *turn,
+    enum turn_answer answer)
+{
+	struct message message = {
+	    .type = MESSAGE_TURN_GRANTED,
+	    .turn_granted = {.answer = answer},
+	};
+
+	memcpy(message.turn_granted.turn, turn, NAME_BYTES);
+	reply(gateway, vm, &message);
+}
+
+static void
+answer_find(struct gateway *gateway, const char *vm,
+    const struct message_turn_find *find, enum turn_answer answer)
+{
+	struct message message = {
+	    .type = MESSAGE_TURN_FOUND,
+	    .turn_found = {.part = find->part, .answer = answer},
+	};
+
+	memcpy(message.turn_found.turn, find->turn, NAME_BYTES);
+	reply(gateway, vm, &message);
+}
+
+static void
+answer_ask(
+    struct gateway *gateway, const struct ask *ask, enum turn_answer answer)
+{
+	if (ask->type == MESSAGE_TURN_BEGIN)
+		answer_begin(gateway, ask->vm, ask->begin.turn, answer);
+	else
+		answer_find(gateway, ask->vm, &ask->find, answer);
+}
+
+static void
+ask_free(struct ask *ask)
+{
+	list_remove(&ask->link);
+	free(ask);
+}
+
+/* ---- asks ---- */
+
+static void
+fill_chain(const struct partition *partition, const char *turn,
+    struct turn_ref **chain, size_t *count)
+{
+	*chain = xcalloc(CHAIN_MAX, sizeof(**chain));
+	*count = ledger_chain(partition->ledger, turn, *chain, CHAIN_MAX);
+}
+
+static void
+grant(struct partition *partition, const struct ask *ask)
+{
+	const struct message_turn_begin *begin = &ask->begin;
+	struct message message = {
+	    .type = MESSAGE_TURN_GRANTED,
+	    .turn_granted =
+		{
+		    .answer = TURN_ANSWER_GRANTED,
+		    .epoch = partition->epoch,
+		},
+	};
+	struct message_turn_granted *granted = &message.turn_granted;
+	struct ledger_kept kept;
+
+	memcpy(granted->turn, begin->turn, NAME_BYTES);
+	snprintf(granted->server, NAME_BYTES, "%s",
+	    ledger_server(partition->ledger, begin->program, begin->session));
+	if (begin->previous[0] != '\0' &&
+	    ledger_find(partition->ledger, begin->previous, &kept)) {
+		granted->known = true;
+		snprintf(granted->vm, NAME_BYTES, "%s", kept.vm);
+		snprintf(granted->server, NAME_BYTES, "%s", kept.server);
+		if (begin->wants_chain)
+			fill_chain(partition, begin->previous, &granted->chain,
+			    &granted->chain_count);
+	}
+	reply(partition->gateway, ask->vm, &message);
+	free(granted->chain);
+}
+
+/* Returns whether the ask is answered. */
+static bool
+try_begin(struct partition *partition, struct ask *ask)
+{
+	const struct message_turn_begin *begin = &ask->begin;
+	int64_t now_us = clock_monotonic_us();
+	const struct ledger_ask ledger_ask = {
+	    .turn = begin->turn,
+	    .program = begin->program,
+	    .has_budget = begin->has_budget,
+	    .budget = begin->budget,
+	    .most = begin->most,
+	    .deadline_us = now_us + begin->left_us,
+	};
+	struct ledger_kept kept;
+
+	/* What it continues may have been appended but not told yet. */
+	if (begin->previous[0] != '\0' && begin->wants_chain &&
+	    !ask->read_through &&
+	    !ledger_find(partition->ledger, begin->previous, &kept)) {
+		partition_catch_up(partition);
+		return false;
+	}
+	switch (ledger_begin(partition->ledger, &ledger_ask, now_us)) {
+	case LEDGER_GRANTED:
+		grant(partition, ask);
+		return true;
+	case LEDGER_WAITS:
+		partition_flush(partition);
+		return false;
+	case LEDGER_BUSY:
+		answer_ask(partition->gateway, ask, TURN_ANSWER_BUSY);
+		return true;
+	case LEDGER_EXHAUSTED:
+		answer_ask(partition->gateway, ask, TURN_ANSWER_EXHAUSTED);
+		return true;
+	case LEDGER_ENDED:
+		return true;
+	}
+	return true;
+}
+
+static bool
+try_find(struct partition *partition, struct ask *ask)
+{
+	struct message message = {
+	    .type = MESSAGE_TURN_FOUND,
+	    .turn_found =
+		{
+		    .part = partition->part,
+		    .answer = TURN_ANSWER_GRANTED,
+		},
+	};
+	struct message_turn_found *found = &message.turn_found;
+	struct ledger_kept kept;
+
+	found->known = ledger_find(partition->ledger, ask->find.turn, &kept);
+	if (!found->known && ask->find.certain && !ask->read_through) {
+		partition_catch_up(partition);
+		return false;
+	}
+	memcpy(found->turn, ask->find.turn, NAME_BYTES);
+	if (found->known) {
+		snprintf(found->vm, NAME_BYTES, "%s", kept.vm);
+		snprintf(found->server, NAME_BYTES, "%s", kept.server);
+		fill_chain(partition, ask->find.turn, &found->chain,
+		    &found->chain_count);
+	}
+	reply(partition->gateway, ask->vm, &message);
+	free(found->chain);
+	return true;
+}
+
+/* Returns whether the ask is answered. */
+static bool
+try_ask(struct partition *partition, struct ask *ask)
+{
+	struct gateway *gateway = partition->gateway;
+
+	if (!partition->held) {
+		answer_ask(gateway, ask, TURN_ANSWER_NOT_OWNER);
+		return true;
+	}
+	if (!ownership_is_sure(gateway->ownership)) {
+		answer_ask(gateway, ask, TURN_ANSWER_UNSURE);
+		return true;
+	}
+	if (!partition->ready)
+		return false;
+	return ask->type == MESSAGE_TURN_BEGIN ? try_begin(partition, ask)
+					       : try_find(partition, ask);
+}
+
+void
+partition_answer_asks(struct partition *partition)
+{
+	list_for_each_safe (ask, tmp, &partition->asks, struct ask, link) {
+		if (try_ask(partition, ask))
+			ask_free(ask);
+	}
+}
+
+void
+partition_mark_read(struct partition *partition)
+{
+	list_for_each (ask, &partition->asks, struct ask, link)
+		ask->read_through = true;
+}
+
+void
+partition_take_ask(struct partition *partition, const struct message *message)
+{
+	struct ask *ask = xcalloc(1, sizeof(*ask));
+
+	ask->since_us = clock_monotonic_us();
+	ask->type = message->type;
+	memcpy(ask->vm, message->sender, NAME_BYTES);
+	if (message->type == MESSAGE_TURN_BEGIN)
+		ask->begin = message->turn_begin;
+	else
+		ask->find = message->turn_find;
+	list_append(&partition->asks, &ask->link);
+	if (try_ask(partition, ask))
+		ask_free(ask);
+}
+
+/* ---- ends of turns ---- */
+
+void
+partition_take_end(struct partition *partition, const struct message *message)
+{
+	const struct message_turn_end *end = &message->turn_end;
+	struct gateway *gateway = partition->gateway;
+	struct message answer = {
+	    .type = MESSAGE_TURN_ENDED,
+	    .turn_ended = {.owner = partition->held},
+	};
+	struct turn_record record = {
+	    .type = (enum turn_record_type)end->type,
+	    .epoch = end->epoch,
+	    .spent = end->spent,
+	    .most = end->most,
+	    .budget = end->budget,
+	    .ancestors = end->ancestors,
+	    .ancestor_count = end->ancestor_count,
+	};
+
+	if (partition->held && !partition->ready)
+		return; /* it is told again */
+	memcpy(answer.turn_ended.turn, end->turn, NAME_BYTES);
+	if (partition->held) {
+		memcpy(record.turn, end->turn, NAME_BYTES);
+		memcpy(record.program, end->program, NAME_BYTES);
+		memcpy(record.previous, end->previous, NAME_BYTES);
+		memcpy(record.vm, message->sender, NAME_BYTES);
+		memcpy(record.server, end->server, NAME_BYTES);
+		ledger_end(partition->ledger, &record, end->offset, end->bytes,
+		    clock_monotonic_us());
+		if (record.type == TURN_KEPT)
+			offsets_note(&partition->offsets, end->offset);
+		ledger_note_server(
+		    partition->ledger, end->program, end->session, end->server);
+		partition_answer_asks(partition);
+	}
+	/* A kept turn needs no answer: its record is in the log. */
+	if (record.type != TURN_KEPT)
+		reply(gateway, message->sender, &answer);
+}
+
+void
+partition_drop_asks(struct partition *partition, int64_t now_us, bool all)
+{
+	list_for_each_safe (ask, tmp, &partition->asks, struct ask, link) {
+		if (all || now_us - ask->since_us > ASK_MAX_US)
+			ask_free(ask);
+	}
+}
--- a/gateway/recorder.c
+++ b/gateway/recorder.c
@@ -9,15 +9,23 @@
 #include "gateway/recorder.h"
 
 enum {
-	/* An append usually takes some ten milliseconds. */
-	APPEND_TIMEOUT_US = 600 * US_PER_MS,
+	APPEND_TIMEOUT_US = 900 * US_PER_MS,
+	/* A copy is sent when an answer takes so many times as long as answers
+	 * usually do: it is slow, lost, or its connection is silent. */
+	HEDGE_FACTOR = 4,
+	HEDGE_MIN_US = 80 * US_PER_MS,
+	HEDGE_MAX_US = 700 * US_PER_MS,
+	COPIES_MAX = 3,               /* of a batch on their way from here */
 	RETRY_US = 60 * US_PER_MS,    /* after a refusal */
 	FULL_RETRY_US = 1 * US_PER_S, /* while the store has no room */
-	RELAY_TIMEOUT_US = 700 * US_PER_MS,
+	RELAY_TIMEOUT_US = 400 * US_PER_MS,
 	BATCH_MAX_BYTES = 512 << 10,
 	DENIED_US = 1 * US_PER_S, /* then an append from here is tried again */
 };
 
+/* Weight of the newest sample in the usual time of an append. */
+static const double USUAL_WEIGHT = 0.1;
+
 const char TOPIC_TURNS[] = "turns";
 
 /** A record on its way to the store. */
@@ -28,6 +36,13 @@
 	void *context;
 };
 
+/** One sending of a batch from here. */
+struct copy {
+	struct batch *batch;
+	struct store_call *call; /**< NULL: not under way */
+	int64_t sent_us;
+};
+
 /** Records that are appended together. */
 struct batch {
 	struct list link; /**< in the recorder */
@@ -35,11 +50,9 @@
 	uint32_t part;
 	uint64_t number;
 	struct list recordings;
-	struct store_call *call; /**< while this gateway appends */
-	bool relayed;            /**< another gateway appends */
-	uint32_t failures;
-	int64_t started_us;
-	int64_t due_us; /**< when to go on, if nothing else happens */
+	struct copy copies[COPIES_MAX];
+	uint32_t sendings; /**< here and by way of others */
+	int64_t due_us;    /**< when to send again, if nothing else happens */
 };
 
 /** An append on behalf of another gateway. */
@@ -59,11 +72,11 @@
 	struct list errands;
 	uint64_t next_number;
 	uv_timer_t *timer;
-	int64_t lost_us; /**< first failure since the last success; 0: none */
+	int64_t lost_us;   /**< first failure since the last success; 0: none */
 	int64_t denied_us; /**< last failure of an append from here; 0: none */
+	double usual_us;   /**< time of an append */
 };
 
-static void batch_send(struct batch *batch);
 static void handle_timer(uv_timer_t *timer);
 
 /* ---- state of the store ---- */
@@ -139,6 +152,17 @@
 
 static void start_batch(struct recorder *recorder, uint32_t part);
 
+static void
+batch_free(struct batch *batch)
+{
+	for (size_t i = 0; i < COPIES_MAX; i++) {
+		if (batch->copies[i].call != NULL)
+			store_cancel(batch->copies[i].call);
+	}
+	list_remove(&batch->link);
+	free(batch);
+}
+
 /* The batch's records are durable from an offset on, or never will be. */
 static void
 batch_finish(struct batch *batch, bool ok, uint64_t first)
@@ -146,9 +170,6 @@
 	struct recorder *recorder = batch->recorder;
 	uint32_t part = batch->part;
 
-	list_remove(&batch->link);
-	if (batch->call != NULL)
-		store_cancel(batch->call);
 	while (!list_empty(&batch->recordings)) {
 		struct recording *recording =
 		    list_entry(batch->recordings.next, struct recording, link);
@@ -160,21 +181,34 @@
 			done(context, ok, first);
 		first++;
 	}
-	free(batch);
+	batch_free(batch);
 	recorder->busy[part] = false;
 	start_batch(recorder, part);
 	arm_timer(recorder);
 }
 
+static void
+note_usual(struct recorder *recorder, int64_t elapsed_us)
+{
+	if (recorder->usual_us <= 0)
+		recorder->usual_us = (double)elapsed_us;
+	else
+		recorder->usual_us +=
+		    USUAL_WEIGHT * ((double)elapsed_us - recorder->usual_us);
+}
+
 static void
 handle_appended(void *context, const struct store_appended *appended)
 {
-	struct batch *batch = context;
+	struct copy *copy = context;
+	struct batch *batch = copy->batch;
 	struct recorder *recorder = batch->recorder;
+	int64_t now_us = clock_monotonic_us();
 
-	batch->call = NULL;
+	copy->call = NULL;
 	if (appended->status == STORE_OK) {
 		note_success(recorder);
+		note_usual(recorder, now_us - copy->sent_us);
 		recorder->denied_us = 0;
 		batch_finish(batch, true, appended->first);
 		return;
@@ -185,13 +219,14 @@
 		return;
 	}
 	note_failure(recorder, appended->status);
-	recorder->denied_us = clock_monotonic_us();
-	batch->failures++;
-	batch->due_us = clock_monotonic_us() +
-	    (appended->status == STORE_FULL ? FULL_RETRY_US : RETRY_US);
-	/* Another gateway may be served: ask one without delay. */
-	if (batch->failures == 1)
-		batch->due_us = clock_monotonic_us();
+	/* Another gateway may be served: one is asked without delay. */
+	if (recorder->denied_us == 0)
+		batch->due_us = now_us;
+	else if (appended->status == STORE_FULL)
+		batch->due_us = now_us + FULL_RETRY_US;
+	else if (batch->due_us > now_us + RETRY_US)
+		batch->due_us = now_us + RETRY_US;
+	recorder->denied_us = now_us;
 	arm_timer(recorder);
 }
 
@@ -209,7 +244,7 @@
 }
 
 static bool
-batch_relay(struct batch *batch)
+send_by_relay(struct batch *batch)
 {
 	struct gateway *gateway = batch->recorder->gateway;
 	const char *vm = fellows_relay(gateway->fellows);
@@ -236,38 +271,68 @@
 	return sent;
 }
 
-/* The store may turn this gateway away and serve others: an append goes by
- * way of another one if the last from here has failed, and by turns then. */
 static bool
-by_relay(const struct batch *batch)
+send_from_here(struct batch *batch)
+{
+	struct recorder *recorder = batch->recorder;
+	size_t count = list_length(&batch->recordings);
+	struct record_bytes *records;
+	struct copy *copy = NULL;
+
+	for (size_t i = 0; i < COPIES_MAX && copy == NULL; i++) {
+		if (batch->copies[i].call == NULL)
+			copy = &batch->copies[i];
+	}
+	if (copy == NULL)
+		return false;
+	records = xcalloc(count, sizeof(*records));
+	list_records(batch, records);
+	copy->sent_us = clock_monotonic_us();
+	copy->call =
+	    store_append(recorder->gateway->store, TOPIC_TURNS, batch->part,
+		records, count, APPEND_TIMEOUT_US, handle_appended, copy);
+	free(records);
+	return true;
+}
+
+static int64_t
+hedge_us(const struct recorder *recorder)
 {
-	int64_t denied_us = batch->recorder->denied_us;
-	bool denied = denied_us != 0 &&
-	    clock_monotonic_us() - denied_us < DENIED_US;
+	int64_t us = (int64_t)(recorder->usual_us * HEDGE_FACTOR);
 
-	return denied ? batch->failures % 2 == 0 : batch->failures % 2 == 1;
+	if (us < HEDGE_MIN_US)
+		return HEDGE_MIN_US;
+	return us < HEDGE_MAX_US ? us : HEDGE_MAX_US;
 }
 
+/* The store may turn this gateway away and serve others: while appends from
+ * here fail, every other sending goes by way of another gateway, the first
+ * one too. */
 static void
 batch_send(struct batch *batch)
 {
 	struct recorder *recorder = batch->recorder;
-	size_t count = list_length(&batch->recordings);
-	struct record_bytes *records;
+	int64_t now_us = clock_monotonic_us();
+	bool denied = recorder->denied_us != 0 &&
+	    now_us - recorder->denied_us < DENIED_US;
 
-	if (by_relay(batch) && batch_relay(batch)) {
-		batch->relayed = true;
-		batch->due_us = clock_monotonic_us() + RELAY_TIMEOUT_US;
+	batch->sendings++;
+	if (denied && batch->sendings % 2 == 1 && send_by_relay(batch)) {
+		batch->due_us = now_us + RELAY_TIMEOUT_US;
 		return;
 	}
-	batch->relayed = false;
-	records = xcalloc(count, sizeof(*records));
-	list_records(batch, records);
-	batch->call =
-	    store_append(recorder->gateway->store, TOPIC_TURNS, batch->part,
-		records, count, APPEND_TIMEOUT_US, handle_appended, batch);
-	batch->due_us = INT64_MAX;
-	free(records);
+	send_from_here(batch);
+	batch->due_us = now_us + hedge_us(recorder);
+}
+
+static struct batch *
+next_due(struct recorder *recorder, int64_t now_us)
+{
+	list_for_each (batch, &recorder->batches, struct batch, link) {
+		if (batch->due_us <= now_us)
+			return batch;
+	}
+	return NULL;
 }
 
 static void
@@ -275,14 +340,10 @@
 {
 	struct recorder *recorder = timer->data;
 	int64_t now_us = clock_monotonic_us();
+	struct batch *batch;
 
-	list_for_each (batch, &recorder->batches, struct batch, link) {
-		if (batch->due_us > now_us)
-			continue;
-		if (batch->relayed)
-			batch->failures++;
+	while ((batch = next_due(recorder, now_us)) != NULL)
 		batch_send(batch);
-	}
 	arm_timer(recorder);
 }
 
@@ -299,7 +360,8 @@
 	batch->recorder = recorder;
 	batch->part = part;
 	batch->number = ++recorder->next_number;
-	batch->started_us = clock_monotonic_us();
+	for (size_t i = 0; i < COPIES_MAX; i++)
+		batch->copies[i].batch = batch;
 	list_init(&batch->recordings);
 	list_append(&recorder->batches, &batch->link);
 	while (!list_empty(queue) && bytes < BATCH_MAX_BYTES) {
@@ -399,10 +461,8 @@
 			batch_finish(batch, true, stored->first_offset);
 			return;
 		}
-		if (batch->relayed) {
-			batch->due_us = clock_monotonic_us() + RETRY_US;
-			arm_timer(recorder);
-		}
+		batch->due_us = clock_monotonic_us() + RETRY_US;
+		arm_timer(recorder);
 		return;
 	}
 }
@@ -449,13 +509,10 @@
 		struct batch *batch =
 		    list_entry(recorder->batches.next, struct batch, link);
 
-		if (batch->call != NULL)
-			store_cancel(batch->call);
 		while (!list_empty(&batch->recordings))
-			recording_free(list_entry(
-			    batch->recordings.next, struct recording, link));
-		list_remove(&batch->link);
-		free(batch);
+			recording_free(list_entry(batch->recordings.next,
+			    struct recording, link));
+		batch_free(batch);
 	}
 	for (size_t i = 0; i < SETTINGS_PARTITIONS_MAX; i++) {
 		while (!list_empty(&recorder->queues[i]))
--- a/include/gateway/ownership.h
+++ b/include/gateway/ownership.h
@@ -5,22 +5,25 @@
 #ifndef GATEWAY_OWNERSHIP_H
 #define GATEWAY_OWNERSHIP_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "gateway/gateway.h"
 #include "peer/message.h"
 
 struct ownership *ownership_create(struct gateway *gateway);
-void ownership_destroy(struct ownership *owner);
+void ownership_destroy(struct ownership *ownership);
 /** Gives all partitions up, as the process stops. */
-void ownership_leave(struct ownership *owner);
+void ownership_leave(struct ownership *ownership);
+/** Returns whether the lease surely has not run out. */
+bool ownership_is_sure(const struct ownership *ownership);
 /** Generation of the distribution that ownership_owned() is of. */
-uint64_t ownership_generation(const struct ownership *owner);
+uint64_t ownership_generation(const struct ownership *ownership);
 /** Returns a bit for each partition that is owned. */
-uint64_t ownership_owned(const struct ownership *owner);
+uint64_t ownership_owned(const struct ownership *ownership);
 /** Takes a message to an owner, from another gateway or from this one; it
  * answers with a message to the sender. */
 void ownership_handle_message(
-    struct ownership *owner, const struct message *message);
+    struct ownership *ownership, const struct message *message);
 
 #endif
--- a/include/turn/ledger.h
+++ b/include/turn/ledger.h
@@ -88,6 +88,9 @@
 /** The records taken since the last call are durable, or have to be taken
  * again. */
 void ledger_batch_done(struct ledger *ledger, bool durable);
+/** Appends the wire form of a durable fact that the index lacks, without
+ * content. False: there is none left. */
+bool ledger_next_index(struct ledger *ledger, struct buf *out);
 /** Gives up on turns whose VM has not told their end, and forgets what is too
  * old to be asked for. */
 void ledger_expire(struct ledger *ledger, int64_t now_us);
--- a/include/turn/record.h
+++ b/include/turn/record.h
@@ -15,9 +15,10 @@
 #include "record/record.h"
 
 enum turn_record_type {
-	TURN_KEPT = 1,  /**< ended whole; later turns may continue from it */
-	TURN_SPENT = 2, /**< ended; only what it spent is of interest */
-	TURN_OPEN = 3,  /**< may run; counts at its most until it ends */
+	TURN_KEPT = 1,    /**< ended whole; later turns may continue from it */
+	TURN_SPENT = 2,   /**< ended; only what it spent is of interest */
+	TURN_OPEN = 3,    /**< may run; counts at its most until it ends */
+	TURN_COVERED = 4, /**< in the index: see turn_record.offset */
 };
 
 /** Where a kept turn's record is. */
@@ -44,6 +45,10 @@
 	size_t ancestor_count;
 	struct record_bytes input;
 	struct record_bytes output; /**< data of its events */
+	/** In the index, which has no content: where the turn's record is.
+	 * TURN_COVERED: the facts of all records before it are in the index. */
+	uint64_t offset;
+	uint32_t bytes; /**< of the turn's record */
 };
 
 void turn_record_encode(const struct turn_record *record, struct buf *out);
--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -62,6 +62,7 @@
 	UT_hash_handle hh; /**< by id */
 	struct list link;  /**< in the program's open ones, or in ended */
 	struct list write; /**< in to_write or in_batch, by durability */
+	struct list index; /**< in to_index, if the index lacks it */
 	struct ledger_program *program;
 	char id[NAME_BYTES];
 	bool ended;
@@ -96,6 +97,7 @@
 	struct list ended;               /**< of turns, oldest first */
 	struct list to_write;            /**< turns that are NOT_WRITTEN */
 	struct list in_batch;            /**< turns that are IN_BATCH */
+	struct list to_index;            /**< durable facts */
 	struct ledger_mark marks[MARKS]; /**< oldest first */
 	size_t mark_count;
 	uint32_t waiting; /**< turns that wait for their record */
@@ -110,6 +112,7 @@
 	list_init(&ledger->ended);
 	list_init(&ledger->to_write);
 	list_init(&ledger->in_batch);
+	list_init(&ledger->to_index);
 	return ledger;
 }
 
@@ -118,6 +121,7 @@
 {
 	list_remove(&turn->link);
 	list_remove(&turn->write);
+	list_remove(&turn->index);
 	HASH_DEL(ledger->turns, turn);
 	free(turn->ancestors);
 	free(turn);
@@ -185,6 +189,7 @@
 	turn->epoch = ledger->epoch;
 	list_append(&program->open, &turn->link);
 	list_init(&turn->write);
+	list_init(&turn->index);
 	HASH_ADD_STR(ledger->turns, id, turn);
 	if (most > program->most)
 		program->most = most;
@@ -223,6 +228,8 @@
 		list_append(&ledger->to_write, &turn->write);
 	else if (durability == IN_BATCH)
 		list_append(&ledger->in_batch, &turn->write);
+	else if (durability == DURABLE && list_empty(&turn->index))
+		list_append(&ledger->to_index, &turn->index);
 }
 
 bool
@@ -267,6 +274,40 @@
 	return true;
 }
 
+bool
+ledger_next_index(struct ledger *ledger, struct buf *out)
+{
+	struct ledger_turn *turn;
+	struct turn_record record;
+
+	if (list_empty(&ledger->to_index))
+		return false;
+	turn = list_entry(ledger->to_index.next, struct ledger_turn, index);
+	list_remove(&turn->index);
+	if (!turn->kept) {
+		encode_fact(ledger, turn, out);
+		return true;
+	}
+	record = (struct turn_record){
+	    .type = TURN_KEPT,
+	    .epoch = turn->epoch,
+	    .spent = turn->spent,
+	    .most = turn->most,
+	    .budget = turn->program->budget,
+	    .ancestors = turn->ancestors,
+	    .ancestor_count = turn->ancestor_count,
+	    .offset = turn->offset,
+	    .bytes = turn->bytes,
+	};
+	memcpy(record.turn, turn->id, sizeof(record.turn));
+	memcpy(record.program, turn->program->id, sizeof(record.program));
+	memcpy(record.previous, turn->previous, sizeof(record.previous));
+	memcpy(record.vm, turn->vm, sizeof(record.vm));
+	memcpy(record.server, turn->server, sizeof(record.server));
+	turn_record_encode(&record, out);
+	return true;
+}
+
 void
 ledger_batch_done(struct ledger *ledger, bool durable)
 {
@@ -402,9 +443,9 @@
 {
 	struct ledger_turn *turn;
 
-	set_mark(ledger, offset, now_us);
 	switch (record->type) {
 	case TURN_KEPT:
+		set_mark(ledger, offset, now_us);
 		turn = take_end(ledger, record, now_us);
 		set_kept(ledger, turn, record, offset, bytes);
 		set_durability(ledger, turn, DURABLE);
@@ -416,6 +457,8 @@
 	case TURN_OPEN:
 		take_open(ledger, record, now_us);
 		return;
+	case TURN_COVERED:
+		return;
 	}
 }
 
--- a/turn/record.c
+++ b/turn/record.c
@@ -39,6 +39,8 @@
 	sizeof(struct wire_list), &ref_layout, sizeof(struct turn_ref)},
     F(11, WIRE_BYTES, input),
     F(12, WIRE_BYTES, output),
+    F(13, WIRE_UNSIGNED, offset),
+    F(14, WIRE_UNSIGNED, bytes),
 };
 static const struct wire_layout layout = {
     "turn", fields, sizeof(fields) / sizeof(fields[0]), true};
@@ -65,7 +67,7 @@
 	    root->via.array.size < ENVELOPE_ITEMS ||
 	    parts[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
 	    parts[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    parts[1].via.u64 < TURN_KEPT || parts[1].via.u64 > TURN_OPEN)
+	    parts[1].via.u64 < TURN_KEPT || parts[1].via.u64 > TURN_COVERED)
 		return error_set(err, ERROR_INVALID, "not a turn's record");
 	record->type = (enum turn_record_type)parts[1].via.u64;
 	return wire_unpack(&parts[2], &layout, record, err);
@@ -81,7 +83,7 @@
 	memset(record, 0, sizeof(*record));
 	ok = pack_unpack(data, len, &unpacked, err) &&
 	    unpack_envelope(&unpacked.data, record, err);
-	if (ok && record->turn[0] == '\0')
+	if (ok && record->type != TURN_COVERED && record->turn[0] == '\0')
 		ok = error_set(err, ERROR_INVALID, "record of no turn");
 	if (!ok)
 		turn_record_reset(record);
