Configuration and servers from other gateways; hold back requests that crash servers

It now asks a gateway that the store serves. A request whose connections broke as three servers ended is refused, with the evidence that the daemon uses.

--- a/gateway/config_watch.c
+++ b/gateway/config_watch.c
@@ -5,6 +5,7 @@
 #include "common/diag.h"
 #include "common/memory.h"
 #include "common/trace.h"
+#include "gateway/fellows.h"
 #include "gateway/gateway.h"
 #include "platform/config.h"
 
@@ -16,15 +17,18 @@
 	NEWEST_TIMEOUT_US = 1 * US_PER_S,
 	RETRY_US = 250 * US_PER_MS, /* after a failed read */
 	READ_MAX_BYTES = 4 << 20,
+	BEHIND_US = 300 * US_PER_MS, /* then another gateway is asked */
 };
 
 struct config_watch {
 	struct gateway *gateway;
 	struct store_call *call;
 	uv_timer_t *retry;
-	uint64_t next;   /**< offset to read from */
-	bool positioned; /**< next is valid */
-	bool lost;       /**< the last read failed */
+	uint64_t next;      /**< offset to read from */
+	bool positioned;    /**< next is valid */
+	bool lost;          /**< the last read failed */
+	struct buf encoded; /**< the configuration in force */
+	int64_t behind_us;  /**< since when others have a newer one; 0: none */
 };
 
 static void watch_start(struct config_watch *watch);
@@ -72,11 +76,54 @@
 		return;
 	}
 	trace_change(config, from, old != NULL ? old->version : 0);
+	buf_reset(&watch->encoded);
+	buf_append(&watch->encoded, data, len);
+	watch->behind_us = 0;
 	gateway->board.config = config;
 	gateway_config_unref(old);
 	h1_server_set_limits(gateway->callers, &config->limits);
 }
 
+void
+config_watch_give(struct config_watch *watch, const char *vm)
+{
+	struct message message = {
+	    .type = MESSAGE_DECLARED,
+	    .declared =
+		{
+		    .data =
+			{
+			    .data = watch->encoded.data,
+			    .len = watch->encoded.len,
+			},
+		},
+	};
+
+	if (watch->encoded.len > 0)
+		fellows_send(watch->gateway->fellows, vm, &message);
+}
+
+void
+config_watch_heard(struct config_watch *watch, const char *vm, uint64_t version)
+{
+	const struct gateway_config *config = watch->gateway->board.config;
+	struct message message = {.type = MESSAGE_DECLARED_GET};
+	int64_t now_us = clock_monotonic_us();
+
+	if (config != NULL && config->version >= version) {
+		if (config->version == version)
+			watch->gateway->board.config_confirmed_us = now_us;
+		return;
+	}
+	/* The store usually brings it within this time. */
+	if (watch->behind_us == 0)
+		watch->behind_us = now_us;
+	if (now_us - watch->behind_us < BEHIND_US)
+		return;
+	watch->behind_us = now_us;
+	fellows_send(watch->gateway->fellows, vm, &message);
+}
+
 static void
 confirm(struct config_watch *watch)
 {
@@ -203,5 +250,6 @@
 	if (watch->call != NULL)
 		store_cancel(watch->call);
 	uv_close((uv_handle_t *)watch->retry, handle_timer_closed);
+	buf_reset(&watch->encoded);
 	free(watch);
 }
--- a/gateway/fellows.c
+++ b/gateway/fellows.c
@@ -8,6 +8,7 @@
 #include "common/trace.h"
 #include "gateway/fellows.h"
 #include "gateway/ownership.h"
+#include "gateway/quarantine.h"
 #include "gateway/recorder.h"
 #include "gateway/turn.h"
 #include "member/member.h"
@@ -489,6 +490,9 @@
 	}
 	take_parts(fellows, pulse);
 	take_owned(fellows, message->sender, pulse->generation, pulse->owned);
+	if (!pulse->self.log_lost)
+		config_watch_heard(fellows->gateway->config_watch,
+		    message->sender, pulse->self.config_version);
 	if (!was_live)
 		trace_fellow("gateway_live", fellow);
 	if (pulse->wants_reply)
@@ -579,6 +583,23 @@
 	case MESSAGE_HISTORY:
 		turns_handle_message(gateway->turns, message);
 		return;
+	case MESSAGE_DECLARED_GET:
+		config_watch_give(gateway->config_watch, message->sender);
+		return;
+	case MESSAGE_DECLARED:
+		config_watch_offer(gateway->config_watch,
+		    message->declared.data.data, message->declared.data.len,
+		    message->sender);
+		return;
+	case MESSAGE_SERVERS_GET:
+		server_watch_give(gateway->server_watch, message->sender);
+		return;
+	case MESSAGE_SERVERS:
+		server_watch_take(gateway->server_watch, message);
+		return;
+	case MESSAGE_CRASHED:
+		quarantine_take(gateway->quarantine, &message->crashed);
+		return;
 	case MESSAGE_STORE:
 	case MESSAGE_STORED:
 		recorder_handle_message(gateway->recorder, message);
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -4,6 +4,7 @@
 
 #include "common/clock.h"
 #include "common/memory.h"
+#include "gateway/quarantine.h"
 #include "gateway/request.h"
 
 enum {
@@ -245,6 +246,9 @@
 	attempt->call = NULL;
 	if (outcome->result == H1_CONNECT_FAILED) {
 		backend_failed(attempt->backend, now_us);
+		if (outcome->refused)
+			quarantine_server_ended(
+			    request->gateway->quarantine, request->backend);
 		forward_free(request);
 		request_attempt_ended(request, ATTEMPT_UNREACHABLE,
 		    outcome->refused ? "connection refused"
@@ -263,8 +267,11 @@
 			return;
 		}
 	}
-	if (outcome->result == H1_CUT)
+	if (outcome->result == H1_CUT) {
 		backend_failed(attempt->backend, now_us);
+		quarantine_note_cut(request->gateway->quarantine,
+		    request->fingerprint, attempt->backend);
+	}
 	forward_free(request);
 	request_attempt_ended(request, ATTEMPT_BROKEN, broken_reason(outcome));
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -12,6 +12,7 @@
 #include "gateway/fellows.h"
 #include "gateway/gateway.h"
 #include "gateway/ownership.h"
+#include "gateway/quarantine.h"
 #include "gateway/recorder.h"
 #include "gateway/reload.h"
 #include "gateway/request.h"
@@ -129,6 +130,7 @@
 	gateway->fellows = fellows_create(gateway, err);
 	if (gateway->fellows == NULL)
 		return false;
+	gateway->quarantine = quarantine_create(gateway);
 	gateway->recorder = recorder_create(gateway);
 	gateway->turns = turns_create(gateway);
 	gateway->ownership = ownership_create(gateway);
@@ -149,6 +151,7 @@
 	ownership_destroy(gateway->ownership);
 	turns_destroy(gateway->turns);
 	recorder_destroy(gateway->recorder);
+	quarantine_destroy(gateway->quarantine);
 	fellows_destroy(gateway->fellows);
 	store_destroy(gateway->store);
 	h1_server_destroy(gateway->callers);
--- a/gateway/recorder.c
+++ b/gateway/recorder.c
@@ -510,8 +510,8 @@
 		    list_entry(recorder->batches.next, struct batch, link);
 
 		while (!list_empty(&batch->recordings))
-			recording_free(list_entry(batch->recordings.next,
-			    struct recording, link));
+			recording_free(list_entry(
+			    batch->recordings.next, struct recording, link));
 		batch_free(batch);
 	}
 	for (size_t i = 0; i < SETTINGS_PARTITIONS_MAX; i++) {
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -6,6 +6,7 @@
 #include "common/hash.h"
 #include "common/memory.h"
 #include "common/trace.h"
+#include "gateway/quarantine.h"
 #include "gateway/request.h"
 #include "gateway/turn.h"
 
@@ -13,6 +14,7 @@
 	RETRY_NO_CONFIG_US = 500 * US_PER_MS,
 	RETRY_NO_SERVER_US = 500 * US_PER_MS,
 	RETRY_DECLINED_US = 200 * US_PER_MS,
+	RETRY_CRASHES_US = 60 * US_PER_S,
 	DECLINED_MAX = 4, /* servers that may decline a request */
 	RETRY_TEXT_BYTES = 24,
 	/* A safe request is sent to another server when its answer takes so
@@ -437,6 +439,16 @@
 	request->deadline_us = request->received_us + wait_us;
 }
 
+static uint64_t
+fingerprint_of(const struct request *request, const struct h1_head *head)
+{
+	uint64_t hash = hash_text(h1_exchange_peer(request->exchange), 0);
+
+	hash = hash_text(head->method, hash);
+	hash = hash_text((const char *)head->target.data, hash);
+	return hash_bytes(request->body.data, request->body.len, hash);
+}
+
 static bool
 is_turn(const struct request *request)
 {
@@ -474,6 +486,12 @@
 	request_set_deadline(request);
 	request->events.keep_data = request->route->retained;
 	request->body = h1_exchange_take_body(exchange);
+	request->fingerprint = fingerprint_of(request, head);
+	if (quarantine_holds(gateway->quarantine, request->fingerprint)) {
+		request_refuse(request, REFUSAL_CRASHES_SERVERS,
+		    RETRY_CRASHES_US, "it has crashed several servers");
+		return;
+	}
 	if (is_turn(request))
 		turn_begin(request);
 	else
--- a/gateway/server_watch.c
+++ b/gateway/server_watch.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -5,7 +6,9 @@
 #include "common/diag.h"
 #include "common/memory.h"
 #include "common/trace.h"
+#include "gateway/fellows.h"
 #include "gateway/gateway.h"
+#include "gateway/quarantine.h"
 #include "platform/registry.h"
 
 enum {
@@ -19,6 +22,8 @@
 	 * if their servers live. */
 	RETURN_US = 2200 * US_PER_MS,
 	LAPSED_MAX = 256,
+	ASK_AFTER_US = 300 * US_PER_MS, /* without the store */
+	ASK_INTERVAL_US = 500 * US_PER_MS,
 };
 
 /** A server whose entry lapsed while the store was away, or just after. */
@@ -36,6 +41,7 @@
 	bool lost;       /**< the last read failed */
 	int64_t lost_us;
 	int64_t regained_us;    /**< 0: never lost */
+	int64_t asked_us;       /**< last question to another gateway */
 	char after[NAME_BYTES]; /**< key of the last page of the newest */
 	struct lapsed lapsed[LAPSED_MAX];
 	size_t lapsed_count;
@@ -73,6 +79,7 @@
 {
 	struct gateway *gateway = watch->gateway;
 
+	quarantine_server_ended(gateway->quarantine, id);
 	if (backends_remove(&gateway->board.backends, id))
 		trace_server("server_removed", id, NULL);
 }
@@ -97,6 +104,21 @@
 	lapsed->until_us = watch->regained_us + RETURN_US;
 }
 
+static void
+take_entry(struct gateway *gateway, const struct backend_entry *entry)
+{
+	const struct backend *known =
+	    backends_find(&gateway->board.backends, entry->id);
+
+	if (known != NULL && known->entry.born_wall_ms != entry->born_wall_ms)
+		quarantine_server_ended(gateway->quarantine, entry->id);
+	if (backends_update(&gateway->board.backends, entry,
+		settings_region(&gateway->settings, entry->failure_domain)))
+		trace_server(
+		    entry->draining ? "server_draining" : "server_listed",
+		    entry->id, entry->service);
+}
+
 static void
 entry_changed(struct server_watch *watch, const char *id,
     const struct record_bytes *value)
@@ -112,11 +134,7 @@
 		server_gone(watch, id);
 		return;
 	}
-	if (backends_update(&gateway->board.backends, &entry,
-		settings_region(&gateway->settings, entry.failure_domain)))
-		trace_server(
-		    entry.draining ? "server_draining" : "server_listed", id,
-		    entry.service);
+	take_entry(gateway, &entry);
 }
 
 static void
@@ -151,14 +169,102 @@
 	    watch->timer, handle_timer, (uint64_t)(wait_us / US_PER_MS), 0);
 }
 
+/* Another gateway may be served by the store. */
+static void
+ask_fellow(struct server_watch *watch)
+{
+	struct fellows *fellows = watch->gateway->fellows;
+	struct message message = {.type = MESSAGE_SERVERS_GET};
+	int64_t now_us = clock_monotonic_us();
+	const char *vm;
+
+	if (now_us - watch->lost_us < ASK_AFTER_US ||
+	    now_us - watch->asked_us < ASK_INTERVAL_US)
+		return;
+	watch->asked_us = now_us;
+	vm = fellows_relay(fellows);
+	if (vm != NULL)
+		fellows_send(fellows, vm, &message);
+}
+
+void
+server_watch_give(struct server_watch *watch, const char *vm)
+{
+	const struct backends *backends = &watch->gateway->board.backends;
+	struct message message = {.type = MESSAGE_SERVERS};
+	struct message_server *servers;
+	size_t count = 0;
+
+	if (!watch->gateway->board.backends_known || watch->lost)
+		return;
+	servers = xcalloc(HASH_COUNT(backends->by_id) + 1, sizeof(*servers));
+	for (const struct backend *backend = backends->by_id; backend != NULL;
+	     backend = backend->hh.next) {
+		const struct backend_entry *entry = &backend->entry;
+		struct message_server *server = &servers[count];
+
+		if (!backend->listed && !entry->draining)
+			continue;
+		count++;
+		memcpy(server->id, entry->id, NAME_BYTES);
+		memcpy(server->service, entry->service, NAME_BYTES);
+		snprintf(server->address, NAME_BYTES, "%s", entry->address);
+		memcpy(
+		    server->failure_domain, entry->failure_domain, NAME_BYTES);
+		server->slots = entry->slots;
+		server->draining = entry->draining;
+		server->cold_us = entry->cold_us;
+		server->born_wall_ms = entry->born_wall_ms;
+	}
+	message.servers.servers = servers;
+	message.servers.server_count = count;
+	fellows_send(watch->gateway->fellows, vm, &message);
+	free(servers);
+}
+
+static void note_listed(struct server_watch *watch, const char *id);
+static void finish_relisting(struct server_watch *watch);
+
+void
+server_watch_take(struct server_watch *watch, const struct message *message)
+{
+	bool positioned = watch->positioned;
+
+	if (!watch->lost || watch->listed_count > 0)
+		return;
+	for (size_t i = 0; i < message->servers.server_count; i++) {
+		const struct message_server *server =
+		    &message->servers.servers[i];
+		struct backend_entry entry = {
+		    .slots = server->slots,
+		    .draining = server->draining,
+		    .cold_us = server->cold_us,
+		    .born_wall_ms = server->born_wall_ms,
+		};
+
+		memcpy(entry.id, server->id, NAME_BYTES);
+		memcpy(entry.service, server->service, NAME_BYTES);
+		snprintf(entry.address, sizeof(entry.address), "%.31s",
+		    server->address);
+		memcpy(
+		    entry.failure_domain, server->failure_domain, NAME_BYTES);
+		note_listed(watch, entry.id);
+		take_entry(watch->gateway, &entry);
+	}
+	finish_relisting(watch);
+	watch->positioned = positioned;
+}
+
 static void
 read_failed(struct server_watch *watch, enum store_status status)
 {
 	struct trace trace;
 
 	start_later(watch, RETRY_US);
-	if (watch->lost)
+	if (watch->lost) {
+		ask_fellow(watch);
 		return;
+	}
 	watch->lost = true;
 	watch->lost_us = clock_monotonic_us();
 	trace_begin_rare(&trace, "dependency_lost");
--- a/include/common/refusal.h
+++ b/include/common/refusal.h
@@ -51,6 +51,7 @@
 	X(STALE_CONFIG, "configuration_may_be_stale", 503, 1) \
 	X(NO_OWNER, "program_owner_unreachable", 503, 1) \
 	X(HISTORY, "history_unavailable", 503, 1) \
+	X(CRASHES_SERVERS, "request_crashes_servers", 503, 60) \
 	X(CALLER_GONE, "caller_gone", 499, 0)
 
 enum refusal {
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -25,6 +25,7 @@
 struct fellows;
 struct message;
 struct ownership;
+struct quarantine;
 struct recorder;
 struct server_watch;
 struct turns;
@@ -61,6 +62,7 @@
 	struct ownership *ownership;
 	struct recorder *recorder;
 	struct turns *turns;
+	struct quarantine *quarantine;
 	uv_timer_t tick;
 	uv_signal_t signals[3];
 };
@@ -75,10 +77,21 @@
  * ignored. */
 void config_watch_offer(
     struct config_watch *watch, const void *data, size_t len, const char *from);
+/** A gateway that reaches the store has a version in force: confirms this
+ * one's, or asks for a newer one if the store does not bring it. */
+void config_watch_heard(
+    struct config_watch *watch, const char *vm, uint64_t version);
+/** Gives another gateway the configuration in force. */
+void config_watch_give(struct config_watch *watch, const char *vm);
 
 /* The list of backend servers. */
 struct server_watch *server_watch_create(struct gateway *gateway);
 void server_watch_destroy(struct server_watch *watch);
+/** Gives another gateway the list. */
+void server_watch_give(struct server_watch *watch, const char *vm);
+/** Takes the list of another gateway while the store does not give it. */
+void
+server_watch_take(struct server_watch *watch, const struct message *message);
 
 /* Answers to where to connect, whether this VM is ready, and its counters. */
 struct directory *directory_create(struct gateway *gateway, struct error *err);
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -48,7 +48,8 @@
 	const struct route *route;
 	char service[NAME_BYTES];
 	struct attributes attributes;
-	struct buf body; /**< as a server is to receive it */
+	struct buf body;      /**< as a server is to receive it */
+	uint64_t fingerprint; /**< the same when its caller sends it again */
 	enum request_state state;
 	int64_t received_us;
 	int64_t deadline_us; /**< the caller's or the route's, the earlier */
--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -46,6 +46,9 @@
 	MESSAGE_DECLARED = 20,     /**< an encoded configuration */
 	MESSAGE_STORE = 21,        /**< records for another gateway to append */
 	MESSAGE_STORED = 22,       /**< how that append went */
+	MESSAGE_DECLARED_GET = 23, /**< asks for the configuration in force */
+	MESSAGE_SERVERS_GET = 24,  /**< asks for the list of backend servers */
+	MESSAGE_SERVERS = 25,      /**< that list */
 };
 
 /** A daemon as it describes itself, or as a relay describes it. */
@@ -269,6 +272,23 @@
 	struct record_bytes data;
 };
 
+/** A backend server as another gateway knows it. */
+struct message_server {
+	char id[NAME_BYTES];
+	char service[NAME_BYTES];
+	char address[NAME_BYTES];
+	char failure_domain[NAME_BYTES];
+	uint32_t slots;
+	bool draining;
+	int64_t cold_us;
+	int64_t born_wall_ms;
+};
+
+struct message_servers {
+	struct message_server *servers;
+	size_t server_count;
+};
+
 struct message_store {
 	uint64_t number; /**< given by the sender */
 	uint32_t part;
@@ -306,6 +326,7 @@
 		struct message_history history;
 		struct message_crashed crashed;
 		struct message_declared declared;
+		struct message_servers servers;
 		struct message_store store;
 		struct message_stored stored;
 	};
--- a/peer/message.c
+++ b/peer/message.c
@@ -32,6 +32,7 @@
 LIST_IS_ADJACENT(turn_found.chain, turn_found.chain_count);
 LIST_IS_ADJACENT(history.turns, history.turn_count);
 LIST_IS_ADJACENT(store.records, store.record_count);
+LIST_IS_ADJACENT(servers.servers, servers.server_count);
 
 #define F(key, kind, member) WIRE(struct message, key, kind, member)
 #define SPARSE(label, table) \
@@ -256,6 +257,22 @@
 static const struct wire_field declared_fields[] = {
     F(1, WIRE_BYTES, declared.data),
 };
+#define SERVER(key, kind, member) WIRE(struct message_server, key, kind, member)
+static const struct wire_field server_fields[] = {
+    SERVER(1, WIRE_TEXT, id),
+    SERVER(2, WIRE_TEXT, service),
+    SERVER(3, WIRE_TEXT, address),
+    SERVER(4, WIRE_TEXT, failure_domain),
+    SERVER(5, WIRE_UNSIGNED, slots),
+    SERVER(6, WIRE_BOOL, draining),
+    SERVER(7, WIRE_SIGNED, cold_us),
+    SERVER(8, WIRE_SIGNED, born_wall_ms),
+};
+static const struct wire_layout server_layout = SPARSE("server", server_fields);
+
+static const struct wire_field servers_fields[] = {
+    LIST(1, servers.servers, &server_layout),
+};
 static const struct wire_field store_fields[] = {
     F(1, WIRE_UNSIGNED, store.number),
     F(2, WIRE_UNSIGNED, store.part),
@@ -290,6 +307,9 @@
     [MESSAGE_DECLARED] = SPARSE("declared", declared_fields),
     [MESSAGE_STORE] = SPARSE("store", store_fields),
     [MESSAGE_STORED] = SPARSE("stored", stored_fields),
+    [MESSAGE_DECLARED_GET] = {"declared_get", NULL, 0, true},
+    [MESSAGE_SERVERS_GET] = {"servers_get", NULL, 0, true},
+    [MESSAGE_SERVERS] = SPARSE("servers", servers_fields),
 };
 
 static const struct wire_layout *
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -286,6 +286,9 @@
 	case MESSAGE_DECLARED:
 	case MESSAGE_STORE:
 	case MESSAGE_STORED:
+	case MESSAGE_DECLARED_GET:
+	case MESSAGE_SERVERS_GET:
+	case MESSAGE_SERVERS:
 		break;
 	}
 }
