--- /dev/null
+++ b/standins/cluster.c
@@ -0,0 +1,408 @@
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include "common/clock.h"
+#include "platform/store.h"
+#include "standins/cluster.h"
+
+enum {
+	START_MS = 5000,
+	READY_MS = 10000,
+	CALL_MS = 3000,
+	ARGUMENTS_MAX = 32,
+	PATH_BYTES = 256,
+	POLL_US = 20 * US_PER_MS,
+	/* Below the range of ports for outgoing connections. */
+	PORT_FIRST = 20000,
+	PORT_COUNT = 12000,
+	PORT_SPREAD = 120, /* processes that start at ports of their own */
+	PORT_STRIDE = 100,
+};
+
+/* ---- processes ---- */
+
+static pid_t
+spawn(const struct cluster *cluster, const char *log, char *const argv[])
+{
+	char path[PATH_BYTES];
+	pid_t pid;
+	int fd;
+
+	snprintf(path, sizeof(path), "%s/%s", cluster->work, log);
+	pid = fork();
+	if (pid != 0)
+		return pid;
+	fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+	dup2(fd, STDOUT_FILENO);
+	dup2(fd, STDERR_FILENO);
+	execv(argv[0], argv);
+	_exit(127);
+}
+
+/* Waits for "listening PORT" in a log. */
+static int
+wait_listening(const struct cluster *cluster, const char *log)
+{
+	char path[PATH_BYTES];
+	int64_t until_us = clock_monotonic_us() + (int64_t)START_MS * US_PER_MS;
+
+	snprintf(path, sizeof(path), "%s/%s", cluster->work, log);
+	while (clock_monotonic_us() < until_us) {
+		FILE *file = fopen(path, "re");
+		char line[PATH_BYTES];
+		int port = 0;
+
+		while (file != NULL && port == 0 &&
+		    fgets(line, sizeof(line), file) != NULL)
+			sscanf(line, "listening %d", &port);
+		if (file != NULL)
+			fclose(file);
+		if (port != 0)
+			return port;
+		usleep(POLL_US);
+	}
+	return 0;
+}
+
+void
+cluster_signal(struct cluster_process *process, int signal)
+{
+	if (process->pid == 0)
+		return;
+	kill(process->pid, signal);
+	if (signal != SIGKILL)
+		return;
+	waitpid(process->pid, NULL, 0);
+	process->pid = 0;
+}
+
+int
+cluster_wait(struct cluster_process *process, int ms)
+{
+	int64_t until_us = clock_monotonic_us() + (int64_t)ms * US_PER_MS;
+	int status;
+
+	while (clock_monotonic_us() < until_us) {
+		if (waitpid(process->pid, &status, WNOHANG) == process->pid) {
+			process->pid = 0;
+			return WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+		}
+		usleep(POLL_US);
+	}
+	return -1;
+}
+
+/* A port that is free now, and that the system does not give to outgoing
+ * connections before a gateway binds it. */
+static int
+free_port(void)
+{
+	static int next;
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET,
+	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)},
+	};
+	int on = 1;
+	bool bound = false;
+
+	if (next == 0)
+		next = (int)(getpid() % PORT_SPREAD) * PORT_STRIDE;
+	while (!bound) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		next = (next + 1) % PORT_COUNT;
+		address.sin_port = htons((uint16_t)(PORT_FIRST + next));
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		bound =
+		    bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+		close(fd);
+	}
+	return PORT_FIRST + next;
+}
+
+bool
+cluster_start(struct cluster *cluster, const char *build)
+{
+	char program[PATH_BYTES];
+	char *argv[] = {program, NULL};
+
+	*cluster = (struct cluster){.build = build};
+	snprintf(cluster->work, sizeof(cluster->work), "/tmp/guavakeel-XXXXXX");
+	if (mkdtemp(cluster->work) == NULL)
+		return false;
+	snprintf(program, sizeof(program), "%s/standins/standin-store", build);
+	cluster->store.pid = spawn(cluster, "store.log", argv);
+	cluster->store.port = wait_listening(cluster, "store.log");
+	return cluster->store.port != 0;
+}
+
+static void
+remove_work(const struct cluster *cluster)
+{
+	DIR *directory = opendir(cluster->work);
+	struct dirent *entry;
+	char path[2 * PATH_BYTES];
+
+	if (directory == NULL)
+		return;
+	while ((entry = readdir(directory)) != NULL) {
+		snprintf(
+		    path, sizeof(path), "%s/%s", cluster->work, entry->d_name);
+		unlink(path);
+	}
+	closedir(directory);
+	rmdir(cluster->work);
+}
+
+void
+cluster_stop(struct cluster *cluster)
+{
+	for (int i = 0; i < cluster->gateway_count; i++)
+		cluster_signal(&cluster->gateways[i].process, SIGKILL);
+	for (int i = 0; i < cluster->runner_count; i++)
+		cluster_signal(&cluster->runners[i], SIGKILL);
+	cluster_signal(&cluster->store, SIGKILL);
+	if (getenv("KEEP_LOGS") == NULL)
+		remove_work(cluster);
+	else
+		printf("logs are in %s\n", cluster->work);
+}
+
+/* ---- servers ---- */
+
+static int
+split_arguments(char *text, char **argv, int count)
+{
+	char *save = NULL;
+	char *word = strtok_r(text, " ", &save);
+
+	while (word != NULL && count < ARGUMENTS_MAX - 1) {
+		argv[count++] = word;
+		word = strtok_r(NULL, " ", &save);
+	}
+	argv[count] = NULL;
+	return count;
+}
+
+int
+cluster_add_runner(
+    struct cluster *cluster, const char *service, const char *extra)
+{
+	struct cluster_process *runner =
+	    &cluster->runners[cluster->runner_count];
+	char program[PATH_BYTES];
+	char words[PATH_BYTES];
+	char log[32];
+	char *argv[ARGUMENTS_MAX] = {program};
+
+	snprintf(program, sizeof(program), "%s/standins/standin-runner",
+	    cluster->build);
+	snprintf(words, sizeof(words),
+	    "--id %s-%d --service %s --store-port %d %s %s", service,
+	    cluster->runner_count, service, cluster->store.port,
+	    strcmp(service, "models") == 0 ? "--model" : "", extra);
+	split_arguments(words, argv, 1);
+	snprintf(log, sizeof(log), "runner-%d.log", cluster->runner_count);
+	runner->pid = spawn(cluster, log, argv);
+	runner->port = wait_listening(cluster, log);
+	return runner->port != 0 ? cluster->runner_count++ : -1;
+}
+
+int
+cluster_runs(const struct cluster *cluster, const char *request)
+{
+	struct http_reply reply;
+	int runs = 0;
+
+	for (int i = 0; i < cluster->runner_count; i++) {
+		const char *at;
+
+		if (cluster->runners[i].pid == 0)
+			continue;
+		http_call_once(cluster->runners[i].port, "GET",
+		    "/stand-in/runs", "Host: x\r\n", "", 0, CALL_MS, &reply);
+		at = buf_text(&reply.body);
+		while ((at = strstr(at, request)) != NULL) {
+			runs++;
+			at += strlen(request);
+		}
+		http_reply_reset(&reply);
+	}
+	return runs;
+}
+
+/* ---- gateways ---- */
+
+static void
+write_settings(const struct cluster *cluster, int number, const char *path)
+{
+	const struct cluster_gateway *gateway = &cluster->gateways[number];
+	FILE *file = fopen(path, "we");
+
+	if (file == NULL)
+		return;
+	fprintf(file,
+	    "[vm]\nname = entry-%d\nfailure_domain = a\nregion = r\n"
+	    "[gateway]\ncallers = 127.0.0.1:%d\nreadiness = 127.0.0.1:%d\n"
+	    "directory = 127.0.0.1:%d\npeers = 127.0.0.1:%d\n"
+	    "metrics = 127.0.0.1:%d\nstore = 127.0.0.1:%d\n"
+	    "partitions = 12\nlease = 1000 ms\ndrain = 2500 ms\n"
+	    "[failure_domains]\na = r\n[limits]\nstop_grace = 8 s\n",
+	    number, gateway->process.port, gateway->readiness_port,
+	    gateway->directory_port, gateway->peers_port, gateway->metrics_port,
+	    cluster->store.port);
+	fclose(file);
+}
+
+bool
+cluster_restart_gateway(struct cluster *cluster, int number)
+{
+	struct cluster_gateway *gateway = &cluster->gateways[number];
+	char program[PATH_BYTES];
+	char path[PATH_BYTES];
+	char log[32];
+	char *argv[] = {program, "gateway", path, NULL};
+
+	snprintf(
+	    program, sizeof(program), "%s/guavakeel/guavakeel", cluster->build);
+	snprintf(path, sizeof(path), "%s/entry-%d.ini", cluster->work, number);
+	snprintf(log, sizeof(log), "entry-%d.log", number);
+	write_settings(cluster, number, path);
+	gateway->process.pid = spawn(cluster, log, argv);
+	return gateway->process.pid > 0;
+}
+
+int
+cluster_add_gateway(struct cluster *cluster)
+{
+	int number = cluster->gateway_count++;
+	struct cluster_gateway *gateway = &cluster->gateways[number];
+
+	gateway->process.port = free_port();
+	gateway->readiness_port = free_port();
+	gateway->directory_port = free_port();
+	gateway->peers_port = free_port();
+	gateway->metrics_port = free_port();
+	return cluster_restart_gateway(cluster, number) ? number : -1;
+}
+
+bool
+cluster_wait_ready(struct cluster *cluster, int number)
+{
+	const struct cluster_gateway *gateway = &cluster->gateways[number];
+	int64_t until_us = clock_monotonic_us() + (int64_t)READY_MS * US_PER_MS;
+	struct http_reply reply;
+	int status = 0;
+
+	while (status != 200 && clock_monotonic_us() < until_us) {
+		http_call_once(gateway->readiness_port, "GET", "/v1/readyz",
+		    "Host: x\r\n", "", 0, CALL_MS, &reply);
+		status = reply.status;
+		http_reply_reset(&reply);
+		usleep(POLL_US);
+	}
+	return status == 200;
+}
+
+long
+cluster_counter(const struct cluster *cluster, int number, const char *name)
+{
+	struct http_reply reply;
+	char wanted[PATH_BYTES];
+	const char *at;
+	long value = -1;
+
+	http_call_once(cluster->gateways[number].metrics_port, "GET",
+	    "/metrics", "Host: x\r\n", "", 0, CALL_MS, &reply);
+	snprintf(wanted, sizeof(wanted), "\nguavakeel_%s ", name);
+	at = strstr(buf_text(&reply.body), wanted);
+	if (at != NULL)
+		value = strtol(at + strlen(wanted), NULL, 10);
+	http_reply_reset(&reply);
+	return value;
+}
+
+/* ---- the store ---- */
+
+static void
+append_keyed(struct cluster *cluster, const char *topic, const char *key,
+    const char *value)
+{
+	struct http_reply reply;
+	struct buf record = {0};
+	struct buf body = {0};
+	char target[PATH_BYTES];
+	uint32_t length;
+
+	store_keyed_encode(&record, key, value, strlen(value));
+	length = htonl((uint32_t)record.len);
+	buf_append(&body, &length, sizeof(length));
+	buf_append(&body, record.data, record.len);
+	snprintf(
+	    target, sizeof(target), "/stand-in/append?topic=%s&part=0", topic);
+	http_call_once(cluster->store.port, "POST", target, "Host: x\r\n",
+	    body.data, body.len, CALL_MS, &reply);
+	http_reply_reset(&reply);
+	buf_reset(&record);
+	buf_reset(&body);
+}
+
+void
+cluster_publish(struct cluster *cluster, const char *more_routes)
+{
+	struct buf config = {0};
+
+	cluster->config_version += 2;
+	buf_printf(&config,
+	    "{\"version\":%d,\"routes\":["
+	    "{\"name\":\"turn\",\"host\":\"h.example\",\"pathPrefix\":"
+	    "\"/turn/\",\"kind\":\"streaming\",\"timeoutMs\":3000,"
+	    "\"targetLatencyMs\":300,\"priority\":1,\"service\":\"models\","
+	    "\"maxAttempts\":1,\"retained\":true,\"retentionS\":60.0,"
+	    "\"sessionAffinity\":true,\"resumable\":false},"
+	    "{\"name\":\"stream\",\"host\":\"h.example\",\"pathPrefix\":"
+	    "\"/stream/\",\"kind\":\"streaming\",\"timeoutMs\":3000,"
+	    "\"targetLatencyMs\":300,\"priority\":0,\"service\":\"models\","
+	    "\"maxAttempts\":1,\"retained\":false,\"resumable\":true},"
+	    "{\"name\":\"safe\",\"host\":\"h.example\",\"pathPrefix\":"
+	    "\"/safe/\",\"kind\":\"safe\",\"timeoutMs\":1000,"
+	    "\"targetLatencyMs\":100,\"priority\":2,\"service\":\"tools\","
+	    "\"maxAttempts\":3},"
+	    "{\"name\":\"once\",\"host\":\"h.example\",\"pathPrefix\":"
+	    "\"/once/\",\"kind\":\"unsafe\",\"timeoutMs\":1500,"
+	    "\"targetLatencyMs\":150,\"priority\":2,\"service\":\"tools\","
+	    "\"maxAttempts\":1}%s],"
+	    "\"services\":[{\"name\":\"models\",\"healthPath\":\"/healthz\","
+	    "\"maxConnections\":100,\"engine\":{\"maxBatch\":8,"
+	    "\"kvCapacity\":100000,\"tokensPerEvent\":10}},"
+	    "{\"name\":\"tools\",\"healthPath\":\"/healthz\","
+	    "\"maxConnections\":100}],"
+	    "\"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":100000,"
+	    "\"headerTimeoutMs\":1000,\"idleTimeoutMs\":5000}}",
+	    cluster->config_version, more_routes);
+	append_keyed(
+	    cluster, STORE_TOPIC_OPERATOR, STORE_KEY_CONFIG, buf_text(&config));
+	buf_reset(&config);
+}
+
+void
+cluster_fault(struct cluster *cluster, const char *json)
+{
+	struct http_reply reply;
+
+	http_call_once(cluster->store.port, "POST", "/faults",
+	    "Host: x\r\nContent-Type: application/json\r\n", json, strlen(json),
+	    CALL_MS, &reply);
+	http_reply_reset(&reply);
+}
--- /dev/null
+++ b/standins/runner.c
@@ -0,0 +1,373 @@
+/** @file
+ * standin-runner: a backend server of the platform. It registers itself in the
+ * store, and serves model requests as streams of events or plain requests as
+ * whole answers. The data of a stream's first event is the hash of the body
+ * that it was given, so that a caller can check what was said before.
+ */
+#include <argp.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uv.h>
+
+#include "common/clock.h"
+#include "common/hash.h"
+#include "common/list.h"
+#include "common/memory.h"
+#include "h1/client.h"
+#include "h1/server.h"
+#include "platform/store.h"
+
+enum {
+	HEARTBEAT_MS = 300,
+	STORE_TIMEOUT_US = 2 * US_PER_S,
+	BODY_MAX_BYTES = 4 << 20,
+	HEADER_MAX_BYTES = 32 << 10,
+	IDLE_US = 10 * US_PER_S,
+	RUNS_MAX = 4096,
+	ID_BYTES = 64,
+};
+
+static struct {
+	const char *id;
+	const char *service;
+	const char *domain;
+	int store_port;
+	bool model;
+	int events;
+	int work_ms;
+	int slots;
+	bool draining;
+} options = {
+    .id = "runner-1",
+    .service = "models",
+    .domain = "a",
+    .events = 4,
+    .work_ms = 20,
+    .slots = 8,
+};
+
+/** A request under way. */
+struct run {
+	struct list link;
+	struct h1_exchange *exchange;
+	uv_timer_t *timer;
+	char id[ID_BYTES];
+	uint64_t body_hash;
+	int events;
+};
+
+static uv_loop_t *loop;
+static struct h1_server *server;
+static struct h1_client *client;
+static uv_timer_t heartbeat;
+static struct list runs = {&runs, &runs};
+static char ran[RUNS_MAX][ID_BYTES]; /**< ids of requests that have run */
+static size_t ran_count;
+static int64_t born_ms;
+static int sequence;
+
+/* ---- registration ---- */
+
+static enum h1_verdict
+ignore_head(void *context, const struct h1_head *head)
+{
+	(void)context;
+	(void)head;
+	return H1_TAKE;
+}
+
+static void
+ignore_done(void *context, const struct h1_outcome *outcome)
+{
+	(void)context;
+	(void)outcome;
+}
+
+static void
+handle_heartbeat(uv_timer_t *timer)
+{
+	struct buf value = {0};
+	struct buf record = {0};
+	struct buf body = {0};
+	char address[ID_BYTES];
+	struct h1_call_params params = {
+	    .address = address,
+	    .method = "POST",
+	    .target = "/stand-in/append?topic=keyed.servers&part=0",
+	    .connect_timeout_us = STORE_TIMEOUT_US,
+	    .max_reuse_us = STORE_TIMEOUT_US,
+	    .on_head = ignore_head,
+	    .on_done = ignore_done,
+	};
+	uint8_t length[4];
+
+	(void)timer;
+	snprintf(address, sizeof(address), "127.0.0.1:%d", options.store_port);
+	buf_printf(&value,
+	    "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
+	    "\"version\":\"v1\",\"maxBatch\":%d,\"state\":\"%s\","
+	    "\"coldLeftMs\":0,\"sequence\":%d,\"born\":%" PRId64 "}",
+	    options.service, h1_server_port(server), options.domain,
+	    options.slots, options.draining ? "draining" : "ready", ++sequence,
+	    born_ms);
+	store_keyed_encode(&record, options.id, value.data, value.len);
+	for (int i = 0; i < 4; i++)
+		length[i] = (uint8_t)(record.len >> (24 - 8 * i));
+	buf_append(&body, length, sizeof(length));
+	buf_append(&body, record.data, record.len);
+	params.body = body.data;
+	params.body_len = body.len;
+	h1_call_start(client, &params);
+	buf_reset(&value);
+	buf_reset(&record);
+	buf_reset(&body);
+}
+
+/* ---- runs ---- */
+
+static void
+handle_timer_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+static void
+run_free(struct run *run)
+{
+	list_remove(&run->link);
+	uv_close((uv_handle_t *)run->timer, handle_timer_closed);
+	free(run);
+}
+
+static void
+handle_gone(void *context)
+{
+	run_free(context);
+}
+
+static void
+add_answer_headers(struct h1_headers *headers, const char *request)
+{
+	h1_headers_add(headers, "Request-Id", request);
+	h1_headers_add(headers, "Response-Signature", options.id);
+}
+
+static void
+send_event(struct run *run)
+{
+	struct buf event = {0};
+
+	run->events++;
+	buf_printf(&event, "id: %d\ndata: ", run->events);
+	if (run->events == 1)
+		buf_printf(&event, "%016" PRIx64, run->body_hash);
+	else
+		buf_printf(&event, "%s-%d", run->id, run->events);
+	buf_append_text(&event, "\n\n");
+	h1_respond_data(run->exchange, event.data, event.len);
+	buf_reset(&event);
+}
+
+static void
+handle_time(uv_timer_t *timer)
+{
+	struct run *run = timer->data;
+	struct h1_headers headers = {0};
+	char body[ID_BYTES];
+
+	if (options.model && run->events < options.events) {
+		send_event(run);
+		return;
+	}
+	if (options.model) {
+		h1_respond_end(run->exchange);
+	} else {
+		add_answer_headers(&headers, run->id);
+		snprintf(body, sizeof(body), "done %.50s", run->id);
+		h1_respond(run->exchange, 200, &headers, body, strlen(body));
+		h1_headers_reset(&headers);
+	}
+	run_free(run);
+}
+
+static void
+start_run(struct h1_exchange *exchange, const char *request)
+{
+	const struct buf *body = h1_exchange_body(exchange);
+	struct h1_headers headers = {0};
+	struct run *run = xcalloc(1, sizeof(*run));
+
+	run->exchange = exchange;
+	snprintf(run->id, sizeof(run->id), "%s", request);
+	run->body_hash = hash_bytes(body->data, body->len, 0);
+	snprintf(ran[ran_count++ % RUNS_MAX], ID_BYTES, "%s", request);
+	list_append(&runs, &run->link);
+	run->timer = xcalloc(1, sizeof(*run->timer));
+	uv_timer_init(loop, run->timer);
+	run->timer->data = run;
+	h1_exchange_on_gone(exchange, handle_gone, run);
+	if (options.model) {
+		add_answer_headers(&headers, request);
+		h1_headers_add(&headers, "Content-Type", "text/event-stream");
+		h1_respond_begin(exchange, 200, &headers, -1);
+		h1_headers_reset(&headers);
+	}
+	uv_timer_start(run->timer, handle_time, (uint64_t)options.work_ms,
+	    options.model ? (uint64_t)options.work_ms : 0);
+}
+
+static void
+decline(struct h1_exchange *exchange, int status, const char *request)
+{
+	struct h1_headers headers = {0};
+
+	if (request != NULL)
+		h1_headers_add(&headers, "Request-Id", request);
+	h1_headers_add(&headers, "Not-Executed", "1");
+	h1_headers_add(&headers, "Instance-Id", options.id);
+	h1_respond(exchange, status, &headers, "", 0);
+	h1_headers_reset(&headers);
+}
+
+/* GET /stand-in/runs: how often each request has run. */
+static void
+answer_runs(struct h1_exchange *exchange)
+{
+	struct buf body = {0};
+
+	for (size_t i = 0; i < ran_count && i < RUNS_MAX; i++)
+		buf_printf(&body, "%s\n", ran[i]);
+	h1_respond(exchange, 200, NULL, body.data, body.len);
+	buf_reset(&body);
+}
+
+static void
+handle(void *context, struct h1_exchange *exchange)
+{
+	const struct h1_head *head = h1_exchange_head(exchange);
+	const char *request = h1_headers_find(&head->headers, "request-id");
+	const char *wanted = h1_headers_find(&head->headers, "expect-instance");
+	const char *path = (const char *)head->target.data;
+
+	(void)context;
+	if (strcmp(path, "/stand-in/runs") == 0)
+		answer_runs(exchange);
+	else if (strstr(path, "/crash") != NULL)
+		raise(SIGKILL);
+	else if (request == NULL)
+		decline(exchange, 400, NULL);
+	else if (wanted != NULL && strcmp(wanted, options.id) != 0)
+		decline(exchange, 421, request);
+	else if (list_length(&runs) >= (size_t)options.slots)
+		decline(exchange, 503, request);
+	else
+		start_run(exchange, request);
+}
+
+/* ---- the program ---- */
+
+static const struct argp_option argp_options[] = {
+    {"id", 'i', "ID", 0, "Its name in the list of servers", 0},
+    {"service", 's', "NAME", 0, "Service that it is of", 0},
+    {"domain", 'd', "NAME", 0, "Failure domain", 0},
+    {"store-port", 'p', "PORT", 0, "Port of standin-store", 0},
+    {"model", 'm', NULL, 0, "Answer with events", 0},
+    {"events", 'e', "N", 0, "Events of an answer", 0},
+    {"work-ms", 'w', "MS", 0, "Time of an answer, or of an event", 0},
+    {"slots", 'n', "N", 0, "Requests at once", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+	(void)state;
+	switch (key) {
+	case 'i':
+		options.id = arg;
+		return 0;
+	case 's':
+		options.service = arg;
+		return 0;
+	case 'd':
+		options.domain = arg;
+		return 0;
+	case 'p':
+		options.store_port = (int)strtol(arg, NULL, 10);
+		return 0;
+	case 'm':
+		options.model = true;
+		return 0;
+	case 'e':
+		options.events = (int)strtol(arg, NULL, 10);
+		return 0;
+	case 'w':
+		options.work_ms = (int)strtol(arg, NULL, 10);
+		return 0;
+	case 'n':
+		options.slots = (int)strtol(arg, NULL, 10);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* SIGUSR1: it says that it drains, and goes on for the while. */
+static void
+handle_drain(uv_signal_t *signal, int number)
+{
+	(void)signal;
+	(void)number;
+	options.draining = true;
+	handle_heartbeat(&heartbeat);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct argp argp = {
+	    .options = argp_options,
+	    .parser = parse_option,
+	    .doc = "Stands in for a backend server of the platform.",
+	};
+	const struct h1_client_options client_options = {
+	    .silence_us = STORE_TIMEOUT_US,
+	    .idle_us = IDLE_US,
+	};
+	const struct h1_server_options server_options = {
+	    .address = "127.0.0.1",
+	    .limits =
+		{
+		    .max_header_bytes = HEADER_MAX_BYTES,
+		    .max_body_bytes = BODY_MAX_BYTES,
+		    .header_timeout_us = IDLE_US,
+		    .idle_timeout_us = IDLE_US,
+		},
+	    .handle = handle,
+	};
+	struct error err = {0};
+	uv_signal_t drain;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	loop = uv_default_loop();
+	born_ms = clock_wall_us() / US_PER_MS;
+	client = h1_client_create(loop, &client_options);
+	server = h1_server_create(loop, &server_options, &err);
+	if (server == NULL) {
+		fprintf(stderr, "%s\n", err.text);
+		return 1;
+	}
+	printf("listening %d\n", h1_server_port(server));
+	fflush(stdout);
+	uv_signal_init(loop, &drain);
+	uv_signal_start(&drain, handle_drain, SIGUSR1);
+	uv_timer_init(loop, &heartbeat);
+	if (options.store_port != 0)
+		uv_timer_start(&heartbeat, handle_heartbeat, 0, HEARTBEAT_MS);
+	return uv_run(loop, UV_RUN_DEFAULT);
+}
--- /dev/null
+++ b/standins/store.c
@@ -0,0 +1,301 @@
+/** @file
+ * standin-store: the platform's store, in memory. What operators and servers
+ * write goes to /stand-in/append, which the platform's own store lacks.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "common/clock.h"
+#include "common/list.h"
+#include "common/memory.h"
+#include "standins/programs.h"
+#include "standins/topics.h"
+
+enum {
+	DEFAULT_READ_KB = 1024,
+	BYTES_PER_KB = 1024,
+	MAX_WAIT_MS = 30000,
+};
+
+/** A read that waits for a record. */
+struct waiter {
+	struct list link;
+	struct standin_request *request;
+	char topic[TOPICS_NAME_BYTES];
+	uint32_t part;
+	uint64_t from;
+	size_t max_bytes;
+};
+
+static struct topics *topics;
+static struct list waiters = {&waiters, &waiters};
+static int64_t append_count;
+static int64_t read_count;
+
+/* ---- records ---- */
+
+static void
+waiter_free(struct waiter *waiter)
+{
+	list_remove(&waiter->link);
+	free(waiter);
+}
+
+static void
+reply_read(struct standin_request *request, const char *topic, uint32_t part,
+    uint64_t from, size_t max_bytes)
+{
+	struct buf body = {0};
+
+	topics_read(topics, topic, part, from, max_bytes, &body);
+	standin_reply_bytes(
+	    request, 200, "application/octet-stream", body.data, body.len);
+	buf_reset(&body);
+}
+
+static void
+waiter_finish(struct waiter *waiter)
+{
+	struct standin_request *request = waiter->request;
+	struct waiter copy = *waiter;
+
+	request->on_close = NULL;
+	waiter_free(waiter);
+	reply_read(request, copy.topic, copy.part, copy.from, copy.max_bytes);
+}
+
+static void
+handle_wait_over(struct standin_request *request)
+{
+	waiter_finish(request->context);
+}
+
+static void
+handle_wait_closed(struct standin_request *request)
+{
+	waiter_free(request->context);
+	standin_stream_end(request);
+}
+
+static void
+wake_waiters(const char *topic, uint32_t part)
+{
+	list_for_each_safe (waiter, tmp, &waiters, struct waiter, link) {
+		if (waiter->part == part && strcmp(waiter->topic, topic) == 0)
+			waiter_finish(waiter);
+	}
+}
+
+static void
+handle_append(struct standin_request *request, bool platform)
+{
+	char topic[TOPICS_NAME_BYTES];
+	uint32_t part = (uint32_t)standin_query_number(request, "part", 0);
+	uint64_t first;
+	uint64_t end;
+
+	standin_query_text(request, "topic", topic, sizeof(topic));
+	append_count++;
+	if (!platform &&
+	    (strcmp(topic, "keyed.op") == 0 ||
+		strcmp(topic, "keyed.servers") == 0)) {
+		standin_reply_error(request, 403, "not the system's to write");
+		return;
+	}
+	if (!topics_append(topics, topic, part, request->body.data,
+		request->body.len, &first, &end)) {
+		standin_reply_error(request, 400, "malformed records");
+		return;
+	}
+	standin_reply(request, 200,
+	    json_pack("{s:I, s:I}", "offset", (json_int_t)first, "end",
+		(json_int_t)end));
+	wake_waiters(topic, part);
+}
+
+static void
+handle_read(struct standin_request *request)
+{
+	struct waiter *waiter;
+	char topic[TOPICS_NAME_BYTES];
+	uint32_t part = (uint32_t)standin_query_number(request, "part", 0);
+	uint64_t from = (uint64_t)standin_query_number(request, "from", 0);
+	size_t max_bytes =
+	    (size_t)standin_query_number(request, "maxKb", DEFAULT_READ_KB) *
+	    BYTES_PER_KB;
+	int64_t wait_ms = standin_query_number(request, "waitMs", 0);
+
+	read_count++;
+	standin_query_text(request, "topic", topic, sizeof(topic));
+	if (wait_ms == 0 || topics_end(topics, topic, part) > from) {
+		reply_read(request, topic, part, from, max_bytes);
+		return;
+	}
+	waiter = xcalloc(1, sizeof(*waiter));
+	waiter->request = request;
+	memcpy(waiter->topic, topic, sizeof(topic));
+	waiter->part = part;
+	waiter->from = from;
+	waiter->max_bytes = max_bytes;
+	list_append(&waiters, &waiter->link);
+	request->context = waiter;
+	request->on_close = handle_wait_closed;
+	standin_request_wait(request,
+	    wait_ms < MAX_WAIT_MS ? wait_ms : MAX_WAIT_MS, handle_wait_over);
+}
+
+static void
+add_newest(void *context, const char *key, const struct record_bytes *value,
+    uint64_t offset)
+{
+	size_t size = sodium_base64_ENCODED_LEN(
+	    value->len, sodium_base64_VARIANT_ORIGINAL);
+	char *text = xcalloc(1, size);
+
+	sodium_bin2base64(text, size, value->data, value->len,
+	    sodium_base64_VARIANT_ORIGINAL);
+	json_array_append_new(context,
+	    json_pack("{s:s, s:s, s:I}", "key", key, "value", text, "offset",
+		(json_int_t)offset));
+	free(text);
+}
+
+static void
+handle_newest(struct standin_request *request)
+{
+	char topic[TOPICS_NAME_BYTES];
+	json_t *items = json_array();
+
+	read_count++;
+	standin_query_text(request, "topic", topic, sizeof(topic));
+	topics_newest(topics, topic, add_newest, items);
+	standin_reply(request, 200,
+	    json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", 0, "end",
+		(json_int_t)topics_end(topics, topic, 0)));
+}
+
+/* ---- groups ---- */
+
+static void
+handle_join(struct standin_request *request)
+{
+	json_t *body = standin_request_json(request);
+	const char *group;
+	const char *member;
+	const char *topic;
+	json_int_t ttl_ms;
+	json_t *rows = json_array();
+	uint64_t parts;
+	uint64_t generation;
+
+	if (json_unpack(body, "{s:s, s:s, s:[s], s:I}", "group", &group,
+		"member", &member, "topics", &topic, "ttlMs", &ttl_ms) != 0) {
+		json_decref(rows);
+		json_decref(body);
+		standin_reply_error(request, 400, "malformed call");
+		return;
+	}
+	generation = topics_join(topics, group, member, ttl_ms * US_PER_MS,
+	    clock_monotonic_us(), &parts);
+	for (int i = 0; i < TOPICS_PARTS; i++) {
+		if ((parts >> i & 1) != 0)
+			json_array_append_new(
+			    rows, json_pack("[s, i, i]", topic, i, 0));
+	}
+	json_decref(body);
+	standin_reply(request, 200,
+	    json_pack("{s:I, s:I, s:o}", "generation", (json_int_t)generation,
+		"ttlMs", ttl_ms, "parts", rows));
+}
+
+static void
+handle_leave(struct standin_request *request)
+{
+	json_t *body = standin_request_json(request);
+	const char *group;
+	const char *member;
+
+	if (json_unpack(
+		body, "{s:s, s:s}", "group", &group, "member", &member) == 0)
+		topics_leave(topics, group, member, clock_monotonic_us());
+	json_decref(body);
+	standin_reply(request, 200, json_object());
+}
+
+static void
+handle_owners(struct standin_request *request)
+{
+	char group[TOPICS_NAME_BYTES];
+	json_t *rows = json_array();
+
+	standin_query_text(request, "group", group, sizeof(group));
+	for (int i = 0; i < TOPICS_PARTS; i++) {
+		const char *member = topics_owner(
+		    topics, group, (uint32_t)i, clock_monotonic_us());
+
+		if (member != NULL)
+			json_array_append_new(rows,
+			    json_pack("[s, i, s, i]", "turns", i, member, 0));
+	}
+	standin_reply(request, 200, json_pack("{s:o}", "rows", rows));
+}
+
+static void
+handle(struct standin_request *request)
+{
+	const char *call = standin_path_tail(request, "/v1/log-");
+
+	if (strcmp(request->path, "/stand-in/append") == 0)
+		handle_append(request, true);
+	else if (call == NULL)
+		standin_reply_error(request, 404, "unknown_path");
+	else if (strcmp(call, "append") == 0)
+		handle_append(request, false);
+	else if (strcmp(call, "read") == 0)
+		handle_read(request);
+	else if (strcmp(call, "newest") == 0)
+		handle_newest(request);
+	else if (strcmp(call, "join") == 0)
+		handle_join(request);
+	else if (strcmp(call, "leave") == 0)
+		handle_leave(request);
+	else if (strcmp(call, "owners") == 0)
+		handle_owners(request);
+	else if (strcmp(call, "trim") == 0)
+		standin_reply(request, 200, json_object());
+	else
+		standin_reply_error(request, 404, "unknown_path");
+}
+
+static json_t *
+stats(struct standin *standin)
+{
+	(void)standin;
+	return json_pack("{s:I, s:I}", "appends", (json_int_t)append_count,
+	    "reads", (json_int_t)read_count);
+}
+
+static void
+start(struct standin *standin)
+{
+	(void)standin;
+	topics = topics_create();
+}
+
+static void
+stop(struct standin *standin)
+{
+	(void)standin;
+	topics_destroy(topics);
+}
+
+const struct standin_program store_program = {
+    .name = "standin-store",
+    .summary = "Stands in for the platform's store.",
+    .start = start,
+    .stop = stop,
+    .handle = handle,
+    .stats = stats,
+};
--- /dev/null
+++ b/standins/topics.c
@@ -0,0 +1,339 @@
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "common/list.h"
+#include "common/memory.h"
+#include "platform/store.h"
+#include "standins/topics.h"
+
+struct record_slot {
+	uint8_t *data;
+	size_t len;
+};
+
+struct partition_slot {
+	UT_hash_handle hh;
+	char key[TOPICS_NAME_BYTES + 16]; /**< topic, slash, partition */
+	struct record_slot *records;
+	size_t count;
+	size_t capacity;
+};
+
+struct member_slot {
+	struct list link; /**< in the order of joining */
+	char name[TOPICS_NAME_BYTES];
+	int64_t until_us;
+};
+
+struct group_slot {
+	UT_hash_handle hh;
+	char name[TOPICS_NAME_BYTES];
+	uint64_t generation;
+	struct list members;
+	size_t member_count;
+};
+
+struct topics {
+	struct partition_slot *partitions;
+	struct group_slot *groups;
+};
+
+struct topics *
+topics_create(void)
+{
+	return xcalloc(1, sizeof(struct topics));
+}
+
+void
+topics_destroy(struct topics *topics)
+{
+	struct partition_slot *partition, *next;
+	struct group_slot *group, *next_group;
+
+	HASH_ITER (hh, topics->partitions, partition, next) {
+		HASH_DEL(topics->partitions, partition);
+		for (size_t i = 0; i < partition->count; i++)
+			free(partition->records[i].data);
+		free(partition->records);
+		free(partition);
+	}
+	HASH_ITER (hh, topics->groups, group, next_group) {
+		HASH_DEL(topics->groups, group);
+		list_for_each_safe (
+		    member, tmp, &group->members, struct member_slot, link)
+			free(member);
+		free(group);
+	}
+	free(topics);
+}
+
+/* ---- records ---- */
+
+static struct partition_slot *
+use_partition(struct topics *topics, const char *topic, uint32_t part)
+{
+	struct partition_slot *partition;
+	char key[sizeof(partition->key)];
+
+	snprintf(key, sizeof(key), "%.127s/%u", topic, (unsigned)part);
+	HASH_FIND_STR(topics->partitions, key, partition);
+	if (partition != NULL)
+		return partition;
+	partition = xcalloc(1, sizeof(*partition));
+	memcpy(partition->key, key, sizeof(key));
+	HASH_ADD_STR(topics->partitions, key, partition);
+	return partition;
+}
+
+static uint32_t
+read_length(const uint8_t *at)
+{
+	uint32_t length;
+
+	memcpy(&length, at, sizeof(length));
+	return ntohl(length);
+}
+
+static bool
+is_well_formed(const uint8_t *at, size_t len)
+{
+	while (len >= sizeof(uint32_t)) {
+		size_t used = sizeof(uint32_t) + read_length(at);
+
+		if (used > len)
+			return false;
+		at += used;
+		len -= used;
+	}
+	return len == 0;
+}
+
+static void
+add_record(struct partition_slot *partition, const uint8_t *data, size_t len)
+{
+	if (partition->count == partition->capacity) {
+		partition->capacity = 2 * partition->capacity + 16;
+		partition->records = xrealloc(partition->records,
+		    partition->capacity * sizeof(*partition->records));
+	}
+	partition->records[partition->count++] = (struct record_slot){
+	    .data = (uint8_t *)xmemdup(data, len),
+	    .len = len,
+	};
+}
+
+bool
+topics_append(struct topics *topics, const char *topic, uint32_t part,
+    const void *body, size_t len, uint64_t *first, uint64_t *end)
+{
+	struct partition_slot *partition = use_partition(topics, topic, part);
+	const uint8_t *at = body;
+
+	if (!is_well_formed(at, len))
+		return false;
+	*first = partition->count;
+	while (len > 0) {
+		size_t length = read_length(at);
+
+		add_record(partition, at + sizeof(uint32_t), length);
+		at += sizeof(uint32_t) + length;
+		len -= sizeof(uint32_t) + length;
+	}
+	*end = partition->count;
+	return true;
+}
+
+uint64_t
+topics_end(struct topics *topics, const char *topic, uint32_t part)
+{
+	return use_partition(topics, topic, part)->count;
+}
+
+static void
+append_u64(struct buf *out, uint64_t value)
+{
+	uint8_t bytes[8];
+
+	for (int i = 7; i >= 0; i--) {
+		bytes[i] = (uint8_t)value;
+		value >>= 8;
+	}
+	buf_append(out, bytes, sizeof(bytes));
+}
+
+void
+topics_read(struct topics *topics, const char *topic, uint32_t part,
+    uint64_t from, size_t max_bytes, struct buf *out)
+{
+	const struct partition_slot *partition =
+	    use_partition(topics, topic, part);
+
+	append_u64(out, partition->count);
+	append_u64(out, 0);
+	for (size_t i = from; i < partition->count; i++) {
+		const struct record_slot *record = &partition->records[i];
+		uint32_t length = htonl((uint32_t)record->len);
+
+		if (i > from && out->len + record->len > max_bytes)
+			return;
+		buf_append(out, &length, sizeof(length));
+		buf_append(out, record->data, record->len);
+	}
+}
+
+static bool
+is_newest(const struct partition_slot *partition, size_t at, const char *key)
+{
+	char other[NAME_BYTES];
+	struct record_bytes value;
+
+	for (size_t i = at + 1; i < partition->count; i++) {
+		struct record_bytes record = {
+		    .data = partition->records[i].data,
+		    .len = partition->records[i].len,
+		};
+
+		if (store_keyed_decode(&record, other, &value) &&
+		    strcmp(other, key) == 0)
+			return false;
+	}
+	return true;
+}
+
+void
+topics_newest(struct topics *topics, const char *topic,
+    void (*visit)(void *context, const char *key,
+	const struct record_bytes *value, uint64_t offset),
+    void *context)
+{
+	const struct partition_slot *partition =
+	    use_partition(topics, topic, 0);
+
+	for (size_t i = 0; i < partition->count; i++) {
+		struct record_bytes record = {
+		    .data = partition->records[i].data,
+		    .len = partition->records[i].len,
+		};
+		struct record_bytes value;
+		char key[NAME_BYTES];
+
+		if (store_keyed_decode(&record, key, &value) && value.len > 0 &&
+		    is_newest(partition, i, key))
+			visit(context, key, &value, i);
+	}
+}
+
+/* ---- groups ---- */
+
+static struct group_slot *
+use_group(struct topics *topics, const char *name)
+{
+	struct group_slot *group;
+
+	HASH_FIND_STR(topics->groups, name, group);
+	if (group != NULL)
+		return group;
+	group = xcalloc(1, sizeof(*group));
+	snprintf(group->name, sizeof(group->name), "%s", name);
+	list_init(&group->members);
+	HASH_ADD_STR(topics->groups, name, group);
+	return group;
+}
+
+static struct member_slot *
+find_member(struct group_slot *group, const char *name)
+{
+	list_for_each (member, &group->members, struct member_slot, link) {
+		if (strcmp(member->name, name) == 0)
+			return member;
+	}
+	return NULL;
+}
+
+static void
+remove_member(struct group_slot *group, struct member_slot *member)
+{
+	list_remove(&member->link);
+	free(member);
+	group->member_count--;
+	group->generation++;
+}
+
+static void
+expire_members(struct group_slot *group, int64_t now_us)
+{
+	list_for_each_safe (
+	    member, tmp, &group->members, struct member_slot, link) {
+		if (member->until_us < now_us)
+			remove_member(group, member);
+	}
+}
+
+static size_t
+rank_of(struct group_slot *group, const struct member_slot *wanted)
+{
+	size_t rank = 0;
+
+	list_for_each (member, &group->members, struct member_slot, link) {
+		if (member == wanted)
+			return rank;
+		rank++;
+	}
+	return rank;
+}
+
+uint64_t
+topics_join(struct topics *topics, const char *group_name, const char *name,
+    int64_t lease_us, int64_t now_us, uint64_t *parts)
+{
+	struct group_slot *group = use_group(topics, group_name);
+	struct member_slot *member;
+	size_t rank;
+
+	expire_members(group, now_us);
+	member = find_member(group, name);
+	if (member == NULL) {
+		member = xcalloc(1, sizeof(*member));
+		snprintf(member->name, sizeof(member->name), "%s", name);
+		list_append(&group->members, &member->link);
+		group->member_count++;
+		group->generation++;
+	}
+	member->until_us = now_us + lease_us;
+	rank = rank_of(group, member);
+	*parts = 0;
+	for (size_t i = rank; i < TOPICS_PARTS; i += group->member_count)
+		*parts |= (uint64_t)1 << i;
+	return group->generation;
+}
+
+void
+topics_leave(struct topics *topics, const char *group_name, const char *name,
+    int64_t now_us)
+{
+	struct group_slot *group = use_group(topics, group_name);
+	struct member_slot *member;
+
+	expire_members(group, now_us);
+	member = find_member(group, name);
+	if (member != NULL)
+		remove_member(group, member);
+}
+
+const char *
+topics_owner(struct topics *topics, const char *group_name, uint32_t part,
+    int64_t now_us)
+{
+	struct group_slot *group = use_group(topics, group_name);
+
+	expire_members(group, now_us);
+	list_for_each (member, &group->members, struct member_slot, link) {
+		if (rank_of(group, member) == part % group->member_count)
+			return member->name;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/standins/topics.h
@@ -0,0 +1,48 @@
+/** @file
+ * Topics of the platform store's stand-in, in memory: records in partitions,
+ * and groups whose members share partitions.
+ */
+#ifndef STANDINS_TOPICS_H
+#define STANDINS_TOPICS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/buf.h"
+#include "common/wire.h"
+
+enum {
+	TOPICS_NAME_BYTES = 128,
+	TOPICS_PARTS = 12,
+};
+
+struct topics;
+
+struct topics *topics_create(void);
+void topics_destroy(struct topics *topics);
+/** Appends all records of a body (each with its length before it). Returns
+ * false when the body is malformed. */
+bool topics_append(struct topics *topics, const char *topic, uint32_t part,
+    const void *body, size_t len, uint64_t *first, uint64_t *end);
+/** Returns the end of a partition. */
+uint64_t topics_end(struct topics *topics, const char *topic, uint32_t part);
+/** Appends the wire form of a read from an offset, of about max_bytes. */
+void topics_read(struct topics *topics, const char *topic, uint32_t part,
+    uint64_t from, size_t max_bytes, struct buf *out);
+/** Calls visit for the newest record of each key that has a value. */
+void topics_newest(struct topics *topics, const char *topic,
+    void (*visit)(void *context, const char *key,
+	const struct record_bytes *value, uint64_t offset),
+    void *context);
+
+/** Joins or stays; returns the generation and a bit for each partition. */
+uint64_t topics_join(struct topics *topics, const char *group,
+    const char *member, int64_t lease_us, int64_t now_us, uint64_t *parts);
+void topics_leave(struct topics *topics, const char *group, const char *member,
+    int64_t now_us);
+/** Returns the member that has a partition, or NULL. */
+const char *topics_owner(
+    struct topics *topics, const char *group, uint32_t part, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/tests/test_gateway.c
@@ -0,0 +1,544 @@
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "common/hash.h"
+#include "standins/cluster.h"
+#include "tests/runner.h"
+
+enum {
+	CALL_MS = 5000,
+	TEXT_BYTES = 512,
+};
+
+static struct cluster cluster;
+static const char *build_dir;
+
+/* ---- one cluster of three gateways for each test ---- */
+
+static void
+setup(void)
+{
+	ck_assert(cluster_start(&cluster, build_dir));
+	cluster_publish(&cluster, "");
+	ck_assert_int_ge(cluster_add_runner(&cluster, "models", ""), 0);
+	ck_assert_int_ge(cluster_add_runner(&cluster, "models", ""), 0);
+	ck_assert_int_ge(cluster_add_runner(&cluster, "tools", ""), 0);
+	for (int i = 0; i < 3; i++)
+		ck_assert_int_ge(cluster_add_gateway(&cluster), 0);
+	for (int i = 0; i < 3; i++)
+		ck_assert(cluster_wait_ready(&cluster, i));
+}
+
+static void
+teardown(void)
+{
+	cluster_stop(&cluster);
+}
+
+static int
+port_of(int gateway)
+{
+	return cluster.gateways[gateway].process.port;
+}
+
+static void
+call(int gateway, const char *target, const char *request,
+    const char *more_fields, const char *body, struct http_reply *reply)
+{
+	char fields[2 * TEXT_BYTES];
+
+	snprintf(fields, sizeof(fields),
+	    "Host: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\n%s",
+	    request, more_fields);
+	http_call_once(port_of(gateway), body != NULL ? "POST" : "GET", target,
+	    fields, body, body != NULL ? strlen(body) : 0, CALL_MS, reply);
+}
+
+/* ---- turns ---- */
+
+/** A line of turns as its caller knows it. */
+struct chain {
+	char program[32];
+	char previous[32];
+	struct buf said; /**< all inputs and outputs so far */
+};
+
+/* Sends a turn, and checks that the server was given all that was said. */
+static int
+say(struct chain *chain, int gateway, const char *request, const char *input,
+    unsigned long budget)
+{
+	struct http_reply reply;
+	char fields[TEXT_BYTES];
+	char hash[32];
+	struct buf body = {0};
+	const char *at;
+	int status;
+
+	snprintf(fields, sizeof(fields),
+	    "Program-Id: %s\r\nSession-Id: %s\r\nToken-Budget: %lu\r\n"
+	    "Token-Usage: 100,50\r\n%s%s%s",
+	    chain->program, chain->program, budget,
+	    chain->previous[0] != '\0' ? "Previous-Turn: " : "",
+	    chain->previous, chain->previous[0] != '\0' ? "\r\n" : "");
+	call(gateway, "/turn/x", request, fields, input, &reply);
+	status = reply.status;
+	if (status != 200) {
+		http_reply_reset(&reply);
+		return status;
+	}
+	ck_assert(reply.whole);
+	ck_assert_ptr_nonnull(http_reply_field(&reply, "response-signature"));
+	buf_append(&body, chain->said.data, chain->said.len);
+	buf_append_text(&body, input);
+	snprintf(hash, sizeof(hash), "%016" PRIx64,
+	    hash_bytes(body.data, body.len, 0));
+	ck_assert_ptr_nonnull(strstr(buf_text(&reply.body), hash));
+	buf_append_text(&chain->said, input);
+	for (at = buf_text(&reply.body); (at = strstr(at, "data: ")) != NULL;) {
+		at += strlen("data: ");
+		buf_append(&chain->said, at, strcspn(at, "\n"));
+		buf_append(&chain->said, "\n", 1);
+	}
+	snprintf(chain->previous, sizeof(chain->previous), "%s", request);
+	buf_reset(&body);
+	http_reply_reset(&reply);
+	return status;
+}
+
+/* Repeats a turn under new names while it is refused as not run. */
+static int
+say_patiently(struct chain *chain, int gateway, const char *request,
+    const char *input, unsigned long budget)
+{
+	char name[32];
+	int status = 503;
+
+	for (int i = 0; i < 20 && (status == 503 || status == 0); i++) {
+		snprintf(name, sizeof(name), "%s-%d", request, i);
+		status = say(chain, gateway, name, input, budget);
+		if (status == 503 || status == 0)
+			usleep(300 * US_PER_MS);
+	}
+	return status;
+}
+
+START_TEST(history_is_kept_at_any_gateway)
+{
+	struct chain chain = {.program = "p-any"};
+
+	for (int i = 0; i < 6; i++) {
+		char request[32];
+		char input[32];
+
+		snprintf(request, sizeof(request), "any-%d", i);
+		snprintf(input, sizeof(input), "input %d;", i);
+		ck_assert_int_eq(
+		    say_patiently(&chain, i % 3, request, input, 10000), 200);
+	}
+	buf_reset(&chain.said);
+}
+END_TEST
+
+/* Finds the gateway that owns a program by killing them one by one: the
+ * history must outlive each. */
+START_TEST(history_outlives_every_gateway)
+{
+	struct chain chain = {.program = "p-outlive"};
+
+	ck_assert_int_eq(
+	    say_patiently(&chain, 0, "outlive-a", "first;", 10000), 200);
+	for (int i = 0; i < 3; i++) {
+		char request[32];
+
+		cluster_signal(&cluster.gateways[i].process, SIGKILL);
+		snprintf(request, sizeof(request), "outlive-k%d", i);
+		ck_assert_int_eq(say_patiently(&chain, (i + 1) % 3, request,
+				     "killed;", 10000),
+		    200);
+		ck_assert(cluster_restart_gateway(&cluster, i));
+		ck_assert(cluster_wait_ready(&cluster, i));
+		snprintf(request, sizeof(request), "outlive-r%d", i);
+		ck_assert_int_eq(
+		    say_patiently(&chain, i, request, "back;", 10000), 200);
+	}
+	for (int i = 0; i < 3; i++)
+		cluster_signal(&cluster.gateways[i].process, SIGKILL);
+	for (int i = 0; i < 3; i++)
+		ck_assert(cluster_restart_gateway(&cluster, i));
+	ck_assert(cluster_wait_ready(&cluster, 1));
+	ck_assert_int_eq(
+	    say_patiently(&chain, 1, "outlive-z", "all dark;", 10000), 200);
+	buf_reset(&chain.said);
+}
+END_TEST
+
+/* A program that another one's turn is continued by. */
+START_TEST(another_program_may_continue)
+{
+	struct chain chain = {.program = "p-one"};
+
+	ck_assert_int_eq(say_patiently(&chain, 0, "one", "begun;", 10000), 200);
+	snprintf(chain.program, sizeof(chain.program), "p-other");
+	ck_assert_int_eq(
+	    say_patiently(&chain, 2, "other", "continued;", 10000), 200);
+	buf_reset(&chain.said);
+}
+END_TEST
+
+START_TEST(unknown_turn_is_not_found)
+{
+	struct chain chain = {.program = "p-forged", .previous = "never"};
+
+	ck_assert_int_eq(say_patiently(&chain, 0, "forged", "x;", 10000), 404);
+}
+END_TEST
+
+/* Four events of ten tokens each; a turn may generate 50. */
+START_TEST(budget_ends_a_program)
+{
+	struct chain chain = {.program = "p-budget"};
+	int served = 0;
+	int status = 200;
+
+	for (int i = 0; i < 8 && status == 200; i++) {
+		char request[32];
+
+		snprintf(request, sizeof(request), "budget-%d", i);
+		status = say_patiently(&chain, i % 3, request, "x;", 150);
+		served += status == 200;
+	}
+	ck_assert_int_eq(status, 402);
+	/* 40 + 40 + 40 are spent, and 50 more would exceed 150. */
+	ck_assert_int_eq(served, 3);
+	for (int i = 0; i < 3; i++)
+		cluster_signal(&cluster.gateways[i].process, SIGKILL);
+	for (int i = 0; i < 3; i++)
+		ck_assert(cluster_restart_gateway(&cluster, i));
+	ck_assert(cluster_wait_ready(&cluster, 0));
+	ck_assert_int_eq(
+	    say_patiently(&chain, 0, "budget-later", "x;", 150), 402);
+	buf_reset(&chain.said);
+}
+END_TEST
+
+/* While the store gives no answers a turn is not called whole. */
+START_TEST(end_waits_for_the_store)
+{
+	struct chain chain = {.program = "p-held"};
+	struct http_caller caller;
+	struct http_reply reply;
+	struct buf out = {0};
+	int64_t begun_us;
+
+	ck_assert_int_eq(say_patiently(&chain, 0, "held-a", "x;", 10000), 200);
+	ck_assert(http_caller_open(&caller, port_of(0)));
+	buf_printf(&out,
+	    "POST /turn/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: held-b\r\n"
+	    "Deadline-Ms: 3000\r\nProgram-Id: p-held\r\nToken-Usage: 9,50\r\n"
+	    "Token-Budget: 10000\r\nPrevious-Turn: %s\r\n"
+	    "Content-Length: 1\r\n\r\ny",
+	    chain.previous);
+	begun_us = clock_monotonic_us();
+	ck_assert(http_caller_send(&caller, out.data, out.len));
+	usleep(50 * US_PER_MS);
+	cluster_fault(&cluster, "{\"outage_ms\": 700}");
+	http_caller_read(&caller, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert(reply.whole);
+	ck_assert_int_gt(
+	    clock_monotonic_us() - begun_us, (int64_t)600 * US_PER_MS);
+	buf_reset(&out);
+	buf_reset(&chain.said);
+	http_reply_reset(&reply);
+	http_caller_close(&caller);
+}
+END_TEST
+
+/* ---- single requests ---- */
+
+START_TEST(requests_are_passed_on_unchanged)
+{
+	struct http_reply reply;
+
+	call(0, "/safe/a?b=%20c", "plain-1", "X-Unknown: kept\r\n", NULL,
+	    &reply);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert_str_eq(buf_text(&reply.body), "done plain-1");
+	http_reply_reset(&reply);
+	call(1, "/once/a", "plain-2", "Cookie: Affinity-Key=7\r\n", "body",
+	    &reply);
+	ck_assert_int_eq(reply.status, 200);
+	http_reply_reset(&reply);
+	ck_assert_int_eq(cluster_runs(&cluster, "plain-2"), 1);
+	call(2, "/stream/a", "plain-3", "", "prompt", &reply);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert_ptr_nonnull(strstr(buf_text(&reply.body), "id: 4\n"));
+	http_reply_reset(&reply);
+}
+END_TEST
+
+static void
+check_refused(const char *raw, int status)
+{
+	struct http_caller caller;
+	struct http_reply reply;
+
+	ck_assert(http_caller_open(&caller, port_of(0)));
+	ck_assert(http_caller_send(&caller, raw, strlen(raw)));
+	http_caller_read(&caller, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, status);
+	ck_assert_ptr_nonnull(strstr(buf_text(&reply.body), "\"reason\""));
+	ck_assert_ptr_nonnull(strstr(buf_text(&reply.body), "not run"));
+	http_reply_reset(&reply);
+	http_caller_close(&caller);
+}
+
+START_TEST(bad_requests_are_refused_with_a_reason)
+{
+	struct http_reply reply;
+
+	check_refused("POST /once/a HTTP/1.1\r\nHost: h.example\r\n"
+		      "Request-Id: s-1\r\nContent-Length: 4\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		      "POST /once/a HTTP/1.1\r\nHost: h.example\r\n"
+		      "Request-Id: smuggled\r\nContent-Length: 0\r\n\r\n",
+	    400);
+	check_refused("POST /once/a HTTP/1.1\r\nHost: h.example\r\n"
+		      "Request-Id: s-2\r\nTransfer-Encoding: xchunked\r\n\r\n",
+	    400);
+	check_refused("GET /safe/a HTTP/1.1\r\nHost: h.example\r\n"
+		      "Host: other.example\r\nRequest-Id: s-3\r\n\r\n",
+	    400);
+	check_refused("GET /safe/a HTTP/1.1\r\nHost: h.example\r\n"
+		      "Request-Id : s-4\r\n\r\n",
+	    400);
+	check_refused("GET /safe/a HTTP/1.1\r\nHost: h.example\r\n\r\n", 400);
+	check_refused("GET /safe/a HTTP/1.1\r\nHost: h.example\r\n"
+		      "Request-Id: s-5\r\nDeadline-Ms: soon\r\n\r\n",
+	    400);
+	check_refused("POST /once/a HTTP/1.1\r\nHost: h.example\r\n"
+		      "Request-Id: s-6\r\nContent-Length: 100001\r\n\r\n",
+	    413);
+	check_refused("GET /nowhere/a HTTP/1.1\r\nHost: h.example\r\n"
+		      "Request-Id: s-7\r\n\r\n",
+	    404);
+	ck_assert_int_eq(cluster_runs(&cluster, "smuggled"), 0);
+	call(0, "/safe/a", "after-all", "", NULL, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	http_reply_reset(&reply);
+}
+END_TEST
+
+START_TEST(long_heads_are_refused)
+{
+	struct buf raw = {0};
+
+	buf_append_text(&raw,
+	    "GET /safe/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: l-1\r\n"
+	    "X-Long: ");
+	for (int i = 0; i < 9000; i++)
+		buf_append(&raw, "x", 1);
+	buf_append_text(&raw, "\r\n\r\n");
+	check_refused(buf_text(&raw), 431);
+	buf_reset(&raw);
+}
+END_TEST
+
+START_TEST(chunked_bodies_are_put_together)
+{
+	static const char raw[] =
+	    "POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: ch-1\r\n"
+	    "Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+	struct http_caller caller;
+	struct http_reply reply;
+
+	ck_assert(http_caller_open(&caller, port_of(0)));
+	ck_assert(http_caller_send(&caller, raw, strlen(raw)));
+	http_caller_read(&caller, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	http_reply_reset(&reply);
+	/* Both on one connection: the first one's body has ended. */
+	ck_assert(http_caller_send(&caller, raw, strlen(raw)));
+	http_caller_read(&caller, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	http_reply_reset(&reply);
+	http_caller_close(&caller);
+}
+END_TEST
+
+/* ---- changes ---- */
+
+static int
+status_of(int gateway, const char *target, const char *request)
+{
+	struct http_reply reply;
+	int status;
+
+	call(gateway, target, request, "", NULL, &reply);
+	status = reply.status;
+	http_reply_reset(&reply);
+	return status;
+}
+
+START_TEST(configuration_comes_into_force_everywhere)
+{
+	int served = 0;
+
+	ck_assert_int_eq(status_of(0, "/new/a", "cfg-0"), 404);
+	cluster_publish(&cluster,
+	    ",{\"name\":\"new\",\"host\":\"h.example\",\"pathPrefix\":"
+	    "\"/new/\",\"kind\":\"safe\",\"timeoutMs\":1000,"
+	    "\"targetLatencyMs\":100,\"service\":\"tools\"}");
+	usleep(1000 * US_PER_MS);
+	for (int i = 0; i < 3; i++)
+		served += status_of(i, "/new/a", "cfg-1") == 200;
+	ck_assert_int_eq(served, 3);
+	cluster_publish(&cluster, "");
+	usleep(1000 * US_PER_MS);
+	for (int i = 0; i < 3; i++)
+		ck_assert_int_eq(status_of(i, "/new/a", "cfg-2"), 404);
+}
+END_TEST
+
+START_TEST(leaving_servers_get_no_new_work)
+{
+	int number = cluster_add_runner(&cluster, "tools", "");
+	char request[32];
+	int before;
+
+	ck_assert_int_ge(number, 0);
+	usleep(1200 * US_PER_MS);
+	cluster_signal(&cluster.runners[2], SIGUSR1);
+	usleep(2500 * US_PER_MS);
+	for (int i = 0; i < 30; i++) {
+		snprintf(request, sizeof(request), "drain-%02d", i);
+		ck_assert_int_eq(status_of(i % 3, "/safe/a", request), 200);
+	}
+	cluster_signal(&cluster.runners[2], SIGKILL);
+	before = cluster_runs(&cluster, "drain-");
+	ck_assert_int_eq(before, 30);
+}
+END_TEST
+
+START_TEST(a_stop_cuts_nothing)
+{
+	struct http_caller caller;
+	struct http_reply reply;
+	static const char raw[] =
+	    "POST /stream/a HTTP/1.1\r\nHost: h.example\r\n"
+	    "Request-Id: stop-1\r\nDeadline-Ms: 3000\r\n"
+	    "Content-Length: 0\r\n\r\n";
+	static const char next[] =
+	    "GET /safe/a HTTP/1.1\r\nHost: h.example\r\n"
+	    "Request-Id: stop-2\r\nDeadline-Ms: 1000\r\n\r\n";
+
+	ck_assert(http_caller_open(&caller, port_of(0)));
+	ck_assert(http_caller_send(&caller, next, strlen(next)));
+	http_caller_read(&caller, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	http_reply_reset(&reply);
+	ck_assert(http_caller_send(&caller, raw, strlen(raw)));
+	usleep(30 * US_PER_MS);
+	cluster_signal(&cluster.gateways[0].process, SIGTERM);
+	http_caller_read(&caller, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert(reply.whole);
+	http_reply_reset(&reply);
+	http_caller_close(&caller);
+	http_call_once(cluster.gateways[0].readiness_port, "GET", "/v1/readyz",
+	    "Host: x\r\n", "", 0, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 503);
+	http_reply_reset(&reply);
+	/* The others do not name it any more. */
+	usleep(300 * US_PER_MS);
+	http_call_once(cluster.gateways[1].directory_port, "GET",
+	    "/v1/resolve?name=h.example&region=r&zone=a", "Host: x\r\n", "", 0,
+	    CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	{
+		char address[32];
+
+		snprintf(address, sizeof(address), ":%d\"", port_of(0));
+		ck_assert_ptr_null(strstr(buf_text(&reply.body), address));
+		snprintf(address, sizeof(address), ":%d\"", port_of(2));
+		ck_assert_ptr_nonnull(strstr(buf_text(&reply.body), address));
+	}
+	http_reply_reset(&reply);
+	ck_assert_int_eq(cluster_wait(&cluster.gateways[0].process, 8000), 0);
+}
+END_TEST
+
+START_TEST(a_server_that_dies_is_passed_by)
+{
+	ck_assert_int_ge(cluster_add_runner(&cluster, "tools", ""), 0);
+	usleep(1200 * US_PER_MS);
+	cluster_signal(&cluster.runners[2], SIGKILL);
+	for (int i = 0; i < 12; i++) {
+		char request[32];
+
+		snprintf(request, sizeof(request), "dead-%02d", i);
+		ck_assert_int_eq(status_of(i % 3, "/safe/a", request), 200);
+	}
+}
+END_TEST
+
+/* Each sending of the request kills the server that it reaches. */
+START_TEST(a_request_that_kills_servers_is_held_back)
+{
+	int alive = 0;
+	int refused = 0;
+
+	ck_assert_int_ge(cluster_add_runner(&cluster, "tools", ""), 0);
+	usleep(1200 * US_PER_MS);
+	for (int i = 0; i < 6; i++) {
+		char request[32];
+		struct http_reply reply;
+
+		snprintf(request, sizeof(request), "poison-%d", i);
+		call(i % 3, "/once/crash", request, "", "poison", &reply);
+		ck_assert_int_ne(reply.status, 200);
+		refused += reply.status == 503;
+		http_reply_reset(&reply);
+		usleep(300 * US_PER_MS);
+	}
+	for (int i = 0; i < cluster.runner_count; i++)
+		alive += cluster_wait(&cluster.runners[i], 1) == -1;
+	/* Two tools and two models were there: the models live. */
+	ck_assert_int_ge(alive, 2);
+	ck_assert_int_ge(refused, 3);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+	const TTest *tests[] = {
+	    history_is_kept_at_any_gateway,
+	    history_outlives_every_gateway,
+	    another_program_may_continue,
+	    unknown_turn_is_not_found,
+	    budget_ends_a_program,
+	    end_waits_for_the_store,
+	    requests_are_passed_on_unchanged,
+	    bad_requests_are_refused_with_a_reason,
+	    long_heads_are_refused,
+	    chunked_bodies_are_put_together,
+	    configuration_comes_into_force_everywhere,
+	    leaving_servers_get_no_new_work,
+	    a_stop_cuts_nothing,
+	    a_server_that_dies_is_passed_by,
+	    a_request_that_kills_servers_is_held_back,
+	};
+
+	build_dir = argc > 1 ? argv[1] : "build";
+	signal(SIGPIPE, SIG_IGN);
+	return run_tests_in("gateway", tests, sizeof(tests) / sizeof(tests[0]),
+	    setup, teardown);
+}
