--- a/gateway/partition_ask.c
+++ b/gateway/partition_ask.c
@@ -11,6 +11,7 @@
 enum {
 	ASK_MAX_US = 1200 * US_PER_MS, /* an ask waits; then it is dropped */
 	CHAIN_MAX = 512,               /* turns of a chain */
+	LOOK_US = 300 * US_PER_MS,     /* between looks for ends in the log */
 };
 
 /** A question that can't be answered yet. */
@@ -116,6 +117,16 @@
 	free(granted->chain);
 }
 
+/* Turns that seem to run may have ended, and the news of it may be lost. */
+static void
+look_for_ends(struct partition *partition, int64_t now_us)
+{
+	if (now_us - partition->looked_us < LOOK_US)
+		return;
+	partition->looked_us = now_us;
+	partition_catch_up(partition);
+}
+
 /* Returns whether the ask is answered. */
 static bool
 try_begin(struct partition *partition, struct ask *ask)
@@ -147,9 +158,15 @@
 		partition_flush(partition);
 		return false;
 	case LEDGER_BUSY:
+		look_for_ends(partition, now_us);
 		answer_ask(partition->gateway, ask, TURN_ANSWER_BUSY);
 		return true;
 	case LEDGER_EXHAUSTED:
+		if (!ask->read_through &&
+		    ledger_has_given_up(partition->ledger, begin->program)) {
+			partition_catch_up(partition);
+			return false;
+		}
 		answer_ask(partition->gateway, ask, TURN_ANSWER_EXHAUSTED);
 		return true;
 	case LEDGER_ENDED:
--- a/include/gateway/partition.h
+++ b/include/gateway/partition.h
@@ -25,7 +25,8 @@
 	struct ledger *ledger;
 	uint64_t epoch;
 	int64_t taken_us;
-	struct list asks; /**< questions that can't be answered yet */
+	struct list asks;  /**< questions that can't be answered yet */
+	int64_t looked_us; /**< last look into the log for ends of turns */
 	/* reading */
 	struct store_call *read;
 	struct offsets offsets; /**< records of turns that are known */
--- a/include/turn/ledger.h
+++ b/include/turn/ledger.h
@@ -97,6 +97,9 @@
 /** Returns the offset before which no record is needed any more. */
 uint64_t ledger_trim_offset(const struct ledger *ledger, int64_t now_us);
 
+/** Returns whether turns of a program were counted at their most since news of
+ * their end did not come: it may be in the log. */
+bool ledger_has_given_up(const struct ledger *ledger, const char *program);
 /** Tokens that a program has surely spent; for tests and logs. */
 uint64_t ledger_spent(const struct ledger *ledger, const char *program);
 size_t ledger_programs(const struct ledger *ledger);
--- /dev/null
+++ b/tests/test_turn.c
@@ -0,0 +1,460 @@
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "tests/runner.h"
+#include "turn/history.h"
+#include "turn/ledger.h"
+#include "turn/offsets.h"
+
+enum {
+	MOST = 100,
+	FACTS_MAX = 64,
+};
+
+static struct turn_record
+make_record(enum turn_record_type type, const char *program, const char *turn,
+    uint64_t spent)
+{
+	struct turn_record record = {
+	    .type = type,
+	    .epoch = 1,
+	    .spent = spent,
+	    .most = MOST,
+	    .budget = 10 * MOST,
+	};
+
+	snprintf(record.program, sizeof(record.program), "%s", program);
+	snprintf(record.turn, sizeof(record.turn), "%s", turn);
+	return record;
+}
+
+static enum ledger_verdict
+begin(struct ledger *ledger, const char *program, const char *turn,
+    uint64_t budget, int64_t now_us)
+{
+	const struct ledger_ask ask = {
+	    .turn = turn,
+	    .program = program,
+	    .has_budget = true,
+	    .budget = budget,
+	    .most = MOST,
+	    .deadline_us = now_us + 3 * US_PER_S,
+	};
+
+	return ledger_begin(ledger, &ask, now_us);
+}
+
+/* Appends the facts that have to become durable; returns how many. */
+static size_t
+make_durable(struct ledger *ledger)
+{
+	struct buf data = {0};
+	size_t count = 0;
+
+	while (ledger_next_record(ledger, &data)) {
+		buf_reset(&data);
+		count++;
+	}
+	ledger_batch_done(ledger, true);
+	return count;
+}
+
+static struct ledger *
+owned_ledger(void)
+{
+	struct ledger *ledger = ledger_create(3);
+
+	/* Long before the requests: no program can be of an earlier owner. */
+	ledger_own(ledger, 1, -60 * (int64_t)US_PER_S);
+	return ledger;
+}
+
+START_TEST(records_keep_what_they_say)
+{
+	struct turn_ref ancestors[2] = {
+	    {.turn = "a", .part = 1, .offset = 7, .bytes = 100},
+	    {.turn = "b", .part = 2, .offset = 9, .bytes = 200},
+	};
+	struct turn_record record = make_record(TURN_KEPT, "p", "t", 40);
+	struct turn_record back;
+	struct buf data = {0};
+
+	record.ancestors = ancestors;
+	record.ancestor_count = 2;
+	record.input = (struct record_bytes){(const uint8_t *)"in", 2};
+	record.output = (struct record_bytes){(const uint8_t *)"out\n", 4};
+	turn_record_encode(&record, &data);
+	ck_assert(turn_record_decode(data.data, data.len, &back, NULL));
+	ck_assert_int_eq(back.type, TURN_KEPT);
+	ck_assert_str_eq(back.turn, "t");
+	ck_assert_uint_eq(back.spent, 40);
+	ck_assert_uint_eq(back.ancestor_count, 2);
+	ck_assert_uint_eq(back.ancestors[1].offset, 9);
+	ck_assert_uint_eq(back.output.len, 4);
+	turn_record_reset(&back);
+	for (size_t len = 0; len < data.len; len++)
+		ck_assert(!turn_record_decode(data.data, len, &back, NULL));
+	buf_reset(&data);
+}
+END_TEST
+
+START_TEST(one_turn_needs_no_record_a_second_one_does)
+{
+	struct ledger *ledger = owned_ledger();
+
+	ck_assert_int_eq(begin(ledger, "p", "t1", 1000, 0), LEDGER_GRANTED);
+	ck_assert(!ledger_has_records(ledger));
+	ck_assert_int_eq(begin(ledger, "p", "t2", 1000, 0), LEDGER_WAITS);
+	ck_assert(ledger_is_urgent(ledger));
+	ck_assert_int_eq(begin(ledger, "p", "t2", 1000, 0), LEDGER_WAITS);
+	ck_assert_uint_eq(make_durable(ledger), 1);
+	ck_assert_int_eq(begin(ledger, "p", "t2", 1000, 0), LEDGER_GRANTED);
+	/* Programs do not wait for each other. */
+	ck_assert_int_eq(begin(ledger, "q", "t3", 1000, 0), LEDGER_GRANTED);
+	ledger_destroy(ledger);
+}
+END_TEST
+
+START_TEST(running_turns_count_at_their_most)
+{
+	struct ledger *ledger = owned_ledger();
+	struct turn_record end = make_record(TURN_SPENT, "p", "t1", 10);
+
+	ck_assert_int_eq(begin(ledger, "p", "t1", 150, 0), LEDGER_GRANTED);
+	ck_assert_int_eq(begin(ledger, "p", "t2", 150, 0), LEDGER_BUSY);
+	ledger_end(ledger, &end, 0, 0, 0);
+	ck_assert_uint_eq(ledger_spent(ledger, "p"), 10);
+	make_durable(ledger);
+	ck_assert_int_eq(begin(ledger, "p", "t2", 150, 0), LEDGER_GRANTED);
+	end = make_record(TURN_SPENT, "p", "t2", 60);
+	ledger_end(ledger, &end, 0, 0, 0);
+	ck_assert_int_eq(begin(ledger, "p", "t3", 150, 0), LEDGER_EXHAUSTED);
+	ledger_destroy(ledger);
+}
+END_TEST
+
+START_TEST(a_turn_that_never_ran_counts_nothing)
+{
+	struct ledger *ledger = owned_ledger();
+	struct turn_record end = make_record(TURN_SPENT, "p", "t1", 0);
+
+	ck_assert_int_eq(begin(ledger, "p", "t1", 100, 0), LEDGER_GRANTED);
+	ledger_end(ledger, &end, 0, 0, 0);
+	ck_assert(!ledger_has_records(ledger));
+	ck_assert_int_eq(begin(ledger, "p", "t2", 100, 0), LEDGER_GRANTED);
+	ledger_destroy(ledger);
+}
+END_TEST
+
+START_TEST(copies_of_an_end_fold_to_one)
+{
+	struct ledger *ledger = owned_ledger();
+	struct turn_record kept = make_record(TURN_KEPT, "p", "t1", 30);
+	struct turn_record spent = make_record(TURN_SPENT, "p", "t1", 30);
+
+	begin(ledger, "p", "t1", 1000, 0);
+	ledger_end(ledger, &kept, 5, 10, 0);
+	ledger_apply(ledger, 6, 10, &kept, 0);
+	ledger_end(ledger, &spent, 0, 0, 0);
+	ck_assert_uint_eq(ledger_spent(ledger, "p"), 30);
+	ledger_destroy(ledger);
+}
+END_TEST
+
+START_TEST(an_untold_end_counts_at_its_most_until_it_is_known)
+{
+	struct ledger *ledger = owned_ledger();
+	struct turn_record kept = make_record(TURN_KEPT, "p", "t1", 30);
+
+	begin(ledger, "p", "t1", 1000, 0);
+	ledger_expire(ledger, 9 * (int64_t)US_PER_S);
+	ck_assert_uint_eq(ledger_spent(ledger, "p"), MOST);
+	ck_assert(ledger_has_given_up(ledger, "p"));
+	ledger_apply(ledger, 4, 10, &kept, 9 * (int64_t)US_PER_S);
+	ck_assert_uint_eq(ledger_spent(ledger, "p"), 30);
+	ledger_destroy(ledger);
+}
+END_TEST
+
+/* Moves the facts of one ledger into another, as a new owner reads them. */
+static struct ledger *
+take_over(struct turn_record *records, size_t count, uint64_t epoch)
+{
+	struct ledger *ledger = ledger_create(3);
+
+	for (size_t i = 0; i < count; i++)
+		ledger_apply(ledger, i, 10, &records[i], 0);
+	ledger_own(ledger, epoch, 0);
+	return ledger;
+}
+
+START_TEST(a_takeover_charges_a_turn_until_its_end_is_told)
+{
+	struct turn_record facts[] = {
+	    make_record(TURN_KEPT, "p", "t1", 40),
+	};
+	struct turn_record late = make_record(TURN_SPENT, "p", "t2", 5);
+	struct ledger *ledger = take_over(facts, 1, 2);
+
+	/* 40 spent, 100 charged, 100 wanted. */
+	ck_assert_int_eq(begin(ledger, "p", "t3", 239, 0), LEDGER_BUSY);
+	ledger_end(ledger, &late, 0, 0, 0);
+	ck_assert_int_ne(begin(ledger, "p", "t3", 239, 0), LEDGER_BUSY);
+	ledger_destroy(ledger);
+}
+END_TEST
+
+/* A charge has to be durable before anything is granted without a record. */
+START_TEST(charges_outlive_the_next_takeover)
+{
+	struct turn_record facts[FACTS_MAX] = {
+	    make_record(TURN_KEPT, "p", "t1", 40),
+	};
+	struct ledger *ledger = take_over(facts, 1, 2);
+	struct buf data = {0};
+	size_t count = 1;
+
+	ck_assert_int_eq(begin(ledger, "p", "t2", 1000, 0), LEDGER_WAITS);
+	while (ledger_next_record(ledger, &data)) {
+		ck_assert(turn_record_decode(
+		    data.data, data.len, &facts[count++], NULL));
+		buf_reset(&data);
+	}
+	ck_assert_uint_eq(count, 3);
+	ledger_destroy(ledger);
+	ledger = take_over(facts, count, 3);
+	/* 40 spent, t2 and two charges at 100 each, and 100 wanted. */
+	ck_assert_int_eq(begin(ledger, "p", "t3", 439, 0), LEDGER_BUSY);
+	ck_assert_int_eq(begin(ledger, "p", "t3", 440, 0), LEDGER_WAITS);
+	ledger_destroy(ledger);
+}
+END_TEST
+
+START_TEST(first_turns_after_a_takeover_are_recorded)
+{
+	struct ledger *ledger = take_over(NULL, 0, 2);
+
+	ck_assert_int_eq(begin(ledger, "new", "t1", 1000, 0), LEDGER_WAITS);
+	ck_assert_int_eq(
+	    begin(ledger, "later", "t2", 1000, 6 * (int64_t)US_PER_S),
+	    LEDGER_GRANTED);
+	ledger_destroy(ledger);
+}
+END_TEST
+
+START_TEST(chains_are_found_oldest_first)
+{
+	struct ledger *ledger = owned_ledger();
+	struct turn_record record;
+	struct turn_ref refs[8];
+	struct turn_ref other[1] = {{.turn = "x", .part = 9, .offset = 1}};
+
+	record = make_record(TURN_KEPT, "p", "t1", 1);
+	ledger_apply(ledger, 10, 1, &record, 0);
+	record = make_record(TURN_KEPT, "p", "t2", 1);
+	snprintf(record.previous, sizeof(record.previous), "t1");
+	ledger_apply(ledger, 12, 1, &record, 0);
+	ck_assert_uint_eq(ledger_chain(ledger, "t2", refs, 8), 2);
+	ck_assert_str_eq(refs[0].turn, "t1");
+	ck_assert_uint_eq(refs[1].offset, 12);
+	ck_assert_uint_eq(ledger_chain(ledger, "t2", refs, 1), 0);
+	/* Continues a turn of another partition. */
+	record = make_record(TURN_KEPT, "p", "t3", 1);
+	snprintf(record.previous, sizeof(record.previous), "x");
+	record.ancestors = other;
+	record.ancestor_count = 1;
+	ledger_apply(ledger, 13, 1, &record, 0);
+	ck_assert_uint_eq(ledger_chain(ledger, "t3", refs, 8), 2);
+	ck_assert_uint_eq(refs[0].part, 9);
+	ck_assert_uint_eq(refs[1].part, 3);
+	ck_assert_uint_eq(ledger_chain(ledger, "none", refs, 8), 0);
+	ledger_destroy(ledger);
+}
+END_TEST
+
+START_TEST(a_chain_is_kept_as_long_as_its_newest_turn)
+{
+	struct ledger *ledger = owned_ledger();
+	struct turn_record record = make_record(TURN_KEPT, "p", "t1", 1);
+	struct turn_ref refs[8];
+	int64_t later_us = 140 * (int64_t)US_PER_S;
+
+	ledger_apply(ledger, 10, 1, &record, 0);
+	record = make_record(TURN_KEPT, "p", "t2", 1);
+	snprintf(record.previous, sizeof(record.previous), "t1");
+	ledger_apply(ledger, 12, 1, &record, later_us);
+	ledger_expire(ledger, 2 * later_us);
+	ck_assert_uint_eq(ledger_chain(ledger, "t2", refs, 8), 2);
+	ck_assert_uint_le(ledger_trim_offset(ledger, 100 * later_us), 10);
+	ledger_expire(ledger, 3 * later_us);
+	ck_assert_uint_eq(ledger_chain(ledger, "t2", refs, 8), 0);
+	ledger_destroy(ledger);
+}
+END_TEST
+
+START_TEST(the_index_says_what_the_log_says)
+{
+	struct ledger *ledger = owned_ledger();
+	struct ledger *copy = ledger_create(3);
+	struct turn_record record = make_record(TURN_KEPT, "p", "t1", 40);
+	struct buf data = {0};
+	struct ledger_kept kept;
+	size_t count = 0;
+
+	ledger_apply(ledger, 10, 77, &record, 0);
+	record = make_record(TURN_SPENT, "p", "t2", 5);
+	ledger_apply(ledger, 11, 20, &record, 0);
+	record = make_record(TURN_OPEN, "p", "t3", 0);
+	ledger_apply(ledger, 12, 20, &record, 0);
+	while (ledger_next_index(ledger, &data)) {
+		ck_assert(
+		    turn_record_decode(data.data, data.len, &record, NULL));
+		ledger_apply(copy, record.offset, record.bytes, &record, 0);
+		turn_record_reset(&record);
+		buf_reset(&data);
+		count++;
+	}
+	ck_assert_uint_eq(count, 3);
+	ck_assert_uint_eq(ledger_spent(copy, "p"), 45);
+	ck_assert(ledger_find(copy, "t1", &kept));
+	ck_assert_uint_eq(kept.ref.offset, 10);
+	ck_assert_uint_eq(kept.ref.bytes, 77);
+	ck_assert_int_eq(begin(copy, "p", "t3", 1000, 0), LEDGER_GRANTED);
+	ledger_destroy(ledger);
+	ledger_destroy(copy);
+}
+END_TEST
+
+START_TEST(servers_of_sessions_are_remembered)
+{
+	struct ledger *ledger = owned_ledger();
+
+	begin(ledger, "p", "t1", 1000, 0);
+	ck_assert_str_eq(ledger_server(ledger, "p", "s1"), "");
+	ledger_note_server(ledger, "p", "s1", "one");
+	ledger_note_server(ledger, "p", "s2", "two");
+	ck_assert_str_eq(ledger_server(ledger, "p", "s1"), "one");
+	/* A line that is new begins where the program was last. */
+	ck_assert_str_eq(ledger_server(ledger, "p", "s3"), "two");
+	for (int i = 0; i < 20; i++) {
+		char session[16];
+
+		snprintf(session, sizeof(session), "many-%d", i);
+		ledger_note_server(ledger, "p", session, "many");
+	}
+	ck_assert_str_eq(ledger_server(ledger, "p", "s1"), "many");
+	ledger_destroy(ledger);
+}
+END_TEST
+
+START_TEST(offsets_close_up_whatever_the_order)
+{
+	struct offsets offsets = {0};
+
+	offsets_note(&offsets, 2);
+	offsets_note(&offsets, 1);
+	offsets_note(&offsets, 2);
+	ck_assert_uint_eq(offsets.next, 0);
+	ck_assert(offsets_have_gap(&offsets));
+	offsets_note(&offsets, 0);
+	ck_assert_uint_eq(offsets.next, 3);
+	ck_assert(!offsets_have_gap(&offsets));
+	offsets_note(&offsets, 9);
+	offsets_note(&offsets, 5);
+	offsets_advance(&offsets, 5);
+	ck_assert_uint_eq(offsets.next, 6);
+	offsets_advance(&offsets, 4);
+	ck_assert_uint_eq(offsets.next, 6);
+	offsets_advance(&offsets, 20);
+	ck_assert_uint_eq(offsets.next, 20);
+	ck_assert(!offsets_have_gap(&offsets));
+	offsets_note(&offsets, 3);
+	ck_assert_uint_eq(offsets.next, 20);
+	offsets_reset(&offsets);
+}
+END_TEST
+
+static void
+put(struct history *history, const char *turn, const char *previous,
+    const char *input, const char *output)
+{
+	struct history_turn entry = {
+	    .previous = previous,
+	    .input = {(const uint8_t *)input, strlen(input)},
+	    .output = {(const uint8_t *)output, strlen(output)},
+	};
+
+	snprintf(entry.ref.turn, sizeof(entry.ref.turn), "%s", turn);
+	history_put(history, &entry);
+}
+
+START_TEST(history_puts_a_chain_together)
+{
+	struct history *history = history_create(1 << 20);
+	struct turn_ref refs[4];
+	bool missing[4];
+	struct buf out = {0};
+
+	put(history, "t1", "", "in1;", "out1\n");
+	put(history, "t2", "t1", "in2;", "out2\n");
+	ck_assert_uint_eq(history_chain(history, "t2", refs, 4), 2);
+	ck_assert(history_assemble(history, refs, 2, &out, missing));
+	ck_assert_str_eq(buf_text(&out), "in1;out1\nin2;out2\n");
+	snprintf(refs[0].turn, sizeof(refs[0].turn), "gone");
+	ck_assert(!history_assemble(history, refs, 2, &out, missing));
+	ck_assert(missing[0] && !missing[1]);
+	put(history, "t9", "gone", "", "");
+	ck_assert_uint_eq(history_chain(history, "t9", refs, 4), 0);
+	buf_reset(&out);
+	history_destroy(history);
+}
+END_TEST
+
+START_TEST(history_stays_within_its_bound)
+{
+	struct history *history = history_create(4096);
+	struct history_turn found;
+	char input[1001];
+
+	memset(input, 'x', sizeof(input));
+	input[1000] = '\0';
+	for (int i = 0; i < 50; i++) {
+		char turn[16];
+
+		snprintf(turn, sizeof(turn), "t%d", i);
+		put(history, turn, "", input, "");
+		ck_assert_uint_le(history_bytes(history), 4096);
+		/* The one in use stays. */
+		ck_assert(i == 0 || history_get(history, "t0", &found));
+	}
+	ck_assert(!history_get(history, "t30", &found));
+	history_destroy(history);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    records_keep_what_they_say,
+	    one_turn_needs_no_record_a_second_one_does,
+	    running_turns_count_at_their_most,
+	    a_turn_that_never_ran_counts_nothing,
+	    copies_of_an_end_fold_to_one,
+	    an_untold_end_counts_at_its_most_until_it_is_known,
+	    a_takeover_charges_a_turn_until_its_end_is_told,
+	    charges_outlive_the_next_takeover,
+	    first_turns_after_a_takeover_are_recorded,
+	    chains_are_found_oldest_first,
+	    a_chain_is_kept_as_long_as_its_newest_turn,
+	    the_index_says_what_the_log_says,
+	    servers_of_sessions_are_remembered,
+	    offsets_close_up_whatever_the_order,
+	    history_puts_a_chain_together,
+	    history_stays_within_its_bound,
+	};
+
+	return run_tests("turn", tests, sizeof(tests) / sizeof(tests[0]));
+}
--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +10,11 @@
 #include "common/list.h"
 #include "common/memory.h"
 #include "turn/ledger.h"
+#include "turn/mutation.h"
+
+#ifdef GUAVAKEEL_MUTATIONS
+enum turn_mutation turn_mutation_current;
+#endif
 
 /* Kept turns and programs are asked for within a retention that operators set
  * to a minute or two. */
@@ -17,6 +23,12 @@
 static const int64_t TELL_US = (int64_t)5 * US_PER_S;
 /* Longest time to the deadline of a turn whose grant is not known. */
 static const int64_t DEADLINE_US = (int64_t)30 * US_PER_S;
+/* For so long after a takeover, a program that is not known may have had a
+ * turn granted by the owner before; its first turn is recorded at once, so that
+ * a second such loss is known. */
+static const int64_t CAREFUL_US = (int64_t)5 * US_PER_S;
+/* Longest time from a grant to the end of its turn. */
+static const int64_t CHARGE_US = (int64_t)10 * US_PER_S;
 /* Between two marks of the log's age. */
 static const int64_t MARK_US = (int64_t)10 * US_PER_S;
 
@@ -24,6 +36,9 @@
 	MARKS = 32,
 };
 
+/* Begins the names of turns that stand for unknown ones. */
+static const char CHARGE_MARK = '\t';
+
 enum {
 	SESSIONS = 6, /**< of a program, whose servers are remembered */
 };
@@ -47,11 +62,10 @@
 	char id[NAME_BYTES];
 	uint64_t budget;
 	uint64_t spent;
-	uint64_t
-	    charge;    /**< for a turn that an earlier owner may have granted */
-	uint64_t most; /**< of its largest turn */
-	uint32_t loose;   /**< facts that are not durable */
-	struct list open; /**< turns */
+	uint64_t most;     /**< of its largest turn */
+	uint32_t given_up; /**< turns whose end was not told in time */
+	uint32_t loose;    /**< facts that are not durable */
+	struct list open;  /**< turns */
 	struct ledger_session sessions[SESSIONS]; /**< the latest first */
 	size_t session_count;
 	int64_t used_us;
@@ -67,6 +81,8 @@
 	char id[NAME_BYTES];
 	bool ended;
 	bool kept;
+	bool charge; /**< stands for a turn that an earlier owner may have
+			granted and not recorded */
 	enum durability durability;
 	uint64_t epoch;
 	uint64_t most;
@@ -92,6 +108,7 @@
 struct ledger {
 	uint32_t part;
 	uint64_t epoch;
+	int64_t careful_until_us;        /**< see CAREFUL_US */
 	struct ledger_program *programs; /**< uthash */
 	struct ledger_turn *turns;       /**< uthash */
 	struct list ended;               /**< of turns, oldest first */
@@ -245,12 +262,11 @@
 }
 
 static void
-encode_fact(const struct ledger *ledger, const struct ledger_turn *turn,
-    struct buf *out)
+encode_fact(const struct ledger_turn *turn, struct buf *out)
 {
 	struct turn_record record = {
 	    .type = turn->ended ? TURN_SPENT : TURN_OPEN,
-	    .epoch = ledger->epoch,
+	    .epoch = turn->epoch,
 	    .spent = turn->spent,
 	    .most = turn->most,
 	    .budget = turn->program->budget,
@@ -269,7 +285,7 @@
 	if (list_empty(&ledger->to_write))
 		return false;
 	turn = list_entry(ledger->to_write.next, struct ledger_turn, write);
-	encode_fact(ledger, turn, out);
+	encode_fact(turn, out);
 	set_durability(ledger, turn, IN_BATCH);
 	return true;
 }
@@ -285,7 +301,7 @@
 	turn = list_entry(ledger->to_index.next, struct ledger_turn, index);
 	list_remove(&turn->index);
 	if (!turn->kept) {
-		encode_fact(ledger, turn, out);
+		encode_fact(turn, out);
 		return true;
 	}
 	record = (struct turn_record){
@@ -373,14 +389,27 @@
 	    record->ancestor_count * sizeof(*turn->ancestors));
 }
 
-/* A turn that an earlier owner had granted has ended: it was the one that the
- * program is charged for. */
+/* A turn that an earlier owner had granted without a record has ended: it is
+ * the one that a takeover since then has charged the program for. */
 static void
-settle_charge(
-    const struct ledger *ledger, struct ledger_program *program, uint64_t epoch)
+settle_charge(struct ledger *ledger, struct ledger_program *program,
+    uint64_t epoch, int64_t now_us)
 {
-	if (epoch < ledger->epoch)
-		program->charge = 0;
+	list_for_each (turn, &program->open, struct ledger_turn, link) {
+		if (!turn->charge || turn->epoch <= epoch)
+			continue;
+		set_ended(ledger, turn, 0, now_us);
+		set_durability(ledger, turn, NOT_WRITTEN);
+		return;
+	}
+}
+
+/* A turn that was given up counts at its most until news of its end comes. */
+static void
+correct_spent(struct ledger_turn *turn, uint64_t spent)
+{
+	turn->program->spent -= turn->spent - spent;
+	turn->spent = spent;
 }
 
 static struct ledger_turn *
@@ -395,13 +424,25 @@
 		program->budget = record->budget;
 	if (turn == NULL) {
 		turn = add_turn(ledger, program, record->turn, record->most);
-		settle_charge(ledger, program, record->epoch);
+		turn->epoch = record->epoch;
+		settle_charge(ledger, program, record->epoch, now_us);
 	}
 	if (!turn->ended)
 		set_ended(ledger, turn, record->spent, now_us);
+	else if (record->spent < turn->spent)
+		correct_spent(turn, record->spent);
+	else if (turn_mutation_on(TURN_MUTATION_NO_FOLD))
+		program->spent += record->spent;
 	return turn;
 }
 
+/* No caller's request has such a name: header values do not begin with it. */
+static bool
+is_charge_name(const char *name)
+{
+	return name[0] == CHARGE_MARK;
+}
+
 static void
 take_open(
     struct ledger *ledger, const struct turn_record *record, int64_t now_us)
@@ -414,6 +455,8 @@
 		program->budget = record->budget;
 	if (turn == NULL) {
 		turn = add_turn(ledger, program, record->turn, record->most);
+		turn->epoch = record->epoch;
+		turn->charge = is_charge_name(record->turn);
 		turn->deadline_us = now_us + DEADLINE_US;
 	}
 	if (!turn->ended)
@@ -498,16 +541,35 @@
 
 /* ---- grants ---- */
 
+/* Charges a program with a turn at its most. */
+static void
+charge(struct ledger *ledger, struct ledger_program *program, int64_t now_us)
+{
+	struct ledger_turn *turn;
+	char name[NAME_BYTES];
+
+	snprintf(name, sizeof(name), "%c%" PRIx64 " %.44s", CHARGE_MARK,
+	    ledger->epoch, program->id);
+	if (program->most == 0 || find_turn(ledger, name) != NULL ||
+	    turn_mutation_on(TURN_MUTATION_NO_CHARGE))
+		return;
+	turn = add_turn(ledger, program, name, program->most);
+	turn->charge = true;
+	turn->deadline_us = now_us + CHARGE_US;
+	set_durability(ledger, turn, NOT_WRITTEN);
+}
+
 void
 ledger_own(struct ledger *ledger, uint64_t epoch, int64_t now_us)
 {
 	struct ledger_program *program;
 
 	ledger->epoch = epoch;
+	ledger->careful_until_us = now_us + CAREFUL_US;
 	for (program = ledger->programs; program != NULL;
 	     program = program->hh.next) {
-		program->charge = program->most;
 		program->used_us = now_us;
+		charge(ledger, program, now_us);
 	}
 }
 
@@ -516,6 +578,8 @@
 {
 	uint64_t most = 0;
 
+	if (turn_mutation_on(TURN_MUTATION_NO_OPEN))
+		return 0;
 	list_for_each (turn, &program->open, struct ledger_turn, link)
 		most += turn->most;
 	return most;
@@ -528,10 +592,9 @@
 {
 	if (!ask->has_budget)
 		return LEDGER_GRANTED;
-	if (program->spent + program->charge + ask->most > ask->budget)
+	if (program->spent + ask->most > ask->budget)
 		return LEDGER_EXHAUSTED;
-	if (program->spent + program->charge + open_most(program) + ask->most >
-	    ask->budget)
+	if (program->spent + open_most(program) + ask->most > ask->budget)
 		return LEDGER_BUSY;
 	return LEDGER_GRANTED;
 }
@@ -550,6 +613,7 @@
     struct ledger *ledger, const struct ledger_ask *ask, int64_t now_us)
 {
 	struct ledger_turn *turn = find_turn(ledger, ask->turn);
+	bool known = find_program(ledger, ask->program) != NULL;
 	struct ledger_program *program;
 	enum ledger_verdict verdict;
 
@@ -563,7 +627,9 @@
 		return verdict;
 	turn = add_turn(ledger, program, ask->turn, ask->most);
 	turn->deadline_us = ask->deadline_us;
-	if (program->loose == 0) {
+	if ((program->loose == 0 &&
+		(known || now_us >= ledger->careful_until_us)) ||
+	    turn_mutation_on(TURN_MUTATION_NO_RECORD)) {
 		set_durability(ledger, turn, UNWRITTEN);
 		return LEDGER_GRANTED;
 	}
@@ -683,6 +749,7 @@
 		if (now_us - turn->deadline_us < TELL_US)
 			continue;
 		set_ended(ledger, turn, turn->most, now_us);
+		program->given_up += !turn->charge;
 		set_durability(ledger, turn, NOT_WRITTEN);
 	}
 }
@@ -734,6 +801,14 @@
 	return offset;
 }
 
+bool
+ledger_has_given_up(const struct ledger *ledger, const char *id)
+{
+	const struct ledger_program *program = find_program(ledger, id);
+
+	return program != NULL && program->given_up > 0;
+}
+
 uint64_t
 ledger_spent(const struct ledger *ledger, const char *id)
 {
