--- /dev/null
+++ b/tests/test_dispatch.c
@@ -0,0 +1,298 @@
+#include <check.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/hash.h"
+#include "dispatch/backends.h"
+#include "tests/runner.h"
+
+static struct backends backends;
+
+static void
+setup(void)
+{
+	backends_init(&backends, "r1", "d1", 7);
+}
+
+static void
+teardown(void)
+{
+	backends_reset(&backends);
+}
+
+static struct backend *
+add(const char *id, const char *service, const char *domain, const char *region)
+{
+	struct backend_entry entry = {.slots = 8, .born_wall_ms = 1};
+
+	snprintf(entry.id, sizeof(entry.id), "%s", id);
+	snprintf(entry.service, sizeof(entry.service), "%s", service);
+	snprintf(entry.address, sizeof(entry.address), "10.0.0.1:80");
+	snprintf(
+	    entry.failure_domain, sizeof(entry.failure_domain), "%s", domain);
+	backends_update(&backends, &entry, region);
+	return backends_find(&backends, id);
+}
+
+static const char *
+choose(struct backend_request *request, int64_t now_us)
+{
+	struct backend *backend = backends_choose(&backends, request, now_us);
+
+	return backend != NULL ? backend->entry.id : "none";
+}
+
+START_TEST(only_listed_servers_of_the_service_are_chosen)
+{
+	struct backend_request request = {.service = "s", .preferred = ""};
+	struct backend_entry entry;
+
+	ck_assert_str_eq(choose(&request, 0), "none");
+	add("a", "s", "d1", "r1");
+	add("b", "other", "d1", "r1");
+	ck_assert_str_eq(choose(&request, 0), "a");
+	entry = backends_find(&backends, "a")->entry;
+	entry.draining = true;
+	ck_assert(backends_update(&backends, &entry, "r1"));
+	ck_assert_str_eq(choose(&request, 0), "none");
+	ck_assert(!backends_serve(&backends, "s"));
+	ck_assert(!backends_update(&backends, &entry, "r1"));
+}
+END_TEST
+
+START_TEST(a_removed_server_is_kept_while_it_runs_something)
+{
+	struct backend_request request = {.service = "s", .preferred = ""};
+	struct backend *backend = add("a", "s", "d1", "r1");
+
+	backend_started(&backends, backend, &request, 0);
+	ck_assert(backends_remove(&backends, "a"));
+	ck_assert(!backends_remove(&backends, "a"));
+	ck_assert_str_eq(choose(&request, 0), "none");
+	ck_assert_ptr_nonnull(backends_find(&backends, "a"));
+	backend_ended(&backends, backend);
+	ck_assert_ptr_null(backends_find(&backends, "a"));
+}
+END_TEST
+
+START_TEST(tried_servers_are_left_out)
+{
+	static const char tried[1][NAME_BYTES] = {"a"};
+	struct backend_request request = {
+	    .service = "s", .preferred = "", .tried = tried, .tried_count = 1};
+
+	add("a", "s", "d1", "r1");
+	ck_assert_str_eq(choose(&request, 0), "none");
+	add("b", "s", "d1", "r1");
+	ck_assert_str_eq(choose(&request, 0), "b");
+}
+END_TEST
+
+START_TEST(failed_servers_are_avoided_for_a_while)
+{
+	struct backend_request request = {.service = "s", .preferred = ""};
+	struct backend *near = add("near", "s", "d1", "r1");
+
+	add("far", "s", "d2", "r2");
+	ck_assert_str_eq(choose(&request, 0), "near");
+	backend_failed(near, 0);
+	ck_assert_str_eq(choose(&request, 0), "far");
+	ck_assert_str_eq(choose(&request, 300 * US_PER_MS), "near");
+	backend_failed(near, 300 * US_PER_MS);
+	ck_assert_str_eq(choose(&request, 600 * US_PER_MS), "far");
+	/* When all have failed, one is tried nevertheless. */
+	backend_failed(backends_find(&backends, "far"), 600 * US_PER_MS);
+	ck_assert_str_ne(choose(&request, 600 * US_PER_MS), "none");
+}
+END_TEST
+
+START_TEST(load_here_and_elsewhere_counts)
+{
+	struct backend_request request = {.service = "s", .preferred = ""};
+	struct backend *a = add("a", "s", "d1", "r1");
+	struct backend *b = add("b", "s", "d1", "r1");
+
+	a->running = 3;
+	ck_assert_str_eq(choose(&request, 0), "b");
+	b->remote = 6;
+	ck_assert_str_eq(choose(&request, 0), "a");
+}
+END_TEST
+
+/* Load that the bench's heaviest days have: servers of this domain are full,
+ * those of another region are not. */
+START_TEST(a_far_server_is_better_than_a_crowded_one)
+{
+	struct backend_request request = {.service = "s",
+	    .preferred = "",
+	    .streams = true,
+	    .max_tokens = 500};
+	struct backend *near = add("near", "s", "d1", "r1");
+
+	add("far", "s", "d2", "r2");
+	near->running = 1;
+	ck_assert_str_eq(choose(&request, 0), "near");
+	near->running = 16;
+	ck_assert_str_eq(choose(&request, 0), "far");
+}
+END_TEST
+
+START_TEST(a_cached_prompt_outweighs_some_load)
+{
+	const struct prompt_part parts[] = {
+	    {.id = 1, .tokens = 12000},
+	    {.id = 2, .tokens = 4000},
+	};
+	struct backend_request request = {
+	    .service = "s",
+	    .preferred = "",
+	    .streams = true,
+	    .parts = parts,
+	    .part_count = 2,
+	    .max_tokens = 500,
+	};
+	struct backend *a = add("a", "s", "d1", "r1");
+	struct backend *b = add("b", "s", "d1", "r1");
+
+	ck_assert_uint_eq(
+	    backend_missing_tokens(&backends, a, &request), 16000);
+	backend_started(&backends, a, &request, 0);
+	ck_assert_uint_eq(backend_missing_tokens(&backends, a, &request), 0);
+	ck_assert_str_eq(choose(&request, 0), "a");
+	/* The owner knows where the session was. */
+	request.preferred = "b";
+	ck_assert_uint_le(backend_missing_tokens(&backends, b, &request), 1000);
+	/* Far too much load sends it elsewhere. */
+	request.preferred = "";
+	a->running = 30;
+	ck_assert_str_eq(choose(&request, 0), "b");
+}
+END_TEST
+
+START_TEST(a_new_life_of_a_server_holds_nothing)
+{
+	const struct prompt_part parts[] = {{.id = 1, .tokens = 12000}};
+	struct backend_request request = {
+	    .service = "s",
+	    .preferred = "",
+	    .streams = true,
+	    .parts = parts,
+	    .part_count = 1,
+	};
+	struct backend *a = add("a", "s", "d1", "r1");
+	struct backend_entry entry = a->entry;
+
+	backend_started(&backends, a, &request, 0);
+	backend_failed(a, 0);
+	entry.born_wall_ms = 2;
+	ck_assert(backends_update(&backends, &entry, "r1"));
+	ck_assert_uint_eq(
+	    backend_missing_tokens(&backends, a, &request), 12000);
+	ck_assert_uint_eq(a->failures, 0);
+}
+END_TEST
+
+START_TEST(slow_servers_are_found_without_probes)
+{
+	struct backend_request request = {.service = "s",
+	    .preferred = "",
+	    .streams = true,
+	    .max_tokens = 500};
+	struct backend *a = add("a", "s", "d1", "r1");
+	struct backend *b = add("b", "s", "d1", "r1");
+	struct backend_stream stream = {
+	    .first_us = 20 * US_PER_MS, .tokens = 200};
+
+	for (int i = 0; i < 60; i++) {
+		stream.load = i % 4;
+		stream.rest_us = 200 * US_PER_MS;
+		backend_streamed(&backends, b, &stream);
+		stream.rest_us = 1000 * US_PER_MS;
+		backend_streamed(&backends, a, &stream);
+	}
+	ck_assert(a->slowness > 2 * b->slowness);
+	ck_assert_str_eq(choose(&request, 0), "b");
+	b->running = 2;
+	ck_assert_str_eq(choose(&request, 0), "b");
+}
+END_TEST
+
+START_TEST(speeds_are_learned_by_load)
+{
+	struct speed speed = {0};
+
+	ck_assert(speed_token_us(&speed, 0) > 0);
+	for (int i = 0; i < 400; i++) {
+		int load = i % 12;
+
+		speed_learn_token(&speed, load, 1060 + 34 * load);
+		speed_learn_prompt(
+		    &speed, 1000 * (i % 7), 5000 + 3.9 * 1000 * (i % 7));
+	}
+	ck_assert(fabs(speed_token_us(&speed, 0) - 1060) < 20);
+	ck_assert(fabs(speed_token_us(&speed, 10) - 1400) < 20);
+	ck_assert(fabs(speed_token_slope_us(&speed) - 34) < 2);
+	ck_assert(fabs(speed_prompt_token_us(&speed) - 3.9) < 0.2);
+}
+END_TEST
+
+START_TEST(speeds_stay_sound_on_odd_samples)
+{
+	struct speed speed = {0};
+
+	for (int i = 0; i < 200; i++) {
+		speed_learn_token(&speed, 5, 1000);
+		speed_learn_prompt(&speed, 3000, i % 2 == 0 ? 1e6 : 1);
+	}
+	ck_assert(speed_token_slope_us(&speed) >= 0);
+	ck_assert(speed_token_us(&speed, 0) > 0);
+	ck_assert(speed_prompt_token_us(&speed) > 0);
+	for (int i = 0; i < 400; i++)
+		speed_learn_token(&speed, i % 12, 2000 - 90 * (i % 12));
+	ck_assert(speed_token_slope_us(&speed) >= 0);
+}
+END_TEST
+
+START_TEST(caches_are_told_and_forgotten)
+{
+	struct residency residency = {0};
+	struct residency_shared list[4];
+
+	residency_note(&residency, 1, 10, 500, true, 0);
+	residency_note(&residency, 1, 10, 300, false, 0);
+	residency_note(&residency, 2, 10, 100, false, 0);
+	residency_note(&residency, 1, 11, 500, true, 50 * (int64_t)US_PER_S);
+	ck_assert_uint_eq(residency_tokens(&residency, 1, 10), 500);
+	ck_assert_uint_eq(residency_list_shared(&residency, list, 4), 2);
+	residency_expire(&residency, 61 * (int64_t)US_PER_S);
+	ck_assert_uint_eq(residency_tokens(&residency, 1, 10), 0);
+	ck_assert_uint_eq(residency_tokens(&residency, 1, 11), 500);
+	residency_forget_server(&residency, 11);
+	ck_assert_uint_eq(residency_tokens(&residency, 1, 11), 0);
+	residency_reset(&residency);
+}
+END_TEST
+
+int
+main(void)
+{
+	const TTest *tests[] = {
+	    only_listed_servers_of_the_service_are_chosen,
+	    a_removed_server_is_kept_while_it_runs_something,
+	    tried_servers_are_left_out,
+	    failed_servers_are_avoided_for_a_while,
+	    load_here_and_elsewhere_counts,
+	    a_far_server_is_better_than_a_crowded_one,
+	    a_cached_prompt_outweighs_some_load,
+	    a_new_life_of_a_server_holds_nothing,
+	    slow_servers_are_found_without_probes,
+	    speeds_are_learned_by_load,
+	    speeds_stay_sound_on_odd_samples,
+	    caches_are_told_and_forgotten,
+	};
+
+	return run_tests_in("dispatch", tests, sizeof(tests) / sizeof(tests[0]),
+	    setup, teardown);
+}
