Escape names in the engine's request, refuse unknown adapters

The adapter's name came from the caller and was written into the engine's JSON as it was, so a caller could add members such as max_tokens.

--- a/config/lookup.c
+++ b/config/lookup.c
@@ -49,6 +49,13 @@
 	    config->models, config->model_count, sizeof(*config->models), name);
 }
 
+const struct config_adapter *
+config_find_adapter(const struct config *config, const char *name)
+{
+	return find(config->adapters, config->adapter_count,
+	    sizeof(*config->adapters), name);
+}
+
 const struct config_server *
 config_find_server(const struct config *config, const char *name)
 {
--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -183,22 +183,27 @@
 	json_decref(message);
 }
 
-static void
-build_body(const struct attempt_params *params, struct buf *body)
+void
+attempt_write_body(const struct attempt_params *params, struct buf *body)
 {
 	bool continues = params->partial != NULL && params->partial[0] != '\0';
-
-	buf_printf(body,
-	    "{\"model\":\"%s\",\"adapter\":\"%s\",\"stream\":true,"
-	    "\"stream_options\":{\"include_usage\":true},"
-	    "\"max_tokens\":%llu,\"program\":\"%s\",\"attempt\":\"%s\","
-	    "\"priority\":%d,\"continue_final_message\":%s,\"messages\":[",
-	    params->model, params->adapter,
-	    (unsigned long long)params->max_tokens, params->program, params->id,
-	    (int)params->priority, continues ? "true" : "false");
+	json_t *members = json_pack("{s:s, s:s, s:b, s:{s:b}, s:I, s:s, s:s, "
+				    "s:I, s:b}",
+	    "model", params->model, "adapter", params->adapter, "stream", 1,
+	    "stream_options", "include_usage", 1, "max_tokens",
+	    (json_int_t)params->max_tokens, "program", params->program,
+	    "attempt", params->id, "priority", (json_int_t)params->priority,
+	    "continue_final_message", continues);
+	char *text = json_dumps(members, JSON_COMPACT);
+
+	/* The messages are kept as text, which goes in unparsed. */
+	buf_append(body, text, strlen(text) - 1);
+	buf_append_text(body, ",\"messages\":[");
 	buf_append(body, params->prompt->data, params->prompt->len);
 	append_partial(body, params->partial);
 	buf_append_text(body, "]}");
+	free(text);
+	json_decref(members);
 }
 
 struct attempt *
@@ -227,7 +232,7 @@
 	attempt->callbacks = *callbacks;
 	attempt->line.max = ATTEMPT_LINE_BYTES;
 	snprintf(attempt->id, sizeof(attempt->id), "%s", params->id);
-	build_body(params, &body);
+	attempt_write_body(params, &body);
 	http.body = body.data;
 	http.body_len = body.len;
 	attempt->http = http_call_start(net, &http);
--- a/daemon/chat.c
+++ b/daemon/chat.c
@@ -104,6 +104,18 @@
 	return NULL;
 }
 
+/* True if the call names no adapter, or one of its model. */
+static bool
+serves_adapter(const struct config *config, const struct model_call *model)
+{
+	const struct config_adapter *adapter;
+
+	if (model->adapter[0] == '\0')
+		return true;
+	adapter = config_find_adapter(config, model->adapter);
+	return adapter != NULL && strcmp(adapter->model, model->model) == 0;
+}
+
 static const char *
 parse_headers(struct call *call, const struct http_request *request)
 {
@@ -169,6 +181,10 @@
 		     daemon->board.config.current, call->model.model) == NULL)
 		call_refuse(call, REFUSAL_UNKNOWN_MODEL, RUN_NOT_RUN,
 		    "the model is not declared");
+	else if (!serves_adapter(
+		     daemon->board.config.current, &call->model))
+		call_refuse(call, REFUSAL_UNKNOWN_MODEL, RUN_NOT_RUN,
+		    "the model has no such adapter");
 	else
 		model_call_begin(call);
 }
--- a/include/config/config.h
+++ b/include/config/config.h
@@ -136,6 +136,8 @@
 /** Sets every limit to its default. */
 void config_limits_defaults(struct config_limits *limits);
 
+const struct config_adapter *
+config_find_adapter(const struct config *config, const char *name);
 const struct config_model *
 config_find_model(const struct config *config, const char *name);
 const struct config_server *
--- a/tests/end_to_end.sh
+++ b/tests/end_to_end.sh
@@ -128,6 +128,9 @@
 call "$port_1" POST /v1/chat/completions '{"model": "x", "messages": []}' \
     -H "x-guavakeel-program: $program"
 expect 400 'non-empty array'
+call "$port_1" POST /v1/chat/completions "$message, \"adapter\": \"none\"}" \
+    -H "x-guavakeel-program: $program"
+expect 404 '"reason":"unknown_model","run":"not run"'
 call "$port_1" POST /v1/chat/completions "$message}" \
     -H "x-guavakeel-program: $program" -H 'x-guavakeel-turn: 7'
 expect 409 '"reason":"turn_out_of_order","run":"not run"'
