Charge takeovers once for each owner that granted something

Causes: (1) VMs that ask again and then give up told the owner so before the owner could answer; the copies of the question that still waited were granted later, to nobody. (2) Each takeover charged one turn, so that a series of them, as when all start at once, used the budget up. Ruled out: lost records (all were read), owners that could not reach the store. Change: a turn that was given up is known as ended; the charge stands for the owner of the program's newest record and has one name however often ownership moves; one charge is covered by the turn that may go beyond the budget; an owner records the first turn that it grants a known program.

--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -38,6 +38,8 @@
 
 /* Begins the names of turns that stand for unknown ones. */
 static const char CHARGE_MARK = '\t';
+/* Stands for any owner before, as the epoch of a charge. */
+static const uint64_t ANY_EPOCH = 0;
 
 enum {
 	SESSIONS = 6, /**< of a program, whose servers are remembered */
@@ -63,6 +65,8 @@
 	uint64_t budget;
 	uint64_t spent;
 	uint64_t most;     /**< of its largest turn */
+	uint64_t charged;  /**< for turns that may have been granted */
+	uint64_t epoch;    /**< of its newest durable record */
 	uint32_t given_up; /**< turns whose end was not told in time */
 	uint32_t loose;    /**< facts that are not durable */
 	struct list open;  /**< turns */
@@ -81,8 +85,9 @@
 	char id[NAME_BYTES];
 	bool ended;
 	bool kept;
-	bool charge; /**< stands for a turn that an earlier owner may have
-			granted and not recorded */
+	bool given_up; /**< its end was not told in time */
+	bool charge;   /**< stands for a turn that the owner of that epoch may
+			  have granted and not recorded */
 	enum durability durability;
 	uint64_t epoch;
 	uint64_t most;
@@ -195,6 +200,13 @@
 	return program;
 }
 
+/* No caller's request has such a name: header values do not begin with it. */
+static bool
+is_charge_name(const char *name)
+{
+	return name[0] == CHARGE_MARK;
+}
+
 static struct ledger_turn *
 add_turn(struct ledger *ledger, struct ledger_program *program, const char *id,
     uint64_t most)
@@ -211,6 +223,9 @@
 	HASH_ADD_STR(ledger->turns, id, turn);
 	if (most > program->most)
 		program->most = most;
+	turn->charge = is_charge_name(id);
+	if (turn->charge)
+		program->charged += most;
 	return turn;
 }
 
@@ -325,6 +340,15 @@
 	return true;
 }
 
+/* An owner whose epoch no record of a program has granted it nothing that is
+ * not recorded. */
+static void
+note_epoch(struct ledger_turn *turn)
+{
+	if (!turn->charge && turn->epoch > turn->program->epoch)
+		turn->program->epoch = turn->epoch;
+}
+
 void
 ledger_batch_done(struct ledger *ledger, bool durable)
 {
@@ -335,6 +359,8 @@
 		    list_entry(item, struct ledger_turn, write);
 
 		set_durability(ledger, turn, durable ? DURABLE : NOT_WRITTEN);
+		if (durable)
+			note_epoch(turn);
 	}
 }
 
@@ -351,6 +377,8 @@
 	turn->ended_us = now_us;
 	turn->spent = spent;
 	turn->program->spent += spent;
+	if (turn->charge)
+		turn->program->charged -= turn->most - spent;
 	list_remove(&turn->link);
 	list_append(&ledger->ended, &turn->link);
 }
@@ -393,13 +421,15 @@
 }
 
 /* A turn that an earlier owner had granted without a record has ended: it is
- * the one that a takeover since then has charged the program for. */
+ * the one that the program was charged for. The record of that is written after
+ * the turn's own: the log never holds less than what was spent. */
 static void
-settle_charge(struct ledger *ledger, struct ledger_program *program,
-    uint64_t epoch, int64_t now_us)
+settle_charge(
+    struct ledger *ledger, const struct ledger_turn *ended, int64_t now_us)
 {
-	list_for_each (turn, &program->open, struct ledger_turn, link) {
-		if (!turn->charge || turn->epoch <= epoch)
+	list_for_each (turn, &ended->program->open, struct ledger_turn, link) {
+		if (!turn->charge ||
+		    (turn->epoch != ended->epoch && turn->epoch != ANY_EPOCH))
 			continue;
 		set_ended(ledger, turn, 0, now_us);
 		set_durability(ledger, turn, NOT_WRITTEN);
@@ -412,23 +442,25 @@
 correct_spent(struct ledger_turn *turn, uint64_t spent)
 {
 	turn->program->spent -= turn->spent - spent;
+	if (turn->charge)
+		turn->program->charged -= turn->spent - spent;
 	turn->spent = spent;
 }
 
 static struct ledger_turn *
-take_end(
-    struct ledger *ledger, const struct turn_record *record, int64_t now_us)
+take_end(struct ledger *ledger, const struct turn_record *record,
+    enum durability durability, int64_t now_us)
 {
 	struct ledger_program *program =
 	    use_program(ledger, record->program, now_us);
 	struct ledger_turn *turn = find_turn(ledger, record->turn);
+	bool known = turn != NULL;
 
 	if (record->budget > program->budget)
 		program->budget = record->budget;
-	if (turn == NULL) {
+	if (!known) {
 		turn = add_turn(ledger, program, record->turn, record->most);
 		turn->epoch = record->epoch;
-		settle_charge(ledger, program, record->epoch, now_us);
 	}
 	if (!turn->ended)
 		set_ended(ledger, turn, record->spent, now_us);
@@ -436,16 +468,12 @@
 		correct_spent(turn, record->spent);
 	else if (turn_mutation_on(TURN_MUTATION_NO_FOLD))
 		program->spent += record->spent;
+	set_durability(ledger, turn, durability);
+	if (!known)
+		settle_charge(ledger, turn, now_us);
 	return turn;
 }
 
-/* No caller's request has such a name: header values do not begin with it. */
-static bool
-is_charge_name(const char *name)
-{
-	return name[0] == CHARGE_MARK;
-}
-
 static void
 take_open(
     struct ledger *ledger, const struct turn_record *record, int64_t now_us)
@@ -459,11 +487,11 @@
 	if (turn == NULL) {
 		turn = add_turn(ledger, program, record->turn, record->most);
 		turn->epoch = record->epoch;
-		turn->charge = is_charge_name(record->turn);
 		turn->deadline_us = now_us + DEADLINE_US;
 	}
 	if (!turn->ended)
 		set_durability(ledger, turn, DURABLE);
+	note_epoch(turn);
 }
 
 static void
@@ -492,13 +520,13 @@
 	switch (record->type) {
 	case TURN_KEPT:
 		set_mark(ledger, offset, now_us);
-		turn = take_end(ledger, record, now_us);
+		turn = take_end(ledger, record, DURABLE, now_us);
 		set_kept(ledger, turn, record, offset, bytes);
-		set_durability(ledger, turn, DURABLE);
+		note_epoch(turn);
 		return;
 	case TURN_SPENT:
-		turn = take_end(ledger, record, now_us);
-		set_durability(ledger, turn, DURABLE);
+		turn = take_end(ledger, record, DURABLE, now_us);
+		note_epoch(turn);
 		return;
 	case TURN_OPEN:
 		take_open(ledger, record, now_us);
@@ -508,6 +536,25 @@
 	}
 }
 
+/* Without a record of its beginning, a turn that spent nothing needs none of
+ * its end. It is known as ended, since a copy of the question for it may come
+ * late. */
+static void
+end_unrecorded(
+    struct ledger *ledger, const struct turn_record *record, int64_t now_us)
+{
+	struct ledger_turn *turn = find_turn(ledger, record->turn);
+
+	if (turn == NULL)
+		turn = add_turn(ledger,
+		    use_program(ledger, record->program, now_us), record->turn,
+		    0);
+	set_ended(ledger, turn, 0, now_us);
+	set_durability(ledger, turn, DURABLE);
+	list_remove(&turn->index);
+	list_init(&turn->index);
+}
+
 void
 ledger_end(struct ledger *ledger, const struct turn_record *record,
     uint64_t offset, uint32_t bytes, int64_t now_us)
@@ -518,20 +565,19 @@
 		ledger_apply(ledger, offset, bytes, record, now_us);
 		return;
 	}
-	if (turn != NULL && turn->ended)
+	if (turn != NULL && turn->ended) {
+		if (!turn->given_up || record->spent >= turn->spent)
+			return;
+		correct_spent(turn, record->spent);
+		set_durability(ledger, turn, NOT_WRITTEN);
 		return;
-	/* Without a record of its beginning, a turn that spent nothing leaves
-	 * nothing to be remembered. */
+	}
 	if (record->spent == 0 &&
 	    (turn == NULL || turn->durability == UNWRITTEN)) {
-		if (turn != NULL) {
-			set_durability(ledger, turn, DURABLE);
-			turn_free(ledger, turn);
-		}
+		end_unrecorded(ledger, record, now_us);
 		return;
 	}
-	turn = take_end(ledger, record, now_us);
-	set_durability(ledger, turn, NOT_WRITTEN);
+	take_end(ledger, record, NOT_WRITTEN, now_us);
 }
 
 bool
@@ -544,20 +590,23 @@
 
 /* ---- grants ---- */
 
-/* Charges a program with a turn at its most. */
+/* Charges a program with a turn at its most, which the owner of an epoch may
+ * have granted. However often the program changes hands without a turn, the
+ * charge has the same name. */
 static void
-charge(struct ledger *ledger, struct ledger_program *program, int64_t now_us)
+charge(struct ledger *ledger, struct ledger_program *program, uint64_t epoch,
+    int64_t now_us)
 {
 	struct ledger_turn *turn;
 	char name[NAME_BYTES];
 
-	snprintf(name, sizeof(name), "%c%" PRIx64 " %.44s", CHARGE_MARK,
-	    ledger->epoch, program->id);
+	snprintf(name, sizeof(name), "%c%" PRIx64 " %.44s", CHARGE_MARK, epoch,
+	    program->id);
 	if (program->most == 0 || find_turn(ledger, name) != NULL ||
 	    turn_mutation_on(TURN_MUTATION_NO_CHARGE))
 		return;
 	turn = add_turn(ledger, program, name, program->most);
-	turn->charge = true;
+	turn->epoch = epoch;
 	turn->deadline_us = now_us + CHARGE_US;
 	set_durability(ledger, turn, NOT_WRITTEN);
 }
@@ -572,32 +621,52 @@
 	for (program = ledger->programs; program != NULL;
 	     program = program->hh.next) {
 		program->used_us = now_us;
-		charge(ledger, program, now_us);
+		charge(ledger, program, program->epoch, now_us);
 	}
 }
 
-static uint64_t
-open_most(const struct ledger_program *program)
+struct open_turns {
+	uint64_t most;    /**< tokens that they may generate */
+	uint64_t charged; /**< of these, by turns that may not exist */
+};
+
+static struct open_turns
+count_open(const struct ledger_program *program)
 {
-	uint64_t most = 0;
+	struct open_turns open = {0};
 
+	list_for_each (turn, &program->open, struct ledger_turn, link) {
+		open.most += turn->most;
+		open.charged += turn->charge ? turn->most : 0;
+	}
 	if (turn_mutation_on(TURN_MUTATION_NO_OPEN))
-		return 0;
-	list_for_each (turn, &program->open, struct ledger_turn, link)
-		most += turn->most;
-	return most;
+		open.most = 0;
+	return open;
 }
 
-/* Whether the budget holds a turn, counting what runs and what an earlier
- * owner may have granted at its most. */
+/* A program may spend one turn more than its budget where that is needed: a
+ * turn that may never have been granted is not held against it. */
+static uint64_t
+allowance(const struct ledger_program *program, uint64_t charged)
+{
+	return charged < program->most ? charged : program->most;
+}
+
+/* Whether the budget holds a turn, counting what runs and what earlier owners
+ * may have granted at its most. */
 static enum ledger_verdict
 check_budget(const struct ledger_program *program, const struct ledger_ask *ask)
 {
+	struct open_turns open = count_open(program);
+	uint64_t wanted = program->spent + ask->most;
+
 	if (!ask->has_budget)
 		return LEDGER_GRANTED;
-	if (program->spent + ask->most > ask->budget)
+	if (wanted >
+	    ask->budget + allowance(program, program->charged - open.charged))
 		return LEDGER_EXHAUSTED;
-	if (program->spent + open_most(program) + ask->most > ask->budget)
+	if (wanted + open.most >
+	    ask->budget + allowance(program, program->charged))
 		return LEDGER_BUSY;
 	return LEDGER_GRANTED;
 }
@@ -611,18 +680,41 @@
 						     : LEDGER_GRANTED;
 }
 
+/* Whether the owner before may have granted a program its first turn: there is
+ * no record of it yet. */
+static bool
+is_uncertain(const struct ledger *ledger, const struct ledger_program *program,
+    int64_t now_us)
+{
+	return program->epoch == ANY_EPOCH && now_us < ledger->careful_until_us;
+}
+
+/* Whether a new owner would charge the program for its next turn: records say
+ * that it had turns under this ownership, or it is new. */
+static bool
+needs_no_record(
+    const struct ledger *ledger, const struct ledger_program *program)
+{
+	return program->loose == 0 &&
+	    (program->epoch == ledger->epoch ||
+		(program->epoch == ANY_EPOCH && program->charged == 0));
+}
+
 enum ledger_verdict
 ledger_begin(
     struct ledger *ledger, const struct ledger_ask *ask, int64_t now_us)
 {
 	struct ledger_turn *turn = find_turn(ledger, ask->turn);
-	bool known = find_program(ledger, ask->program) != NULL;
 	struct ledger_program *program;
 	enum ledger_verdict verdict;
 
 	if (turn != NULL)
 		return repeat_verdict(turn);
 	program = use_program(ledger, ask->program, now_us);
+	if (ask->most > program->most)
+		program->most = ask->most;
+	if (is_uncertain(ledger, program, now_us))
+		charge(ledger, program, ANY_EPOCH, now_us);
 	if (ask->budget > program->budget)
 		program->budget = ask->budget;
 	verdict = check_budget(program, ask);
@@ -630,8 +722,7 @@
 		return verdict;
 	turn = add_turn(ledger, program, ask->turn, ask->most);
 	turn->deadline_us = ask->deadline_us;
-	if ((program->loose == 0 &&
-		(known || now_us >= ledger->careful_until_us)) ||
+	if (needs_no_record(ledger, program) ||
 	    turn_mutation_on(TURN_MUTATION_NO_RECORD)) {
 		set_durability(ledger, turn, UNWRITTEN);
 		return LEDGER_GRANTED;
@@ -752,7 +843,8 @@
 		if (now_us - turn->deadline_us < TELL_US)
 			continue;
 		set_ended(ledger, turn, turn->most, now_us);
-		program->given_up += !turn->charge;
+		turn->given_up = !turn->charge;
+		program->given_up += turn->given_up;
 		set_durability(ledger, turn, NOT_WRITTEN);
 	}
 }
