Keep waiting for an answer after the process was paused

Ruled out: our own timer, which already waits after a pause; the tool's keep-alive; the fold of late outcomes. The timer is now off once the request is sent; ours stays.

--- a/daemon/chat.c
+++ b/daemon/chat.c
@@ -181,8 +181,7 @@
 		     daemon->board.config.current, call->model.model) == NULL)
 		call_refuse(call, REFUSAL_UNKNOWN_MODEL, RUN_NOT_RUN,
 		    "the model is not declared");
-	else if (!serves_adapter(
-		     daemon->board.config.current, &call->model))
+	else if (!serves_adapter(daemon->board.config.current, &call->model))
 		call_refuse(call, REFUSAL_UNKNOWN_MODEL, RUN_NOT_RUN,
 		    "the model has no such adapter");
 	else
--- a/daemon/service_call.c
+++ b/daemon/service_call.c
@@ -109,6 +109,19 @@
 	return true;
 }
 
+static void
+log_failure(const struct call *call, const struct http_answer *http)
+{
+	const struct diag_context log = {
+	    .program = call->program,
+	    .request = call->request,
+	};
+
+	diag(LOG_NOTICE, &log, "call of %s failed: %s, status %d, %zu bytes",
+	    call->service.service, http_result_name(http->result), http->status,
+	    http->body_len);
+}
+
 static void
 handle_answer(void *context, const struct http_answer *http)
 {
@@ -119,6 +132,8 @@
 	service->http = NULL;
 	call->daemon->board.now_us = clock_monotonic_us();
 	service->status = http->status;
+	if (http->result != HTTP_RESULT_OK)
+		log_failure(call, http);
 	buf_append(&service->answer, http->body, http->body_len);
 	if (http->result == HTTP_RESULT_CONNECT_FAILED) {
 		counters->retries[RETRY_CONNECT_FAILED]++;
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -10,6 +10,7 @@
 	CALL_TIMEOUT_S = 30,
 	LATE_US = 100 * US_PER_MS, /**< a timer this late followed a pause */
 	LATE_WAIT_MS = 200,
+	SENT_MS = 1, /**< libwebsockets has left its callback by then */
 	READ_CHUNK_BYTES = 4096,
 	BODY_CHUNK_BYTES = 16384,
 	FETCH_MAX_BYTES = 16 << 20,
@@ -158,6 +159,18 @@
 	uv_timer_start(call->timer, handle_timer, call->timeout_ms, 0);
 }
 
+/* libwebsockets' own timer for the answer would close the connection of a
+ * process that goes on after a pause before it reads the answer. */
+static void
+handle_sent(uv_timer_t *timer)
+{
+	struct http_call *call = timer->data;
+
+	if (call->wsi != NULL)
+		lws_set_timeout(call->wsi, NO_PENDING_TIMEOUT, 0);
+	touch_timer(call);
+}
+
 static int
 append_headers(
     struct http_call *call, struct lws *wsi, uint8_t **at, const uint8_t *end)
@@ -177,6 +190,7 @@
 			return -1;
 		name = value + strlen(value) + 1;
 	}
+	uv_timer_start(call->timer, handle_sent, SENT_MS, 0);
 	if (call->method != HTTP_POST && call->method != HTTP_PUT)
 		return 0;
 	len = snprintf(length, sizeof(length), "%zu", call->body.len);
@@ -207,9 +221,12 @@
 		last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < (int)len)
 		return -1;
 	call->body_sent += len;
-	if (!last)
+	if (!last) {
 		lws_callback_on_writable(wsi);
-	touch_timer(call);
+		touch_timer(call);
+		return 0;
+	}
+	uv_timer_start(call->timer, handle_sent, SENT_MS, 0);
 	return 0;
 }
 
--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -24,8 +24,8 @@
 
 	buf_append_text(&prompt, "{\"role\":\"user\",\"content\":\"go\"}");
 	attempt_write_body(&params, &body);
-	root = json_loadb((const char *)body.data, body.len,
-	    JSON_REJECT_DUPLICATES, NULL);
+	root = json_loadb(
+	    (const char *)body.data, body.len, JSON_REJECT_DUPLICATES, NULL);
 	ck_assert_ptr_nonnull(root);
 	ck_assert_str_eq(
 	    json_string_value(json_object_get(root, "adapter")), adapter);
