Metrics: cumulative histograms, failed attempts by reason, rejected heads

Requests that the HTTP layer rejects itself were logged but not counted; histograms are cumulative buckets, so that they add up over VMs.

--- a/common/counter.c
+++ b/common/counter.c
@@ -1,5 +1,10 @@
 #include "common/counter.h"
 
+enum {
+	RENDER_BITS_MIN = 10, /* 1,024 microseconds */
+	RENDER_BITS_MAX = 26, /* 67 seconds */
+};
+
 /* Values below HISTOGRAM_SUB_BUCKETS have a bucket each; above, a power of
  * two is split into HISTOGRAM_SUB_BUCKETS linear steps. */
 static int
@@ -65,24 +70,45 @@
 	    name, help, name, name, (unsigned long long)value);
 }
 
+/* Buckets at powers of two, from about a millisecond to about a minute. */
 static void
 render_histogram(struct buf *out, const char *name, const char *help,
     const struct histogram *histogram)
 {
-	static const double quantiles[] = {0.5, 0.95, 0.99};
+	uint64_t below = 0;
+	int at = 0;
 
-	buf_printf(out, "# HELP guavakeel_%s %s\n# TYPE guavakeel_%s summary\n",
-	    name, help, name);
-	for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
-		buf_printf(out, "guavakeel_%s{quantile=\"%g\"} %llu\n", name,
-		    quantiles[i],
-		    (unsigned long long)histogram_quantile(
-			histogram, quantiles[i]));
-	buf_printf(out, "guavakeel_%s_sum %llu\nguavakeel_%s_count %llu\n",
-	    name, (unsigned long long)histogram->sum, name,
+	buf_printf(out,
+	    "# HELP guavakeel_%s %s\n# TYPE guavakeel_%s histogram\n", name,
+	    help, name);
+	for (int bits = RENDER_BITS_MIN; bits <= RENDER_BITS_MAX; bits++) {
+		uint64_t bound = (uint64_t)1 << bits;
+
+		for (; at < HISTOGRAM_BUCKETS && bucket_upper(at) < bound; at++)
+			below += histogram->buckets[at];
+		buf_printf(out, "guavakeel_%s_bucket{le=\"%llu\"} %llu\n", name,
+		    (unsigned long long)bound, (unsigned long long)below);
+	}
+	buf_printf(out,
+	    "guavakeel_%s_bucket{le=\"+Inf\"} %llu\n"
+	    "guavakeel_%s_sum %llu\nguavakeel_%s_count %llu\n",
+	    name, (unsigned long long)histogram->count, name,
+	    (unsigned long long)histogram->sum, name,
 	    (unsigned long long)histogram->count);
 }
 
+/* One counter a reason. */
+static void
+render_retries(struct buf *out, const char *name, const char *help,
+    const uint64_t *counters)
+{
+	buf_printf(out, "# HELP guavakeel_%s %s\n# TYPE guavakeel_%s counter\n",
+	    name, help, name);
+	for (int i = 0; i < RETRY_COUNT; i++)
+		buf_printf(out, "guavakeel_%s{reason=\"%s\"} %llu\n", name,
+		    retry_name((enum retry)i), (unsigned long long)counters[i]);
+}
+
 void
 counters_render(const struct counters *counters, struct buf *out)
 {
@@ -94,13 +120,11 @@
 		    "guavakeel_refusals_total{reason=\"%s\"} %llu\n",
 		    refusal_name((enum refusal)i),
 		    (unsigned long long)counters->refusals[i]);
-	buf_append_text(out,
-	    "# HELP guavakeel_retries_total Attempts repeated, by reason\n"
-	    "# TYPE guavakeel_retries_total counter\n");
-	for (int i = 0; i < RETRY_COUNT; i++)
-		buf_printf(out, "guavakeel_retries_total{reason=\"%s\"} %llu\n",
-		    retry_name((enum retry)i),
-		    (unsigned long long)counters->retries[i]);
+	render_retries(out, "retries_total", "Attempts repeated, by reason",
+	    counters->retries);
+	render_retries(out, "attempt_failures_total",
+	    "Attempts at backend servers without an answer, by reason",
+	    counters->attempt_failures);
 #define COUNTER_RENDER(name, help) \
 	render_counter(out, #name, help, counters->name);
 	COUNTER_LIST(COUNTER_RENDER)
--- a/gateway/config_watch.c
+++ b/gateway/config_watch.c
@@ -155,7 +155,7 @@
 	watch->lost = true;
 	trace_begin_rare(&trace, "dependency_lost");
 	trace_text(&trace, "dependency", "store/configuration");
-	trace_number(&trace, "store_status", (int64_t)status);
+	trace_text(&trace, "store_status", store_status_name(status));
 	trace_end(&trace);
 }
 
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -57,8 +57,11 @@
 static void
 pass_on(struct request *request, const void *data, size_t len)
 {
-	if (request->first_us == 0)
+	if (request->first_us == 0) {
 		request->first_us = clock_monotonic_us();
+		histogram_add(&request->gateway->counters.first_token_us,
+		    request->first_us - request->received_us);
+	}
 	if (!h1_respond_data(request->exchange, data, len))
 		request_fail(
 		    request, REFUSAL_CALLER_GONE, "caller reads too slowly");
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -30,12 +30,28 @@
 	BACKEND_IDLE_US = 4 * US_PER_S,    /* of a kept connection */
 };
 
+static enum refusal
+rejection_reason(const struct h1_rejection *rejection)
+{
+	switch (rejection->status) {
+	case 408:
+		return REFUSAL_DEADLINE;
+	case 413:
+	case 431:
+		return REFUSAL_TOO_LARGE;
+	default:
+		return REFUSAL_MALFORMED;
+	}
+}
+
 static void
 handle_rejected(void *context, const struct h1_rejection *rejection)
 {
+	struct gateway *gateway = context;
 	struct trace trace;
 
-	(void)context;
+	gateway->counters.requests_total++;
+	gateway->counters.refusals[rejection_reason(rejection)]++;
 	trace_begin(&trace, "request_rejected");
 	trace_number(&trace, "status", rejection->status);
 	trace_text(&trace, "reason", rejection->reason);
--- a/gateway/ownership.c
+++ b/gateway/ownership.c
@@ -84,7 +84,7 @@
 	trace_begin_rare(
 	    &trace, lost ? "dependency_lost" : "dependency_regained");
 	trace_text(&trace, "dependency", "store/ownership");
-	trace_number(&trace, "store_status", (int64_t)status);
+	trace_text(&trace, "store_status", store_status_name(status));
 	trace_end(&trace);
 }
 
--- a/gateway/recorder.c
+++ b/gateway/recorder.c
@@ -117,7 +117,7 @@
 	recorder->lost_us = clock_monotonic_us();
 	trace_begin_rare(&trace, "dependency_lost");
 	trace_text(&trace, "dependency", "store/appends");
-	trace_number(&trace, "store_status", (int64_t)status);
+	trace_text(&trace, "store_status", store_status_name(status));
 	trace_end(&trace);
 }
 
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -72,6 +72,7 @@
 	trace_number(&trace, "status", status);
 	trace_text(&trace, "reason", reason);
 	trace_text(&trace, "why", why);
+	trace_text(&trace, "waits_for", turn_waits_for(request));
 	trace_text(&trace, "server", request->backend);
 	trace_number(&trace, "sent", (int64_t)request->tried_count);
 	trace_number(&trace, "may_have_run", request->runs);
@@ -250,7 +251,7 @@
 	if (request->state == REQUEST_SENT && may_run_again(request)) {
 		backend_failed(request->attempt->backend, clock_monotonic_us());
 		forward_cancel(request);
-		request_attempt_ended(request, ATTEMPT_BROKEN, "no answer");
+		request_attempt_ended(request, ATTEMPT_SILENT, "no answer");
 		return;
 	}
 	if (request->wake_us != 0 && request->wake_us <= clock_monotonic_us()) {
@@ -297,24 +298,48 @@
 	memcpy(request->tried[request->tried_count++], backend->entry.id,
 	    NAME_BYTES);
 	memcpy(request->backend, backend->entry.id, NAME_BYTES);
-	if (request->sent_us == 0)
+	if (request->sent_us == 0) {
 		request->sent_us = clock_monotonic_us();
+		histogram_add(&request->gateway->counters.queue_us,
+		    request->sent_us - request->received_us);
+	}
 	forward_start(request, backend, &wanted);
 	request->state = REQUEST_SENT;
 	request->wake_us = 0;
 	request_arm(request);
 }
 
+static const char *
+attempt_result_name(enum attempt_result result)
+{
+	static const char *const names[] = {
+	    [ATTEMPT_ANSWERED] = "answered",
+	    [ATTEMPT_UNREACHABLE] = "unreachable",
+	    [ATTEMPT_DECLINED] = "declined",
+	    [ATTEMPT_BROKEN] = "broken",
+	    [ATTEMPT_SILENT] = "silent",
+	};
+
+	return names[result];
+}
+
 static void
-trace_attempt(
-    const struct request *request, const char *result, const char *why)
+report_failure(
+    struct request *request, enum attempt_result result, const char *why)
 {
+	static const enum retry reasons[] = {
+	    [ATTEMPT_UNREACHABLE] = RETRY_CONNECT_FAILED,
+	    [ATTEMPT_DECLINED] = RETRY_SERVER_BUSY,
+	    [ATTEMPT_BROKEN] = RETRY_SERVER_CUT,
+	    [ATTEMPT_SILENT] = RETRY_TIMEOUT,
+	};
 	struct trace trace;
 
+	request->gateway->counters.attempt_failures[reasons[result]]++;
 	trace_begin(&trace, "attempt_failed");
 	trace_text(&trace, "request", request->attributes.request);
 	trace_text(&trace, "server", request->backend);
-	trace_text(&trace, "result", result);
+	trace_text(&trace, "result", attempt_result_name(result));
 	trace_text(&trace, "why", why);
 	trace_ms(
 	    &trace, "left_ms", request->deadline_us - clock_monotonic_us());
@@ -328,6 +353,8 @@
 	bool has_room = request->tried_count < BACKEND_TRIED_MAX;
 
 	request->state = REQUEST_WAITING;
+	if (result != ATTEMPT_ANSWERED)
+		report_failure(request, result, why);
 	switch (result) {
 	case ATTEMPT_ANSWERED:
 		request->ended_us = clock_monotonic_us();
@@ -338,7 +365,6 @@
 			request_complete(request);
 		return;
 	case ATTEMPT_UNREACHABLE:
-		trace_attempt(request, "unreachable", why);
 		if (has_room)
 			request_dispatch(request);
 		else if (request->runs > 0)
@@ -348,7 +374,6 @@
 			    RETRY_NO_SERVER_US, why);
 		return;
 	case ATTEMPT_DECLINED:
-		trace_attempt(request, "declined", why);
 		request->declined++;
 		if (has_room && request->declined < DECLINED_MAX)
 			request_dispatch(request);
@@ -359,7 +384,7 @@
 			    RETRY_DECLINED_US, why);
 		return;
 	case ATTEMPT_BROKEN:
-		trace_attempt(request, "broken", why);
+	case ATTEMPT_SILENT:
 		request->runs++;
 		if (!request->begun && may_run_again(request))
 			request_dispatch(request);
--- a/gateway/server_watch.c
+++ b/gateway/server_watch.c
@@ -269,7 +269,7 @@
 	watch->lost_us = clock_monotonic_us();
 	trace_begin_rare(&trace, "dependency_lost");
 	trace_text(&trace, "dependency", "store/servers");
-	trace_number(&trace, "store_status", (int64_t)status);
+	trace_text(&trace, "store_status", store_status_name(status));
 	trace_end(&trace);
 }
 
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -770,6 +770,22 @@
 	return request->turn != NULL ? request->turn->server : "";
 }
 
+const char *
+turn_waits_for(const struct request *request)
+{
+	static const char *const names[] = {
+	    [TURN_HELD] = "store",
+	    [TURN_ASKING] = "owner",
+	    [TURN_FINDING] = "previous_turn",
+	    [TURN_LOADING] = "history",
+	    [TURN_RUNNING] = "server",
+	    [TURN_SEALING] = "record",
+	    [TURN_OVER] = NULL,
+	};
+
+	return request->turn != NULL ? names[request->turn->state] : NULL;
+}
+
 static void
 remember(struct turn *turn, uint64_t offset, uint32_t bytes)
 {
--- a/include/common/counter.h
+++ b/include/common/counter.h
@@ -37,7 +37,7 @@
 
 /* name, help text; values in microseconds */
 #define HISTOGRAM_LIST(X) \
-	X(first_token_us, "Time from request to first token") \
+	X(first_token_us, "Time from request to first byte of the answer") \
 	X(inter_token_us, "Time between tokens") \
 	X(request_us, "Time from request to end of answer") \
 	X(queue_us, "Time a call waited for a backend server") \
@@ -60,6 +60,7 @@
 struct counters {
 	uint64_t refusals[REFUSAL_COUNT];
 	uint64_t retries[RETRY_COUNT];
+	uint64_t attempt_failures[RETRY_COUNT];
 #define COUNTER_FIELD(name, help) uint64_t name;
 	COUNTER_LIST(COUNTER_FIELD)
 #undef COUNTER_FIELD
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -77,6 +77,7 @@
 	ATTEMPT_UNREACHABLE, /**< nothing was sent */
 	ATTEMPT_DECLINED,    /**< the server says that it did not run it */
 	ATTEMPT_BROKEN,      /**< it may have run */
+	ATTEMPT_SILENT,      /**< no answer in time; it may have run */
 };
 
 /** Handler of the callers' server. */
--- a/include/gateway/turn.h
+++ b/include/gateway/turn.h
@@ -28,6 +28,8 @@
 void turn_seal(struct request *request);
 /** The request ends; tells the owner if that is still to be done. */
 void turn_destroy(struct request *request);
+/** Returns what a turn waits for, as logs name it; NULL: nothing. */
+const char *turn_waits_for(const struct request *request);
 /** Server that has the program's cache, or "". */
 const char *turn_server(const struct request *request);
 
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -36,6 +36,9 @@
 	STORE_INVALID,  /**< not done: the call itself is wrong */
 };
 
+/** Returns a status as logs name it. */
+const char *store_status_name(enum store_status status);
+
 struct store_appended {
 	enum store_status status;
 	uint64_t first; /**< offset of the first record */
--- a/tests/test_common.c
+++ b/tests/test_common.c
@@ -86,6 +86,31 @@
 }
 END_TEST
 
+START_TEST(histograms_are_told_in_cumulative_buckets)
+{
+	struct counters *counters = calloc(1, sizeof(*counters));
+	struct buf out = {0};
+	const char *text;
+
+	histogram_add(&counters->request_us, 900);
+	histogram_add(&counters->request_us, 3000);
+	histogram_add(&counters->request_us, 3100);
+	counters_render(counters, &out);
+	text = buf_text(&out);
+	ck_assert_ptr_nonnull(
+	    strstr(text, "request_us_bucket{le=\"1024\"} 1\n"));
+	ck_assert_ptr_nonnull(
+	    strstr(text, "request_us_bucket{le=\"2048\"} 1\n"));
+	ck_assert_ptr_nonnull(
+	    strstr(text, "request_us_bucket{le=\"4096\"} 3\n"));
+	ck_assert_ptr_nonnull(
+	    strstr(text, "request_us_bucket{le=\"+Inf\"} 3\n"));
+	ck_assert_ptr_nonnull(strstr(text, "request_us_sum 7000\n"));
+	buf_reset(&out);
+	free(counters);
+}
+END_TEST
+
 START_TEST(digest_chain_depends_on_all_before)
 {
 	struct digest a = digest_chain(NULL, "one", 3);
@@ -144,6 +169,7 @@
 	    buf_refuses_past_its_bound,
 	    histogram_bounds_the_error,
 	    counters_name_each_reason,
+	    histograms_are_told_in_cumulative_buckets,
 	    digest_chain_depends_on_all_before,
 	    rng_repeats_with_its_seed,
 	    findings_keep_place_and_order,
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -329,6 +329,9 @@
 		      "Request-Id: s-7\r\n\r\n",
 	    404);
 	ck_assert_int_eq(cluster_runs(&cluster, "smuggled"), 0);
+	ck_assert_int_ge(cluster_counter(&cluster, 0,
+			     "refusals_total{reason=\"malformed_request\"}"),
+	    6);
 	call(0, "/safe/a", "after-all", "", NULL, &reply);
 	ck_assert_int_eq(reply.status, 200);
 	http_reply_reset(&reply);
