Wait for a request's last attempt instead of cancelling it

A repeatable request that is slow was cancelled to be sent elsewhere even when it had no attempt left, or no other server. Callers lost an answer that was coming. Also tests of the whole path for lost answers, true refusals, deadlines, callers that leave, and addresses that belong to another server; gateways that fall silent are logged.

--- a/gateway/fellows.c
+++ b/gateway/fellows.c
@@ -40,6 +40,7 @@
 	char callers[SETTING_BYTES]; /**< "IP:port" */
 	uint64_t incarnation;
 	bool store_lost;
+	bool reported_live; /**< in the log */
 	struct message_load *loads;
 	size_t load_count;
 };
@@ -386,6 +387,31 @@
 	free(message.pulse.parts);
 }
 
+static void
+trace_fellow(const char *event, const struct fellow *fellow)
+{
+	struct trace trace;
+
+	trace_begin_rare(&trace, event);
+	trace_text(&trace, "vm", fellow->vm);
+	trace_text(&trace, "callers", fellow->callers);
+	trace_end(&trace);
+}
+
+static void
+report_silent(struct fellows *fellows)
+{
+	for (size_t i = 0; i < fellows->members.count; i++) {
+		struct fellow *fellow = &fellows->items[i];
+
+		if (!fellow->reported_live ||
+		    is_live(fellows, &fellows->members.items[i]))
+			continue;
+		fellow->reported_live = false;
+		trace_fellow("gateway_silent", fellow);
+	}
+}
+
 static void
 drop_silent(struct fellows *fellows)
 {
@@ -439,6 +465,7 @@
 
 	fellows->pulses++;
 	send_pulses(fellows, fellows->pulses % FAR_PULSES == 0);
+	report_silent(fellows);
 	drop_silent(fellows);
 	sum_loads(fellows);
 	if (fellows->pulses % EXPIRE_PULSES == 0)
@@ -455,17 +482,6 @@
 	fellows_broadcast(fellows, &message);
 }
 
-static void
-trace_fellow(const char *event, const struct fellow *fellow)
-{
-	struct trace trace;
-
-	trace_begin_rare(&trace, event);
-	trace_text(&trace, "vm", fellow->vm);
-	trace_text(&trace, "callers", fellow->callers);
-	trace_end(&trace);
-}
-
 static void
 handle_pulse(struct fellows *fellows, const struct message *message)
 {
@@ -495,6 +511,7 @@
 		    message->sender, pulse->self.config_version);
 	if (!was_live)
 		trace_fellow("gateway_live", fellow);
+	fellow->reported_live = true;
 	if (pulse->wants_reply)
 		send_pulses(fellows, true);
 }
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -6,6 +6,7 @@
 #include "common/hash.h"
 #include "common/memory.h"
 #include "common/trace.h"
+#include "dispatch/retry.h"
 #include "gateway/quarantine.h"
 #include "gateway/request.h"
 #include "gateway/turn.h"
@@ -17,11 +18,6 @@
 	RETRY_CRASHES_US = 60 * US_PER_S,
 	DECLINED_MAX = 4, /* servers that may decline a request */
 	RETRY_TEXT_BYTES = 24,
-	/* A safe request is sent to another server when its answer takes so
-	 * many times as long as answers of that service usually do. */
-	PATIENCE_FACTOR = 6,
-	PATIENCE_MIN_US = 80 * US_PER_MS,
-	PATIENCE_MAX_US = 400 * US_PER_MS,
 };
 
 /* ---- the end ---- */
@@ -189,25 +185,24 @@
 
 /* ---- time ---- */
 
-static bool
-may_run_again(const struct request *request)
+static struct retry_state
+retry_state_of(const struct request *request, bool has_other)
 {
-	return request->route->kind == ROUTE_SAFE &&
-	    request->runs < request->route->max_attempts &&
-	    request->tried_count < BACKEND_TRIED_MAX;
+	return (struct retry_state){
+	    .repeatable = request->route->kind == ROUTE_SAFE,
+	    .runs = request->runs,
+	    .max_attempts = request->route->max_attempts,
+	    .has_other = has_other,
+	};
 }
 
-/* Returns how long to wait for the answer of a server before a safe request
- * is sent to another one. */
-static int64_t
-patience_us(const struct request *request)
+static bool
+may_run_again(const struct request *request)
 {
-	double usual_us = request->attempt->backend->answer_us;
-	int64_t us = (int64_t)(usual_us * PATIENCE_FACTOR);
+	const struct retry_state state = retry_state_of(request, true);
 
-	if (us < PATIENCE_MIN_US)
-		us = PATIENCE_MIN_US;
-	return us > PATIENCE_MAX_US ? PATIENCE_MAX_US : us;
+	return retry_is_allowed(&state) &&
+	    request->tried_count < BACKEND_TRIED_MAX;
 }
 
 static void handle_timer(uv_timer_t *timer);
@@ -218,13 +213,9 @@
 	int64_t due_us = request->deadline_us;
 	int64_t wait_us;
 
-	if (request->state == REQUEST_SENT && may_run_again(request)) {
-		int64_t us =
-		    request->attempt->started_us + patience_us(request);
-
-		if (us < due_us)
-			due_us = us;
-	}
+	if (request->state == REQUEST_SENT &&
+	    request->attempt->give_up_us < due_us)
+		due_us = request->attempt->give_up_us;
 	if (request->wake_us != 0 && request->wake_us < due_us)
 		due_us = request->wake_us;
 	wait_us = due_us - clock_monotonic_us();
@@ -248,7 +239,8 @@
 		request_give_up(request, REFUSAL_DEADLINE);
 		return;
 	}
-	if (request->state == REQUEST_SENT && may_run_again(request)) {
+	if (request->state == REQUEST_SENT &&
+	    clock_monotonic_us() >= request->attempt->give_up_us) {
 		backend_failed(request->attempt->backend, clock_monotonic_us());
 		forward_cancel(request);
 		request_attempt_ended(request, ATTEMPT_SILENT, "no answer");
@@ -264,11 +256,10 @@
 
 /* ---- sending ---- */
 
-void
-request_dispatch(struct request *request)
+static struct backend_request
+wanted_of(const struct request *request)
 {
-	struct gateway *gateway = request->gateway;
-	const struct backend_request wanted = {
+	return (struct backend_request){
 	    .service = request->service,
 	    .preferred = turn_server(request),
 	    .streams = request->route->kind == ROUTE_STREAM,
@@ -279,8 +270,39 @@
 	    .tried = request->tried,
 	    .tried_count = request->tried_count,
 	};
-	struct backend *backend = backends_choose(
+}
+
+static struct backend *
+choose_backend(const struct request *request)
+{
+	struct gateway *gateway = request->gateway;
+	const struct backend_request wanted = wanted_of(request);
+
+	return backends_choose(
 	    &gateway->board.backends, &wanted, clock_monotonic_us());
+}
+
+/* The server that has the request is among the tried ones. */
+static void
+set_patience(struct request *request)
+{
+	struct forward *attempt = request->attempt;
+	struct retry_state state = retry_state_of(request, false);
+	int64_t patience_us;
+
+	state.has_other =
+	    may_run_again(request) && choose_backend(request) != NULL;
+	patience_us = retry_patience_us(&state, attempt->backend->answer_us);
+	attempt->give_up_us = patience_us == INT64_MAX
+	    ? INT64_MAX
+	    : attempt->started_us + patience_us;
+}
+
+void
+request_dispatch(struct request *request)
+{
+	const struct backend_request wanted = wanted_of(request);
+	struct backend *backend = choose_backend(request);
 
 	if (backend == NULL) {
 		if (request->runs > 0)
@@ -304,6 +326,7 @@
 		    request->sent_us - request->received_us);
 	}
 	forward_start(request, backend, &wanted);
+	set_patience(request);
 	request->state = REQUEST_SENT;
 	request->wake_us = 0;
 	request_arm(request);
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -32,6 +32,7 @@
 	double load;             /**< of the server when it was sent */
 	uint64_t events_before;  /**< that an earlier sending gave */
 	int64_t started_us;
+	int64_t give_up_us; /**< without an answer; INT64_MAX: never */
 	int64_t first_us; /**< first event of a stream; 0: none yet */
 	bool has_head;
 	struct backend_answer answer;
--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -396,6 +396,34 @@
 	buf_reset(&config);
 }
 
+void
+cluster_list_server(struct cluster *cluster, const char *id, int runner)
+{
+	struct buf value = {0};
+
+	buf_printf(&value,
+	    "{\"service\":\"tools\",\"address\":\"127.0.0.1:%d\","
+	    "\"zone\":\"a\",\"version\":\"v1\",\"maxBatch\":8,"
+	    "\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1,"
+	    "\"born\":1}",
+	    cluster->runners[runner].port);
+	append_keyed(cluster, STORE_TOPIC_SERVERS, id, buf_text(&value));
+	buf_reset(&value);
+}
+
+int
+cluster_running(const struct cluster *cluster, int runner)
+{
+	struct http_reply reply;
+	int running;
+
+	http_call_once(cluster->runners[runner].port, "GET",
+	    "/stand-in/running", "Host: x\r\n", "", 0, CALL_MS, &reply);
+	running = (int)strtol(buf_text(&reply.body), NULL, 10);
+	http_reply_reset(&reply);
+	return running;
+}
+
 void
 cluster_fault(struct cluster *cluster, const char *json)
 {
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -64,6 +64,10 @@
 int cluster_wait(struct cluster_process *process, int ms);
 /** Sets faults of the store, e.g. {"outage_ms": 1000}. */
 void cluster_fault(struct cluster *cluster, const char *json);
+/** Lists a server of "tools" at the address of a runner that is none. */
+void cluster_list_server(struct cluster *cluster, const char *id, int runner);
+/** Returns how many requests are under way at a runner. */
+int cluster_running(const struct cluster *cluster, int runner);
 /** Returns how often a request has run on all servers. */
 int cluster_runs(const struct cluster *cluster, const char *request);
 /** Returns a counter of a gateway, e.g. "turns_total"; -1: not readable. */
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -2,7 +2,9 @@
  * standin-runner: a backend server of the platform. It registers itself in the
  * store, and serves model requests as streams of events or plain requests as
  * whole answers. The data of a stream's first event is the hash of the body
- * that it was given, so that a caller can check what was said before.
+ * that it was given, so that a caller can check what was said before. A path
+ * with /crash kills it, one with /lose runs and is not answered, one with /slow
+ * takes two seconds.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -28,6 +30,7 @@
 	HEADER_MAX_BYTES = 32 << 10,
 	IDLE_US = 10 * US_PER_S,
 	RUNS_MAX = 4096,
+	SLOW_MS = 2000,
 	ID_BYTES = 64,
 };
 
@@ -195,7 +198,13 @@
 }
 
 static void
-start_run(struct h1_exchange *exchange, const char *request)
+note_run(const char *request)
+{
+	snprintf(ran[ran_count++ % RUNS_MAX], ID_BYTES, "%s", request);
+}
+
+static void
+start_run(struct h1_exchange *exchange, const char *request, int work_ms)
 {
 	const struct buf *body = h1_exchange_body(exchange);
 	struct h1_headers headers = {0};
@@ -204,7 +213,7 @@
 	run->exchange = exchange;
 	snprintf(run->id, sizeof(run->id), "%s", request);
 	run->body_hash = hash_bytes(body->data, body->len, 0);
-	snprintf(ran[ran_count++ % RUNS_MAX], ID_BYTES, "%s", request);
+	note_run(request);
 	list_append(&runs, &run->link);
 	run->timer = xcalloc(1, sizeof(*run->timer));
 	uv_timer_init(loop, run->timer);
@@ -216,7 +225,7 @@
 		h1_respond_begin(exchange, 200, &headers, -1);
 		h1_headers_reset(&headers);
 	}
-	uv_timer_start(run->timer, handle_time, (uint64_t)options.work_ms,
+	uv_timer_start(run->timer, handle_time, (uint64_t)work_ms,
 	    options.model ? (uint64_t)options.work_ms : 0);
 }
 
@@ -245,6 +254,24 @@
 	buf_reset(&body);
 }
 
+/* GET /stand-in/running: how many requests are under way. */
+static void
+answer_running(struct h1_exchange *exchange)
+{
+	struct buf body = {0};
+
+	buf_printf(&body, "%zu", list_length(&runs));
+	h1_respond(exchange, 200, NULL, body.data, body.len);
+	buf_reset(&body);
+}
+
+static void
+lose(struct h1_exchange *exchange, const char *request)
+{
+	note_run(request);
+	h1_exchange_abort(exchange);
+}
+
 static void
 handle(void *context, struct h1_exchange *exchange)
 {
@@ -256,6 +283,8 @@
 	(void)context;
 	if (strcmp(path, "/stand-in/runs") == 0)
 		answer_runs(exchange);
+	else if (strcmp(path, "/stand-in/running") == 0)
+		answer_running(exchange);
 	else if (strstr(path, "/crash") != NULL)
 		raise(SIGKILL);
 	else if (request == NULL)
@@ -264,8 +293,11 @@
 		decline(exchange, 421, request);
 	else if (list_length(&runs) >= (size_t)options.slots)
 		decline(exchange, 503, request);
+	else if (strstr(path, "/lose") != NULL)
+		lose(exchange, request);
 	else
-		start_run(exchange, request);
+		start_run(exchange, request,
+		    strstr(path, "/slow") != NULL ? SLOW_MS : options.work_ms);
 }
 
 /* ---- the program ---- */
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -6,6 +6,7 @@
 #include "common/clock.h"
 #include "common/hash.h"
 #include "dispatch/backends.h"
+#include "dispatch/retry.h"
 #include "tests/runner.h"
 
 static struct backends backends;
@@ -275,6 +276,61 @@
 }
 END_TEST
 
+/* A tool with one server and one attempt: cancelling what runs would end the
+ * request for nothing. */
+START_TEST(the_last_attempt_is_waited_for)
+{
+	struct retry_state state = {
+	    .repeatable = true,
+	    .max_attempts = 1,
+	    .has_other = true,
+	};
+
+	ck_assert(retry_is_allowed(&state));
+	ck_assert_int_eq(retry_patience_us(&state, 1000), INT64_MAX);
+	state.max_attempts = 2;
+	ck_assert_int_lt(retry_patience_us(&state, 1000), US_PER_S);
+	state.has_other = false;
+	ck_assert_int_eq(retry_patience_us(&state, 1000), INT64_MAX);
+	state.has_other = true;
+	state.runs = 1;
+	ck_assert(retry_is_allowed(&state));
+	ck_assert_int_eq(retry_patience_us(&state, 1000), INT64_MAX);
+	state.runs = 2;
+	ck_assert(!retry_is_allowed(&state));
+}
+END_TEST
+
+START_TEST(only_what_may_be_repeated_is)
+{
+	const struct retry_state state = {
+	    .max_attempts = 3,
+	    .has_other = true,
+	};
+
+	ck_assert(!retry_is_allowed(&state));
+	ck_assert_int_eq(retry_patience_us(&state, 1000), INT64_MAX);
+}
+END_TEST
+
+START_TEST(patience_follows_the_usual_answer)
+{
+	const struct retry_state state = {
+	    .repeatable = true,
+	    .max_attempts = 3,
+	    .has_other = true,
+	};
+	int64_t fast_us = retry_patience_us(&state, 2.0 * US_PER_MS);
+	int64_t usual_us = retry_patience_us(&state, 40.0 * US_PER_MS);
+	int64_t slow_us = retry_patience_us(&state, 10.0 * US_PER_S);
+
+	ck_assert_int_ge(fast_us, 50 * US_PER_MS);
+	ck_assert_int_gt(usual_us, fast_us);
+	ck_assert_int_gt(slow_us, usual_us);
+	ck_assert_int_lt(slow_us, US_PER_S);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -291,6 +347,9 @@
 	    speeds_are_learned_by_load,
 	    speeds_stay_sound_on_odd_samples,
 	    caches_are_told_and_forgotten,
+	    the_last_attempt_is_waited_for,
+	    only_what_may_be_repeated_is,
+	    patience_follows_the_usual_answer,
 	};
 
 	return run_tests_in("dispatch", tests, sizeof(tests) / sizeof(tests[0]),
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -492,6 +492,135 @@
 }
 END_TEST
 
+/* Sends a request to a path, and returns the status. */
+static int
+status_by(int gateway, const char *method, const char *target,
+    const char *request, const char *deadline_ms)
+{
+	struct http_reply reply;
+	char fields[TEXT_BYTES];
+	int status;
+
+	snprintf(fields, sizeof(fields),
+	    "Host: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: %s\r\n", request,
+	    deadline_ms);
+	http_call_once(
+	    port_of(gateway), method, target, fields, "", 0, CALL_MS, &reply);
+	status = reply.status;
+	http_reply_reset(&reply);
+	return status;
+}
+
+START_TEST(a_lost_answer_is_not_asked_for_again)
+{
+	ck_assert_int_ge(cluster_add_runner(&cluster, "tools", ""), 0);
+	usleep(1200 * US_PER_MS);
+	for (int i = 0; i < 5; i++) {
+		char request[32];
+
+		snprintf(request, sizeof(request), "lost-%d", i);
+		ck_assert_int_eq(
+		    status_by(i % 3, "POST", "/once/lose", request, "2000"),
+		    502);
+		ck_assert_int_eq(cluster_runs(&cluster, request), 1);
+	}
+	/* One that may run again does, within the route's attempts. */
+	ck_assert_int_eq(
+	    status_by(0, "GET", "/safe/lose", "lost-safe", "2000"), 502);
+	ck_assert_int_ge(cluster_runs(&cluster, "lost-safe"), 2);
+	ck_assert_int_le(cluster_runs(&cluster, "lost-safe"), 3);
+}
+END_TEST
+
+START_TEST(a_refused_request_has_not_run)
+{
+	int refused = 0;
+	struct http_caller callers[24];
+
+	for (int i = 0; i < 24; i++) {
+		char raw[TEXT_BYTES];
+
+		snprintf(raw, sizeof(raw),
+		    "POST /once/slow HTTP/1.1\r\nHost: h.example\r\n"
+		    "Request-Id: busy-%02d\r\nDeadline-Ms: 4000\r\n"
+		    "Content-Length: 0\r\n\r\n",
+		    i);
+		ck_assert(http_caller_open(&callers[i], port_of(i % 3)));
+		ck_assert(http_caller_send(&callers[i], raw, strlen(raw)));
+	}
+	for (int i = 0; i < 24; i++) {
+		char request[32];
+		struct http_reply reply;
+
+		snprintf(request, sizeof(request), "busy-%02d", i);
+		http_caller_read(&callers[i], CALL_MS, &reply);
+		if (reply.status == 503) {
+			refused++;
+			ck_assert_int_eq(cluster_runs(&cluster, request), 0);
+			ck_assert_ptr_nonnull(
+			    http_reply_field(&reply, "retry-after"));
+		}
+		http_reply_reset(&reply);
+		http_caller_close(&callers[i]);
+	}
+	/* One server of eight places is there. */
+	ck_assert_int_ge(refused, 10);
+}
+END_TEST
+
+START_TEST(a_request_ends_with_its_deadline)
+{
+	int64_t before_us = clock_monotonic_us();
+
+	ck_assert_int_eq(
+	    status_by(0, "POST", "/once/slow", "late-1", "300"), 504);
+	ck_assert_int_lt(
+	    clock_monotonic_us() - before_us, 800 * (int64_t)US_PER_MS);
+	/* The route's time, where the caller has more. */
+	before_us = clock_monotonic_us();
+	ck_assert_int_eq(
+	    status_by(1, "POST", "/once/slow", "late-2", "9000"), 504);
+	ck_assert_int_lt(
+	    clock_monotonic_us() - before_us, 2000 * (int64_t)US_PER_MS);
+}
+END_TEST
+
+START_TEST(work_ends_when_its_caller_leaves)
+{
+	static const char raw[] =
+	    "GET /safe/slow HTTP/1.1\r\nHost: h.example\r\n"
+	    "Request-Id: gone-1\r\nDeadline-Ms: 4000\r\n\r\n";
+	struct http_caller caller;
+
+	ck_assert(http_caller_open(&caller, port_of(0)));
+	ck_assert(http_caller_send(&caller, raw, strlen(raw)));
+	usleep(150 * US_PER_MS);
+	ck_assert_int_eq(cluster_running(&cluster, 2), 1);
+	http_caller_close(&caller);
+	usleep(300 * US_PER_MS);
+	ck_assert_int_eq(cluster_running(&cluster, 2), 0);
+}
+END_TEST
+
+/* The list still names an address that belongs to another server by now. */
+START_TEST(an_address_of_another_server_runs_nothing)
+{
+	cluster_list_server(&cluster, "ghost", 0);
+	usleep(1200 * US_PER_MS);
+	for (int i = 0; i < 12; i++) {
+		char request[32];
+		struct http_reply reply;
+
+		snprintf(request, sizeof(request), "moved-%02d", i);
+		call(i % 3, "/safe/a", request, "", NULL, &reply);
+		ck_assert_int_eq(reply.status, 200);
+		ck_assert_ptr_nonnull(strstr(buf_text(&reply.body), "done"));
+		ck_assert_int_eq(cluster_runs(&cluster, request), 1);
+		http_reply_reset(&reply);
+	}
+}
+END_TEST
+
 /* Each sending of the request kills the server that it reaches. */
 START_TEST(a_request_that_kills_servers_is_held_back)
 {
@@ -538,6 +667,11 @@
 	    a_stop_cuts_nothing,
 	    a_server_that_dies_is_passed_by,
 	    a_request_that_kills_servers_is_held_back,
+	    a_lost_answer_is_not_asked_for_again,
+	    a_refused_request_has_not_run,
+	    a_request_ends_with_its_deadline,
+	    work_ends_when_its_caller_leaves,
+	    an_address_of_another_server_runs_nothing,
 	};
 
 	build_dir = argc > 1 ? argv[1] : "build";
