--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -410,6 +410,22 @@
 }
 END_TEST
 
+/* A store that has forgotten its newest records shows an older version. */
+START_TEST(configuration_does_not_go_back)
+{
+	cluster_publish(&cluster,
+	    ",{\"name\":\"new\",\"host\":\"h.example\",\"pathPrefix\":"
+	    "\"/new/\",\"kind\":\"safe\",\"timeoutMs\":1000,"
+	    "\"targetLatencyMs\":100,\"service\":\"tools\"}");
+	usleep(1000 * US_PER_MS);
+	cluster.config_version -= 4;
+	cluster_publish(&cluster, "");
+	usleep(1000 * US_PER_MS);
+	for (int i = 0; i < 3; i++)
+		ck_assert_int_eq(status_of(i, "/new/a", "back-1"), 200);
+}
+END_TEST
+
 START_TEST(leaving_servers_get_no_new_work)
 {
 	int number = cluster_add_runner(&cluster, "tools", "");
@@ -663,6 +679,7 @@
 	    long_heads_are_refused,
 	    chunked_bodies_are_put_together,
 	    configuration_comes_into_force_everywhere,
+	    configuration_does_not_go_back,
 	    leaving_servers_get_no_new_work,
 	    a_stop_cuts_nothing,
 	    a_server_that_dies_is_passed_by,
