--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -508,7 +508,7 @@
 }
 END_TEST
 
-/* Sends a request to a path, and returns the status. */
+/* Sends a request that runs to a path, and returns the status. */
 static int
 status_by(int gateway, const char *method, const char *target,
     const char *request, const char *deadline_ms)
@@ -523,6 +523,7 @@
 	http_call_once(
 	    port_of(gateway), method, target, fields, "", 0, CALL_MS, &reply);
 	status = reply.status;
+	ck_assert_ptr_null(strstr(buf_text(&reply.body), "not run"));
 	http_reply_reset(&reply);
 	return status;
 }
