Pass on signs of life of far gateways; hold turns a quarter of their time

Cause: each gateway sends to two of each other domain only, so most heard of most others less often than every 1.5 s; the partners, chosen among the live, changed all the time, and far histories were read from the store. With 4 VMs a domain nearly all hear each other, so the small sites hid it. Change: five times less often than they send signs of life, gateways tell their own domain whom they heard from themselves elsewhere; that is not told on.

--- a/gateway/fellows.c
+++ b/gateway/fellows.c
@@ -20,6 +20,7 @@
 	PARTS_PULSES = 5,   /* and so many tell of caches */
 	EXPIRE_PULSES = 50, /* and so many forget old caches */
 	PARTS_MAX = 256,    /* of which a pulse tells */
+	HEARD_MAX = 512,    /* gateways that a pulse tells of */
 	FAR_FANOUT = 2,     /* gateways of each other failure domain */
 	SILENCE_US = 1500 * US_PER_MS, /* that means a gateway is gone */
 	FORGET_US = 60 * US_PER_S,     /* silence after which it is dropped */
@@ -37,6 +38,7 @@
 /** What a gateway tells of itself, besides what struct member holds. */
 struct fellow {
 	char vm[NAME_BYTES];
+	uint64_t hash;               /**< of vm */
 	char callers[SETTING_BYTES]; /**< "IP:port" */
 	uint64_t incarnation;
 	bool store_lost;
@@ -133,6 +135,7 @@
 	fellow = &fellows->items[fellows->members.count - 1];
 	*fellow = (struct fellow){0};
 	snprintf(fellow->vm, sizeof(fellow->vm), "%s", vm);
+	fellow->hash = hash_text(vm, 0);
 	return fellow;
 }
 
@@ -365,10 +368,43 @@
 		    now_us);
 }
 
+/* Lists the gateways of other failure domains that were heard from here since
+ * the last such list: each of them sends to a few gateways of this one only. */
+static size_t
+list_heard(const struct fellows *fellows, struct message_heard **heard)
+{
+	const struct member *members[HEARD_MAX];
+	size_t count = members_list_first_hand(&fellows->members,
+	    fellows->gateway->settings.failure_domain,
+	    clock_monotonic_us() -
+		(int64_t)(FAR_PULSES + 1) * PULSE_MS * US_PER_MS,
+	    members, HEARD_MAX);
+
+	*heard = xcalloc(count + 1, sizeof(**heard));
+	for (size_t i = 0; i < count; i++)
+		(*heard)[i].vm = hash_text(members[i]->vm, 0);
+	return count;
+}
+
+static void
+take_heard(struct fellows *fellows, const struct message_pulse *pulse)
+{
+	int64_t now_us = clock_monotonic_us();
+
+	for (size_t i = 0; i < pulse->heard_count; i++) {
+		for (size_t k = 0; k < fellows->members.count; k++) {
+			if (fellows->items[k].hash == pulse->heard[i].vm)
+				member_heard_of(
+				    &fellows->members.items[k], now_us);
+		}
+	}
+}
+
 static void
 send_pulses(struct fellows *fellows, bool far)
 {
 	struct message message;
+	size_t heard_count = 0;
 
 	describe_self(fellows, &message);
 	message.pulse.load_count =
@@ -376,15 +412,20 @@
 	if (fellows->pulses % PARTS_PULSES == 0)
 		message.pulse.part_count =
 		    list_parts(fellows->gateway, &message.pulse.parts);
+	if (far)
+		heard_count = list_heard(fellows, &message.pulse.heard);
 	for (size_t i = 0; i < fellows->members.count; i++) {
 		const struct member *member = &fellows->members.items[i];
 
+		message.pulse.heard_count =
+		    is_near(fellows, member) ? heard_count : 0;
 		if (is_near(fellows, member) ||
 		    (far && is_far_partner(fellows, member)))
 			fellows_send(fellows, member->vm, &message);
 	}
 	free(message.pulse.loads);
 	free(message.pulse.parts);
+	free(message.pulse.heard);
 }
 
 static void
@@ -505,6 +546,8 @@
 		fellow->load_count = pulse->load_count;
 	}
 	take_parts(fellows, pulse);
+	if (is_near(fellows, member))
+		take_heard(fellows, pulse);
 	take_owned(fellows, message->sender, pulse->generation, pulse->owned);
 	if (!pulse->self.log_lost)
 		config_watch_heard(fellows->gateway->config_watch,
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -24,7 +24,7 @@
 	READ_AGAIN_US = 100 * US_PER_MS,
 	RECORD_SLACK_BYTES = 2048,          /* a read gives whole records */
 	PATIENCE_MAX_US = 1500 * US_PER_MS, /* for the owner and the history */
-	PATIENCE_SHARE = 2, /* and at most this part of what is left */
+	PATIENCE_SHARE = 4, /* and at most this part of what is left */
 	RETRY_OWNER_US = 300 * US_PER_MS,
 	RETRY_STORE_US = 1000 * US_PER_MS,
 	HELD_AGAIN_US = 50 * US_PER_MS, /* between looks at the store */
--- a/include/member/member.h
+++ b/include/member/member.h
@@ -29,6 +29,7 @@
 	bool draining;            /**< says so itself, or an operator does */
 	int64_t added_us;         /**< when it was first listed; 0: not known */
 	int64_t heard_us;         /**< last sign of life; 0: none yet */
+	int64_t first_hand_us;    /**< last one from itself; 0: none yet */
 	int64_t trusted_us;       /**< it counts as gone until then */
 	uint32_t returns;         /**< times it came back after a silence */
 	uint64_t config_version;  /**< in force there */
@@ -49,6 +50,13 @@
 /** Notes a sign of life. A member that comes back after a silence is trusted
  * again only after a delay, which doubles each time. */
 void member_heard(struct member *member, int64_t now_us);
+/** Another VM has heard from it just now. */
+void member_heard_of(struct member *member, int64_t now_us);
+/** Fills out with the VMs outside a failure domain that this VM heard from
+ * itself since a time; what others told is not told on. Returns how many. */
+size_t members_list_first_hand(const struct members *members,
+    const char *failure_domain, int64_t since_us, const struct member **out,
+    size_t max);
 struct member *members_find(struct members *members, const char *vm);
 /** Adds a member, or returns the one of that name. */
 struct member *members_add(struct members *members, const char *vm);
--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -159,6 +159,11 @@
 	uint32_t tokens;
 };
 
+/** A gateway of another failure domain that the sender has heard from. */
+struct message_heard {
+	uint64_t vm; /**< hash of its name */
+};
+
 struct message_pulse {
 	struct message_member self;
 	uint64_t generation; /**< of the partitions' distribution */
@@ -167,6 +172,8 @@
 	size_t load_count;
 	struct message_part *parts; /**< shared ones; now and then */
 	size_t part_count;
+	struct message_heard *heard; /**< now and then */
+	size_t heard_count;
 	bool wants_reply; /**< the sender has just started */
 };
 
--- a/member/member.c
+++ b/member/member.c
@@ -52,7 +52,7 @@
 }
 
 void
-member_heard(struct member *member, int64_t now_us)
+member_heard_of(struct member *member, int64_t now_us)
 {
 	int64_t damping_ms = FIRST_DAMPING_MS;
 
@@ -68,6 +68,31 @@
 	member->heard_us = now_us;
 }
 
+void
+member_heard(struct member *member, int64_t now_us)
+{
+	member_heard_of(member, now_us);
+	member->first_hand_us = now_us;
+}
+
+size_t
+members_list_first_hand(const struct members *members,
+    const char *failure_domain, int64_t since_us, const struct member **out,
+    size_t max)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < members->count && count < max; i++) {
+		const struct member *member = &members->items[i];
+
+		if (member->first_hand_us != 0 &&
+		    member->first_hand_us >= since_us &&
+		    strcmp(member->failure_domain, failure_domain) != 0)
+			out[count++] = member;
+	}
+	return count;
+}
+
 struct member *
 members_find(struct members *members, const char *vm)
 {
--- a/peer/message.c
+++ b/peer/message.c
@@ -27,6 +27,7 @@
 LIST_IS_ADJACENT(want.lanes, want.lane_count);
 LIST_IS_ADJACENT(pulse.loads, pulse.load_count);
 LIST_IS_ADJACENT(pulse.parts, pulse.part_count);
+LIST_IS_ADJACENT(pulse.heard, pulse.heard_count);
 LIST_IS_ADJACENT(turn_granted.chain, turn_granted.chain_count);
 LIST_IS_ADJACENT(turn_end.ancestors, turn_end.ancestor_count);
 LIST_IS_ADJACENT(turn_found.chain, turn_found.chain_count);
@@ -149,6 +150,11 @@
 };
 static const struct wire_layout part_layout = SPARSE("part", part_fields);
 
+static const struct wire_field heard_fields[] = {
+    WIRE(struct message_heard, 1, WIRE_UNSIGNED, vm),
+};
+static const struct wire_layout heard_layout = SPARSE("heard", heard_fields);
+
 static const struct wire_field ref_fields[] = {
     WIRE(struct turn_ref, 1, WIRE_TEXT, turn),
     WIRE(struct turn_ref, 2, WIRE_UNSIGNED, part),
@@ -188,6 +194,7 @@
     LIST(22, pulse.loads, &load_layout),
     F(23, WIRE_BOOL, pulse.wants_reply),
     LIST(24, pulse.parts, &part_layout),
+    LIST(25, pulse.heard, &heard_layout),
 };
 static const struct wire_field turn_begin_fields[] = {
     F(1, WIRE_TEXT, turn_begin.turn),
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -163,6 +163,37 @@
 }
 END_TEST
 
+/* VMs of other failure domains are heard by a few; those tell the rest, once.
+ */
+START_TEST(signs_of_life_are_told_once)
+{
+	struct members here;
+	struct members there;
+	const struct member *told[VMS];
+	size_t count;
+
+	fill(&here);
+	fill(&there);
+	member_heard(&here.items[0], 2 * SECOND); /* in domain a */
+	member_heard(&here.items[1], 2 * SECOND);
+	member_heard(&here.items[2], SECOND);
+	count =
+	    members_list_first_hand(&here, "a", SECOND + SECOND / 2, told, VMS);
+	ck_assert_uint_eq(count, 1);
+	ck_assert_str_eq(told[0]->vm, "entry-1");
+	for (int second = 2; second < 20; second++)
+		member_heard_of(&there.items[1], second * SECOND);
+	ck_assert_int_eq(
+	    member_state(&there.items[1], 20 * SECOND), MEMBER_LIVE);
+	ck_assert_int_eq(
+	    member_state(&there.items[4], 20 * SECOND), MEMBER_GONE);
+	ck_assert_uint_eq(
+	    members_list_first_hand(&there, "a", 0, told, VMS), 0);
+	members_reset(&here);
+	members_reset(&there);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -173,6 +204,7 @@
 	    shards_move_only_from_the_member_that_went,
 	    choices_are_a_permutation_of_the_live,
 	    callers_get_their_region_first_and_domains_in_turn,
+	    signs_of_life_are_told_once,
 	};
 
 	return run_tests("member", tests, sizeof(tests) / sizeof(tests[0]));
