--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -261,7 +261,8 @@
 	    "[failure_domains]\na = r\n[limits]\nstop_grace = 8 s\n",
 	    number, gateway->process.port, gateway->readiness_port,
 	    gateway->directory_port, gateway->peers_port, gateway->metrics_port,
-	    cluster->store.port);
+	    gateway->store_port != 0 ? gateway->store_port
+				     : cluster->store.port);
 	fclose(file);
 }
 
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -26,6 +26,7 @@
 	int directory_port;
 	int peers_port;
 	int metrics_port;
+	int store_port; /**< where it finds the store; 0: at the store */
 };
 
 struct cluster {
