Wait at a takeover until the owner before must have heard; whole chains only

Cause: the owner before goes on granting until its next join (250 ms), and what it recorded in that time was appended after the new owner had read. Change: a new owner is ready 320 ms after it was dealt a partition, having read again; an owner that hears of a newer claim stops at once. Ancestors are kept unless the turn before is, and an owner that can't put a chain together says so instead of 'no such turn'.

--- a/gateway/fellows.c
+++ b/gateway/fellows.c
@@ -257,6 +257,9 @@
 
 		if (generation < owner->generation)
 			continue;
+		if (owns)
+			ownership_heard_claim(
+			    fellows->gateway->ownership, part, generation);
 		if (owns) {
 			snprintf(owner->vm, NAME_BYTES, "%s", vm);
 			owner->generation = generation;
--- a/gateway/ownership.c
+++ b/gateway/ownership.c
@@ -109,7 +109,10 @@
 
 		if (dealt && !partition->held)
 			partition_take(partition, joined->generation);
-		else if (dealt && ownership->suspended)
+		else if (dealt &&
+		    (ownership->suspended ||
+			(partition->yielded_to != 0 &&
+			    joined->generation >= partition->yielded_to)))
 			partition_resume(partition, joined->generation);
 		else if (!dealt)
 			partition_drop(partition);
@@ -119,6 +122,14 @@
 		fellows_pulse(ownership->gateway->fellows);
 }
 
+void
+ownership_heard_claim(
+    struct ownership *ownership, uint32_t part, uint64_t generation)
+{
+	if (part < ownership->count && generation > ownership->generation)
+		partition_yield(&ownership->partitions[part], generation);
+}
+
 static void
 handle_joined(void *context, const struct store_joined *joined)
 {
--- a/gateway/partition.c
+++ b/gateway/partition.c
@@ -18,7 +18,11 @@
 	APPEND_TIMEOUT_US = 600 * US_PER_MS,
 	GAP_US = 1 * US_PER_S,       /* news of a record may be late so long */
 	INDEX_US = 1500 * US_PER_MS, /* between appends to the index */
-	BATCH_MAX = 256,             /* records in an append */
+	/* The owner before may not have heard yet that the store has dealt its
+	 * partitions anew: longer than the time between two of its joins. What
+	 * it grants until then has to be read. */
+	HANDOVER_US = 320 * US_PER_MS,
+	BATCH_MAX = 256, /* records in an append */
 };
 
 static const char TOPIC_INDEX[] = "index";
@@ -84,6 +88,11 @@
 		partition_read(partition);
 		return;
 	}
+	if (!partition->ready &&
+	    clock_monotonic_us() < partition->taken_us + HANDOVER_US) {
+		partition->read_due_us = partition->taken_us + HANDOVER_US;
+		return;
+	}
 	if (!partition->ready) {
 		partition->ready = true;
 		ledger_own(
@@ -317,6 +326,7 @@
 partition_take(struct partition *partition, uint64_t generation)
 {
 	partition->held = true;
+	partition->yielded_to = 0;
 	partition->ready = false;
 	partition->epoch = generation;
 	partition->index_next = 0;
@@ -333,15 +343,26 @@
 void
 partition_resume(struct partition *partition, uint64_t generation)
 {
-	if (partition->epoch == generation)
+	if (partition->epoch >= generation)
 		return;
 	partition->epoch = generation;
+	partition->yielded_to = 0;
 	partition->ready = false;
 	partition->taken_us = clock_monotonic_us();
 	trace_partition(partition, "partition_resumed");
 	partition_catch_up(partition);
 }
 
+void
+partition_yield(struct partition *partition, uint64_t generation)
+{
+	if (!partition->held || generation <= partition->yielded_to)
+		return;
+	partition->yielded_to = generation;
+	trace_partition(partition, "partition_yielded");
+	partition_answer_asks(partition);
+}
+
 static void
 cancel(struct store_call **call)
 {
--- a/gateway/partition_ask.c
+++ b/gateway/partition_ask.c
@@ -86,6 +86,15 @@
 	*count = ledger_chain(partition->ledger, turn, *chain, CHAIN_MAX);
 }
 
+/* A turn may be known while one that it builds on is not, yet. */
+static bool
+has_chain(const struct partition *partition, const char *turn)
+{
+	static struct turn_ref refs[CHAIN_MAX];
+
+	return ledger_chain(partition->ledger, turn, refs, CHAIN_MAX) > 0;
+}
+
 static void
 grant(struct partition *partition, const struct ask *ask)
 {
@@ -141,12 +150,10 @@
 	    .most = begin->most,
 	    .deadline_us = now_us + begin->left_us,
 	};
-	struct ledger_kept kept;
 
 	/* What it continues may have been appended but not told yet. */
 	if (begin->previous[0] != '\0' && begin->wants_chain &&
-	    !ask->read_through &&
-	    !ledger_find(partition->ledger, begin->previous, &kept)) {
+	    !ask->read_through && !has_chain(partition, begin->previous)) {
 		partition_catch_up(partition);
 		return false;
 	}
@@ -188,18 +195,22 @@
 	};
 	struct message_turn_found *found = &message.turn_found;
 	struct ledger_kept kept;
+	bool whole = has_chain(partition, ask->find.turn);
 
-	found->known = ledger_find(partition->ledger, ask->find.turn, &kept);
-	if (!found->known && ask->find.certain && !ask->read_through) {
+	if (!whole && ask->find.certain && !ask->read_through) {
 		partition_catch_up(partition);
 		return false;
 	}
+	found->known = ledger_find(partition->ledger, ask->find.turn, &kept);
 	memcpy(found->turn, ask->find.turn, NAME_BYTES);
-	if (found->known) {
+	if (found->known && whole) {
 		snprintf(found->vm, NAME_BYTES, "%s", kept.vm);
 		snprintf(found->server, NAME_BYTES, "%s", kept.server);
 		fill_chain(partition, ask->find.turn, &found->chain,
 		    &found->chain_count);
+	} else if (found->known) {
+		/* It was kept, so "no such turn" would be wrong. */
+		found->answer = TURN_ANSWER_UNSURE;
 	}
 	reply(partition->gateway, ask->vm, &message);
 	free(found->chain);
@@ -212,7 +223,7 @@
 {
 	struct gateway *gateway = partition->gateway;
 
-	if (!partition->held) {
+	if (!partition->held || partition->yielded_to != 0) {
 		answer_ask(gateway, ask, TURN_ANSWER_NOT_OWNER);
 		return true;
 	}
--- a/include/gateway/ownership.h
+++ b/include/gateway/ownership.h
@@ -21,6 +21,9 @@
 uint64_t ownership_generation(const struct ownership *ownership);
 /** Returns a bit for each partition that is owned. */
 uint64_t ownership_owned(const struct ownership *ownership);
+/** Another VM says that it owns a partition by a generation. */
+void ownership_heard_claim(
+    struct ownership *ownership, uint32_t part, uint64_t generation);
 /** Takes a message to an owner, from another gateway or from this one; it
  * answers with a message to the sender. */
 void ownership_handle_message(
--- a/include/gateway/partition.h
+++ b/include/gateway/partition.h
@@ -20,8 +20,9 @@
 struct partition {
 	struct gateway *gateway;
 	uint32_t part;
-	bool held;  /**< dealt to this VM */
-	bool ready; /**< its log has been read */
+	bool held;           /**< dealt to this VM */
+	bool ready;          /**< its log has been read */
+	uint64_t yielded_to; /**< generation by which another VM has it; 0 */
 	struct ledger *ledger;
 	uint64_t epoch;
 	int64_t taken_us;
@@ -52,6 +53,9 @@
 void partition_take(struct partition *partition, uint64_t generation);
 /** The lease had run out, and the store has dealt it to this VM again. */
 void partition_resume(struct partition *partition, uint64_t generation);
+/** Another VM says that the store has dealt it there: nothing is granted until
+ * the store tells. */
+void partition_yield(struct partition *partition, uint64_t generation);
 /** It is another VM's, or nobody's. */
 void partition_drop(struct partition *partition);
 /** Drops it, and all questions. */
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -33,7 +33,7 @@
 	uint64_t events_before;  /**< that an earlier sending gave */
 	int64_t started_us;
 	int64_t give_up_us; /**< without an answer; INT64_MAX: never */
-	int64_t first_us; /**< first event of a stream; 0: none yet */
+	int64_t first_us;   /**< first event of a stream; 0: none yet */
 	bool has_head;
 	struct backend_answer answer;
 	struct h1_headers headers; /**< of the answer, to pass on */
--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -420,6 +420,28 @@
 }
 END_TEST
 
+/* Found by the soak: the news of the second turn's end was lost, and that of
+ * the third came. */
+START_TEST(a_chain_does_not_break_at_a_turn_whose_end_is_unknown)
+{
+	struct turn_ref ancestors[2] = {{.turn = "t1"}, {.turn = "t2"}};
+	struct turn_ref refs[4];
+	struct turn_record record = make_record(TURN_KEPT, "p", "t1", 10);
+	struct ledger *ledger = owned_ledger();
+
+	ledger_end(ledger, &record, 1, 10, 0);
+	begin(ledger, "p", "t2", 1000, 0);
+	record = make_record(TURN_KEPT, "p", "t3", 10);
+	snprintf(record.previous, sizeof(record.previous), "t2");
+	record.ancestors = ancestors;
+	record.ancestor_count = 2;
+	ledger_end(ledger, &record, 3, 10, 0);
+	ck_assert_uint_eq(ledger_chain(ledger, "t3", refs, 4), 3);
+	ck_assert_str_eq(refs[1].turn, "t2");
+	ledger_destroy(ledger);
+}
+END_TEST
+
 START_TEST(a_chain_is_kept_as_long_as_its_newest_turn)
 {
 	struct ledger *ledger = owned_ledger();
@@ -600,6 +622,7 @@
 	    a_new_owner_knows_how_long_a_turn_may_last,
 	    first_turns_after_a_takeover_are_recorded,
 	    chains_are_found_oldest_first,
+	    a_chain_does_not_break_at_a_turn_whose_end_is_unknown,
 	    a_chain_is_kept_as_long_as_its_newest_turn,
 	    the_index_says_what_the_log_says,
 	    servers_of_sessions_are_remembered,
--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -422,6 +422,8 @@
 set_kept(struct ledger *ledger, struct ledger_turn *turn,
     const struct turn_record *record, uint64_t offset, uint32_t bytes)
 {
+	const struct ledger_turn *previous;
+
 	if (turn->kept)
 		return;
 	turn->kept = true;
@@ -431,8 +433,8 @@
 	memcpy(turn->vm, record->vm, sizeof(turn->vm));
 	memcpy(turn->server, record->server, sizeof(turn->server));
 	renew_chain(ledger, record->previous, turn->ended_us);
-	if (record->ancestor_count == 0 ||
-	    find_turn(ledger, record->previous) != NULL)
+	previous = find_turn(ledger, record->previous);
+	if (record->ancestor_count == 0 || (previous != NULL && previous->kept))
 		return;
 	turn->ancestor_count = record->ancestor_count;
 	turn->ancestors =
