--- a/include/turn/record.h
+++ b/include/turn/record.h
@@ -40,8 +40,7 @@
 	/** TURN_OPEN: time to its deadline when it was granted; 0: not known.
 	 */
 	uint64_t left_us;
-	/** TURN_OPEN: its owner may grant the program further turns without a
-	 * record. Others: the turn itself was granted without one; not told in
+	/** Its owner may grant the program turns without a record; not told in
 	 * a TURN_KEPT that the VM which served it has written. */
 	bool loose;
 	/* TURN_KEPT only */
--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -331,6 +331,35 @@
 }
 END_TEST
 
+/* Found by turn-runs, seed 468: the turn ended before its beginning was
+ * written, and what that would have allowed was forgotten by the next owner
+ * only. */
+START_TEST(an_end_in_place_of_a_beginning_says_what_it_allows)
+{
+	struct turn_record facts[] = {
+	    make_record(TURN_KEPT, "p", "t1", 40),
+	};
+	struct turn_record end = make_record(TURN_SPENT, "p", "t2", 0);
+	struct ledger *ledger = take_over(facts, 1, 2);
+	struct turn_record record;
+	struct buf data = {0};
+	int64_t now_us = 6 * (int64_t)US_PER_S;
+
+	make_durable(ledger);
+	ck_assert_int_eq(begin(ledger, "p", "t2", 1000, now_us), LEDGER_WAITS);
+	ledger_end(ledger, &end, 0, 0, now_us);
+	ck_assert(ledger_next_record(ledger, &data));
+	ck_assert(turn_record_decode(data.data, data.len, &record, NULL));
+	ledger_batch_done(ledger, true);
+	ck_assert_int_eq(record.type, TURN_SPENT);
+	ck_assert(record.loose);
+	ck_assert_int_eq(
+	    begin(ledger, "p", "t3", 1000, now_us), LEDGER_GRANTED);
+	buf_reset(&data);
+	ledger_destroy(ledger);
+}
+END_TEST
+
 /* Its VM asked more than once, and gave up before the owner could answer. */
 START_TEST(a_turn_that_was_given_up_is_not_granted_later)
 {
@@ -618,6 +647,7 @@
 	    takeovers_without_turns_are_charged_once,
 	    charges_outlive_the_next_takeover,
 	    a_careful_owner_is_not_charged_for,
+	    an_end_in_place_of_a_beginning_says_what_it_allows,
 	    a_turn_that_was_given_up_is_not_granted_later,
 	    a_new_owner_knows_how_long_a_turn_may_last,
 	    first_turns_after_a_takeover_are_recorded,
--- a/tests/turn_runs/main.c
+++ b/tests/turn_runs/main.c
@@ -28,7 +28,6 @@
 	RUN_US = 12L * US_PER_S,
 	SLOW_RUN_US =
 	    40L * US_PER_S, /* owners last beyond their careful time */
-	SLOW_FACTOR = 10,   /* faults are so much rarer then */
 	DEFAULT_RUNS = 2000,
 	READ_US = 40L * US_PER_MS, /* a takeover reads the log */
 	MOST = 100,
@@ -56,6 +55,7 @@
 	uint64_t handed; /**< tokens of the present turn */
 	uint64_t will;   /**< tokens that it will generate */
 	int refusals;
+	bool lingered; /**< a slow one waits before its end */
 	bool retained;
 	bool ended;
 };
@@ -106,9 +106,10 @@
 	uint64_t names;
 	uint64_t faults;
 	uint64_t vm_deaths;
-	bool slow;    /**< programs pause long, faults are rare */
-	bool vms_die; /**< in this run */
-	bool all_die; /**< at once, now and then, in this run */
+	bool slow;          /**< turns last long, faults are rare */
+	bool vms_die;       /**< in this run */
+	bool all_die;       /**< at once, now and then, in this run */
+	int64_t all_die_us; /**< next time, in a slow run */
 	char failure[2048];
 };
 
@@ -311,7 +312,9 @@
 		line->epoch = world->epoch;
 		program->owners += program->epoch != world->epoch;
 		program->epoch = world->epoch;
-		line->will = 1 + rng_below(&world->rng, MOST);
+		line->will = world->slow ? MOST - rng_below(&world->rng, 10)
+					 : 1 + rng_below(&world->rng, MOST);
+		line->lingered = !world->slow;
 		return;
 	case LEDGER_EXHAUSTED:
 		if (ledger_has_given_up(world->ledger, program->id) &&
@@ -393,6 +396,11 @@
 		fail(world, "budget exceeded", program->id, program->handed);
 	if (line->handed < line->will && !chance(world, 0.02))
 		return;
+	if (!line->lingered) {
+		line->lingered = true;
+		line->due_us = world->now_us + between_ms(world, 200, 1500);
+		return;
+	}
 	if (line->retained && line->handed == line->will)
 		line_seals(world, line);
 	else
@@ -499,22 +507,39 @@
 	}
 }
 
+static void
+all_die(struct world *world)
+{
+	owner_dies(world);
+	for (int i = 0; i < VMS; i++)
+		vm_dies(world, i);
+}
+
+/* In slow runs all die every now and then, with time for an owner to become
+ * less careful in between. */
+static bool
+is_time_for_all(struct world *world)
+{
+	if (!world->slow)
+		return world->all_die && chance(world, 0.001);
+	if (world->now_us < world->all_die_us)
+		return false;
+	world->all_die_us = world->now_us + between_ms(world, 9000, 14000);
+	return world->now_us > 0;
+}
+
 static void
 faults_step(struct world *world)
 {
-	if (world->slow && rng_below(&world->rng, SLOW_FACTOR) > 0)
-		return;
-	if (world->ledger != NULL && chance(world, 0.0004)) {
+	if (world->ledger != NULL && is_time_for_all(world))
+		all_die(world);
+	if (!world->slow && world->ledger != NULL && chance(world, 0.0004)) {
 		world->faults++;
 		owner_dies(world);
 	}
-	if (world->ledger != NULL && world->all_die && chance(world, 0.001)) {
-		owner_dies(world);
-		for (int i = 0; i < VMS; i++)
-			vm_dies(world, i);
-	}
 	for (int i = 0; i < VMS; i++) {
-		if (world->vms_die && world->vm_up[i] && chance(world, 0.0002))
+		if (!world->slow && world->vms_die && world->vm_up[i] &&
+		    chance(world, 0.0002))
 			vm_dies(world, i);
 		else if (!world->vm_up[i] &&
 		    world->now_us > world->vm_until_us[i])
@@ -541,7 +566,7 @@
 
 		snprintf(program->id, sizeof(program->id), "p%d", i);
 		program->budget =
-		    MOST * (2 + rng_below(&world->rng, world->slow ? 36 : 12));
+		    MOST * (2 + rng_below(&world->rng, world->slow ? 20 : 12));
 		program->line_count = 1 + (int)rng_below(&world->rng, LINES);
 		for (int k = program->line_count; k < LINES; k++)
 			program->lines[k].ended = true;
--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -284,6 +284,13 @@
 	return ledger->waiting > 0;
 }
 
+/* Whether its record lets the owner grant later turns without one. */
+static bool
+is_loose_turn(const struct ledger_turn *turn)
+{
+	return turn->frees || (turn->ended && !turn->recorded);
+}
+
 static void
 encode_fact(const struct ledger_turn *turn, struct buf *out)
 {
@@ -294,7 +301,7 @@
 	    .most = turn->most,
 	    .budget = turn->program->budget,
 	    .left_us = turn->ended ? 0 : (uint64_t)turn->left_us,
-	    .loose = turn->ended ? !turn->recorded : turn->frees,
+	    .loose = is_loose_turn(turn),
 	};
 
 	memcpy(record.turn, turn->id, sizeof(record.turn));
@@ -339,7 +346,7 @@
 	    .ancestor_count = turn->ancestor_count,
 	    .offset = turn->offset,
 	    .bytes = turn->bytes,
-	    .loose = !turn->recorded,
+	    .loose = is_loose_turn(turn),
 	};
 	memcpy(record.turn, turn->id, sizeof(record.turn));
 	memcpy(record.program, turn->program->id, sizeof(record.program));
