Lint

make lint found two products of ints that are widened afterwards (a bound in test_dispatch, a gap in the soak's faults); both are computed as long now, with the same values. Formatter on two headers.

--- a/include/daemon/attempt.h
+++ b/include/daemon/attempt.h
@@ -45,8 +45,7 @@
 };
 
 /** Writes the request that an engine gets. */
-void
-attempt_write_body(const struct attempt_params *params, struct buf *body);
+void attempt_write_body(const struct attempt_params *params, struct buf *body);
 struct attempt *
 attempt_start(struct net *net, const struct attempt_params *params,
     const struct attempt_callbacks *callbacks);
--- a/include/dispatch/backends.h
+++ b/include/dispatch/backends.h
@@ -99,8 +99,8 @@
 /** Forgets what other VMs run at the servers. */
 void backends_clear_remote(struct backends *backends);
 /** Another VM runs requests at a server, named by its hash. */
-void backends_add_remote(
-    struct backends *backends, uint64_t hash, uint32_t running);
+void
+backends_add_remote(struct backends *backends, uint64_t hash, uint32_t running);
 /** Returns whether a service has a server that may take requests. */
 bool backends_serve(const struct backends *backends, const char *service);
 
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -219,7 +219,7 @@
 		return;
 	strike(faults);
 	faults->next_us =
-	    ms_from_now(faults, GAP_MAX_MS) + GAP_MIN_MS * US_PER_MS;
+	    ms_from_now(faults, GAP_MAX_MS) + (int64_t)GAP_MIN_MS * US_PER_MS;
 }
 
 struct faults *
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -339,7 +339,7 @@
 	int64_t usual_us = retry_patience_us(&state, 40.0 * US_PER_MS);
 	int64_t slow_us = retry_patience_us(&state, 10.0 * US_PER_S);
 
-	ck_assert_int_ge(fast_us, 50 * US_PER_MS);
+	ck_assert_int_ge(fast_us, 50L * US_PER_MS);
 	ck_assert_int_gt(usual_us, fast_us);
 	ck_assert_int_gt(slow_us, usual_us);
 	ck_assert_int_lt(slow_us, US_PER_S);
