Hold what was not told against a program beyond one turn only

What was given up counts at its most, as charges do, and one turn of both is covered by the turn that may exceed the budget.

--- a/include/turn/record.h
+++ b/include/turn/record.h
@@ -43,6 +43,8 @@
 	/** Its owner may grant the program turns without a record; not told in
 	 * a TURN_KEPT that the VM which served it has written. */
 	bool loose;
+	bool
+	    guessed; /**< TURN_SPENT: its end was not told; it counts at most */
 	/* TURN_KEPT only */
 	char previous[NAME_BYTES];  /**< turn that it continues; "": none */
 	char vm[NAME_BYTES];        /**< that served it */
--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -205,6 +205,35 @@
 	return ledger;
 }
 
+/* A VM that dies tells no end; what it may have spent is held against the
+ * program only beyond the one turn that may exceed a budget. */
+START_TEST(one_lost_turn_is_not_held_against_a_program)
+{
+	struct ledger *ledger = owned_ledger();
+	int64_t late_us = 9 * (int64_t)US_PER_S;
+	struct turn_record record;
+	struct buf data = {0};
+
+	begin(ledger, "p", "t1", 2L * MOST, 0);
+	ledger_expire(ledger, late_us);
+	ck_assert_uint_eq(ledger_spent(ledger, "p"), MOST);
+	ck_assert(ledger_next_record(ledger, &data));
+	ck_assert(turn_record_decode(data.data, data.len, &record, NULL));
+	ledger_batch_done(ledger, true);
+	ck_assert(record.guessed);
+	ck_assert_int_eq(
+	    begin(ledger, "p", "t2", MOST - 1, late_us), LEDGER_EXHAUSTED);
+	ck_assert_int_ne(
+	    begin(ledger, "p", "t2", MOST, late_us), LEDGER_EXHAUSTED);
+	ledger_destroy(ledger);
+	/* Another owner reads the same from the log. */
+	ledger = take_over(&record, 1, 2);
+	ck_assert_int_ne(begin(ledger, "p", "t3", MOST, 0), LEDGER_EXHAUSTED);
+	ledger_destroy(ledger);
+	buf_reset(&data);
+}
+END_TEST
+
 START_TEST(a_takeover_charges_a_turn_until_its_end_is_told)
 {
 	struct turn_record facts[] = {
@@ -642,6 +671,7 @@
 	    copies_of_an_end_fold_to_one,
 	    an_untold_end_counts_at_its_most_until_it_is_known,
 	    an_end_told_late_counts_what_it_spent,
+	    one_lost_turn_is_not_held_against_a_program,
 	    an_end_is_recorded_before_its_charge_is_settled,
 	    a_takeover_charges_a_turn_until_its_end_is_told,
 	    takeovers_without_turns_are_charged_once,
--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -65,9 +65,9 @@
 	char id[NAME_BYTES];
 	uint64_t budget;
 	uint64_t spent;
-	uint64_t most;    /**< of its largest turn */
-	uint64_t charged; /**< for turns that may have been granted */
-	uint64_t epoch;   /**< of its newest durable record */
+	uint64_t most;     /**< of its largest turn */
+	uint64_t doubtful; /**< counted, and perhaps not spent */
+	uint64_t epoch;    /**< of its newest durable record */
 	/** Newest ownership that may have granted it turns without a record;
 	 * 0: none. */
 	uint64_t loose_epoch;
@@ -232,7 +232,7 @@
 		program->most = most;
 	turn->charge = is_charge_name(id);
 	if (turn->charge)
-		program->charged += most;
+		program->doubtful += most;
 	return turn;
 }
 
@@ -302,6 +302,7 @@
 	    .budget = turn->program->budget,
 	    .left_us = turn->ended ? 0 : (uint64_t)turn->left_us,
 	    .loose = is_loose_turn(turn),
+	    .guessed = turn->given_up,
 	};
 
 	memcpy(record.turn, turn->id, sizeof(record.turn));
@@ -406,7 +407,7 @@
 	turn->spent = spent;
 	turn->program->spent += spent;
 	if (turn->charge)
-		turn->program->charged -= turn->most - spent;
+		turn->program->doubtful -= turn->most - spent;
 	list_remove(&turn->link);
 	list_append(&ledger->ended, &turn->link);
 }
@@ -454,10 +455,15 @@
 static void
 correct_spent(struct ledger_turn *turn, uint64_t spent)
 {
-	turn->program->spent -= turn->spent - spent;
-	if (turn->charge)
-		turn->program->charged -= turn->spent - spent;
+	struct ledger_program *program = turn->program;
+
+	if (spent > turn->spent)
+		spent = turn->spent;
+	if (turn->charge || turn->given_up)
+		program->doubtful -= turn->spent;
+	program->spent -= turn->spent - spent;
 	turn->spent = spent;
+	turn->given_up = false;
 }
 
 static void
@@ -508,6 +514,15 @@
 	return told && !record->loose;
 }
 
+/* Its end was not told. */
+static void
+give_up(struct ledger_turn *turn)
+{
+	turn->given_up = true;
+	turn->program->given_up++;
+	turn->program->doubtful += turn->spent;
+}
+
 static struct ledger_turn *
 take_end(struct ledger *ledger, const struct turn_record *record,
     enum durability durability, int64_t now_us)
@@ -526,10 +541,13 @@
 	}
 	if (!turn->ended)
 		set_ended(ledger, turn, record->spent, now_us);
-	else if (record->spent < turn->spent)
+	else if (record->spent < turn->spent ||
+	    (turn->given_up && !record->guessed))
 		correct_spent(turn, record->spent);
 	else if (turn_mutation_on(TURN_MUTATION_NO_FOLD))
 		program->spent += record->spent;
+	if (!known && record->guessed && !turn->charge)
+		give_up(turn);
 	set_durability(ledger, turn, durability);
 	if (!known)
 		settle_charge(ledger, turn, now_us);
@@ -634,7 +652,7 @@
 		return;
 	}
 	if (turn != NULL && turn->ended) {
-		if (!turn->given_up || record->spent >= turn->spent)
+		if (!turn->given_up)
 			return;
 		correct_spent(turn, record->spent);
 		set_durability(ledger, turn, NOT_WRITTEN);
@@ -696,8 +714,8 @@
 }
 
 struct open_turns {
-	uint64_t most;    /**< tokens that they may generate */
-	uint64_t charged; /**< of these, by turns that may not exist */
+	uint64_t most;     /**< tokens that they may generate */
+	uint64_t doubtful; /**< of these, by turns that may not exist */
 };
 
 static struct open_turns
@@ -707,7 +725,7 @@
 
 	list_for_each (turn, &program->open, struct ledger_turn, link) {
 		open.most += turn->most;
-		open.charged += turn->charge ? turn->most : 0;
+		open.doubtful += turn->charge ? turn->most : 0;
 	}
 	if (turn_mutation_on(TURN_MUTATION_NO_OPEN))
 		open.most = 0;
@@ -717,9 +735,9 @@
 /* A program may spend one turn more than its budget where that is needed: a
  * turn that may never have been granted is not held against it. */
 static uint64_t
-allowance(const struct ledger_program *program, uint64_t charged)
+allowance(const struct ledger_program *program, uint64_t doubtful)
 {
-	return charged < program->most ? charged : program->most;
+	return doubtful < program->most ? doubtful : program->most;
 }
 
 /* Whether the budget holds a turn, counting what runs and what earlier owners
@@ -733,10 +751,10 @@
 	if (!ask->has_budget)
 		return LEDGER_GRANTED;
 	if (wanted >
-	    ask->budget + allowance(program, program->charged - open.charged))
+	    ask->budget + allowance(program, program->doubtful - open.doubtful))
 		return LEDGER_EXHAUSTED;
 	if (wanted + open.most >
-	    ask->budget + allowance(program, program->charged))
+	    ask->budget + allowance(program, program->doubtful))
 		return LEDGER_BUSY;
 	return LEDGER_GRANTED;
 }
@@ -769,7 +787,7 @@
 	if (program->loose > 0 || now_us < ledger->careful_until_us)
 		return false;
 	return program->loose_epoch == ledger->epoch ||
-	    (program->epoch == ANY_EPOCH && program->charged == 0);
+	    (program->epoch == ANY_EPOCH && program->doubtful == 0);
 }
 
 enum ledger_verdict
@@ -919,8 +937,8 @@
 		if (now_us - turn->deadline_us < TELL_US)
 			continue;
 		set_ended(ledger, turn, turn->most, now_us);
-		turn->given_up = !turn->charge;
-		program->given_up += turn->given_up;
+		if (!turn->charge)
+			give_up(turn);
 		set_durability(ledger, turn, NOT_WRITTEN);
 	}
 }
--- a/turn/record.c
+++ b/turn/record.c
@@ -43,6 +43,7 @@
     F(14, WIRE_UNSIGNED, bytes),
     F(15, WIRE_UNSIGNED, left_us),
     F(16, WIRE_BOOL, loose),
+    F(17, WIRE_BOOL, guessed),
 };
 static const struct wire_layout layout = {
     "turn", fields, sizeof(fields) / sizeof(fields[0]), true};
