--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -125,6 +125,48 @@
 }
 END_TEST
 
+#define GATEWAY \
+	"[vm]\nname = e-1\nfailure_domain = a\nregion = r\n[gateway]\n" \
+	"callers = 10.0.0.1:80\nreadiness = 10.0.0.1:81\n" \
+	"directory = 10.0.0.1:82\npeers = 10.0.0.1:83\nstore = 10.0.0.9:9\n"
+
+START_TEST(a_gateway_needs_its_endpoints_only)
+{
+	struct settings settings;
+	struct findings findings;
+	char address[SETTING_BYTES];
+	int port;
+
+	ck_assert(load(GATEWAY "partitions = 24\nlease = 1500 ms\n"
+			       "[failure_domains]\na = r\nb = r\n",
+	    &settings, &findings));
+	ck_assert_int_eq(settings.gateway_partitions, 24);
+	ck_assert_int_eq(settings.gateway_lease_us, INT64_C(1500000));
+	settings_split_endpoint(settings.gateway_store, address, &port);
+	ck_assert_str_eq(address, "10.0.0.9");
+	ck_assert_int_eq(port, 9);
+	findings_reset(&findings);
+}
+END_TEST
+
+START_TEST(bad_gateway_settings_are_found_with_their_line)
+{
+	struct settings settings;
+	struct findings findings;
+
+	ck_assert(!load("[vm]\nname = e-1\nfailure_domain = a\nregion = r\n"
+			"[gateway]\ncallers = nonsense\npartitions = 900\n"
+			"lease = soon\nnothing = 1\n",
+	    &settings, &findings));
+	ck_assert(has(&findings, 6, "IP:PORT"));
+	ck_assert(has(&findings, 7, "out of range"));
+	ck_assert(has(&findings, 8, "duration"));
+	ck_assert(has(&findings, 9, "unknown key"));
+	ck_assert(has(&findings, 0, "store in section [gateway] is missing"));
+	findings_reset(&findings);
+}
+END_TEST
+
 START_TEST(an_absent_file_is_a_finding)
 {
 	struct settings settings;
@@ -144,6 +186,8 @@
 	    units_and_defaults,
 	    all_findings_come_with_their_line,
 	    long_lines_and_equal_ports,
+	    a_gateway_needs_its_endpoints_only,
+	    bad_gateway_settings_are_found_with_their_line,
 	    an_absent_file_is_a_finding,
 	};
 
--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -21,6 +21,9 @@
 static const int64_t KEEP_US = (int64_t)150 * US_PER_S;
 /* An end that is not told so long after the turn's deadline never will be. */
 static const int64_t TELL_US = (int64_t)5 * US_PER_S;
+/* Nobody may know of a turn that a program was charged for; news of it is told
+ * within the first second after a takeover. */
+static const int64_t CHARGE_TELL_US = (int64_t)1500 * US_PER_MS;
 /* Longest time to the deadline of a turn that is known from its record. */
 static const int64_t DEADLINE_MAX_US = (int64_t)30 * US_PER_S;
 /* For so long after a takeover, a program that is not known may have had a
@@ -934,7 +937,8 @@
 {
 	list_for_each_safe (
 	    turn, tmp, &program->open, struct ledger_turn, link) {
-		if (now_us - turn->deadline_us < TELL_US)
+		if (now_us - turn->deadline_us <
+		    (turn->charge ? CHARGE_TELL_US : TELL_US))
 			continue;
 		set_ended(ledger, turn, turn->most, now_us);
 		if (!turn->charge)
