Name what a record allows: turns without a record of their own

Read as a newcomer: 'loose' meant a fact that is not durable and also a record that lets later turns go without one. The second is now allows_unrecorded in records and turns, unrecorded_epoch in programs.

--- a/include/turn/record.h
+++ b/include/turn/record.h
@@ -42,7 +42,7 @@
 	uint64_t left_us;
 	/** Its owner may grant the program turns without a record; not told in
 	 * a TURN_KEPT that the VM which served it has written. */
-	bool loose;
+	bool allows_unrecorded;
 	bool
 	    guessed; /**< TURN_SPENT: its end was not told; it counts at most */
 	/* TURN_KEPT only */
--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -381,7 +381,7 @@
 	ck_assert(turn_record_decode(data.data, data.len, &record, NULL));
 	ledger_batch_done(ledger, true);
 	ck_assert_int_eq(record.type, TURN_SPENT);
-	ck_assert(record.loose);
+	ck_assert(record.allows_unrecorded);
 	ck_assert_int_eq(
 	    begin(ledger, "p", "t3", 1000, now_us), LEDGER_GRANTED);
 	buf_reset(&data);
--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -73,7 +73,7 @@
 	uint64_t epoch;    /**< of its newest durable record */
 	/** Newest ownership that may have granted it turns without a record;
 	 * 0: none. */
-	uint64_t loose_epoch;
+	uint64_t unrecorded_epoch;
 	uint32_t given_up; /**< turns whose end was not told in time */
 	uint32_t loose;    /**< facts that are not durable */
 	struct list open;  /**< turns */
@@ -93,10 +93,10 @@
 	bool ended;
 	bool kept;
 	bool recorded; /**< its beginning is, or will be before it runs */
-	bool frees;    /**< with its record, later ones need none */
-	bool given_up; /**< its end was not told in time */
-	bool charge;   /**< stands for a turn that the owner of that epoch may
-			  have granted and not recorded */
+	bool allows_unrecorded; /**< with its record, later ones need none */
+	bool given_up;          /**< its end was not told in time */
+	bool charge; /**< stands for a turn that the owner of that epoch may
+			have granted and not recorded */
 	enum durability durability;
 	uint64_t epoch;
 	uint64_t most;
@@ -289,9 +289,9 @@
 
 /* Whether its record lets the owner grant later turns without one. */
 static bool
-is_loose_turn(const struct ledger_turn *turn)
+turn_allows_unrecorded(const struct ledger_turn *turn)
 {
-	return turn->frees || (turn->ended && !turn->recorded);
+	return turn->allows_unrecorded || (turn->ended && !turn->recorded);
 }
 
 static void
@@ -304,7 +304,7 @@
 	    .most = turn->most,
 	    .budget = turn->program->budget,
 	    .left_us = turn->ended ? 0 : (uint64_t)turn->left_us,
-	    .loose = is_loose_turn(turn),
+	    .allows_unrecorded = turn_allows_unrecorded(turn),
 	    .guessed = turn->given_up,
 	};
 
@@ -350,7 +350,7 @@
 	    .ancestor_count = turn->ancestor_count,
 	    .offset = turn->offset,
 	    .bytes = turn->bytes,
-	    .loose = is_loose_turn(turn),
+	    .allows_unrecorded = turn_allows_unrecorded(turn),
 	};
 	memcpy(record.turn, turn->id, sizeof(record.turn));
 	memcpy(record.program, turn->program->id, sizeof(record.program));
@@ -362,7 +362,7 @@
 }
 
 static void
-raise(uint64_t *epoch, uint64_t to)
+raise_epoch(uint64_t *epoch, uint64_t to)
 {
 	if (*epoch < to)
 		*epoch = to;
@@ -376,9 +376,9 @@
 
 	if (turn->charge)
 		return;
-	raise(&program->epoch, turn->epoch);
-	if (!turn->recorded || turn->frees)
-		raise(&program->loose_epoch, turn->epoch);
+	raise_epoch(&program->epoch, turn->epoch);
+	if (!turn->recorded || turn->allows_unrecorded)
+		raise_epoch(&program->unrecorded_epoch, turn->epoch);
 }
 
 void
@@ -514,7 +514,7 @@
 {
 	bool told = record->type == TURN_SPENT || record->bytes > 0;
 
-	return told && !record->loose;
+	return told && !record->allows_unrecorded;
 }
 
 /* Its end was not told. */
@@ -571,7 +571,7 @@
 		turn = add_turn(ledger, program, record->turn, record->most);
 		turn->epoch = record->epoch;
 		turn->recorded = true;
-		turn->frees = record->loose;
+		turn->allows_unrecorded = record->allows_unrecorded;
 		turn->left_us = DEADLINE_MAX_US;
 		if (record->left_us > 0 &&
 		    record->left_us < (uint64_t)DEADLINE_MAX_US)
@@ -711,8 +711,9 @@
 	for (program = ledger->programs; program != NULL;
 	     program = program->hh.next) {
 		program->used_us = now_us;
-		if (program->loose_epoch != 0)
-			charge(ledger, program, program->loose_epoch, now_us);
+		if (program->unrecorded_epoch != 0)
+			charge(
+			    ledger, program, program->unrecorded_epoch, now_us);
 	}
 }
 
@@ -789,7 +790,7 @@
 {
 	if (program->loose > 0 || now_us < ledger->careful_until_us)
 		return false;
-	return program->loose_epoch == ledger->epoch ||
+	return program->unrecorded_epoch == ledger->epoch ||
 	    (program->epoch == ANY_EPOCH && program->doubtful == 0);
 }
 
@@ -823,7 +824,7 @@
 		return LEDGER_GRANTED;
 	}
 	turn->recorded = true;
-	turn->frees = now_us >= ledger->careful_until_us;
+	turn->allows_unrecorded = now_us >= ledger->careful_until_us;
 	set_durability(ledger, turn, NOT_WRITTEN);
 	return LEDGER_WAITS;
 }
--- a/turn/record.c
+++ b/turn/record.c
@@ -42,7 +42,7 @@
     F(13, WIRE_UNSIGNED, offset),
     F(14, WIRE_UNSIGNED, bytes),
     F(15, WIRE_UNSIGNED, left_us),
-    F(16, WIRE_BOOL, loose),
+    F(16, WIRE_BOOL, allows_unrecorded),
     F(17, WIRE_BOOL, guessed),
 };
 static const struct wire_layout layout = {
