--- a/member/member.c
+++ b/member/member.c
@@ -28,6 +28,15 @@
 	return elapsed(member->heard_us, now_us, SILENCE_MS);
 }
 
+/* It was listed long ago, and has never been heard. */
+static bool
+is_unknown(const struct member *member, int64_t now_us)
+{
+	if (member->silence_us > 0)
+		return now_us - member->added_us > member->silence_us;
+	return elapsed(member->added_us, now_us, INTRODUCE_MS);
+}
+
 /* The list lags both ways: it names VMs that are gone, and lacks new ones. */
 static bool
 is_up(const struct member *member, int64_t now_us)
@@ -35,8 +44,7 @@
 	if (member->heard_us != 0)
 		return !is_silent(member, now_us) &&
 		    now_us >= member->trusted_us;
-	if (member->added_us != 0 &&
-	    elapsed(member->added_us, now_us, INTRODUCE_MS))
+	if (member->added_us != 0 && is_unknown(member, now_us))
 		return false;
 	return member->listed != MEMBER_GONE;
 }
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -58,6 +58,20 @@
 }
 END_TEST
 
+/* A gateway that has just started knows of others from the store only; one that
+ * is off must not be named to callers for longer than a silent one. */
+START_TEST(an_unheard_member_is_believed_as_long_as_a_silent_one)
+{
+	struct member member = {
+	    .added_us = SECOND,
+	    .silence_us = SECOND + SECOND / 2,
+	};
+
+	ck_assert_int_eq(member_state(&member, 2 * SECOND), MEMBER_LIVE);
+	ck_assert_int_eq(member_state(&member, 3 * SECOND), MEMBER_GONE);
+}
+END_TEST
+
 START_TEST(flapping_is_damped)
 {
 	struct member member = {.listed = MEMBER_LIVE};
@@ -200,6 +214,7 @@
 	const TTest *tests[] = {
 	    own_signs_of_life_weigh_more_than_the_list,
 	    a_listed_member_is_believed_for_a_while,
+	    an_unheard_member_is_believed_as_long_as_a_silent_one,
 	    flapping_is_damped,
 	    shards_move_only_from_the_member_that_went,
 	    choices_are_a_permutation_of_the_live,
