--- a/tests/end_to_end.sh
+++ b/tests/end_to_end.sh
@@ -44,6 +44,12 @@
 	    sed 's/.*"runs": *\([0-9]*\).*/\1/'
 }
 
+# attempts PORT: prints how many requests a VM has sent to servers.
+attempts() {
+	curl -s "http://127.0.0.1:$1/metrics" |
+	    sed -n 's/^guavakeel_attempts_total //p'
+}
+
 # answered_by: prints the port of the VM that answered the last call.
 answered_by() {
 	sed 's/.*:\([0-9]*\)\/.*/\1/' "$work/url"
@@ -66,12 +72,21 @@
 	esac
 	curl -sf -X POST -d '{"delay_ms": 1500}' \
 	    "http://127.0.0.1:$tool_port/faults" >/dev/null || fail "ordering a delay"
+	owner_port=$(answered_by)
+	before=$(attempts "$owner_port")
 	curl -sL --max-time 30 -o "$work/late" -X POST -d '{"amount": 7}' \
 	    -H 'x-guavakeel-workspace: studio' -H "x-guavakeel-program: $program" \
 	    -H 'idempotency-key: i7' \
 	    "http://127.0.0.1:$(answered_by)/v1/tools/invoice" &
 	late=$!
-	sleep 0.7
+	# The tool has the call, and does not answer yet.
+	tries=0
+	until [ "$(attempts "$owner_port")" -gt "$before" ]; do
+		tries=$((tries + 1))
+		[ $tries -lt 200 ] || fail "the invoice is not sent"
+		sleep 0.05
+	done
+	sleep 0.3
 	kill -STOP "$paused"
 	tries=0
 	until call "$other" POST /v1/tools/invoice '{"amount": 7}' \
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -103,12 +103,12 @@
 /* ---- answers of turns ---- */
 
 static uint64_t
-events_of(const struct program *program)
+events_of(struct program *program)
 {
 	uint64_t count = 0;
-	const char *at = (const char *)program->answer.data;
+	const char *at = buf_text(&program->answer);
 
-	while (program->answer.len > 0 && (at = strstr(at, "\n\n")) != NULL) {
+	while ((at = strstr(at, "\n\n")) != NULL) {
 		count++;
 		at += 2;
 	}
