--- a/include/turn/ledger.h
+++ b/include/turn/ledger.h
@@ -3,11 +3,18 @@
  * what each program has spent of its budget. Its owner grants turns by it.
  * No I/O; time is handed in.
  *
- * What has to survive every VM is a record in the platform's log. A program
- * may have one fact that is not there yet: a turn that runs, or what an ended
- * one spent. Any further turn is granted only when its own record is durable,
- * so that a new owner, who reads the log, knows all but one turn of a program,
- * and counts that one at its most.
+ * What has to survive every VM is a record in the platform's log. One turn of a
+ * program at a time may run without a record of its beginning, if records say
+ * that this owner may do so, or if it is the program's first. A new owner, who
+ * reads the log, therefore knows all but one turn of a program; it charges the
+ * program for that one at its most, until its end is told.
+ *
+ * The promise is that a program spends its budget and one turn more at most.
+ * That one turn covers what is only charged or guessed, so that a program with
+ * budget left is not refused for a turn that may never have run.
+ *
+ * The parts: ledger.c folds records and ends, ledger_records.c writes facts,
+ * ledger_grant.c decides on turns, ledger_find.c answers where things are.
  */
 #ifndef TURN_LEDGER_H
 #define TURN_LEDGER_H
