Split the turn of a request: life, asking, history, owners

Functions were moved to turn_ask.c, turn_history.c and turn_owner.c over an internal header, and the shared ones named after it.

--- /dev/null
+++ b/gateway/turn_ask.c
@@ -0,0 +1,181 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "gateway/fellows.h"
+#include "gateway/turn_internal.h"
+
+enum {
+	ASK_TIMEOUT_US = 150 * US_PER_MS, /* of a question to an owner */
+	ASK_AGAIN_US = 40 * US_PER_MS,    /* after an answer that says later */
+	WHY_BYTES = 160,
+};
+
+static const char *
+answer_name(enum turn_answer answer)
+{
+	switch (answer) {
+	case TURN_ANSWER_GRANTED:
+		return "granted it";
+	case TURN_ANSWER_EXHAUSTED:
+		return "has no budget left";
+	case TURN_ANSWER_BUSY:
+		return "waits for other turns to end";
+	case TURN_ANSWER_NOT_OWNER:
+		return "is not the owner";
+	case TURN_ANSWER_UNSURE:
+		return "can't reach the store";
+	}
+	return "gave no answer";
+}
+
+void
+turn_refuse(struct turn *turn, enum refusal reason, int64_t retry_us)
+{
+	const struct fellows *fellows = turn->request->gateway->fellows;
+	const char *vm = fellows_owner(fellows, turn->part);
+	char why[WHY_BYTES];
+
+	snprintf(why, sizeof(why), "partition %u: %s %s", turn->part,
+	    vm != NULL ? vm : "unknown owner", answer_name(turn->last_answer));
+	request_refuse(turn->request, reason, retry_us, why);
+}
+
+void
+turn_ask(struct turn *turn)
+{
+	const struct request *request = turn->request;
+	const struct attributes *attributes = &request->attributes;
+	struct message message = {.type = MESSAGE_TURN_BEGIN};
+	struct message_turn_begin *begin = &message.turn_begin;
+
+	turn->state = TURN_ASKING;
+	memcpy(begin->turn, turn->id, NAME_BYTES);
+	memcpy(begin->program, attributes->program, NAME_BYTES);
+	memcpy(begin->session, attributes->session, NAME_BYTES);
+	memcpy(begin->previous, attributes->previous, NAME_BYTES);
+	begin->has_budget = attributes->has_budget;
+	begin->budget = attributes->budget_tokens;
+	begin->most = attributes->max_tokens;
+	begin->left_us = request->deadline_us - clock_monotonic_us();
+	begin->wants_chain = request->route->retained &&
+	    attributes->previous[0] != '\0' && turn->chain_count == 0;
+	turn_wait(turn, ASK_TIMEOUT_US);
+	turns_send_to_owner(turns_of(turn), turn->part, &message);
+}
+
+void
+turn_set_chain(struct turn *turn, const struct turn_ref *chain, size_t count)
+{
+	turn->chain = xcalloc(count, sizeof(*turn->chain));
+	memcpy(turn->chain, chain, count * sizeof(*chain));
+	turn->chain_count = count;
+}
+
+void
+turn_find_previous(struct turn *turn)
+{
+	struct turns *turns = turns_of(turn);
+	uint32_t count = (uint32_t)turns->gateway->settings.gateway_partitions;
+	struct message message = {.type = MESSAGE_TURN_FIND};
+
+	turn->state = TURN_FINDING;
+	turn_wait(turn, ASK_TIMEOUT_US);
+	memcpy(message.turn_find.turn, turn->request->attributes.previous,
+	    NAME_BYTES);
+	message.turn_find.certain = turn->certain;
+	for (uint32_t part = 0; part < count; part++) {
+		message.turn_find.part = part;
+		if ((turn->answered >> part & 1) == 0)
+			turns_send_to_owner(turns, part, &message);
+	}
+}
+
+void
+turns_handle_granted(struct turns *turns, const struct message *message)
+{
+	const struct message_turn_granted *granted = &message->turn_granted;
+	struct turn *turn = turns_find(turns, granted->turn);
+
+	if (turn == NULL || turn->state != TURN_ASKING)
+		return;
+	turn->last_answer = (enum turn_answer)granted->answer;
+	switch (turn->last_answer) {
+	case TURN_ANSWER_GRANTED:
+		break;
+	case TURN_ANSWER_EXHAUSTED:
+		turn->state = TURN_OVER;
+		turn_refuse(turn, REFUSAL_BUDGET_EXCEEDED, 0);
+		return;
+	case TURN_ANSWER_NOT_OWNER:
+		fellows_forget_owner(turns->gateway->fellows, turn->part);
+		turns_refresh_owners(turns);
+		turn_wait(turn, ASK_AGAIN_US);
+		return;
+	case TURN_ANSWER_BUSY:
+	case TURN_ANSWER_UNSURE:
+	default:
+		turn_wait(turn, ASK_AGAIN_US);
+		return;
+	}
+	turn->epoch = granted->epoch;
+	memcpy(turn->server, granted->server, NAME_BYTES);
+	memcpy(turn->vm, granted->vm, NAME_BYTES);
+	if (!turn->request->route->retained ||
+	    turn->request->attributes.previous[0] == '\0') {
+		turn_run(turn);
+		return;
+	}
+	if (turn->chain_count == 0 && granted->chain_count > 0)
+		turn_set_chain(turn, granted->chain, granted->chain_count);
+	if (turn->chain_count > 0)
+		turn_load(turn);
+	else
+		turn_find_previous(turn);
+}
+
+static void
+take_found(struct turn *turn, const struct message_turn_found *found)
+{
+	struct turns *turns = turns_of(turn);
+	uint32_t count = (uint32_t)turns->gateway->settings.gateway_partitions;
+	uint64_t all = count == 64 ? UINT64_MAX : ((uint64_t)1 << count) - 1;
+
+	if (found->answer != TURN_ANSWER_GRANTED) {
+		turns_refresh_owners(turns);
+		return;
+	}
+	if (found->known && found->chain_count > 0) {
+		memcpy(turn->vm, found->vm, NAME_BYTES);
+		memcpy(turn->server, found->server, NAME_BYTES);
+		turn_set_chain(turn, found->chain, found->chain_count);
+		turn_load(turn);
+		return;
+	}
+	turn->answered |= (uint64_t)1 << found->part;
+	if (turn->answered != all)
+		return;
+	if (turn->certain) {
+		turn_refuse(turn, REFUSAL_UNKNOWN_TURN, 0);
+		return;
+	}
+	turn->certain = true;
+	turn->answered = 0;
+	turn_find_previous(turn);
+}
+
+void
+turns_handle_found(struct turns *turns, const struct message *message)
+{
+	const struct message_turn_found *found = &message->turn_found;
+	struct turn *turn = NULL;
+	struct turn *next = NULL;
+
+	HASH_ITER (hh, turns->by_id, turn, next) {
+		if (turn->state == TURN_FINDING &&
+		    strcmp(turn->request->attributes.previous, found->turn) ==
+			0)
+			take_found(turn, found);
+	}
+}
--- /dev/null
+++ b/gateway/turn_owner.c
@@ -0,0 +1,201 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "gateway/fellows.h"
+#include "gateway/ownership.h"
+#include "gateway/turn_internal.h"
+
+enum {
+	OWNERS_TIMEOUT_US = 600 * US_PER_MS,
+	OWNERS_INTERVAL_US = 150 * US_PER_MS,
+	REPORT_AGAIN_US = 250 * US_PER_MS,
+	REPORT_MAX_US = 8 * US_PER_S,
+	TICK_MS = 100,
+};
+
+static const char GROUP[] = "programs";
+
+/** An end that an owner has not acknowledged. */
+struct report {
+	struct list link;
+	struct message message;
+	int64_t since_us;
+	int64_t due_us;
+};
+
+/* ---- who owns what ---- */
+
+static void
+handle_owners(void *context, const struct store_owners *owners)
+{
+	struct turns *turns = context;
+	struct fellows *fellows = turns->gateway->fellows;
+	char vm[NAME_BYTES];
+
+	turns->owners = NULL;
+	for (size_t i = 0; i < owners->count; i++) {
+		if (fellows_learn(fellows, owners->rows[i].member, vm))
+			fellows_set_owner(fellows, owners->rows[i].part, vm);
+	}
+}
+
+void
+turns_refresh_owners(struct turns *turns)
+{
+	int64_t now_us = clock_monotonic_us();
+
+	if (turns->owners != NULL ||
+	    now_us - turns->owners_us < OWNERS_INTERVAL_US)
+		return;
+	turns->owners_us = now_us;
+	turns->owners = store_owners(turns->gateway->store, GROUP,
+	    OWNERS_TIMEOUT_US, handle_owners, turns);
+}
+
+bool
+turns_send_to_owner(struct turns *turns, uint32_t part, struct message *message)
+{
+	struct gateway *gateway = turns->gateway;
+	const char *vm = fellows_owner(gateway->fellows, part);
+
+	if ((ownership_owned(gateway->ownership) >> part & 1) != 0)
+		vm = gateway->settings.vm_name;
+	else if (vm != NULL && strcmp(vm, gateway->settings.vm_name) == 0)
+		vm = NULL; /* it was, and has not heard who is now */
+	if (vm != NULL && fellows_send(gateway->fellows, vm, message))
+		return true;
+	turns_refresh_owners(turns);
+	return false;
+}
+
+/* ---- ends are told to owners ---- */
+
+static void
+report_free(struct report *report)
+{
+	list_remove(&report->link);
+	free(report);
+}
+
+static void
+report_send(struct turns *turns, struct report *report)
+{
+	const char *program = report->message.turn_end.program;
+
+	report->due_us = clock_monotonic_us() + REPORT_AGAIN_US;
+	turns_send_to_owner(
+	    turns, turn_part_of(turns->gateway, program), &report->message);
+}
+
+void
+turn_tell_spent(struct turn *turn, uint64_t spent)
+{
+	const struct attributes *attributes = &turn->request->attributes;
+	struct turns *turns = turns_of(turn);
+	struct report *report = xcalloc(1, sizeof(*report));
+	struct message_turn_end *end = &report->message.turn_end;
+
+	report->message.type = MESSAGE_TURN_END;
+	end->type = TURN_SPENT;
+	memcpy(end->turn, turn->id, NAME_BYTES);
+	memcpy(end->program, attributes->program, NAME_BYTES);
+	memcpy(end->session, attributes->session, NAME_BYTES);
+	memcpy(end->server, turn->request->backend, NAME_BYTES);
+	end->epoch = turn->epoch;
+	end->spent = spent;
+	end->most = attributes->max_tokens;
+	end->budget = attributes->budget_tokens;
+	report->since_us = clock_monotonic_us();
+	list_append(&turns->reports, &report->link);
+	report_send(turns, report);
+}
+
+void
+turn_tell_kept(struct turn *turn, uint64_t offset, uint32_t bytes)
+{
+	const struct request *request = turn->request;
+	const struct attributes *attributes = &request->attributes;
+	struct message message = {.type = MESSAGE_TURN_END};
+	struct message_turn_end *end = &message.turn_end;
+
+	end->type = TURN_KEPT;
+	memcpy(end->turn, turn->id, NAME_BYTES);
+	memcpy(end->program, attributes->program, NAME_BYTES);
+	memcpy(end->session, attributes->session, NAME_BYTES);
+	memcpy(end->previous, attributes->previous, NAME_BYTES);
+	memcpy(end->server, request->backend, NAME_BYTES);
+	end->epoch = turn->epoch;
+	end->spent = turn_tokens_spent(request);
+	end->most = attributes->max_tokens;
+	end->budget = attributes->budget_tokens;
+	end->offset = offset;
+	end->bytes = bytes;
+	end->ancestors = turn->chain;
+	end->ancestor_count = turn->chain_count;
+	turns_send_to_owner(turns_of(turn), turn->part, &message);
+}
+
+void
+turns_handle_ended(struct turns *turns, const struct message *message)
+{
+	const struct message_turn_ended *ended = &message->turn_ended;
+
+	list_for_each_safe (report, tmp, &turns->reports, struct report, link) {
+		if (strcmp(report->message.turn_end.turn, ended->turn) != 0)
+			continue;
+		if (ended->owner)
+			report_free(report);
+		else
+			turns_refresh_owners(turns);
+		return;
+	}
+}
+
+size_t
+turns_unreported(const struct turns *turns)
+{
+	return list_length(&turns->reports);
+}
+
+static struct report *
+next_due_report(struct turns *turns, int64_t now_us)
+{
+	list_for_each (report, &turns->reports, struct report, link) {
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): relinked */
+		if (report->due_us <= now_us)
+			return report;
+	}
+	return NULL;
+}
+
+static void
+handle_tick(uv_timer_t *timer)
+{
+	struct turns *turns = timer->data;
+	int64_t now_us = clock_monotonic_us();
+	struct report *report;
+
+	while ((report = next_due_report(turns, now_us)) != NULL) {
+		if (now_us - report->since_us > REPORT_MAX_US) {
+			report_free(report);
+			continue;
+		}
+		turns_refresh_owners(turns);
+		report_send(turns, report);
+	}
+}
+
+void
+turns_start_reports(struct turns *turns)
+{
+	uv_timer_start(turns->tick, handle_tick, TICK_MS, TICK_MS);
+}
+
+void
+turns_drop_reports(struct turns *turns)
+{
+	list_for_each_safe (report, tmp, &turns->reports, struct report, link)
+		report_free(report);
+}
--- a/include/gateway/fellows_internal.h
+++ b/include/gateway/fellows_internal.h
@@ -55,7 +55,6 @@
 	uv_timer_t *enrol_timer;
 	struct store_call *enrol;
 	bool enrolled; /**< this VM is in the store's list */
-	bool enrolled_draining;
 };
 
 /* fellows.c */
