--- a/gateway/config_watch.c
+++ b/gateway/config_watch.c
@@ -5,6 +5,7 @@
 #include "common/diag.h"
 #include "common/memory.h"
 #include "common/trace.h"
+#include "gateway/dependency.h"
 #include "gateway/fellows.h"
 #include "gateway/gateway.h"
 #include "platform/config.h"
@@ -127,15 +128,11 @@
 static void
 confirm(struct config_watch *watch)
 {
-	struct trace trace;
-
 	watch->gateway->board.config_confirmed_us = clock_monotonic_us();
 	if (!watch->lost)
 		return;
 	watch->lost = false;
-	trace_begin_rare(&trace, "dependency_regained");
-	trace_text(&trace, "dependency", "store/configuration");
-	trace_end(&trace);
+	dependency_trace_regained("store/configuration", -1);
 }
 
 static void
@@ -147,16 +144,11 @@
 static void
 retry_later(struct config_watch *watch, enum store_status status)
 {
-	struct trace trace;
-
 	uv_timer_start(watch->retry, handle_retry, RETRY_US / US_PER_MS, 0);
 	if (watch->lost)
 		return;
 	watch->lost = true;
-	trace_begin_rare(&trace, "dependency_lost");
-	trace_text(&trace, "dependency", "store/configuration");
-	trace_text(&trace, "store_status", store_status_name(status));
-	trace_end(&trace);
+	dependency_trace_lost("store/configuration", status);
 }
 
 static void
--- /dev/null
+++ b/gateway/dependency.c
@@ -0,0 +1,26 @@
+#include "gateway/dependency.h"
+
+#include "common/trace.h"
+
+void
+dependency_trace_lost(const char *dependency, enum store_status status)
+{
+	struct trace trace;
+
+	trace_begin_rare(&trace, "dependency_lost");
+	trace_text(&trace, "dependency", dependency);
+	trace_text(&trace, "store_status", store_status_name(status));
+	trace_end(&trace);
+}
+
+void
+dependency_trace_regained(const char *dependency, int64_t lost_us)
+{
+	struct trace trace;
+
+	trace_begin_rare(&trace, "dependency_regained");
+	trace_text(&trace, "dependency", dependency);
+	if (lost_us >= 0)
+		trace_ms(&trace, "lost_ms", lost_us);
+	trace_end(&trace);
+}
--- a/gateway/recorder.c
+++ b/gateway/recorder.c
@@ -4,7 +4,7 @@
 #include "common/clock.h"
 #include "common/diag.h"
 #include "common/memory.h"
-#include "common/trace.h"
+#include "gateway/dependency.h"
 #include "gateway/fellows.h"
 #include "gateway/recorder.h"
 
@@ -96,29 +96,20 @@
 static void
 note_success(struct recorder *recorder)
 {
-	struct trace trace;
-
 	if (recorder->lost_us == 0)
 		return;
-	trace_begin_rare(&trace, "dependency_regained");
-	trace_text(&trace, "dependency", "store/appends");
-	trace_ms(&trace, "lost_ms", clock_monotonic_us() - recorder->lost_us);
-	trace_end(&trace);
+	dependency_trace_regained(
+	    "store/appends", clock_monotonic_us() - recorder->lost_us);
 	recorder->lost_us = 0;
 }
 
 static void
 note_failure(struct recorder *recorder, enum store_status status)
 {
-	struct trace trace;
-
 	if (recorder->lost_us != 0)
 		return;
 	recorder->lost_us = clock_monotonic_us();
-	trace_begin_rare(&trace, "dependency_lost");
-	trace_text(&trace, "dependency", "store/appends");
-	trace_text(&trace, "store_status", store_status_name(status));
-	trace_end(&trace);
+	dependency_trace_lost("store/appends", status);
 }
 
 /* ---- batches ---- */
--- a/gateway/server_watch.c
+++ b/gateway/server_watch.c
@@ -6,6 +6,7 @@
 #include "common/diag.h"
 #include "common/memory.h"
 #include "common/trace.h"
+#include "gateway/dependency.h"
 #include "gateway/fellows.h"
 #include "gateway/gateway.h"
 #include "gateway/quarantine.h"
@@ -258,8 +259,6 @@
 static void
 read_failed(struct server_watch *watch, enum store_status status)
 {
-	struct trace trace;
-
 	start_later(watch, RETRY_US);
 	if (watch->lost) {
 		ask_fellow(watch);
@@ -267,25 +266,18 @@
 	}
 	watch->lost = true;
 	watch->lost_us = clock_monotonic_us();
-	trace_begin_rare(&trace, "dependency_lost");
-	trace_text(&trace, "dependency", "store/servers");
-	trace_text(&trace, "store_status", store_status_name(status));
-	trace_end(&trace);
+	dependency_trace_lost("store/servers", status);
 }
 
 static void
 read_succeeded(struct server_watch *watch)
 {
-	struct trace trace;
-
 	if (!watch->lost)
 		return;
 	watch->lost = false;
 	watch->regained_us = clock_monotonic_us();
-	trace_begin_rare(&trace, "dependency_regained");
-	trace_text(&trace, "dependency", "store/servers");
-	trace_ms(&trace, "lost_ms", watch->regained_us - watch->lost_us);
-	trace_end(&trace);
+	dependency_trace_regained(
+	    "store/servers", watch->regained_us - watch->lost_us);
 }
 
 static int64_t
