Tests: one way to take a ledger's facts, and to kill all gateways

The loop that decodes what has to become durable stood three times, and a single record three times; killing and starting all gateways twice.

--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -40,6 +40,16 @@
 	cluster_stop(&cluster);
 }
 
+/* Kills them at the same time, and starts them again. */
+static void
+kill_all_gateways(void)
+{
+	for (int i = 0; i < 3; i++)
+		cluster_signal(&cluster.gateways[i].process, SIGKILL);
+	for (int i = 0; i < 3; i++)
+		ck_assert(cluster_restart_gateway(&cluster, i));
+}
+
 static int
 port_of(int gateway)
 {
@@ -167,10 +177,7 @@
 		ck_assert_int_eq(
 		    say_patiently(&chain, i, request, "back;", 10000), 200);
 	}
-	for (int i = 0; i < 3; i++)
-		cluster_signal(&cluster.gateways[i].process, SIGKILL);
-	for (int i = 0; i < 3; i++)
-		ck_assert(cluster_restart_gateway(&cluster, i));
+	kill_all_gateways();
 	ck_assert(cluster_wait_ready(&cluster, 1));
 	ck_assert_int_eq(
 	    say_patiently(&chain, 1, "outlive-z", "all dark;", 10000), 200);
@@ -216,10 +223,7 @@
 	ck_assert_int_eq(status, 402);
 	/* 40 + 40 + 40 are spent, and 50 more would exceed 150. */
 	ck_assert_int_eq(served, 3);
-	for (int i = 0; i < 3; i++)
-		cluster_signal(&cluster.gateways[i].process, SIGKILL);
-	for (int i = 0; i < 3; i++)
-		ck_assert(cluster_restart_gateway(&cluster, i));
+	kill_all_gateways();
 	ck_assert(cluster_wait_ready(&cluster, 0));
 	ck_assert_int_eq(
 	    say_patiently(&chain, 0, "budget-later", "x;", 150), 402);
--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -61,6 +61,29 @@
 	return count;
 }
 
+/* Takes the next fact that has to become durable. */
+static struct turn_record
+next_fact(struct ledger *ledger)
+{
+	struct turn_record record;
+	struct buf data = {0};
+
+	ck_assert(ledger_next_record(ledger, &data));
+	ck_assert(turn_record_decode(data.data, data.len, &record, NULL));
+	buf_reset(&data);
+	return record;
+}
+
+/* Takes all of them, behind those that are there. Returns how many there are
+ * then. */
+static size_t
+take_facts(struct ledger *ledger, struct turn_record *facts, size_t count)
+{
+	while (ledger_has_records(ledger))
+		facts[count++] = next_fact(ledger);
+	return count;
+}
+
 static struct ledger *
 owned_ledger(void)
 {
@@ -212,13 +235,10 @@
 	struct ledger *ledger = owned_ledger();
 	int64_t late_us = 9 * (int64_t)US_PER_S;
 	struct turn_record record;
-	struct buf data = {0};
-
 	begin(ledger, "p", "t1", 2L * MOST, 0);
 	ledger_expire(ledger, late_us);
 	ck_assert_uint_eq(ledger_spent(ledger, "p"), MOST);
-	ck_assert(ledger_next_record(ledger, &data));
-	ck_assert(turn_record_decode(data.data, data.len, &record, NULL));
+	record = next_fact(ledger);
 	ledger_batch_done(ledger, true);
 	ck_assert(record.guessed);
 	ck_assert_int_eq(
@@ -230,7 +250,6 @@
 	ledger = take_over(&record, 1, 2);
 	ck_assert_int_ne(begin(ledger, "p", "t3", MOST, 0), LEDGER_EXHAUSTED);
 	ledger_destroy(ledger);
-	buf_reset(&data);
 }
 END_TEST
 
@@ -267,14 +286,9 @@
 	int64_t now_us = 30 * (int64_t)US_PER_S;
 
 	for (uint64_t epoch = 2; epoch < 6; epoch++) {
-		struct buf data = {0};
 
 		ledger = take_over(facts, count, epoch);
-		while (ledger_next_record(ledger, &data)) {
-			ck_assert(turn_record_decode(
-			    data.data, data.len, &facts[count++], NULL));
-			buf_reset(&data);
-		}
+		count = take_facts(ledger, facts, count);
 		ledger_destroy(ledger);
 	}
 	ledger = take_over(facts, count, 6);
@@ -301,14 +315,10 @@
 	struct turn_record late = make_record(TURN_SPENT, "p", "t2", 5);
 	struct ledger *ledger = take_over(facts, 1, 2);
 	struct turn_record record;
-	struct buf data = {0};
-
 	make_durable(ledger);
 	ledger_end(ledger, &late, 0, 0, 0);
-	ck_assert(ledger_next_record(ledger, &data));
-	ck_assert(turn_record_decode(data.data, data.len, &record, NULL));
+	record = next_fact(ledger);
 	ck_assert_str_eq(record.turn, "t2");
-	buf_reset(&data);
 	ledger_destroy(ledger);
 }
 END_TEST
@@ -322,15 +332,10 @@
 	    make_record(TURN_KEPT, "p", "t1", 40),
 	};
 	struct ledger *ledger = take_over(facts, 1, 2);
-	struct buf data = {0};
 	size_t count = 1;
 
 	ck_assert_int_eq(begin(ledger, "p", "t2", 1000, at_us), LEDGER_WAITS);
-	while (ledger_next_record(ledger, &data)) {
-		ck_assert(turn_record_decode(
-		    data.data, data.len, &facts[count++], NULL));
-		buf_reset(&data);
-	}
+	count = take_facts(ledger, facts, count);
 	/* A charge has to be durable before anything is granted. */
 	ck_assert_uint_eq(count, 3);
 	ledger_destroy(ledger);
@@ -371,20 +376,17 @@
 	struct turn_record end = make_record(TURN_SPENT, "p", "t2", 0);
 	struct ledger *ledger = take_over(facts, 1, 2);
 	struct turn_record record;
-	struct buf data = {0};
 	int64_t now_us = 6 * (int64_t)US_PER_S;
 
 	make_durable(ledger);
 	ck_assert_int_eq(begin(ledger, "p", "t2", 1000, now_us), LEDGER_WAITS);
 	ledger_end(ledger, &end, 0, 0, now_us);
-	ck_assert(ledger_next_record(ledger, &data));
-	ck_assert(turn_record_decode(data.data, data.len, &record, NULL));
+	record = next_fact(ledger);
 	ledger_batch_done(ledger, true);
 	ck_assert_int_eq(record.type, TURN_SPENT);
 	ck_assert(record.allows_unrecorded);
 	ck_assert_int_eq(
 	    begin(ledger, "p", "t3", 1000, now_us), LEDGER_GRANTED);
-	buf_reset(&data);
 	ledger_destroy(ledger);
 }
 END_TEST
@@ -414,17 +416,12 @@
 	    make_record(TURN_KEPT, "p", "t1", 40),
 	};
 	struct ledger *ledger = take_over(facts, 1, 2);
-	struct buf data = {0};
 	size_t count = 1;
 	int64_t now_us = 11 * (int64_t)US_PER_S;
 
 	begin(ledger, "p", "t2", 1000, 0);
 	begin(ledger, "p", "t3", 1000, 0);
-	while (ledger_next_record(ledger, &data)) {
-		ck_assert(turn_record_decode(
-		    data.data, data.len, &facts[count++], NULL));
-		buf_reset(&data);
-	}
+	count = take_facts(ledger, facts, count);
 	ledger_destroy(ledger);
 	ledger = take_over(facts, count, 3);
 	/* 40 spent, t2, t3 and one more. */
