Gateway: log what marked the end of a server's response

Lines of requests and failed attempts now have body_end (length, chunk, connection) and unfinished_event_bytes, which the HTTP client reports with the outcome of a call. Test: body_ends_are_reported. No decision reads them yet.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -247,6 +247,8 @@
 	int64_t now_us = clock_monotonic_us();
 
 	attempt->call = NULL;
+	request->body_end = outcome->body_end;
+	request->unfinished_event_bytes = request->events.pending.len;
 	if (outcome->result == H1_CONNECT_FAILED) {
 		backend_connection_failed(attempt->backend, now_us);
 		if (outcome->refused)
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -49,6 +49,16 @@
 		trace_ms(trace, name, at_us - request->received_us);
 }
 
+/* Tells how the server's latest response ended. */
+static void
+trace_body_end(struct trace *trace, const struct request *request)
+{
+	trace_text(trace, "body_end", h1_body_end_name(request->body_end));
+	if (request->unfinished_event_bytes > 0)
+		trace_number(trace, "unfinished_event_bytes",
+		    (int64_t)request->unfinished_event_bytes);
+}
+
 static void
 request_trace(const struct request *request, int status, const char *reason,
     const char *why)
@@ -78,6 +88,7 @@
 	trace_elapsed(&trace, "sent_ms", request, request->first_sent_us);
 	trace_elapsed(&trace, "first_ms", request, request->first_byte_us);
 	trace_elapsed(&trace, "ended_ms", request, request->body_ended_us);
+	trace_body_end(&trace, request);
 	trace_end(&trace);
 }
 
@@ -369,6 +380,7 @@
 	trace_text(&trace, "server", request->last_backend);
 	trace_text(&trace, "result", attempt_result_name(result));
 	trace_text(&trace, "why", why);
+	trace_body_end(&trace, request);
 	trace_ms(
 	    &trace, "left_ms", request->deadline_us - clock_monotonic_us());
 	trace_end(&trace);
--- a/h1/client.c
+++ b/h1/client.c
@@ -56,6 +56,7 @@
 	bool skipping;    /**< discards a response to another call */
 	bool complete;    /**< the whole response has been parsed */
 	bool head_method; /**< HEAD: the response has no body */
+	enum h1_body_end body_end;
 	int64_t connect_deadline_us;
 	uv_timer_t *start_failure_timer; /**< NULL unless starting failed */
 };
@@ -184,6 +185,7 @@
 {
 	struct h1_outcome outcome = {
 	    .result = result,
+	    .body_end = call->body_end,
 	    .reused = call->connection != NULL && call->connection->served,
 	    .refused = result == H1_CONNECT_FAILED && code == UV_ECONNREFUSED,
 	    .reset = result == H1_CONNECTION_LOST && code != UV_EOF,
@@ -227,6 +229,18 @@
 	return max_idle_us < default_us ? max_idle_us : default_us;
 }
 
+static enum h1_body_end
+body_end_of(const struct h1_call *call, const http_parser *parser)
+{
+	if (call->head_method || parser->status_code == 204 ||
+	    parser->status_code == 304)
+		return H1_BODY_END_LENGTH;
+	if ((parser->flags & F_CHUNKED) != 0)
+		return H1_BODY_END_CHUNK;
+	return (parser->flags & F_CONTENTLENGTH) != 0 ? H1_BODY_END_LENGTH
+						      : H1_BODY_END_CONNECTION;
+}
+
 static int
 handle_headers_complete(http_parser *parser)
 {
@@ -238,6 +252,7 @@
 	call->head.status = (int)parser->status_code;
 	if (parser->status_code / 100 == 1)
 		return 0;
+	call->body_end = body_end_of(call, parser);
 	connection->max_idle_us = max_idle_time(
 	    &call->head.headers, connection->client->options.idle_timeout_us);
 	action = call->params.on_head == NULL
@@ -294,6 +309,7 @@
 {
 	const struct h1_outcome outcome = {
 	    .result = H1_COMPLETE,
+	    .body_end = call->body_end,
 	    .reused = call->connection->served,
 	};
 
@@ -576,6 +592,19 @@
 		call->connection->reusable = false;
 }
 
+const char *
+h1_body_end_name(enum h1_body_end body_end)
+{
+	static const char *const names[] = {
+	    [H1_BODY_END_UNKNOWN] = NULL,
+	    [H1_BODY_END_LENGTH] = "length",
+	    [H1_BODY_END_CHUNK] = "chunk",
+	    [H1_BODY_END_CONNECTION] = "connection",
+	};
+
+	return names[body_end];
+}
+
 bool
 h1_call_sent(const struct h1_call *call)
 {
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -13,6 +13,7 @@
 #include "gateway/attributes.h"
 #include "gateway/event_stream.h"
 #include "gateway/gateway.h"
+#include "h1/client.h"
 #include "platform/request.h"
 
 struct turn;
@@ -82,6 +83,10 @@
 	int64_t first_sent_us;
 	int64_t body_ended_us; /**< when the response was complete except for
 				  its end; 0: not yet */
+	/** What marked the end of the latest attempt's response. */
+	enum h1_body_end body_end;
+	/** Bytes after the last complete event of the latest attempt. */
+	size_t unfinished_event_bytes;
 	char last_backend[NAME_BYTES]; /**< id of the server of the latest
 					  attempt */
 	struct turn *turn;             /**< NULL: not a turn of a program */
--- a/include/h1/client.h
+++ b/include/h1/client.h
@@ -35,9 +35,20 @@
 	H1_MALFORMED,       /**< the bytes received are not HTTP */
 };
 
+/** What marks the end of a response's body. */
+enum h1_body_end {
+	H1_BODY_END_UNKNOWN, /**< no head has arrived */
+	H1_BODY_END_LENGTH,  /**< a length, or a response without a body */
+	H1_BODY_END_CHUNK,   /**< the last chunk */
+	/** The end of the connection, which does not show whether the server
+	 * has sent the whole body. */
+	H1_BODY_END_CONNECTION,
+};
+
 /** How a call ended. */
 struct h1_outcome {
 	enum h1_result result;
+	enum h1_body_end body_end;
 	bool reused;  /**< the connection had served an earlier call */
 	bool refused; /**< with H1_CONNECT_FAILED: connection refused */
 	bool reset;   /**< with H1_CONNECTION_LOST: not an orderly close */
@@ -88,6 +99,8 @@
 void h1_call_cancel(struct h1_call *call);
 /** Prevents reuse of the call's connection. */
 void h1_call_discard_connection(struct h1_call *call);
+/** Returns the name of a value for logs. */
+const char *h1_body_end_name(enum h1_body_end body_end);
 /** Returns whether a byte of the request may have reached the server. */
 bool h1_call_sent(const struct h1_call *call);
 /** Closes all idle connections to an address. */
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -372,6 +372,37 @@
 }
 END_TEST
 
+START_TEST(body_ends_are_reported)
+{
+	static const struct {
+		const char *response;
+		enum h1_body_end body_end;
+	} cases[] = {
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		H1_BODY_END_LENGTH},
+	    {"HTTP/1.1 204 No Content\r\n\r\n", H1_BODY_END_LENGTH},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "0\r\n\r\n",
+		H1_BODY_END_CHUNK},
+	    {"HTTP/1.1 200 OK\r\n\r\nab", H1_BODY_END_CONNECTION},
+	    {"HTTP/1.1 2", H1_BODY_END_UNKNOWN},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const struct step step = {
+		    .bytes = cases[i].response, .close = true};
+		const char *address = script_start(&step, 1);
+		struct h1_client *client = new_client();
+		struct result result = {0};
+
+		call(client, address, &result);
+		ck_assert_int_eq(result.outcome.body_end, cases[i].body_end);
+		buf_reset(&result.body);
+		end_client(client);
+	}
+}
+END_TEST
+
 START_TEST(malformed_responses_are_reported)
 {
 	const struct step step = {.bytes = "\x16\x03\x01 what\r\n\r\n"};
@@ -743,6 +774,7 @@
 	    bytes_on_an_idle_connection_prevent_reuse,
 	    responses_to_other_requests_are_skipped,
 	    truncated_responses_are_reported,
+	    body_ends_are_reported,
 	    malformed_responses_are_reported,
 	    refused_connections_are_reported,
 	    a_response_before_the_body_is_sent_prevents_reuse,
