Test: streams that break off inside an event reach callers as complete

The stand-in server can now send a response without a length or chunks, which ends with its connection, and break a stream off inside an event, before the first event or by a reset.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -159,7 +159,7 @@
 	}
 	h1_headers_copy_end_to_end(&head->headers, &attempt->headers);
 	if (is_stream(request) && !request->response_started)
-		begin_response(request, -1);
+		begin_response(request, H1_LENGTH_CHUNKED);
 	return H1_HEAD_ACCEPT;
 }
 
--- a/h1/server.c
+++ b/h1/server.c
@@ -49,18 +49,36 @@
 	free(exchange);
 }
 
-void
-h1_connection_close(struct h1_connection *connection)
+/* Releases what a connection holds besides its socket. */
+static void
+connection_detach(struct h1_connection *connection)
 {
-	if (connection->closing)
-		return;
 	connection->closing = true;
 	h1_connection_drop_exchange(connection);
 	list_remove(&connection->link);
 	list_remove(&connection->resume_link);
+}
+
+void
+h1_connection_close(struct h1_connection *connection)
+{
+	if (connection->closing)
+		return;
+	connection_detach(connection);
 	uv_close((uv_handle_t *)&connection->tcp, handle_connection_closed);
 }
 
+void
+h1_connection_reset(struct h1_connection *connection)
+{
+	if (connection->closing)
+		return;
+	connection_detach(connection);
+	if (uv_tcp_close_reset(&connection->tcp, handle_connection_closed) != 0)
+		uv_close(
+		    (uv_handle_t *)&connection->tcp, handle_connection_closed);
+}
+
 void
 h1_connection_set_phase(struct h1_connection *connection, enum phase phase)
 {
--- a/h1/server_response.c
+++ b/h1/server_response.c
@@ -68,15 +68,19 @@
 	struct buf out = {0};
 
 	exchange_apply_drain(exchange);
+	if (length == H1_LENGTH_CONNECTION)
+		exchange->connection->keep_alive = false;
 	append_head(exchange, status, headers, &out);
 	if (length >= 0) {
 		exchange->framing = FRAMING_LENGTH;
-		buf_printf(
-		    &out, "Content-Length: %lld\r\n\r\n", (long long)length);
+		buf_printf(&out, "Content-Length: %lld\r\n", (long long)length);
+	} else if (length == H1_LENGTH_CONNECTION) {
+		exchange->framing = FRAMING_CONNECTION;
 	} else {
 		exchange->framing = FRAMING_CHUNKED;
-		buf_append_text(&out, "Transfer-Encoding: chunked\r\n\r\n");
+		buf_append_text(&out, "Transfer-Encoding: chunked\r\n");
 	}
+	buf_append_text(&out, "\r\n");
 	h1_connection_write(exchange->connection, out.data, out.len);
 	buf_reset(&out);
 }
@@ -114,7 +118,10 @@
 void
 h1_exchange_abort(struct h1_exchange *exchange)
 {
-	h1_connection_close(exchange->connection);
+	if (exchange->framing == FRAMING_CONNECTION)
+		h1_connection_reset(exchange->connection);
+	else
+		h1_connection_close(exchange->connection);
 }
 
 void
--- a/include/h1/server.h
+++ b/include/h1/server.h
@@ -83,8 +83,14 @@
  * exchange is invalid afterwards. */
 void h1_respond(struct h1_exchange *exchange, int status,
     const struct h1_headers *headers, const void *body, size_t len);
-/** Starts a response. length: length of the body in bytes; -1 when unknown, the
- * body is then sent in chunks. */
+/** Lengths of a body that is not known in advance. */
+enum {
+	H1_LENGTH_CHUNKED = -1,    /**< sent in chunks */
+	H1_LENGTH_CONNECTION = -2, /**< ends with the connection */
+};
+
+/** Starts a response. length: length of the body in bytes, or one of the values
+ * above. */
 void h1_respond_begin(struct h1_exchange *exchange, int status,
     const struct h1_headers *headers, int64_t length);
 /** Sends a piece of the body. Returns false when more than 1 MiB is unsent
@@ -93,8 +99,9 @@
 h1_respond_data(struct h1_exchange *exchange, const void *data, size_t len);
 /** Ends the response; the exchange is invalid afterwards. */
 void h1_respond_end(struct h1_exchange *exchange);
-/** Closes the connection, so that the caller can't take a partial response for
- * a whole one. The exchange is invalid afterwards. */
+/** Closes the connection, or resets it if its end would be the end of the body,
+ * so that the caller can't take a partial response for a whole one. The
+ * exchange is invalid afterwards. */
 void h1_exchange_abort(struct h1_exchange *exchange);
 
 #endif
--- a/include/h1/server_internal.h
+++ b/include/h1/server_internal.h
@@ -28,6 +28,7 @@
 	FRAMING_NONE, /**< the response has not started */
 	FRAMING_LENGTH,
 	FRAMING_CHUNKED,
+	FRAMING_CONNECTION, /**< the end of the connection ends the body */
 };
 
 struct h1_connection {
@@ -85,6 +86,8 @@
 /* server.c */
 /** Closes a connection without running its on_close callback. */
 void h1_connection_close(struct h1_connection *connection);
+/** Does the same with a TCP reset instead of an orderly close. */
+void h1_connection_reset(struct h1_connection *connection);
 /** Frees the exchange of a connection, if there is one. */
 void h1_connection_drop_exchange(struct h1_connection *connection);
 void
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -4,7 +4,10 @@
  * and to other requests with whole responses. The data of a stream's first
  * event is the hash of the request body, so that a test can check which history
  * the server received. A path that contains /crash kills the process, one with
- * /lose runs without a response, and one with /slow takes two seconds.
+ * /lose runs without a response, and one with /slow takes two seconds. With
+ * /unframed in the path, a response has neither a length nor chunks and ends
+ * with its connection. With /partial a stream ends inside an event, with /empty
+ * it has no event, and with /reset the connection is reset in the middle.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -54,6 +57,14 @@
     .slots = 8,
 };
 
+/** How a response ends. */
+enum ending {
+	ENDING_WHOLE,
+	ENDING_PARTIAL, /**< inside an event, in order */
+	ENDING_EMPTY,   /**< before the first event, in order */
+	ENDING_RESET,   /**< in the middle, by a reset */
+};
+
 /** A request in progress. */
 struct run {
 	struct list link;
@@ -61,6 +72,8 @@
 	uv_timer_t *timer;
 	char id[ID_BYTES];
 	uint64_t body_hash;
+	bool unframed; /**< the response has neither a length nor chunks */
+	enum ending ending;
 	int events; /**< events sent */
 };
 
@@ -173,24 +186,74 @@
 	buf_reset(&event);
 }
 
+/* Returns whether the stream breaks off instead of sending its next event. */
+static bool
+breaks_off(const struct run *run)
+{
+	switch (run->ending) {
+	case ENDING_WHOLE:
+		return false;
+	case ENDING_EMPTY:
+		return true;
+	case ENDING_PARTIAL:
+	case ENDING_RESET:
+		return run->events >= options.events / 2;
+	}
+	return false;
+}
+
 static void
-handle_run_timer(uv_timer_t *timer)
+break_off_stream(struct run *run)
+{
+	static const char partial[] = "id: 9\ndata: par";
+
+	if (run->ending != ENDING_EMPTY)
+		h1_respond_data(run->exchange, partial, strlen(partial));
+	if (run->ending == ENDING_RESET)
+		h1_exchange_abort(run->exchange);
+	else
+		h1_respond_end(run->exchange);
+}
+
+static void
+send_whole_response(struct run *run)
 {
-	struct run *run = timer->data;
 	struct h1_headers headers = {0};
 	char body[ID_BYTES];
+	size_t len =
+	    (size_t)snprintf(body, sizeof(body), "done %.50s", run->id);
 
-	if (options.model && run->events < options.events) {
-		send_event(run);
+	add_response_headers(&headers, run->id);
+	if (!run->unframed) {
+		h1_respond(run->exchange, 200, &headers, body, len);
+		h1_headers_reset(&headers);
 		return;
 	}
-	if (options.model) {
-		h1_respond_end(run->exchange);
+	h1_respond_begin(run->exchange, 200, &headers, H1_LENGTH_CONNECTION);
+	h1_headers_reset(&headers);
+	if (run->ending == ENDING_RESET) {
+		h1_respond_data(run->exchange, body, len / 2);
+		h1_exchange_abort(run->exchange);
+		return;
+	}
+	h1_respond_data(run->exchange, body, len);
+	h1_respond_end(run->exchange);
+}
+
+static void
+handle_run_timer(uv_timer_t *timer)
+{
+	struct run *run = timer->data;
+
+	if (!options.model) {
+		send_whole_response(run);
+	} else if (breaks_off(run)) {
+		break_off_stream(run);
+	} else if (run->events < options.events) {
+		send_event(run);
+		return;
 	} else {
-		add_response_headers(&headers, run->id);
-		snprintf(body, sizeof(body), "done %.50s", run->id);
-		h1_respond(run->exchange, 200, &headers, body, strlen(body));
-		h1_headers_reset(&headers);
+		h1_respond_end(run->exchange);
 	}
 	run_free(run);
 }
@@ -202,14 +265,29 @@
 	    run_ids[run_id_count++ % RUNS_MAX], ID_BYTES, "%s", request_id);
 }
 
+static enum ending
+ending_of(const char *path)
+{
+	if (strstr(path, "/partial") != NULL)
+		return ENDING_PARTIAL;
+	if (strstr(path, "/empty") != NULL)
+		return ENDING_EMPTY;
+	return strstr(path, "/reset") != NULL ? ENDING_RESET : ENDING_WHOLE;
+}
+
 static void
-start_run(struct h1_exchange *exchange, const char *request_id, int work_ms)
+start_run(struct h1_exchange *exchange, const char *request_id)
 {
+	const char *path =
+	    (const char *)h1_exchange_head(exchange)->target.data;
 	const struct buf *body = h1_exchange_body(exchange);
 	struct h1_headers headers = {0};
 	struct run *run = xcalloc(1, sizeof(*run));
+	int work_ms = strstr(path, "/slow") != NULL ? SLOW_MS : options.work_ms;
 
 	run->exchange = exchange;
+	run->unframed = strstr(path, "/unframed") != NULL;
+	run->ending = ending_of(path);
 	snprintf(run->id, sizeof(run->id), "%s", request_id);
 	run->body_hash = hash_bytes(body->data, body->len, 0);
 	record_run(request_id);
@@ -221,7 +299,8 @@
 	if (options.model) {
 		add_response_headers(&headers, request_id);
 		h1_headers_add(&headers, "Content-Type", "text/event-stream");
-		h1_respond_begin(exchange, 200, &headers, -1);
+		h1_respond_begin(exchange, 200, &headers,
+		    run->unframed ? H1_LENGTH_CONNECTION : H1_LENGTH_CHUNKED);
 		h1_headers_reset(&headers);
 	}
 	uv_timer_start(run->timer, handle_run_timer, (uint64_t)work_ms,
@@ -300,8 +379,7 @@
 	else if (strstr(path, "/lose") != NULL)
 		lose_response(exchange, request_id);
 	else
-		start_run(exchange, request_id,
-		    strstr(path, "/slow") != NULL ? SLOW_MS : options.work_ms);
+		start_run(exchange, request_id);
 }
 
 static const struct argp_option argp_options[] = {
