Gateway: a stream that ends inside an event has broken off

Callers got a stream whose server had crashed as a complete response: its bytes up to the crash, the unfinished event included, and then the last chunk. A turn that broke off so was also retained, and its program went on from it.

Cause: the gateway took the end of the HTTP message for the end of the stream. A response without a length or chunks ends with its connection, and a crash that closes the connection in order looks like the end of the body. The gateway forwarded the trailing bytes and ended the response. Ruled out: a reset taken for an orderly close (streams_that_are_reset_are_cut passed before).

A stream is complete only if its message is complete and it does not end inside an event; one whose end is that of its connection also needs an event. Otherwise the attempt is broken: the caller's response is cut, the turn is not retained, and the server counts as possibly crashed, as after a lost connection. Trailing comments, which are not part of an event, are still forwarded.

--- a/gateway/event_stream.c
+++ b/gateway/event_stream.c
@@ -39,6 +39,9 @@
 	const char *value;
 	size_t value_len;
 
+	if (line[0] == ':') /* a comment */
+		return;
+	events->next_has_fields = true;
 	value = field_value(line, len, "data", &value_len);
 	if (value != NULL)
 		parse_data(events, value, value_len);
@@ -64,6 +67,7 @@
 	memcpy(events->last_id, events->next_id, sizeof(events->last_id));
 	events->next_data.len = 0;
 	events->next_has_data = false;
+	events->next_has_fields = false;
 }
 
 size_t
@@ -102,6 +106,13 @@
 	events->scanned_bytes -= len;
 }
 
+bool
+event_stream_in_event(const struct event_stream *events)
+{
+	return events->next_has_fields ||
+	    events->pending.len > events->scanned_bytes;
+}
+
 void
 event_stream_drop_partial(struct event_stream *events)
 {
@@ -109,6 +120,7 @@
 	events->scanned_bytes = 0;
 	events->next_data.len = 0;
 	events->next_has_data = false;
+	events->next_has_fields = false;
 	memcpy(events->next_id, events->last_id, sizeof(events->next_id));
 }
 
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -163,9 +163,31 @@
 	return H1_HEAD_ACCEPT;
 }
 
+/* Returns how a stream broke off although its HTTP message is complete, or
+ * NULL. */
 static const char *
-attempt_broken_reason(const struct h1_outcome *outcome)
+stream_break(const struct request *request, const struct h1_outcome *outcome)
 {
+	const struct event_stream *events = &request->events;
+
+	if (outcome->result != H1_COMPLETE || !is_stream(request))
+		return NULL;
+	if (event_stream_in_event(events))
+		return "stream ended inside an event";
+	if (outcome->body_end == H1_BODY_END_CONNECTION &&
+	    events->event_count == request->attempt->prior_event_count)
+		return "connection closed before the first event";
+	return NULL;
+}
+
+static const char *
+attempt_broken_reason(
+    const struct request *request, const struct h1_outcome *outcome)
+{
+	const char *reason = stream_break(request, outcome);
+
+	if (reason != NULL)
+		return reason;
 	switch (outcome->result) {
 	case H1_MALFORMED:
 		return "malformed answer";
@@ -179,6 +201,15 @@
 	return "answer of no server";
 }
 
+/* Returns whether the server may have crashed while it responded. */
+static bool
+response_broke_off(
+    const struct request *request, const struct h1_outcome *outcome)
+{
+	return outcome->result == H1_CONNECTION_LOST ||
+	    stream_break(request, outcome) != NULL;
+}
+
 static bool
 should_retry_server_error(const struct request *request)
 {
@@ -225,8 +256,7 @@
 
 	update_backend_statistics(request);
 	if (is_stream(request)) {
-		/* Forwards trailing bytes that no blank line ended: they
-		 * belong to the body although they form no event. */
+		/* Comments after the last event belong to the body. */
 		if (events->pending.len > 0)
 			h1_respond_data(request->exchange, events->pending.data,
 			    events->pending.len);
@@ -245,6 +275,7 @@
 	struct request *request = context;
 	struct forward *attempt = request->attempt;
 	int64_t now_us = clock_monotonic_us();
+	const char *reason;
 
 	attempt->call = NULL;
 	request->body_end = outcome->body_end;
@@ -269,19 +300,20 @@
 			return;
 		}
 		if (response_is_acceptable(request) &&
+		    stream_break(request, outcome) == NULL &&
 		    !should_retry_server_error(request)) {
 			finish_response(request);
 			return;
 		}
 	}
-	if (outcome->result == H1_CONNECTION_LOST) {
+	if (response_broke_off(request, outcome)) {
 		backend_connection_failed(attempt->backend, now_us);
 		quarantine_add_broken_connection(request->gateway->quarantine,
 		    request->fingerprint, attempt->backend);
 	}
+	reason = attempt_broken_reason(request, outcome);
 	forward_free(request);
-	request_attempt_ended(
-	    request, ATTEMPT_BROKEN, attempt_broken_reason(outcome));
+	request_attempt_ended(request, ATTEMPT_BROKEN, reason);
 }
 
 void
--- a/include/gateway/event_stream.h
+++ b/include/gateway/event_stream.h
@@ -18,6 +18,7 @@
 	size_t scanned_bytes; /**< length of the parsed lines at the start of
 				 pending */
 	bool next_has_data;   /**< the current, incomplete event has data */
+	bool next_has_fields; /**< the same for any field */
 	uint64_t event_count; /**< complete events with data */
 	char last_id[NAME_BYTES]; /**< id of the last complete event */
 	char next_id[NAME_BYTES]; /**< id of the current event */
@@ -34,6 +35,8 @@
 /** Removes len bytes of complete events, as returned by event_stream_feed(),
  * from the start of events->pending. */
 void event_stream_consume(struct event_stream *events, size_t len);
+/** Returns whether the bytes fed so far end inside an event or a line. */
+bool event_stream_in_event(const struct event_stream *events);
 /** Discards the current, incomplete event, for example because its server is
  * gone. */
 void event_stream_drop_partial(struct event_stream *events);
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -124,6 +124,41 @@
 }
 END_TEST
 
+START_TEST(ends_inside_an_event_are_recognized)
+{
+	static const struct {
+		const char *text;
+		bool in_event;
+	} cases[] = {
+	    {"", false},
+	    {"id: 1\ndata: a\n\n", false},
+	    {"id: 1\r\ndata: a\r\n\r\n", false},
+	    {"id: 1\ndata: a\n\n\n: comment\n", false},
+	    {"id: 1\ndata: a\n\n: comm", true},
+	    {"id: 1\ndata: a\n\ni", true},
+	    {"id: 1\ndata: a\n\nid: 2\n", true},
+	    {"id: 1\ndata: a\n\nid: 2\ndata: b", true},
+	    {"id: 1\ndata: a\n\nid: 2\ndata: b\n", true},
+	    {"id: 1\ndata: a\n\nid: 2\ndata: b\n\r", true},
+	    {"id: 1\ndata: a\n", true},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		for (size_t step = 1; step <= 40; step++) {
+			struct event_stream events = {0};
+			struct buf forwarded = {0};
+
+			feed_in_steps(&events, cases[i].text, step, &forwarded);
+			ck_assert_msg(
+			    event_stream_in_event(&events) == cases[i].in_event,
+			    "case %zu in steps of %zu", i, step);
+			buf_reset(&forwarded);
+			event_stream_reset(&events);
+		}
+	}
+}
+END_TEST
+
 START_TEST(data_is_collected_only_if_requested)
 {
 	struct event_stream events = {0};
@@ -145,6 +180,7 @@
 	    long_paths_match_no_route,
 	    weights_distribute_requests,
 	    events_are_parsed_at_any_chunk_size,
+	    ends_inside_an_event_are_recognized,
 	    data_is_collected_only_if_requested,
 	};
 
