HTTP server: no chunks to callers of HTTP/1.0

Such a caller now gets the bytes alone; the connection is closed at their end and reset if the response is aborted. callers_of_http_1_0_get_no_chunks failed before (chunked).

--- a/h1/server_response.c
+++ b/h1/server_response.c
@@ -61,6 +61,15 @@
 	exchange_end(exchange);
 }
 
+/* Returns whether the caller knows chunks, which came with HTTP/1.1. */
+static bool
+caller_accepts_chunks(const struct h1_exchange *exchange)
+{
+	const http_parser *parser = &exchange->connection->parser;
+
+	return parser->http_major > 1 || parser->http_minor > 0;
+}
+
 void
 h1_respond_begin(struct h1_exchange *exchange, int status,
     const struct h1_headers *headers, int64_t length)
@@ -68,6 +77,8 @@
 	struct buf out = {0};
 
 	exchange_apply_drain(exchange);
+	if (length == H1_LENGTH_CHUNKED && !caller_accepts_chunks(exchange))
+		length = H1_LENGTH_CONNECTION;
 	if (length == H1_LENGTH_CONNECTION)
 		exchange->connection->keep_alive = false;
 	append_head(exchange, status, headers, &out);
--- a/include/h1/server.h
+++ b/include/h1/server.h
@@ -85,7 +85,8 @@
     const struct h1_headers *headers, const void *body, size_t len);
 /** Lengths of a body that is not known in advance. */
 enum {
-	H1_LENGTH_CHUNKED = -1,    /**< sent in chunks */
+	/** Sent in chunks; to callers of HTTP/1.0 as H1_LENGTH_CONNECTION. */
+	H1_LENGTH_CHUNKED = -1,
 	H1_LENGTH_CONNECTION = -2, /**< ends with the connection */
 };
 
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -9,6 +9,7 @@
 #include "common/memory.h"
 #include "h1/client.h"
 #include "h1/server.h"
+#include "h1/socket.h"
 #include "tests/runner.h"
 
 enum {
@@ -571,6 +572,7 @@
 	struct buf in;
 	bool connected;
 	bool ended;
+	bool reset; /**< the connection ended with a reset */
 	bool has_response;
 };
 
@@ -581,6 +583,8 @@
 
 	if (len < 0) {
 		raw->ended = true;
+		raw->reset =
+		    len != UV_EOF || !h1_socket_closed_in_order(&raw->tcp);
 		uv_read_stop(stream);
 		return;
 	}
@@ -699,6 +703,49 @@
 }
 END_TEST
 
+/* Sends a request and responds with a body of unknown length, which is aborted
+ * or ended. Leaves the received bytes in raw. */
+static void
+respond_without_length(struct raw *raw, const char *version, bool abort)
+{
+	char address[H1_ADDRESS_BYTES];
+	struct h1_server *server = new_server(address);
+	char request[64];
+
+	served.hold = true;
+	raw_open(raw, server);
+	snprintf(
+	    request, sizeof(request), "GET /1 %s\r\nHost: h\r\n\r\n", version);
+	raw_send(raw, request);
+	run_for_ms(20);
+	h1_respond_begin(served.exchange, 200, NULL, H1_LENGTH_CHUNKED);
+	h1_respond_data(served.exchange, "abc", 3);
+	if (abort)
+		h1_exchange_abort(served.exchange);
+	else
+		h1_respond_end(served.exchange);
+	run_for_ms(20);
+	end_server(server);
+}
+
+START_TEST(callers_of_http_1_0_get_no_chunks)
+{
+	struct raw raw;
+
+	respond_without_length(&raw, "HTTP/1.0", false);
+	ck_assert_ptr_null(strstr(buf_text(&raw.in), "chunked"));
+	ck_assert_ptr_nonnull(strstr(buf_text(&raw.in), "\r\n\r\nabc"));
+	ck_assert(raw.ended && !raw.reset);
+	raw_close(&raw);
+	respond_without_length(&raw, "HTTP/1.0", true);
+	ck_assert(raw.reset);
+	raw_close(&raw);
+	respond_without_length(&raw, "HTTP/1.1", false);
+	ck_assert_ptr_nonnull(strstr(buf_text(&raw.in), "3\r\nabc\r\n0\r\n"));
+	raw_close(&raw);
+}
+END_TEST
+
 START_TEST(slow_heads_and_idle_connections_time_out)
 {
 	char address[H1_ADDRESS_BYTES];
@@ -783,6 +830,7 @@
 	    pipelined_requests_are_handled_in_order,
 	    caller_disconnects_are_reported,
 	    aborted_responses_are_incomplete,
+	    callers_of_http_1_0_get_no_chunks,
 	    slow_heads_and_idle_connections_time_out,
 	    a_draining_server_closes_after_its_responses,
 	    fields_keep_their_order_and_spelling,
