Daemon: a response that breaks off between chunks is not complete

A caller of the daemon could get a broken tool response as a whole one, recorded as done: libwebsockets reports a response without Content-Length as complete whenever its connection closes, also before the last chunk, and its interface does not tell whether the last chunk has come. Model calls were safe, as their streams end with [DONE].

The daemon's client now is the one of h1/, on http-parser, so that there is one HTTP client.

responses_that_broke_off_are_not_complete failed before (chunked: result ok); a length and the end of a connection were reported rightly.

--- a/include/net/http.h
+++ b/include/net/http.h
@@ -94,7 +94,6 @@
 struct http_call_params {
 	const char *address; /**< IP address */
 	int port;
-	bool tls;
 	enum http_method method;
 	const char *path; /**< with query */
 	/** Ends with a NULL name, or NULL. */
--- a/include/net/internal.h
+++ b/include/net/internal.h
@@ -8,6 +8,7 @@
 
 #include "common/buf.h"
 #include "common/list.h"
+#include "h1/client.h"
 #include "net/http.h"
 #include "net/net.h"
 
@@ -15,7 +16,7 @@
 	uv_loop_t *loop;
 	struct lws_context *context;
 	struct lws_vhost *server;
-	struct lws_vhost *client;
+	struct h1_client *client;
 	struct net_options options;
 	struct list exchanges;        /**< of struct http_exchange */
 	struct list calls;            /**< of struct http_call */
@@ -24,11 +25,9 @@
 	bool closing;
 };
 
-/** Handle the libwebsockets events of the server and the client protocol. */
+/** Handles the libwebsockets events of the server. */
 int http_server_callback(struct lws *wsi, enum lws_callback_reasons reason,
     void *user, void *in, size_t len);
-int http_client_callback(struct lws *wsi, enum lws_callback_reasons reason,
-    void *user, void *in, size_t len);
 /** Closes the connections of callers that have disconnected while their request
  * is being handled. */
 void http_server_close_disconnected(struct net *net);
--- a/include/net/net.h
+++ b/include/net/net.h
@@ -1,6 +1,6 @@
 /** @file
- * One libwebsockets context on the process's own libuv loop: an HTTP server
- * and an HTTP client.
+ * An HTTP server on libwebsockets and an HTTP client on the process's own libuv
+ * loop.
  */
 #ifndef NET_NET_H
 #define NET_NET_H
@@ -32,7 +32,6 @@
 	int max_connections;         /**< 0: 1024 */
 	const char *tls_certificate; /**< PEM path; NULL: plain HTTP */
 	const char *tls_key;         /**< PEM path */
-	const char *tls_ca;          /**< PEM path for the client side */
 	http_handler handler;
 	void *handler_context;
 };
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -12,11 +12,6 @@
 	 * paused. */
 	LATE_US = 100 * US_PER_MS,
 	LATE_EXTENSION_MS = 200,
-	/* Delay of handle_sent(), so that libwebsockets has returned from its
-	 * callback. */
-	SENT_DELAY_MS = 1,
-	READ_CHUNK_BYTES = 4096,
-	BODY_CHUNK_BYTES = 16384,
 	FETCH_MAX_BYTES = 16 << 20,
 };
 
@@ -30,28 +25,16 @@
 };
 
 struct http_call {
-	struct list link;
+	struct list link; /**< in net.calls */
 	struct net *net;
-	struct lws *wsi;
-	char address[64];
-	char path[HTTP_PATH_BYTES];
-	enum http_method method;
-	int port;
-	bool tls;
-	struct buf headers; /**< "name:" NUL value NUL ... */
-	struct buf body;
-	size_t body_sent;
+	struct h1_call *h1;
 	uv_timer_t *timer;
 	uint64_t timeout_ms;
 	int64_t due_us; /**< when the timer should fire */
 	bool late;      /**< the timer fired late once; see handle_timer() */
 	int status;
-	bool sending;    /**< a byte of the request may have been sent */
-	bool complete;   /**< the whole response has arrived */
-	bool redirected; /**< the response is a redirect to location */
-	char location[2 * HTTP_PATH_BYTES];
-	bool ended;          /**< on_done has run, or the call was cancelled */
-	struct fetch *fetch; /**< for http_fetch(); else NULL */
+	char location[2 * HTTP_PATH_BYTES]; /**< target of a redirect, or "" */
+	struct fetch *fetch;                /**< for http_fetch(); else NULL */
 	struct http_call_params callbacks;
 };
 
@@ -96,24 +79,10 @@
 {
 	list_remove(&call->link);
 	uv_close((uv_handle_t *)call->timer, handle_timer_closed);
-	buf_reset(&call->headers);
-	buf_reset(&call->body);
 	free(call);
 }
 
-/* Detaches the connection from the call and closes it. */
-static void
-call_detach(struct http_call *call)
-{
-	struct lws *wsi = call->wsi;
-
-	call->wsi = NULL;
-	if (wsi == NULL)
-		return;
-	lws_set_opaque_user_data(wsi, NULL);
-	net_kill_connection(call->net, wsi);
-}
-
+/* Ends a call whose HTTP call has ended or is cancelled. */
 static void
 call_finish(struct http_call *call, enum http_result result)
 {
@@ -122,38 +91,29 @@
 	void *context = call->callbacks.context;
 	int status = call->status;
 
-	if (call->ended)
-		return;
-	call->ended = true;
 	if (call->fetch != NULL)
 		memcpy(call->fetch->location, call->location,
 		    sizeof(call->location));
-	call_detach(call);
 	call_free(call);
 	on_done(context, result, status);
 }
 
-/* Ends a call that has timed out, or that could not connect: on_done must not
- * run within http_call_start(). */
 static void
 handle_timer(uv_timer_t *timer)
 {
 	struct http_call *call = timer->data;
+	bool sent = h1_call_sent(call->h1);
 
 	/* After a pause of the process, the response may already be in the
 	 * socket, so the timeout is extended once. */
-	if (call->wsi != NULL && !call->late &&
-	    clock_monotonic_us() - call->due_us > LATE_US) {
+	if (!call->late && clock_monotonic_us() - call->due_us > LATE_US) {
 		call->late = true;
 		uv_timer_start(timer, handle_timer, LATE_EXTENSION_MS, 0);
 		return;
 	}
-	if (call->wsi == NULL)
-		call_finish(call, HTTP_RESULT_CONNECT_FAILED);
-	else
-		call_finish(call,
-		    call->sending ? HTTP_RESULT_TIMEOUT
-				  : HTTP_RESULT_CONNECT_FAILED);
+	h1_call_cancel(call->h1);
+	call_finish(
+	    call, sent ? HTTP_RESULT_TIMEOUT : HTTP_RESULT_CONNECT_FAILED);
 }
 
 static void
@@ -165,218 +125,89 @@
 	uv_timer_start(call->timer, handle_timer, call->timeout_ms, 0);
 }
 
-/* Disables the timeout of libwebsockets for the response. After a pause of the
- * process, that timeout would close the connection before the response in the
- * socket is read. */
-static void
-handle_sent(uv_timer_t *timer)
+static enum h1_head_action
+handle_head(void *context, const struct h1_head *head)
 {
-	struct http_call *call = timer->data;
+	struct http_call *call = context;
+	const char *location = h1_headers_find(&head->headers, "location");
 
-	if (call->wsi != NULL)
-		lws_set_timeout(call->wsi, NO_PENDING_TIMEOUT, 0);
 	restart_timer(call);
+	call->status = head->status;
+	if (head->status / 100 == 3 && location != NULL)
+		snprintf(
+		    call->location, sizeof(call->location), "%s", location);
+	h1_call_discard_connection(call->h1);
+	return H1_HEAD_ACCEPT;
 }
 
-static int
-append_headers(
-    struct http_call *call, struct lws *wsi, uint8_t **at, const uint8_t *end)
-{
-	const char *name = (const char *)call->headers.data;
-	const char *stop = name + call->headers.len;
-	char length[24];
-	int len;
-
-	call->sending = true;
-	while (name < stop) {
-		const char *value = name + strlen(name) + 1;
-
-		if (lws_add_http_header_by_name(wsi, (const uint8_t *)name,
-			(const uint8_t *)value, (int)strlen(value), at,
-			(uint8_t *)end) != 0)
-			return -1;
-		name = value + strlen(value) + 1;
-	}
-	uv_timer_start(call->timer, handle_sent, SENT_DELAY_MS, 0);
-	if (call->method != HTTP_POST && call->method != HTTP_PUT)
-		return 0;
-	len = snprintf(length, sizeof(length), "%zu", call->body.len);
-	if (lws_add_http_header_by_token(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
-		(const uint8_t *)length, len, at, (uint8_t *)end) != 0)
-		return -1;
-	if (call->body.len > 0) {
-		lws_client_http_body_pending(wsi, 1);
-		lws_callback_on_writable(wsi);
-	}
-	return 0;
-}
-
-static int
-send_body(struct http_call *call, struct lws *wsi)
-{
-	uint8_t space[LWS_PRE + BODY_CHUNK_BYTES];
-	size_t left = call->body.len - call->body_sent;
-	size_t len = left < BODY_CHUNK_BYTES ? left : BODY_CHUNK_BYTES;
-	bool last = len == left;
-
-	if (left == 0)
-		return 0;
-	memcpy(space + LWS_PRE, call->body.data + call->body_sent, len);
-	if (last)
-		lws_client_http_body_pending(wsi, 0);
-	if (lws_write(wsi, space + LWS_PRE, len,
-		last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < (int)len)
-		return -1;
-	call->body_sent += len;
-	if (!last) {
-		lws_callback_on_writable(wsi);
-		restart_timer(call);
-		return 0;
-	}
-	uv_timer_start(call->timer, handle_sent, SENT_DELAY_MS, 0);
-	return 0;
-}
-
-static int
-read_response(struct lws *wsi)
+static void
+handle_data(void *context, const void *data, size_t len)
 {
-	char space[LWS_PRE + READ_CHUNK_BYTES];
-	char *at = space + LWS_PRE;
-	int len = READ_CHUNK_BYTES;
-
-	return lws_http_client_read(wsi, &at, &len) < 0 ? -1 : 0;
-}
+	struct http_call *call = context;
 
-static int
-handle_data(struct http_call *call, const void *data, size_t len)
-{
 	restart_timer(call);
-	if (call->callbacks.on_data != NULL)
+	/* The body of a redirect is omitted. */
+	if (call->callbacks.on_data != NULL && call->location[0] == '\0')
 		call->callbacks.on_data(
 		    call->callbacks.context, call->status, data, len);
-	return 0;
-}
-
-int
-http_client_callback(struct lws *wsi, enum lws_callback_reasons reason,
-    void *user, void *in, size_t len)
-{
-	struct http_call *call =
-	    wsi != NULL ? lws_get_opaque_user_data(wsi) : NULL;
-
-	(void)user;
-	if (call == NULL) {
-		/* Closes a connection whose call was cancelled or has ended. */
-		return reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP ||
-			reason == LWS_CALLBACK_CLIENT_HTTP_WRITEABLE ||
-			reason == LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER
-		    ? -1
-		    : 0;
-	}
-	switch (reason) {
-	case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-		return append_headers(call, wsi, in, *(uint8_t **)in + len);
-	case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-		return send_body(call, wsi);
-	case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-		call->status = (int)lws_http_client_http_response(wsi);
-		restart_timer(call);
-		return 0;
-	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-		return read_response(wsi);
-	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-		return handle_data(call, in, len);
-	case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-		call->complete = true;
-		call_finish(call, HTTP_RESULT_OK);
-		return -1;
-	case LWS_CALLBACK_CLIENT_HTTP_REDIRECT:
-		/* Redirects are reported, not followed. */
-		call->status = (int)len;
-		call->redirected = true;
-		snprintf(call->location, sizeof(call->location), "%s",
-		    in != NULL ? (const char *)in : "");
-		return -1;
-	case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-		/* This event may occur within http_call_start(), so the
-		 * timer ends a call whose request was not sent. */
-		call->wsi = NULL;
-		lws_set_opaque_user_data(wsi, NULL);
-		uv_timer_start(call->timer, handle_timer, 0, 0);
-		if (call->sending)
-			call_finish(call,
-			    call->redirected ? HTTP_RESULT_OK
-					     : HTTP_RESULT_CONNECTION_LOST);
-		return 0;
-	case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-		call->wsi = NULL;
-		lws_set_opaque_user_data(wsi, NULL);
-		call_finish(call,
-		    call->redirected ? HTTP_RESULT_OK
-				     : HTTP_RESULT_CONNECTION_LOST);
-		return 0;
-	default:
-		return 0;
-	}
 }
 
 static void
-copy_params(struct http_call *call, const struct http_call_params *params)
+handle_done(void *context, const struct h1_outcome *outcome)
 {
-	const struct http_header *header = params->headers;
-
-	call->callbacks = *params;
-	call->method = params->method;
-	call->port = params->port;
-	call->tls = params->tls;
-	snprintf(call->address, sizeof(call->address), "%s", params->address);
-	snprintf(call->path, sizeof(call->path), "%s", params->path);
-	for (; header != NULL && header->name != NULL; header++) {
-		buf_printf(&call->headers, "%s:", header->name);
-		buf_append(&call->headers, "", 1);
-		buf_append(
-		    &call->headers, header->value, strlen(header->value) + 1);
+	switch (outcome->result) {
+	case H1_COMPLETE:
+		call_finish(context, HTTP_RESULT_OK);
+		return;
+	case H1_CONNECT_FAILED:
+		call_finish(context, HTTP_RESULT_CONNECT_FAILED);
+		return;
+	case H1_CONNECTION_LOST:
+	case H1_MALFORMED:
+		call_finish(context, HTTP_RESULT_CONNECTION_LOST);
+		return;
 	}
-	buf_append(&call->body, params->body, params->body_len);
-	call->timeout_ms = params->timeout_us > 0
-	    ? (uint64_t)(params->timeout_us / US_PER_MS) + 1
-	    : (uint64_t)CALL_TIMEOUT_S * MS_PER_S;
 }
 
 struct http_call *
 http_call_start(struct net *net, const struct http_call_params *params)
 {
 	struct http_call *call = xcalloc(1, sizeof(*call));
-	struct lws_client_connect_info info = {
-	    .context = net->context,
-	    .vhost = net->client,
-	    .local_protocol_name = "http-client",
-	    .opaque_user_data = call,
-	    .ssl_connection = params->tls ? LCCSCF_USE_SSL : 0,
+	const struct http_header *header = params->headers;
+	char address[H1_ADDRESS_BYTES];
+	struct h1_headers headers = {0};
+	struct h1_call_params h1_params = {
+	    .address = address,
+	    .method = method_name(params->method),
+	    .target = params->path,
+	    .headers = &headers,
+	    .body = params->body,
+	    .body_len = params->body_len,
+	    .on_head = handle_head,
+	    .on_data = handle_data,
+	    .on_done = handle_done,
+	    .context = call,
 	};
-	struct lws *wsi;
 
 	call->net = net;
+	call->callbacks = *params;
 	list_append(&net->calls, &call->link);
-	copy_params(call, params);
+	call->timeout_ms = params->timeout_us > 0
+	    ? (uint64_t)(params->timeout_us / US_PER_MS) + 1
+	    : (uint64_t)CALL_TIMEOUT_S * MS_PER_S;
+	h1_params.connect_timeout_us = (int64_t)call->timeout_ms * US_PER_MS;
 	call->timer = xcalloc(1, sizeof(*call->timer));
 	uv_timer_init(net->loop, call->timer);
 	call->timer->data = call;
 	/* The loop's cached time is stale when its callbacks have run long. */
 	uv_update_time(net->loop);
 	restart_timer(call);
-	info.address = call->address;
-	info.host = call->address;
-	info.origin = call->address;
-	info.port = call->port;
-	info.path = call->path;
-	info.method = method_name(call->method);
-	info.pwsi = &call->wsi;
-	wsi = lws_client_connect_via_info(&info);
-	if (wsi == NULL) {
-		call->wsi = NULL;
-		uv_timer_start(call->timer, handle_timer, 0, 0);
-	}
+	snprintf(
+	    address, sizeof(address), "%s:%d", params->address, params->port);
+	for (; header != NULL && header->name != NULL; header++)
+		h1_headers_add(&headers, header->name, header->value);
+	call->h1 = h1_call_start(net->client, &h1_params);
+	h1_headers_reset(&headers);
 	return call;
 }
 
@@ -390,18 +221,19 @@
 void
 http_call_cancel(struct http_call *call)
 {
-	call->ended = true;
 	if (call->fetch != NULL)
 		fetch_free(call->fetch);
-	call_detach(call);
+	h1_call_cancel(call->h1);
 	call_free(call);
 }
 
 void
 http_client_cancel_all(struct net *net)
 {
-	list_for_each_safe (call, tmp, &net->calls, struct http_call, link)
+	list_for_each_safe (call, tmp, &net->calls, struct http_call, link) {
+		h1_call_cancel(call->h1);
 		call_finish(call, HTTP_RESULT_CANCELLED);
+	}
 }
 
 static void
--- a/net/net.c
+++ b/net/net.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/diag.h"
 #include "common/memory.h"
 #include "net/internal.h"
@@ -14,6 +15,9 @@
 	DEFAULT_CONNECTIONS = 1024,
 	KEEPALIVE_S = 60,
 	IO_TIMEOUT_S = 30,
+	/* Of the client; each call has a timeout of its own. */
+	ACK_TIMEOUT_US = 30 * US_PER_S,
+	IDLE_TIMEOUT_US = 1 * US_PER_S,
 	DISCONNECT_CHECK_MS = 250,
 	/* Loop iterations within which all handles must have closed. */
 	CLOSE_ITERATIONS_MAX = 1000,
@@ -25,11 +29,6 @@
     {0},
 };
 
-static const struct lws_protocols client_protocols[] = {
-    {.name = "http-client", .callback = http_client_callback},
-    {0},
-};
-
 static void
 forward_log(int level, const char *line)
 {
@@ -57,10 +56,9 @@
 static uint64_t
 tls_option(const struct net *net)
 {
-	bool used =
-	    net->options.tls_certificate != NULL || net->options.tls_ca != NULL;
-
-	return used ? LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT : 0;
+	return net->options.tls_certificate != NULL
+	    ? LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT
+	    : 0;
 }
 
 static void
@@ -109,19 +107,15 @@
 	return lws_create_vhost(net->context, &info);
 }
 
-static struct lws_vhost *
+static struct h1_client *
 create_client(struct net *net)
 {
-	struct lws_context_creation_info info = {
-	    .vhost_name = "client",
-	    .port = CONTEXT_PORT_NO_LISTEN,
-	    .protocols = client_protocols,
-	    .user = net,
-	    .client_ssl_ca_filepath = net->options.tls_ca,
-	    .options = LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS | tls_option(net),
+	const struct h1_client_options options = {
+	    .ack_timeout_us = ACK_TIMEOUT_US,
+	    .idle_timeout_us = IDLE_TIMEOUT_US,
 	};
 
-	return lws_create_vhost(net->context, &info);
+	return h1_client_create(net->loop, &options);
 }
 
 void
@@ -174,17 +168,16 @@
 		free(net);
 		return NULL;
 	}
-	net->client = create_client(net);
 	if (net->options.listen_address != NULL)
 		net->server = create_server(net);
-	if (net->client == NULL ||
-	    (net->options.listen_address != NULL && net->server == NULL)) {
+	if (net->options.listen_address != NULL && net->server == NULL) {
 		error_set(err, ERROR_IO, "cannot listen on %s port %d",
 		    net->options.listen_address, net->options.listen_port);
 		lws_context_destroy(net->context);
 		free(net);
 		return NULL;
 	}
+	net->client = create_client(net);
 	if (net->server != NULL)
 		start_disconnect_timer(net);
 	return net;
@@ -217,6 +210,7 @@
 		    (uv_handle_t *)net->disconnect_timer, handle_timer_closed);
 	http_server_abort_all(net);
 	http_client_cancel_all(net);
+	h1_client_destroy(net->client);
 	lws_context_destroy(net->context);
 	if (!close_handles(net)) {
 		diag(LOG_WARNING, NULL,
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -3,7 +3,9 @@
 #include <string.h>
 
 #include "common/buf.h"
+#include "common/clock.h"
 #include "common/memory.h"
+#include "h1/server.h"
 #include "net/http.h"
 #include "tests/runner.h"
 
@@ -239,6 +241,81 @@
 }
 END_TEST
 
+/** How the peer of a call frames and ends its response "abc". */
+struct ending {
+	int64_t length;
+	bool aborted;
+};
+
+static void
+handle_peer_request(void *context, struct h1_exchange *exchange)
+{
+	const struct ending *ending = context;
+
+	h1_respond_begin(exchange, 200, NULL, ending->length);
+	h1_respond_data(exchange, "abc", 3);
+	if (ending->aborted)
+		h1_exchange_abort(exchange);
+	else
+		h1_respond_end(exchange);
+}
+
+static enum http_result
+call_peer(struct fixture *fixture, struct ending ending)
+{
+	const struct h1_server_options options = {
+	    .address = "127.0.0.1",
+	    .limits = {.max_header_bytes = 8192,
+		.max_body_bytes = 8192,
+		.header_timeout_us = US_PER_S,
+		.idle_timeout_us = US_PER_S},
+	    .on_request = handle_peer_request,
+	    .context = &ending,
+	};
+	struct error err = {0};
+	struct h1_server *peer =
+	    h1_server_create(&fixture->loop, &options, &err);
+	struct http_call_params params = {
+	    .address = "127.0.0.1", .port = h1_server_port(peer), .path = "/"};
+
+	fixture->done = false;
+	http_fetch(fixture->net, &params, handle_response, fixture);
+	finish(fixture);
+	h1_server_destroy(peer);
+	return fixture->result;
+}
+
+START_TEST(responses_that_broke_off_are_not_complete)
+{
+	static const int64_t lengths[] = {
+	    5, H1_LENGTH_CHUNKED, H1_LENGTH_CONNECTION};
+	struct fixture fixture;
+
+	setup(&fixture);
+	for (size_t i = 0; i < sizeof(lengths) / sizeof(lengths[0]); i++) {
+		enum http_result result = call_peer(&fixture,
+		    (struct ending){.length = lengths[i], .aborted = true});
+
+		ck_assert_msg(result == HTTP_RESULT_CONNECTION_LOST,
+		    "length %d: result %d", (int)lengths[i], result);
+	}
+	teardown(&fixture);
+}
+END_TEST
+
+START_TEST(responses_without_a_length_end_with_their_connection)
+{
+	struct fixture fixture;
+
+	setup(&fixture);
+	ck_assert_int_eq(call_peer(&fixture,
+			     (struct ending){.length = H1_LENGTH_CONNECTION}),
+	    HTTP_RESULT_OK);
+	ck_assert_str_eq(buf_text(&fixture.body), "abc");
+	teardown(&fixture);
+}
+END_TEST
+
 START_TEST(redirects_are_reported_and_not_followed)
 {
 	struct fixture fixture;
@@ -295,6 +372,8 @@
 	    streams_arrive_completely,
 	    refused_connections_are_reported,
 	    lost_connections_are_reported,
+	    responses_that_broke_off_are_not_complete,
+	    responses_without_a_length_end_with_their_connection,
 	    redirects_are_reported_and_not_followed,
 	    stalled_calls_time_out_and_close_their_exchange,
 	    cancelled_calls_run_no_callback,
