Daemon: streams are sent in chunks, so that a broken one is incomplete

An aborted stream, or one of a daemon that was killed, was a complete HTTP response for its caller, and only the missing [DONE] told otherwise. Streams now go in chunks; to callers of HTTP/1.0, which know none, as before, but an abort resets the connection. The stand-ins' blocking client took a response without a length for an empty, complete one; it now reads to the end and tells a reset.

aborted_streams_are_incomplete failed before (HTTP/1.1: complete).

--- a/include/net/http.h
+++ b/include/net/http.h
@@ -58,8 +58,8 @@
 void http_respond(struct http_exchange *exchange, int status,
     const char *content_type, const struct http_header *headers,
     const void *body, size_t len);
-/** Starts a response of unknown length, whose end is the close of the
- * connection. */
+/** Starts a response of unknown length. It is sent in chunks; to a caller of
+ * HTTP/1.0 its end is the close of the connection. */
 void http_stream_begin(struct http_exchange *exchange, int status,
     const char *content_type, const struct http_header *headers);
 /** Queues a piece of the body. Returns false when the unsent part would exceed
@@ -69,8 +69,9 @@
 /** Ends the response after the queued data; the exchange is invalid
  * afterwards. */
 void http_stream_end(struct http_exchange *exchange);
-/** Closes the connection without sending the queued data; the exchange is
- * invalid afterwards. */
+/** Closes the connection without sending the queued data, so that the caller
+ * can't take a partial response for a whole one; the exchange is invalid
+ * afterwards. */
 void http_abort(struct http_exchange *exchange);
 /** Sets the callback that runs when the caller disconnects before the handler
  * has ended the response. The exchange is invalid from then on. */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -6,13 +6,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/diag.h"
 #include "common/memory.h"
 #include "net/internal.h"
 
 enum {
 	HEADER_SPACE_BYTES = 4096,
 	WRITE_CHUNK_BYTES = 8192,
-	MAX_RESPONSE_HEADERS = 8,
 	SERVER_TIMEOUT_S = 600,
 };
 
@@ -27,14 +27,16 @@
 	char query[HTTP_PATH_BYTES];
 	struct buf body;
 	size_t body_expected;
-	bool dispatched; /**< passed to the handler, or rejected */
+	bool dispatched;     /**< passed to the handler, or rejected */
+	bool accepts_chunks; /**< the caller speaks HTTP/1.1 */
 	/* The response. */
 	int status; /**< 0: not started */
 	char content_type[64];
 	struct buf headers; /**< "name: value\r\n" lines */
 	bool headers_sent;
 	bool length_known;
-	bool ended; /**< the handler has ended the response */
+	bool chunked; /**< the body is sent in chunks */
+	bool ended;   /**< the handler has ended the response */
 	bool aborted;
 	struct buf queue; /**< unsent part of the body */
 	void (*on_close)(void *context);
@@ -160,6 +162,7 @@
 	struct http_exchange *exchange;
 	char *uri = NULL;
 	char length[24] = "";
+	char version[16] = "";
 	int uri_len = 0;
 
 	if (net->closing)
@@ -170,6 +173,10 @@
 		return -1;
 	memcpy(exchange->path, uri, (size_t)uri_len);
 	read_query(exchange);
+	exchange->accepts_chunks =
+	    lws_hdr_copy(wsi, version, (int)sizeof(version), WSI_TOKEN_HTTP) >
+		0 &&
+	    strcmp(version, "HTTP/1.1") == 0;
 	if (lws_hdr_copy(wsi, length, (int)sizeof(length),
 		WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0)
 		exchange->body_expected = strtoul(length, NULL, 10);
@@ -443,29 +450,65 @@
     const char *content_type, const struct http_header *headers)
 {
 	exchange->queue.max = exchange->net->options.max_send_queue_bytes;
+	exchange->chunked = exchange->accepts_chunks;
+	if (exchange->chunked)
+		buf_append_text(
+		    &exchange->headers, "transfer-encoding: chunked\r\n");
 	begin_response(exchange, status, content_type, headers);
 }
 
+/* Returns false if the chunk does not fit; the buffer may then have a part. */
+static bool
+append_chunk(struct buf *out, const void *data, size_t len)
+{
+	char size[24];
+
+	if (len == 0)
+		return true;
+	snprintf(size, sizeof(size), "%zx\r\n", len);
+	return buf_append_text(out, size) && buf_append(out, data, len) &&
+	    buf_append_text(out, "\r\n");
+}
+
 bool
 http_stream_write(struct http_exchange *exchange, const void *data, size_t len)
 {
-	if (!buf_append(&exchange->queue, data, len))
-		return false;
-	request_write(exchange);
-	return true;
+	bool fits = exchange->chunked
+	    ? append_chunk(&exchange->queue, data, len)
+	    : buf_append(&exchange->queue, data, len);
+
+	if (fits)
+		request_write(exchange);
+	return fits;
 }
 
 void
 http_stream_end(struct http_exchange *exchange)
 {
 	exchange->ended = true;
+	exchange->queue.max = 0;
+	if (exchange->chunked)
+		buf_append_text(&exchange->queue, "0\r\n\r\n");
 	request_write(exchange);
 }
 
+/* Makes the close of the connection a reset. */
+static void
+reset_on_close(struct lws *wsi)
+{
+	const struct linger linger = {.l_onoff = 1};
+
+	if (setsockopt(lws_get_socket_fd(wsi), SOL_SOCKET, SO_LINGER, &linger,
+		sizeof(linger)) != 0)
+		diag(LOG_WARNING, NULL, "cannot reset a broken response");
+}
+
 void
 http_abort(struct http_exchange *exchange)
 {
 	exchange->aborted = true;
+	if (!exchange->length_known && !exchange->chunked)
+		reset_on_close(exchange->wsi);
 	net_kill_connection(exchange->net, exchange->wsi);
 }
 
--- a/standins/http_caller.c
+++ b/standins/http_caller.c
@@ -72,6 +72,7 @@
 	    poll(&ready, 1, (int)(left_us / US_PER_MS) + 1) <= 0)
 		return false;
 	len = recv(caller->fd, data, sizeof(data), 0);
+	caller->ended = len == 0;
 	if (len <= 0)
 		return false;
 	return buf_append(&caller->in, data, (size_t)len);
@@ -169,6 +170,18 @@
 	}
 }
 
+/* Reads a body that ends with its connection. */
+static bool
+read_to_end(
+    struct http_caller *caller, int64_t deadline_us, struct http_reply *reply)
+{
+	while (read_more(caller, deadline_us))
+		continue;
+	buf_append(&reply->body, caller->in.data, caller->in.len);
+	buf_consume(&caller->in, caller->in.len);
+	return caller->ended;
+}
+
 void
 http_caller_read(struct http_caller *caller, int ms, struct http_reply *reply)
 {
@@ -186,8 +199,10 @@
 		return;
 	}
 	value = http_reply_field(reply, "content-length");
-	reply->complete = read_body_bytes(caller, deadline_us,
-	    value != NULL ? strtoul(value, NULL, 10) : 0, reply);
+	reply->complete = value != NULL
+	    ? read_body_bytes(
+		  caller, deadline_us, strtoul(value, NULL, 10), reply)
+	    : read_to_end(caller, deadline_us, reply);
 }
 
 void
--- a/standins/http_caller.h
+++ b/standins/http_caller.h
@@ -14,6 +14,7 @@
 struct http_caller {
 	int fd;        /**< socket; -1: not connected */
 	struct buf in; /**< received bytes that are not read yet */
+	bool ended;    /**< the server has closed the connection in order */
 };
 
 /** A response, or the part of it that was received. */
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -1,14 +1,21 @@
 #include <check.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common/buf.h"
 #include "common/clock.h"
 #include "common/memory.h"
 #include "h1/server.h"
 #include "net/http.h"
+#include "standins/http_caller.h"
 #include "tests/runner.h"
 
+enum {
+	ABORT_MS = 10,
+	SERVER_ITERATIONS = 60, /**< of a millisecond; covers ABORT_MS */
+};
+
 /** A server and a client on one loop, and the result of the last call. */
 struct fixture {
 	uv_loop_t loop;
@@ -20,6 +27,7 @@
 	char location[256];
 	int closes;
 	struct http_exchange *held; /**< unfinished response to "/hold" */
+	uv_timer_t abort_timer;     /**< aborts the response to "/cut-stream" */
 };
 
 static void
@@ -31,6 +39,13 @@
 	fixture->held = NULL;
 }
 
+static void
+handle_abort_timer(uv_timer_t *timer)
+{
+	http_abort(timer->data);
+	uv_close((uv_handle_t *)timer, NULL);
+}
+
 static void
 respond_with_stream(struct http_exchange *exchange)
 {
@@ -49,6 +64,13 @@
 
 	if (strcmp(request->path, "/stream") == 0) {
 		respond_with_stream(exchange);
+	} else if (strcmp(request->path, "/cut-stream") == 0) {
+		uv_timer_init(&fixture->loop, &fixture->abort_timer);
+		fixture->abort_timer.data = exchange;
+		uv_timer_start(
+		    &fixture->abort_timer, handle_abort_timer, ABORT_MS, 0);
+		http_stream_begin(exchange, 200, "text/event-stream", NULL);
+		http_stream_write(exchange, "data: x\n\n", 9);
 	} else if (strcmp(request->path, "/hold") == 0) {
 		http_exchange_on_close(exchange, handle_close, fixture);
 		http_stream_begin(exchange, 200, "text/plain", NULL);
@@ -316,6 +338,51 @@
 }
 END_TEST
 
+/* Calls the server with a version of HTTP and returns whether the response is
+ * complete; its body is copied to fixture->body. */
+static bool
+call_with_version(
+    struct fixture *fixture, const char *path, const char *version)
+{
+	struct http_caller caller;
+	struct http_reply reply;
+	char request[128];
+	bool complete;
+
+	snprintf(request, sizeof(request), "GET %s %s\r\nHost: h\r\n\r\n", path,
+	    version);
+	ck_assert(http_caller_open(&caller, net_port(fixture->net)));
+	ck_assert(http_caller_send(&caller, request, strlen(request)));
+	for (int i = 0; i < SERVER_ITERATIONS; i++) {
+		uv_run(&fixture->loop, UV_RUN_NOWAIT);
+		usleep(US_PER_MS);
+	}
+	http_caller_read(&caller, 1, &reply);
+	complete = reply.complete;
+	fixture->body.len = 0;
+	buf_append(&fixture->body, reply.body.data, reply.body.len);
+	http_reply_reset(&reply);
+	http_caller_close(&caller);
+	return complete;
+}
+
+START_TEST(aborted_streams_are_incomplete)
+{
+	static const char *const versions[] = {"HTTP/1.1", "HTTP/1.0"};
+	struct fixture fixture;
+
+	setup(&fixture);
+	for (size_t i = 0; i < sizeof(versions) / sizeof(versions[0]); i++) {
+		ck_assert(call_with_version(&fixture, "/stream", versions[i]));
+		ck_assert_uint_eq(fixture.body.len, 900);
+		ck_assert_msg(
+		    !call_with_version(&fixture, "/cut-stream", versions[i]),
+		    "%s: complete", versions[i]);
+	}
+	teardown(&fixture);
+}
+END_TEST
+
 START_TEST(redirects_are_reported_and_not_followed)
 {
 	struct fixture fixture;
@@ -374,6 +441,7 @@
 	    lost_connections_are_reported,
 	    responses_that_broke_off_are_not_complete,
 	    responses_without_a_length_end_with_their_connection,
+	    aborted_streams_are_incomplete,
 	    redirects_are_reported_and_not_followed,
 	    stalled_calls_time_out_and_close_their_exchange,
 	    cancelled_calls_run_no_callback,
