Gateway: a server that says it leaves gets no new request

New rule of the users: a runner that leaves sets Server-Leaving in all its answers, and from then on a machine that passed one on must not send it anything after drainMs, in touch or not. Nothing read the field; connection_close, meant for something like it, was decoded and used nowhere and goes.

The response's head marks the server at once, for streams as for declined requests: believed if it carries the request's id and a signature or Not-Executed, and is no 421. The mark belongs to the start of the server that the request was sent to (id and born), so that neither the list, nor a removal and return of the entry, nor another gateway's list lifts it; another start is unmarked, and a late response of the old one does not mark it. First attempts, retries and turns go elsewhere; requests that run there run to their end. If all servers of a service leave, a request is refused at once.

The relocation of turns is covered by the choice, which weighs their cached prompt.

--- a/dispatch/backends.c
+++ b/dispatch/backends.c
@@ -70,6 +70,7 @@
 		free(service);
 	}
 	residency_reset(&backends->residency);
+	leaving_reset(&backends->leaving);
 }
 
 static struct backend_service *
@@ -139,6 +140,7 @@
 {
 	struct backend *backend = backends_find(backends, entry->id);
 	bool accepts_requests = !entry->draining;
+	bool was_leaving;
 	bool changed;
 
 	if (backend == NULL) {
@@ -151,7 +153,11 @@
 		HASH_ADD(hh_hash, backends->by_hash, hash,
 		    sizeof(backend->hash), backend);
 	}
+	was_leaving = backend->leaving;
+	backend->leaving = leaving_contains(
+	    &backends->leaving, backend->hash, entry->started_wall_ms);
 	changed = backend->accepts_requests != accepts_requests ||
+	    backend->leaving != was_leaving ||
 	    strcmp(backend->entry.address, entry->address) != 0 ||
 	    strcmp(backend->entry.service, entry->service) != 0 ||
 	    backend->entry.started_wall_ms != entry->started_wall_ms;
@@ -178,6 +184,20 @@
 	return accepts_requests;
 }
 
+bool
+backends_mark_leaving(
+    struct backends *backends, const char *id, int64_t started_wall_ms)
+{
+	struct backend *backend = backends_find(backends, id);
+
+	if (!leaving_add(&backends->leaving, hash_text(id, 0), started_wall_ms))
+		return false;
+	if (backend != NULL &&
+	    backend->entry.started_wall_ms == started_wall_ms)
+		backend->leaving = true;
+	return true;
+}
+
 static bool
 is_excluded(
     const struct backend_request *request, const struct backend *backend)
@@ -193,7 +213,7 @@
 static bool
 is_available(const struct backend *backend, const char *service)
 {
-	return backend->accepts_requests &&
+	return backend->accepts_requests && !backend->leaving &&
 	    strcmp(backend->entry.service, service) == 0;
 }
 
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -4,6 +4,7 @@
 
 #include "common/clock.h"
 #include "common/memory.h"
+#include "common/trace.h"
 #include "gateway/quarantine.h"
 #include "gateway/request.h"
 
@@ -139,6 +140,36 @@
 	    !response->not_executed;
 }
 
+/* Returns whether the response is known to be from the server that the request
+ * was sent to. Declined requests have no signature. */
+static bool
+response_is_from_server(const struct backend_response *response)
+{
+	return response->matches_request && !response->misdirected &&
+	    (response->has_signature || response->not_executed);
+}
+
+static void
+check_server_leaving(const struct request *request)
+{
+	struct gateway *gateway = request->gateway;
+	const struct forward *attempt = request->attempt;
+	struct trace trace;
+
+	if (!attempt->response.server_leaving ||
+	    !response_is_from_server(&attempt->response) ||
+	    !backends_mark_leaving(&gateway->blackboard.backends,
+		request->last_backend, attempt->server_started_wall_ms))
+		return;
+	gateway->counters.servers_leaving_total++;
+	trace_begin(&trace, "server_leaving");
+	trace_text(&trace, "server", request->last_backend);
+	trace_number(&trace, "started_ms", attempt->server_started_wall_ms);
+	trace_text(&trace, "request", request->attributes.request_id);
+	trace_number(&trace, "status", attempt->response.status);
+	trace_end(&trace);
+}
+
 static enum h1_head_action
 handle_head(void *context, const struct h1_head *head)
 {
@@ -152,6 +183,7 @@
 	if (has_request_id && !attempt->response.matches_request)
 		return H1_HEAD_SKIP;
 	attempt->head_received = true;
+	check_server_leaving(request);
 	attempt->content_length = content_length(&head->headers);
 	if (!response_is_acceptable(request)) {
 		h1_call_discard_connection(attempt->call);
@@ -349,6 +381,7 @@
 
 	attempt->backend = backend;
 	attempt->started_us = now_us;
+	attempt->server_started_wall_ms = backend->entry.started_wall_ms;
 	request->attempt = attempt;
 	attempt->uncached_tokens =
 	    backend_uncached_tokens(backends, backend, criteria);
--- a/gateway/server_watch.c
+++ b/gateway/server_watch.c
@@ -58,13 +58,16 @@
 static void watch_start(struct server_watch *watch);
 
 static void
-trace_server(const char *event, const char *id, const char *service)
+trace_server(const char *event, const char *id, const char *service,
+    int64_t started_wall_ms)
 {
 	struct trace trace;
 
 	trace_begin(&trace, event);
 	trace_text(&trace, "server", id);
 	trace_text(&trace, "service", service);
+	if (started_wall_ms != 0)
+		trace_number(&trace, "started_ms", started_wall_ms);
 	trace_end(&trace);
 }
 
@@ -87,7 +90,7 @@
 
 	quarantine_handle_server_end(gateway->quarantine, id);
 	if (backends_remove(&gateway->blackboard.backends, id))
-		trace_server("server_removed", id, NULL);
+		trace_server("server_removed", id, NULL, 0);
 }
 
 /* Handles the removal of an entry. Entries expire by themselves while the store
@@ -116,15 +119,20 @@
 {
 	const struct backend *known =
 	    backends_find(&gateway->blackboard.backends, entry->id);
+	bool restarted = known != NULL &&
+	    known->entry.started_wall_ms != entry->started_wall_ms;
+	bool was_leaving = known != NULL && known->leaving;
 
-	if (known != NULL &&
-	    known->entry.started_wall_ms != entry->started_wall_ms)
+	if (restarted)
 		quarantine_handle_server_end(gateway->quarantine, entry->id);
 	if (backends_update(&gateway->blackboard.backends, entry,
 		settings_region(&gateway->settings, entry->failure_domain)))
 		trace_server(
 		    entry->draining ? "server_draining" : "server_listed",
-		    entry->id, entry->service);
+		    entry->id, entry->service, entry->started_wall_ms);
+	if (restarted && was_leaving)
+		trace_server("server_leaving_ended", entry->id, entry->service,
+		    entry->started_wall_ms);
 }
 
 static void
--- a/include/common/counter.h
+++ b/include/common/counter.h
@@ -29,6 +29,7 @@
 	X(log_records_total, "Records appended to the platform log") \
 	X(claims_total, "Ownership claims appended") \
 	X(takeovers_total, "Shards taken over from another VM") \
+	X(servers_leaving_total, "Servers that said in a response they leave") \
 	X(peer_bytes_sent_total, "Bytes sent to other daemons") \
 	X(peer_bytes_received_total, "Bytes received from other daemons") \
 	X(peer_dropped_total, "Messages to daemons dropped on a full queue") \
--- a/include/dispatch/backends.h
+++ b/include/dispatch/backends.h
@@ -13,6 +13,7 @@
 
 #include "common/rng.h"
 #include "dispatch/backend_entry.h"
+#include "dispatch/leaving.h"
 #include "dispatch/residency.h"
 #include "dispatch/speed.h"
 
@@ -27,8 +28,9 @@
 	UT_hash_handle hh_hash; /**< by hash */
 	struct backend_entry entry;
 	char region[NAME_BYTES];
-	bool accepts_requests;   /**< in the platform's list and not draining */
-	uint32_t running;        /**< running requests of this VM */
+	bool accepts_requests; /**< in the platform's list and not draining */
+	bool leaving;     /**< the process of the entry said that it leaves */
+	uint32_t running; /**< running requests of this VM */
 	uint32_t remote_running; /**< running requests of other VMs, as they
 				    reported last */
 	int64_t avoid_until_us;  /**< end of the pause after a failure */
@@ -70,6 +72,7 @@
 	struct backend *by_hash;          /**< uthash */
 	struct backend_service *services; /**< uthash */
 	struct residency residency;
+	struct leaving leaving;
 	char region[NAME_BYTES];         /**< region of this VM */
 	char failure_domain[NAME_BYTES]; /**< failure domain of this VM */
 	struct rng rng;
@@ -101,6 +104,12 @@
 /** Removes a server whose entry is gone from the list or is invalid. Returns
  * whether the server accepted requests. */
 bool backends_remove(struct backends *backends, const char *id);
+/** Records that a server said in a response that it leaves. From then on it
+ * gets no request, whatever its entry in the list says, until it has restarted.
+ * started_wall_ms: start time of the process that responded. Returns false if
+ * this was known. */
+bool backends_mark_leaving(
+    struct backends *backends, const char *id, int64_t started_wall_ms);
 /** Returns the server with the lowest expected cost for a request. Servers in
  * the pause after a failure are chosen only if there is no other. Returns NULL
  * if no server is available. */
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -30,8 +30,10 @@
 struct forward {
 	struct backend *backend;
 	struct h1_call *call;
-	uint64_t uncached_tokens; /**< prompt tokens expected to miss the
-				     server's cache */
+	uint64_t uncached_tokens;       /**< prompt tokens expected to miss the
+					   server's cache */
+	int64_t server_started_wall_ms; /**< start time of the server that the
+					   request is sent to */
 	double server_load; /**< load of the server at the time of sending */
 	uint64_t prior_event_count; /**< events received by earlier attempts */
 	int64_t started_us;
--- a/include/platform/request.h
+++ b/include/platform/request.h
@@ -30,10 +30,9 @@
 	/** Status 421: the address now belongs to another server, which did not
 	 * execute the request. */
 	bool misdirected;
-	bool matches_request;  /**< Request-Id is that of the request sent */
-	bool has_signature;    /**< Response-Signature is present */
-	bool connection_close; /**< the server is leaving, or closes the
-				  connection */
+	bool matches_request; /**< Request-Id is that of the request sent */
+	bool has_signature;   /**< Response-Signature is present */
+	bool server_leaving;  /**< the server is about to stop */
 };
 
 /** Decodes the header fields of a caller's request.
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -12,7 +12,7 @@
 
 enum {
 	CLUSTER_MAX_GATEWAYS = 4,
-	CLUSTER_MAX_SERVERS = 4,
+	CLUSTER_MAX_SERVERS = 8,
 };
 
 /** A child process. */
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -8,6 +8,11 @@
  * /unframed in the path, a response has neither a length nor chunks and ends
  * with its connection. With /partial a stream ends inside an event, with /empty
  * it has no event, and with /reset the connection is reset in the middle.
+ * Requests with /decline in the path are declined, and responses to those with
+ * /unsigned lack the signature.
+ *
+ * SIGUSR1 makes the server leave: it reports so in the list and in all its
+ * responses, but goes on serving. After SIGUSR2 only its responses say so.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -47,7 +52,8 @@
 	int events;
 	int work_ms;   /**< duration of a response, or of each event */
 	int slots;     /**< most requests at a time */
-	bool draining; /**< whether SIGUSR1 was received */
+	bool draining; /**< reports in the list that it leaves */
+	bool leaving;  /**< reports in its responses that it leaves */
 } options = {
     .id = "runner-1",
     .service = "models",
@@ -72,6 +78,7 @@
 	uv_timer_t *timer;
 	char id[ID_BYTES];
 	uint64_t body_hash;
+	bool is_unsigned;
 	bool unframed; /**< the response has neither a length nor chunks */
 	enum ending ending;
 	int events; /**< events sent */
@@ -164,10 +171,13 @@
 }
 
 static void
-add_response_headers(struct h1_headers *headers, const char *request_id)
+add_response_headers(const struct run *run, struct h1_headers *headers)
 {
-	h1_headers_add(headers, "Request-Id", request_id);
-	h1_headers_add(headers, "Response-Signature", options.id);
+	h1_headers_add(headers, "Request-Id", run->id);
+	if (!run->is_unsigned)
+		h1_headers_add(headers, "Response-Signature", options.id);
+	if (options.leaving)
+		h1_headers_add(headers, "Server-Leaving", "1");
 }
 
 static void
@@ -223,7 +233,7 @@
 	size_t len =
 	    (size_t)snprintf(body, sizeof(body), "done %.50s", run->id);
 
-	add_response_headers(&headers, run->id);
+	add_response_headers(run, &headers);
 	if (!run->unframed) {
 		h1_respond(run->exchange, 200, &headers, body, len);
 		h1_headers_reset(&headers);
@@ -286,6 +296,7 @@
 	int work_ms = strstr(path, "/slow") != NULL ? SLOW_MS : options.work_ms;
 
 	run->exchange = exchange;
+	run->is_unsigned = strstr(path, "/unsigned") != NULL;
 	run->unframed = strstr(path, "/unframed") != NULL;
 	run->ending = ending_of(path);
 	snprintf(run->id, sizeof(run->id), "%s", request_id);
@@ -297,7 +308,7 @@
 	run->timer->data = run;
 	h1_exchange_on_close(exchange, handle_exchange_closed, run);
 	if (options.model) {
-		add_response_headers(&headers, request_id);
+		add_response_headers(run, &headers);
 		h1_headers_add(&headers, "Content-Type", "text/event-stream");
 		h1_respond_begin(exchange, 200, &headers,
 		    run->unframed ? H1_LENGTH_CONNECTION : H1_LENGTH_CHUNKED);
@@ -317,6 +328,8 @@
 	if (request_id != NULL)
 		h1_headers_add(&headers, "Request-Id", request_id);
 	h1_headers_add(&headers, "Not-Executed", "1");
+	if (options.leaving)
+		h1_headers_add(&headers, "Server-Leaving", "1");
 	h1_headers_add(&headers, "Instance-Id", options.id);
 	h1_respond(exchange, status, &headers, "", 0);
 	h1_headers_reset(&headers);
@@ -374,7 +387,8 @@
 		reply_not_executed(exchange, 400, NULL);
 	else if (expected_id != NULL && strcmp(expected_id, options.id) != 0)
 		reply_not_executed(exchange, 421, request_id);
-	else if (list_length(&runs) >= (size_t)options.slots)
+	else if (list_length(&runs) >= (size_t)options.slots ||
+	    strstr(path, "/decline") != NULL)
 		reply_not_executed(exchange, 503, request_id);
 	else if (strstr(path, "/lose") != NULL)
 		lose_response(exchange, request_id);
@@ -428,12 +442,13 @@
 	}
 }
 
-/* Handles SIGUSR1: reports that the server is draining, but goes on serving. */
 static void
-handle_drain(uv_signal_t *signal, int number)
+handle_leave(uv_signal_t *signal, int number)
 {
 	(void)signal;
-	(void)number;
+	options.leaving = true;
+	if (number != SIGUSR1)
+		return;
 	options.draining = true;
 	handle_heartbeat(&heartbeat);
 }
@@ -463,6 +478,7 @@
 	};
 	struct error err = {0};
 	uv_signal_t drain;
+	uv_signal_t leave;
 
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	signal(SIGPIPE, SIG_IGN);
@@ -477,7 +493,9 @@
 	printf("listening %d\n", h1_server_port(server));
 	fflush(stdout);
 	uv_signal_init(loop, &drain);
-	uv_signal_start(&drain, handle_drain, SIGUSR1);
+	uv_signal_start(&drain, handle_leave, SIGUSR1);
+	uv_signal_init(loop, &leave);
+	uv_signal_start(&leave, handle_leave, SIGUSR2);
 	uv_timer_init(loop, &heartbeat);
 	if (options.store_port != 0)
 		uv_timer_start(&heartbeat, handle_heartbeat, 0, HEARTBEAT_MS);
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -78,6 +78,63 @@
 }
 END_TEST
 
+START_TEST(leaving_server_is_not_chosen_whatever_the_list_says)
+{
+	struct backend_request request = {.service = "s", .preferred = "a"};
+	struct backend_entry entry = add("a", "s", "d1", "r1")->entry;
+
+	ck_assert(backends_mark_leaving(&backends, "a", 1));
+	ck_assert(!backends_mark_leaving(&backends, "a", 1));
+	ck_assert_str_eq(choose(&request, 0), "none");
+	ck_assert(!backends_has_available(&backends, "s"));
+	backends_update(&backends, &entry, "r1");
+	ck_assert_str_eq(choose(&request, 0), "none");
+	backends_remove(&backends, "a");
+	backends_update(&backends, &entry, "r1");
+	ck_assert_str_eq(choose(&request, 0), "none");
+	add("b", "s", "d2", "r2");
+	ck_assert_str_eq(choose(&request, 0), "b");
+}
+END_TEST
+
+START_TEST(leaving_belongs_to_one_start_of_a_server)
+{
+	struct backend_request request = {.service = "s", .preferred = ""};
+	struct backend_entry entry = add("a", "s", "d1", "r1")->entry;
+
+	backends_mark_leaving(&backends, "a", 1);
+	/* Another server takes the address over. */
+	add("b", "s", "d1", "r1");
+	ck_assert_str_eq(choose(&request, 0), "b");
+	backends_remove(&backends, "b");
+	entry.started_wall_ms = 2;
+	ck_assert(backends_update(&backends, &entry, "r1"));
+	ck_assert_str_eq(choose(&request, 0), "a");
+	/* A late response of the process before. */
+	ck_assert(!backends_mark_leaving(&backends, "a", 1));
+	ck_assert_str_eq(choose(&request, 0), "a");
+	/* An outdated list names the process before again. */
+	entry.started_wall_ms = 1;
+	backends_update(&backends, &entry, "r1");
+	ck_assert_str_eq(choose(&request, 0), "none");
+}
+END_TEST
+
+START_TEST(leaving_servers_are_forgotten_beyond_a_limit)
+{
+	struct leaving leaving = {0};
+	int64_t last = 0;
+
+	for (int64_t start = 0; start < 100000; start++) {
+		ck_assert(leaving_add(&leaving, 1, start));
+		last = start;
+	}
+	ck_assert(!leaving_contains(&leaving, 1, 0));
+	ck_assert(leaving_contains(&leaving, 1, last));
+	leaving_reset(&leaving);
+}
+END_TEST
+
 START_TEST(tried_servers_are_not_chosen)
 {
 	static const char tried[1][NAME_BYTES] = {"a"};
@@ -356,6 +413,9 @@
 	const TTest *tests[] = {
 	    only_available_servers_of_the_service_are_chosen,
 	    removed_server_is_kept_while_requests_run,
+	    leaving_server_is_not_chosen_whatever_the_list_says,
+	    leaving_belongs_to_one_start_of_a_server,
+	    leaving_servers_are_forgotten_beyond_a_limit,
 	    tried_servers_are_not_chosen,
 	    failed_servers_are_avoided_for_a_while,
 	    load_of_all_vms_counts,
--- /dev/null
+++ b/tests/test_leaving.c
@@ -0,0 +1,329 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "standins/cluster.h"
+#include "tests/runner.h"
+
+enum {
+	CALL_MS = 5000,
+	SAMPLES = 20,      /**< requests sent to see which servers get them */
+	LISTED_MS = 1200,  /**< until a gateway has read a changed list */
+	RESTART_MS = 4000, /**< until a restarted server gets requests */
+	NO_SERVER = -1,
+};
+
+static struct cluster cluster;
+static const char *build_dir;
+static int next_request;
+
+/** Servers of the cluster, by number: two of models, then two of tools. */
+enum { MODEL_A, MODEL_B, TOOL_A, TOOL_B };
+
+static void
+setup(void)
+{
+	ck_assert(cluster_start(&cluster, build_dir));
+	cluster_publish(&cluster, "");
+	ck_assert_int_eq(cluster_add_server(&cluster, "models", ""), MODEL_A);
+	ck_assert_int_eq(cluster_add_server(&cluster, "models", ""), MODEL_B);
+	ck_assert_int_eq(cluster_add_server(&cluster, "tools", ""), TOOL_A);
+	ck_assert_int_eq(cluster_add_server(&cluster, "tools", ""), TOOL_B);
+	ck_assert_int_ge(cluster_add_gateway(&cluster), 0);
+	ck_assert(cluster_wait_ready(&cluster, 0));
+	usleep(LISTED_MS * US_PER_MS);
+}
+
+static void
+teardown(void)
+{
+	cluster_stop(&cluster);
+}
+
+/** What a caller got. */
+struct answer {
+	char request[32];
+	int status;
+	bool complete;
+	bool leaving;     /**< it says that the server leaves */
+	bool retry_after; /**< it says when to come back */
+	int server;       /**< number of the server, or NO_SERVER */
+};
+
+static void
+read_answer(struct http_reply *reply, struct answer *answer)
+{
+	const char *signature = http_reply_field(reply, "response-signature");
+	const char *dash = signature != NULL ? strrchr(signature, '-') : NULL;
+
+	answer->status = reply->status;
+	answer->complete = reply->complete;
+	answer->server =
+	    dash != NULL ? (int)strtol(dash + 1, NULL, 10) : NO_SERVER;
+	answer->leaving = http_reply_field(reply, "server-leaving") != NULL;
+	answer->retry_after = http_reply_field(reply, "retry-after") != NULL;
+	http_reply_reset(reply);
+}
+
+static void
+format_request(const char *target, const char *previous_turn, char request[32],
+    struct buf *out)
+{
+	snprintf(request, 32, "leaving-%03d", ++next_request);
+	buf_printf(out,
+	    "POST %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\n"
+	    "Deadline-Ms: 4000\r\nProgram-Id: p\r\nSession-Id: s\r\n"
+	    "Token-Budget: 100000\r\nToken-Usage: 100,50\r\n"
+	    "Content-Length: 5\r\n",
+	    target, request);
+	if (previous_turn != NULL)
+		buf_printf(out, "Previous-Turn: %s\r\n", previous_turn);
+	buf_append_text(out, "\r\ninput");
+}
+
+static struct http_caller
+start_call(const char *target, const char *previous_turn, char request[32])
+{
+	struct http_caller caller;
+	struct buf out = {0};
+
+	format_request(target, previous_turn, request, &out);
+	ck_assert(http_caller_open(&caller, cluster.gateways[0].process.port));
+	ck_assert(http_caller_send(&caller, out.data, out.len));
+	buf_reset(&out);
+	return caller;
+}
+
+static struct answer
+finish_call(struct http_caller *caller)
+{
+	struct answer answer = {0};
+	struct http_reply reply;
+
+	http_caller_read(caller, CALL_MS, &reply);
+	read_answer(&reply, &answer);
+	http_caller_close(caller);
+	return answer;
+}
+
+static struct answer
+call(const char *target, const char *previous_turn)
+{
+	char request[32];
+	struct http_caller caller = start_call(target, previous_turn, request);
+	struct answer answer = finish_call(&caller);
+
+	memcpy(answer.request, request, sizeof(request));
+	return answer;
+}
+
+static bool
+has_run(int server, const char *request)
+{
+	struct http_reply reply;
+	bool found;
+
+	http_call_once(cluster.servers[server].port, "GET", "/stand-in/runs",
+	    "Host: x\r\n", "", 0, CALL_MS, &reply);
+	found = strstr(buf_text(&reply.body), request) != NULL;
+	http_reply_reset(&reply);
+	return found;
+}
+
+/* Sends requests until a server has answered that it leaves. */
+static void
+learn_that_server_leaves(const char *target, int server)
+{
+	for (int i = 0; i < 10 * SAMPLES; i++) {
+		struct answer answer = call(target, NULL);
+
+		if (answer.leaving) {
+			ck_assert_int_eq(answer.server, server);
+			return;
+		}
+	}
+	ck_abort_msg("server %d got no request", server);
+}
+
+static void
+check_server_gets_nothing(const char *target, int server)
+{
+	for (int i = 0; i < SAMPLES; i++) {
+		struct answer answer = call(target, NULL);
+
+		ck_assert_int_eq(answer.status, 200);
+		ck_assert_int_ne(answer.server, server);
+	}
+}
+
+static void
+stop_other_server(int server)
+{
+	cluster_signal(&cluster.servers[server], SIGUSR1);
+	usleep(LISTED_MS * US_PER_MS);
+}
+
+START_TEST(leaving_server_gets_nothing_though_it_is_listed)
+{
+	int server = call("/safe/x", NULL).server;
+
+	cluster_signal(&cluster.servers[server], SIGUSR2);
+	learn_that_server_leaves("/safe/x", server);
+	check_server_gets_nothing("/safe/x", server);
+	usleep(LISTED_MS * US_PER_MS);
+	check_server_gets_nothing("/safe/x", server);
+	ck_assert_int_eq(
+	    cluster_counter(&cluster, 0, "servers_leaving_total"), 1);
+}
+END_TEST
+
+START_TEST(leaving_server_gets_nothing_while_the_store_is_away)
+{
+	int server = call("/safe/x", NULL).server;
+
+	cluster_set_store_faults(&cluster, "{\"outage_ms\": 20000}");
+	usleep(LISTED_MS * US_PER_MS);
+	cluster_signal(&cluster.servers[server], SIGUSR1);
+	learn_that_server_leaves("/safe/x", server);
+	check_server_gets_nothing("/safe/x", server);
+}
+END_TEST
+
+START_TEST(retries_avoid_a_leaving_server)
+{
+	int server = call("/safe/x", NULL).server;
+
+	cluster_signal(&cluster.servers[server], SIGUSR2);
+	learn_that_server_leaves("/safe/x", server);
+	for (int i = 0; i < 5; i++) {
+		struct answer answer = call("/safe/lose", NULL);
+
+		ck_assert(!has_run(server, answer.request));
+	}
+}
+END_TEST
+
+START_TEST(turns_move_away_from_a_leaving_server)
+{
+	struct answer turn = call("/turn/x", NULL);
+	int server = turn.server;
+
+	ck_assert_int_eq(turn.status, 200);
+	cluster_signal(&cluster.servers[server], SIGUSR2);
+	learn_that_server_leaves("/stream/x", server);
+	for (int i = 0; i < SAMPLES; i++) {
+		turn = call("/turn/x", turn.request);
+		ck_assert_int_eq(turn.status, 200);
+		ck_assert_int_ne(turn.server, server);
+	}
+}
+END_TEST
+
+START_TEST(streams_of_a_leaving_server_end_whole)
+{
+	char request[32];
+	struct http_caller stream;
+	struct answer answer;
+
+	stop_other_server(MODEL_B);
+	stream = start_call("/stream/slow", NULL, request);
+	usleep(200 * US_PER_MS);
+	cluster_signal(&cluster.servers[MODEL_A], SIGUSR2);
+	learn_that_server_leaves("/stream/x", MODEL_A);
+	answer = call("/stream/x", NULL);
+	ck_assert_int_eq(answer.status, 503);
+	ck_assert(answer.retry_after);
+	answer = finish_call(&stream);
+	ck_assert_int_eq(answer.status, 200);
+	ck_assert_int_eq(answer.server, MODEL_A);
+	ck_assert(answer.complete);
+}
+END_TEST
+
+START_TEST(requests_are_refused_when_all_servers_leave)
+{
+	int64_t started_us;
+	struct answer answer;
+
+	cluster_signal(&cluster.servers[TOOL_A], SIGUSR2);
+	cluster_signal(&cluster.servers[TOOL_B], SIGUSR2);
+	for (int i = 0; i < 2; i++)
+		ck_assert(call("/once/x", NULL).leaving);
+	started_us = clock_monotonic_us();
+	answer = call("/once/x", NULL);
+	ck_assert_int_lt(clock_monotonic_us() - started_us, 200 * US_PER_MS);
+	ck_assert_int_eq(answer.status, 503);
+	ck_assert(answer.retry_after);
+	ck_assert(!has_run(TOOL_A, answer.request));
+	ck_assert(!has_run(TOOL_B, answer.request));
+}
+END_TEST
+
+START_TEST(declined_requests_tell_that_a_server_leaves)
+{
+	struct answer answer;
+
+	stop_other_server(TOOL_B);
+	cluster_signal(&cluster.servers[TOOL_A], SIGUSR2);
+	ck_assert_int_eq(call("/once/decline", NULL).status, 503);
+	answer = call("/once/x", NULL);
+	ck_assert_int_eq(answer.status, 503);
+	ck_assert(!has_run(TOOL_A, answer.request));
+}
+END_TEST
+
+START_TEST(answers_without_a_signature_mark_no_server)
+{
+	stop_other_server(TOOL_B);
+	cluster_signal(&cluster.servers[TOOL_A], SIGUSR2);
+	ck_assert_int_eq(call("/once/unsigned", NULL).status, 502);
+	ck_assert_int_eq(call("/once/x", NULL).status, 200);
+}
+END_TEST
+
+START_TEST(server_that_restarts_under_its_id_is_used_again)
+{
+	char extra[32];
+	int64_t until_us;
+	struct answer answer = {.server = NO_SERVER};
+
+	stop_other_server(TOOL_B);
+	cluster_signal(&cluster.servers[TOOL_A], SIGUSR2);
+	learn_that_server_leaves("/once/x", TOOL_A);
+	ck_assert_int_eq(call("/once/x", NULL).status, 503);
+	cluster_signal(&cluster.servers[TOOL_A], SIGKILL);
+	snprintf(extra, sizeof(extra), "--id tools-%d", TOOL_A);
+	ck_assert_int_ge(cluster_add_server(&cluster, "tools", extra), 0);
+	until_us = clock_monotonic_us() + (int64_t)RESTART_MS * US_PER_MS;
+	while (answer.server != TOOL_A && clock_monotonic_us() < until_us) {
+		usleep(100 * US_PER_MS);
+		answer = call("/once/x", NULL);
+	}
+	ck_assert_int_eq(answer.server, TOOL_A);
+	ck_assert(!answer.leaving);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+	const TTest *tests[] = {
+	    leaving_server_gets_nothing_though_it_is_listed,
+	    leaving_server_gets_nothing_while_the_store_is_away,
+	    retries_avoid_a_leaving_server,
+	    turns_move_away_from_a_leaving_server,
+	    streams_of_a_leaving_server_end_whole,
+	    requests_are_refused_when_all_servers_leave,
+	    declined_requests_tell_that_a_server_leaves,
+	    answers_without_a_signature_mark_no_server,
+	    server_that_restarts_under_its_id_is_used_again,
+	};
+
+	build_dir = argc > 1 ? argv[1] : "build";
+	signal(SIGPIPE, SIG_IGN);
+	return run_tests_in("leaving", tests, sizeof(tests) / sizeof(tests[0]),
+	    setup, teardown);
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -251,7 +251,10 @@
 	h1_headers_add(&head.headers, "Response-Signature", "x");
 	platform_response_decode(&head, "r1", &response);
 	ck_assert(response.matches_request && response.has_signature &&
-	    !response.not_executed);
+	    !response.not_executed && !response.server_leaving);
+	h1_headers_add(&head.headers, "Server-Leaving", "1");
+	platform_response_decode(&head, "r1", &response);
+	ck_assert(response.server_leaving);
 	platform_response_decode(&head, "r2", &response);
 	ck_assert(!response.matches_request);
 	h1_head_reset(&head);
