--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -32,10 +33,12 @@
 	PORT_STRIDE = 100,
 };
 
+/* Starts a program, which is killed when this process ends in any way. */
 static pid_t
 spawn(const struct cluster *cluster, const char *log, char *const argv[])
 {
 	char path[PATH_BYTES];
+	pid_t parent = getpid();
 	pid_t pid;
 	int fd;
 
@@ -43,6 +46,8 @@
 	pid = fork();
 	if (pid != 0)
 		return pid;
+	if (prctl(PR_SET_PDEATHSIG, SIGKILL) != 0 || getppid() != parent)
+		_exit(127);
 	fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 	dup2(fd, STDOUT_FILENO);
 	dup2(fd, STDERR_FILENO);
