Ledger: a corrected or forgotten end no longer counts as timed out

timed_out_turns was only ever incremented, so that an owner read the log again before each 402 of a program that once had a turn whose end came late, for as long as it knew the program.

--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -225,8 +225,10 @@
 	begin(ledger, "p", "t1", 1000, 0);
 	ledger_expire(ledger, 9 * (int64_t)US_PER_S);
 	make_durable(ledger);
+	ck_assert(ledger_has_timed_out_turns(ledger, "p"));
 	ledger_end_turn(ledger, &late, 0, 0, 9 * (int64_t)US_PER_S);
 	ck_assert_uint_eq(ledger_spent(ledger, "p"), 30);
+	ck_assert(!ledger_has_timed_out_turns(ledger, "p"));
 	ck_assert_uint_eq(make_durable(ledger), 1);
 	ledger_destroy(ledger);
 }
--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -43,6 +43,7 @@
 static void
 turn_free(struct ledger *ledger, struct ledger_turn *turn)
 {
+	turn->program->timed_out_turns -= turn->end_timed_out;
 	list_remove(&turn->link);
 	list_remove(&turn->write_link);
 	list_remove(&turn->index_link);
@@ -199,6 +200,7 @@
 	if (turn->placeholder || turn->end_timed_out)
 		program->unconfirmed_tokens -= turn->spent;
 	program->spent -= turn->spent - spent;
+	program->timed_out_turns -= turn->end_timed_out;
 	turn->spent = spent;
 	turn->end_timed_out = false;
 }
