Gateway, daemon: two messages say what happened

A turn that was refused because its history could not be loaded said "partition N: OWNER granted it"; it now says that the turns before it can't be read. A process whose libsodium does not start said "cannot start: " without a reason. Texts only, no test.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -382,7 +382,9 @@
 	signal(SIGPIPE, SIG_IGN);
 	diag_set_level(daemon->settings.log_level);
 	diag_set_process(daemon->settings.vm_name);
-	if (sodium_init() < 0 || !daemon_create(daemon, &err)) {
+	if (sodium_init() < 0)
+		error_set(&err, ERROR_STATE, "libsodium does not start");
+	if (err.text[0] != '\0' || !daemon_create(daemon, &err)) {
 		diag(LOG_ERR, NULL, "cannot start: %s", err.text);
 		free(daemon);
 		return 1;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -242,7 +242,9 @@
 	diag_set_level(gateway->settings.log_level);
 	diag_set_process(gateway->settings.vm_name);
 	trace_set_process(gateway->settings.vm_name);
-	if (sodium_init() < 0 || !gateway_create(gateway, &err)) {
+	if (sodium_init() < 0)
+		error_set(&err, ERROR_STATE, "libsodium does not start");
+	if (err.text[0] != '\0' || !gateway_create(gateway, &err)) {
 		diag(LOG_ERR, NULL, "cannot start: %s", err.text);
 		return 1;
 	}
--- a/gateway/turn_grant.c
+++ b/gateway/turn_grant.c
@@ -39,9 +39,12 @@
 	    peer_gateways_partition_owner(peer_gateways, turn->partition);
 	char why[WHY_BYTES];
 
-	snprintf(why, sizeof(why), "partition %u: %s %s", turn->partition,
-	    vm != NULL ? vm : "unknown owner",
-	    result_description(turn->last_result));
+	if (reason == REFUSAL_HISTORY_UNAVAILABLE)
+		snprintf(why, sizeof(why), "turns before it can't be read");
+	else
+		snprintf(why, sizeof(why), "partition %u: %s %s",
+		    turn->partition, vm != NULL ? vm : "unknown owner",
+		    result_description(turn->last_result));
 	request_refuse(turn->request, reason, retry_us, why);
 }
 
