Remove members that nothing reads; one constant for the length of a chain

CHAIN_MAX and CHAIN_MAX_TURNS, both 512, become TURN_CHAIN_MAX. Removed as unused: blackboard.peers_changed, server_watch.relisting, CALL_SETTLE of the daemon, owner.internal_calls, READ_US, caller_set_timeout, the soak's attempts, client.ended_us and world.verbose of the runs. No behaviour changes.

--- a/demo/caller.c
+++ b/demo/caller.c
@@ -66,12 +66,6 @@
 	free(caller);
 }
 
-void
-caller_set_timeout(struct caller *caller, int64_t timeout_us)
-{
-	caller->timeout_us = timeout_us;
-}
-
 void
 caller_response_reset(struct caller_response *response)
 {
--- a/gateway/partition_requests.c
+++ b/gateway/partition_requests.c
@@ -11,7 +11,6 @@
 enum {
 	/* Age at which a pending request is dropped. */
 	REQUEST_TIMEOUT_US = 1200 * US_PER_MS,
-	CHAIN_MAX_TURNS = 512,
 	/* Minimum time between reads of the log for ends of turns. */
 	END_CHECK_INTERVAL_US = 300 * US_PER_MS,
 };
@@ -80,8 +79,8 @@
 fill_chain(const struct partition *partition, const char *turn,
     struct turn_ref **chain, size_t *count)
 {
-	*chain = xcalloc(CHAIN_MAX_TURNS, sizeof(**chain));
-	*count = ledger_chain(partition->ledger, turn, *chain, CHAIN_MAX_TURNS);
+	*chain = xcalloc(TURN_CHAIN_MAX, sizeof(**chain));
+	*count = ledger_chain(partition->ledger, turn, *chain, TURN_CHAIN_MAX);
 }
 
 /* Returns whether all turns of a chain are known. A turn may be known before
@@ -89,9 +88,9 @@
 static bool
 has_chain(const struct partition *partition, const char *turn)
 {
-	static struct turn_ref refs[CHAIN_MAX_TURNS];
+	static struct turn_ref refs[TURN_CHAIN_MAX];
 
-	return ledger_chain(partition->ledger, turn, refs, CHAIN_MAX_TURNS) > 0;
+	return ledger_chain(partition->ledger, turn, refs, TURN_CHAIN_MAX) > 0;
 }
 
 static void
--- a/gateway/server_watch.c
+++ b/gateway/server_watch.c
@@ -50,7 +50,6 @@
 	char last_key[NAME_BYTES]; /**< last key of the pages read so far */
 	struct expired_entry expired[EXPIRED_MAX];
 	size_t expired_count;
-	bool relisting;             /**< unused */
 	char (*listed)[NAME_BYTES]; /**< ids in the pages read so far */
 	size_t listed_count;
 };
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -104,7 +104,7 @@
 	int64_t now_us = clock_monotonic_us();
 	int64_t prepare_us =
 	    (request->deadline_us - now_us) / PREPARE_TIME_DIVISOR;
-	struct turn_ref chain[CHAIN_MAX];
+	struct turn_ref chain[TURN_CHAIN_MAX];
 	size_t chain_count = 0;
 
 	request->turn = turn;
@@ -122,7 +122,7 @@
 	HASH_ADD_STR(gateway->turns->by_id, id, turn);
 	if (request->route->retained && attributes->previous_turn[0] != '\0')
 		chain_count = history_chain(gateway->turns->history,
-		    attributes->previous_turn, chain, CHAIN_MAX);
+		    attributes->previous_turn, chain, TURN_CHAIN_MAX);
 	if (chain_count > 0)
 		turn_set_chain(turn, chain, chain_count);
 	if (turn_must_wait_for_store(turn))
--- a/gateway/turn_history.c
+++ b/gateway/turn_history.c
@@ -191,9 +191,9 @@
 void
 turns_handle_history_get(struct turns *turns, const struct message *message)
 {
-	struct turn_ref chain[CHAIN_MAX];
+	struct turn_ref chain[TURN_CHAIN_MAX];
 	size_t count = history_chain(
-	    turns->history, message->history_get.turn, chain, CHAIN_MAX);
+	    turns->history, message->history_get.turn, chain, TURN_CHAIN_MAX);
 	struct message reply = {
 	    .type = MESSAGE_HISTORY,
 	    .history = {.turn_count = count},
--- a/include/daemon/blackboard.h
+++ b/include/daemon/blackboard.h
@@ -38,7 +38,6 @@
 	struct config_status config;
 	struct members members; /**< written by the member controller */
 	bool draining;          /**< written by the stop controller */
-	bool peers_changed;     /**< unused */
 	uint64_t next_call_id;  /**< last call identifier assigned */
 	int64_t now_us;         /**< monotonic time of the current callback */
 	int64_t started_us;     /**< monotonic time of the daemon's start */
--- a/include/daemon/call.h
+++ b/include/daemon/call.h
@@ -17,7 +17,6 @@
 	CALL_MODEL,
 	CALL_TOOL,
 	CALL_SERVICE, /**< plain-service call */
-	CALL_SETTLE,
 };
 
 /** Progress of a call. */
--- a/include/demo/caller.h
+++ b/include/demo/caller.h
@@ -37,8 +37,6 @@
 struct caller *
 caller_create(const char *const *addresses, const char *workspace);
 void caller_destroy(struct caller *caller);
-/** Sets the time after which a failed call is no longer repeated. */
-void caller_set_timeout(struct caller *caller, int64_t timeout_us);
 
 /** Begins a program under a parent program ("" for none). Writes its id, at
  * most PROGRAM_ID_BYTES, to id. */
--- a/include/gateway/turn_internal.h
+++ b/include/gateway/turn_internal.h
@@ -9,10 +9,6 @@
 #include "gateway/turn.h"
 #include "turn/history.h"
 
-enum {
-	CHAIN_MAX = 512, /**< turns in a chain */
-};
-
 enum turn_state {
 	TURN_WAITING_STORE, /**< the store takes no appends, so the turn could
 			       not be made durable */
--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -214,7 +214,6 @@
 	struct wire_bytes *pieces; /**< history of the last admitted call */
 	size_t piece_cap;
 	struct crash_evidence crashes;
-	call_id internal_calls; /**< set but not used */
 };
 
 /* owner.c */
--- a/include/turn/record.h
+++ b/include/turn/record.h
@@ -14,6 +14,10 @@
 #include "common/error.h"
 #include "record/record.h"
 
+enum {
+	TURN_CHAIN_MAX = 512, /**< turns in a chain */
+};
+
 enum turn_record_type {
 	/** The turn completed; later turns may continue it. */
 	TURN_RECORD_RETAINED = 1,
--- a/program/owner.c
+++ b/program/owner.c
@@ -24,7 +24,6 @@
 							: RETENTION_DEFAULT_US;
 	owner->append_share = 1;
 	owner->append_credit = APPEND_BURST;
-	owner->internal_calls = UINT64_MAX;
 	owner->lane_total = 2 * owner->limits.lanes + 1;
 	rng_init(&owner->rng, options->seed);
 	list_init(&owner->events);
--- a/tests/runs/world.h
+++ b/tests/runs/world.h
@@ -140,7 +140,6 @@
 	int history_count;
 	struct digest digest;
 	int64_t next_us;
-	int64_t ended_us;
 	enum refusal last_refusal;
 	bool gave_up; /**< stopped early because its program has ended */
 };
@@ -164,7 +163,6 @@
 	uint64_t next_content;
 	bool faults_stopped; /**< no more faults: all programs have to finish */
 	char violation[256];
-	bool verbose;
 	unsigned faults;
 	unsigned refusals;
 	unsigned unreleased_kv; /**< KV caches left by former owners that died
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -49,7 +49,6 @@
 	uint64_t received_tokens; /**< generated tokens in all responses */
 	/** Calls that may have generated tokens that were not received. */
 	uint64_t uncertain_calls;
-	uint64_t attempts;                  /**< not used */
 	char previous_turn[NAME_MAX_BYTES]; /**< request id, or "" */
 	struct buf history; /**< inputs and outputs of all turns */
 	bool recovered;     /**< completed a turn since recovery began */
--- a/tests/turn_runs/main.c
+++ b/tests/turn_runs/main.c
@@ -29,7 +29,6 @@
 	RUN_US = 12L * US_PER_S,
 	SLOW_RUN_US = 40L * US_PER_S, /* owners outlast their recovery period */
 	DEFAULT_RUNS = 2000,
-	READ_US = 40L * US_PER_MS, /* time in which a takeover reads the log */
 	MAX_TOKENS = 100,
 	GRANT_TIMEOUT_US = 1500L * US_PER_MS, /* wait of a VM for a grant */
 	/* Wait of a caller for the response's end. */
