--- a/tests/test_common.c
+++ b/tests/test_common.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,9 +8,14 @@
 #include "common/finding.h"
 #include "common/hash.h"
 #include "common/list.h"
+#include "common/refusal.h"
 #include "common/rng.h"
 #include "tests/runner.h"
 
+enum {
+	PAGE_MAX_BYTES = 1 << 18,
+};
+
 struct item {
 	int value;
 	struct list link;
@@ -162,6 +168,43 @@
 }
 END_TEST
 
+static char *
+read_page(const char *name)
+{
+	char path[512];
+	char *text;
+	FILE *file;
+
+	snprintf(path, sizeof(path), "%s/%s", SOURCE_ROOT, name);
+	file = fopen(path, "re");
+	ck_assert_msg(file != NULL, "cannot open %s", path);
+	text = calloc(1, PAGE_MAX_BYTES);
+	ck_assert_uint_lt(
+	    fread(text, 1, PAGE_MAX_BYTES - 1, file), PAGE_MAX_BYTES - 1);
+	fclose(file);
+	return text;
+}
+
+START_TEST(operators_page_has_every_reason)
+{
+	char *page = read_page("docs/operators/refusals.md");
+	char row[128];
+
+	for (int i = 0; i < REFUSAL_COUNT; i++) {
+		snprintf(row, sizeof(row), "\n| `%s` | %d |",
+		    refusal_name((enum refusal)i),
+		    refusal_http_status((enum refusal)i));
+		ck_assert_msg(strstr(page, row) != NULL, "no row%s", row);
+	}
+	for (int i = 0; i < RETRY_COUNT; i++) {
+		snprintf(row, sizeof(row), "\n| `%s` | ",
+		    retry_reason_name((enum retry_reason)i));
+		ck_assert_msg(strstr(page, row) != NULL, "no row%s", row);
+	}
+	free(page);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -174,6 +217,7 @@
 	    digest_chain_depends_on_previous_digest,
 	    rng_repeats_with_same_seed,
 	    findings_keep_location_and_order,
+	    operators_page_has_every_reason,
 	};
 
 	return run_tests("common", tests, sizeof(tests) / sizeof(tests[0]));
