Daemon: reads each cache event of an engine once, also after its restart

The daemon asked for events since the number after its last one, and an engine sends those with numbers above it: the event after each poll's last was never read, so that the daemon went on expecting a prefix that was evicted, or missed one that was stored. After an engine's restart, which numbers events anew, none came until the numbers had caught up.

since names the last event that was read, as the engine's interface says; one beyond the engine's newest number counts as 0. The gateway reads no such events. each_cache_event_is_read_once drives the daemon's reader against the stand-in's events and failed before.

--- a/daemon/server_controller.c
+++ b/daemon/server_controller.c
@@ -7,6 +7,7 @@
 
 #include "common/clock.h"
 #include "common/memory.h"
+#include "daemon/cache_events.h"
 #include "daemon/controller.h"
 #include "net/http.h"
 
@@ -29,9 +30,9 @@
 	int port;
 	struct http_call *load_call;
 	struct http_call *event_call;
-	uint64_t next_event; /**< number of the next cache event to read */
-	int failures;        /**< failed polls in a row */
-	bool declared;       /**< in the configuration in force */
+	struct cache_event_reader cache_events;
+	int failures;  /**< failed polls in a row */
+	bool declared; /**< in the configuration in force */
 };
 
 /** Requests to all servers to release one program's KV cache. */
@@ -121,17 +122,16 @@
 	return SCHED_CACHE_CLEARED;
 }
 
+/* Numbers may be skipped. In the gap, evictions may have been missed, but not
+ * what is stored. */
 static void
-handle_cache_event(struct server_poll *poll, json_t *event)
+handle_cache_event(void *context, json_t *event)
 {
+	struct server_poll *poll = context;
 	struct daemon *daemon = poll->controller->daemon;
 	const char *program =
 	    json_string_value(json_object_get(event, "program"));
-	uint64_t number = get_number(event, "number");
 
-	/* Numbers may be skipped. In the gap, evictions may have been missed,
-	 * but not what is stored. */
-	poll->next_event = number + 1;
 	sched_handle_cache_event(daemon->sched, poll->server,
 	    cache_event_type(event), program != NULL ? program : "",
 	    get_number(event, "tokens"), daemon->blackboard.now_us);
@@ -143,13 +143,10 @@
 	struct server_poll *poll = context;
 	json_t *root = json_loadb(
 	    (const char *)response->body, response->body_len, 0, NULL);
-	json_t *event;
-	size_t index;
 
 	poll->event_call = NULL;
 	poll->controller->daemon->blackboard.now_us = clock_monotonic_us();
-	json_array_foreach (json_object_get(root, "events"), index, event)
-		handle_cache_event(poll, event);
+	cache_events_read(&poll->cache_events, root, handle_cache_event, poll);
 	json_decref(root);
 }
 
@@ -168,8 +165,7 @@
 
 	if (poll->load_call == NULL)
 		poll->load_call = http_fetch(net, &params, handle_load, poll);
-	snprintf(
-	    path, sizeof(path), "/v1/events?since=%" PRIu64, poll->next_event);
+	cache_events_target(&poll->cache_events, path, sizeof(path));
 	params.path = path;
 	if (poll->event_call == NULL)
 		poll->event_call =
--- a/standins/engine_telemetry.c
+++ b/standins/engine_telemetry.c
@@ -153,7 +153,12 @@
 {
 	int64_t newest_us = now_us - telemetry->options.event_lag_us;
 	json_t *events = json_array();
-	uint64_t last = since;
+	uint64_t last;
+
+	/* The caller has read events of an earlier process. */
+	if (since > telemetry->last_number)
+		since = 0;
+	last = since;
 
 	list_for_each (entry, &telemetry->events, struct event_entry, link) {
 		if (entry->number <= since)
--- a/standins/engine_telemetry.h
+++ b/standins/engine_telemetry.h
@@ -41,8 +41,9 @@
     uint64_t tokens, int64_t now_us);
 /** Returns {"events":[...], "last":N}: the events with numbers above `since`
  * that are at least event_lag_us old, and the last of their numbers, or `since`
- * if there are none. Events whose numbers are missing were lost or are no
- * longer kept. */
+ * if there are none. A `since` beyond all numbers is of an earlier process and
+ * counts as 0. Events whose numbers are missing were lost or are no longer
+ * kept. */
 json_t *engine_telemetry_events(
     const struct engine_telemetry *telemetry, uint64_t since, int64_t now_us);
 
