Soak: servers that leave and restart, series, broken streams, large runs

Servers leave (in the list, or by their responses only), are killed and start again under their id. Stops of all gateways in turn and changes of configuration come in series and overlap with the rest; gateways get SIGHUP. Callers keep connections for as long as the idle limit lets them, and some turns have streams without a length or chunks, which the server breaks off in one of five ways. The first seconds of a run have planned work only: then no request that ran may be cut.

The stand-ins write each run to their log, so that the runs of servers that were killed count.

--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -23,6 +23,10 @@
 	CALL_TIMEOUT_MS = 3000,
 	ARGUMENTS_MAX = 32,
 	PATH_BYTES = 256,
+	LOG_BYTES = 32, /* name of a log file */
+	READ_BYTES = 4096,
+	GATEWAYS_PER_DOMAIN = 8,
+	DOMAIN_COUNT = CLUSTER_MAX_GATEWAYS / GATEWAYS_PER_DOMAIN,
 	POLL_INTERVAL_US = 20 * US_PER_MS,
 	/* These ports are below the default range for outgoing connections. */
 	PORT_FIRST = 20000,
@@ -201,28 +205,76 @@
 	return count;
 }
 
-int
-cluster_add_server(
-    struct cluster *cluster, const char *service, const char *extra)
+static void
+format_server_log(int number, int start, char log[LOG_BYTES])
+{
+	snprintf(log, LOG_BYTES, "runner-%d-%d.log", number, start);
+}
+
+bool
+cluster_restart_server(struct cluster *cluster, int number)
 {
-	struct cluster_process *server =
-	    &cluster->servers[cluster->server_count];
+	struct cluster_process *server = &cluster->servers[number];
 	char program[PATH_BYTES];
-	char arguments[PATH_BYTES];
-	char log[32];
+	char arguments[CLUSTER_ARGUMENTS_BYTES];
+	char log[LOG_BYTES];
 	char *argv[ARGUMENTS_MAX] = {program};
 
 	snprintf(program, sizeof(program), "%s/standins/standin-runner",
 	    cluster->build_directory);
-	snprintf(arguments, sizeof(arguments),
-	    "--id %s-%d --service %s --store-port %d %s %s", service,
-	    cluster->server_count, service, cluster->store.port,
-	    strcmp(service, "models") == 0 ? "--model" : "", extra);
+	memcpy(arguments, cluster->server_arguments[number], sizeof(arguments));
 	append_arguments(arguments, argv, 1);
-	snprintf(log, sizeof(log), "runner-%d.log", cluster->server_count);
+	format_server_log(number, cluster->server_starts[number]++, log);
 	server->pid = spawn(cluster, log, argv);
 	server->port = wait_listening(cluster, log);
-	return server->port != 0 ? cluster->server_count++ : -1;
+	return server->port != 0;
+}
+
+int
+cluster_add_server(
+    struct cluster *cluster, const char *service, const char *extra)
+{
+	int number = cluster->server_count;
+
+	if (number == CLUSTER_MAX_SERVERS)
+		return -1;
+	snprintf(cluster->server_arguments[number], CLUSTER_ARGUMENTS_BYTES,
+	    "--id %s-%d --service %s --store-port %d %s %s", service, number,
+	    service, cluster->store.port,
+	    strcmp(service, "models") == 0 ? "--model" : "", extra);
+	if (!cluster_restart_server(cluster, number))
+		return -1;
+	return cluster->server_count++;
+}
+
+static void
+append_file(const struct cluster *cluster, const char *name, struct buf *out)
+{
+	char path[2 * PATH_BYTES];
+	char data[READ_BYTES];
+	FILE *file;
+	size_t len;
+
+	snprintf(path, sizeof(path), "%s/%s", cluster->work_dir, name);
+	file = fopen(path, "re");
+	if (file == NULL)
+		return;
+	while ((len = fread(data, 1, sizeof(data), file)) > 0)
+		buf_append(out, data, len);
+	fclose(file);
+}
+
+void
+cluster_read_runs(const struct cluster *cluster, struct buf *runs)
+{
+	char log[LOG_BYTES];
+
+	for (int i = 0; i < cluster->server_count; i++) {
+		for (int k = 0; k < cluster->server_starts[i]; k++) {
+			format_server_log(i, k, log);
+			append_file(cluster, log, runs);
+		}
+	}
 }
 
 int
@@ -249,6 +301,12 @@
 	return runs;
 }
 
+static char
+domain_letter(int number)
+{
+	return (char)('a' + number);
+}
+
 static void
 write_settings(const struct cluster *cluster, int number, const char *path)
 {
@@ -258,16 +316,19 @@
 	if (file == NULL)
 		return;
 	fprintf(file,
-	    "[vm]\nname = entry-%d\nfailure_domain = a\nregion = r\n"
+	    "[vm]\nname = entry-%d\nfailure_domain = %c\nregion = r\n"
 	    "[gateway]\ncallers = 127.0.0.1:%d\nreadiness = 127.0.0.1:%d\n"
 	    "directory = 127.0.0.1:%d\npeers = 127.0.0.1:%d\n"
 	    "metrics = 127.0.0.1:%d\nstore = 127.0.0.1:%d\n"
 	    "partitions = 12\nlease = 1000 ms\ndrain = 2500 ms\n"
-	    "[failure_domains]\na = r\n[limits]\nstop_grace = 8 s\n",
-	    number, gateway->process.port, gateway->readiness_port,
+	    "[limits]\nstop_grace = 8 s\n[failure_domains]\n",
+	    number, domain_letter(number / GATEWAYS_PER_DOMAIN),
+	    gateway->process.port, gateway->readiness_port,
 	    gateway->directory_port, gateway->peers_port, gateway->metrics_port,
 	    gateway->store_port != 0 ? gateway->store_port
 				     : cluster->store.port);
+	for (int i = 0; i < DOMAIN_COUNT; i++)
+		fprintf(file, "%c = r\n", domain_letter(i));
 	fclose(file);
 }
 
@@ -296,6 +357,8 @@
 	int number = cluster->gateway_count++;
 	struct cluster_gateway *gateway = &cluster->gateways[number];
 
+	if (number == CLUSTER_MAX_GATEWAYS)
+		return -1;
 	gateway->process.port = find_free_port();
 	gateway->readiness_port = find_free_port();
 	gateway->directory_port = find_free_port();
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -11,8 +11,9 @@
 #include "standins/http_caller.h"
 
 enum {
-	CLUSTER_MAX_GATEWAYS = 4,
-	CLUSTER_MAX_SERVERS = 8,
+	CLUSTER_MAX_GATEWAYS = 128,
+	CLUSTER_MAX_SERVERS = 64,
+	CLUSTER_ARGUMENTS_BYTES = 256,
 };
 
 /** A child process. */
@@ -37,6 +38,9 @@
 	char work_dir[64]; /**< directory for settings files and logs */
 	struct cluster_process store;
 	struct cluster_process servers[CLUSTER_MAX_SERVERS];
+	/** Arguments of each server, and how often it was started. */
+	char server_arguments[CLUSTER_MAX_SERVERS][CLUSTER_ARGUMENTS_BYTES];
+	int server_starts[CLUSTER_MAX_SERVERS];
 	struct cluster_gateway gateways[CLUSTER_MAX_GATEWAYS];
 	int gateway_count;
 	int server_count;
@@ -54,6 +58,9 @@
  * server, or -1 on failure. */
 int cluster_add_server(
     struct cluster *cluster, const char *service, const char *extra);
+/** Starts a server that has ended again, under its id and on another port.
+ * Returns false on failure. */
+bool cluster_restart_server(struct cluster *cluster, int number);
 /** Starts a gateway on free ports. Returns its number, or -1 on failure. */
 int cluster_add_gateway(struct cluster *cluster);
 /** Starts a gateway, or restarts one that was killed, on its known ports.
@@ -80,6 +87,9 @@
 cluster_register_server(struct cluster *cluster, const char *id, int server);
 /** Returns the number of requests in progress on a server. */
 int cluster_requests_in_progress(const struct cluster *cluster, int server);
+/** Reads which requests the servers have run since the start of the cluster,
+ * those of servers that have ended included: a line "ran ID" for each run. */
+void cluster_read_runs(const struct cluster *cluster, struct buf *runs);
 /** Returns how often the request with an id has run, summed over all running
  * servers. */
 int
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -13,6 +13,7 @@
  *
  * SIGUSR1 makes the server leave: it reports so in the list and in all its
  * responses, but goes on serving. After SIGUSR2 only its responses say so.
+ * After SIGTERM it ends once no request is in progress.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -54,6 +55,7 @@
 	int slots;     /**< most requests at a time */
 	bool draining; /**< reports in the list that it leaves */
 	bool leaving;  /**< reports in its responses that it leaves */
+	bool stopping; /**< ends after the requests in progress */
 } options = {
     .id = "runner-1",
     .service = "models",
@@ -156,12 +158,20 @@
 	free(handle);
 }
 
+static void
+stop_if_idle(void)
+{
+	if (options.stopping && list_empty(&runs))
+		uv_stop(loop);
+}
+
 static void
 run_free(struct run *run)
 {
 	list_remove(&run->link);
 	uv_close((uv_handle_t *)run->timer, handle_timer_closed);
 	free(run);
+	stop_if_idle();
 }
 
 static void
@@ -273,6 +283,8 @@
 {
 	snprintf(
 	    run_ids[run_id_count++ % RUNS_MAX], ID_BYTES, "%s", request_id);
+	printf("ran %s\n", request_id);
+	fflush(stdout);
 }
 
 static enum ending
@@ -447,6 +459,8 @@
 {
 	(void)signal;
 	options.leaving = true;
+	options.stopping = number == SIGTERM;
+	stop_if_idle();
 	if (number != SIGUSR1)
 		return;
 	options.draining = true;
@@ -479,6 +493,7 @@
 	struct error err = {0};
 	uv_signal_t drain;
 	uv_signal_t leave;
+	uv_signal_t stop;
 
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	signal(SIGPIPE, SIG_IGN);
@@ -496,6 +511,8 @@
 	uv_signal_start(&drain, handle_leave, SIGUSR1);
 	uv_signal_init(loop, &leave);
 	uv_signal_start(&leave, handle_leave, SIGUSR2);
+	uv_signal_init(loop, &stop);
+	uv_signal_start(&stop, handle_leave, SIGTERM);
 	uv_timer_init(loop, &heartbeat);
 	if (options.store_port != 0)
 		uv_timer_start(&heartbeat, handle_heartbeat, 0, HEARTBEAT_MS);
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -9,7 +9,9 @@
 #include "soak.h"
 
 enum {
-	PROGRAM_COUNT = 10,
+	PROGRAMS_MIN = 10,
+	PROGRAMS_PER_GATEWAY = 2,
+	PROGRAMS_MAX = PROGRAMS_PER_GATEWAY * CLUSTER_MAX_GATEWAYS,
 	STEP_MS = 5,
 	TURN_MAX_TOKENS = 50, /* most generated tokens, for Token-Usage */
 	TOKENS_PER_EVENT = 10,
@@ -21,8 +23,10 @@
 	DEADLINE_MS = 2500,
 	CALL_TIMEOUT_MS = 4000, /* then the call is cancelled */
 	CONNECT_TIMEOUT_US = 700 * US_PER_MS,
-	MAX_REUSE_US = 2 * US_PER_S,
-	MAX_ONCE_REQUESTS = 4096, /* most that a run records */
+	/* Four fifths of the idle timeout of the published configuration. */
+	MAX_REUSE_US = 4 * US_PER_S,
+	MAX_ONCE_REQUESTS = 16384, /* most that a run records */
+	MAX_CUT_REQUESTS = 256,    /* the same */
 	NAME_MAX_BYTES = 32,
 	INPUT_BYTES = 48,
 	FIELD_BYTES = 96,
@@ -41,6 +45,11 @@
 	int status; /**< 0: no complete response */
 };
 
+/** How often a turn's server breaks its stream off, of BREAK_ONE_IN turns. */
+enum {
+	BREAK_ONE_IN = 16,
+};
+
 /** A program and its current call. */
 struct program {
 	struct callers *callers;
@@ -60,6 +69,8 @@
 	struct buf response;
 	int status;
 	int gateway;
+	int64_t sent_us;
+	bool breaks_off; /**< the server breaks the stream off */
 	/** When the next call starts, or the one in progress times out. */
 	int64_t due_us;
 };
@@ -67,9 +78,14 @@
 struct callers {
 	struct soak *soak;
 	uv_timer_t *timer;
-	struct program programs[PROGRAM_COUNT];
+	struct program programs[PROGRAMS_MAX];
+	int program_count;
 	struct once_request once_requests[MAX_ONCE_REQUESTS];
 	size_t once_request_count;
+	/** Requests without a complete response although there had been nothing
+	 * but planned work. */
+	char cut_requests[MAX_CUT_REQUESTS][NAME_MAX_BYTES];
+	size_t cut_request_count;
 	uint64_t last_id; /**< of programs and requests */
 	uint64_t completed_turns;
 	uint64_t refused_turns;  /**< status 503 */
@@ -243,7 +259,8 @@
 	program->due_us = random_time_us(program->callers,
 	    succeeded ? THINK_TIME_MAX_MS : 2 * RETRY_DELAY_MAX_MS);
 	if (!succeeded)
-		program->gateway = (program->gateway + 1) % SOAK_GATEWAYS;
+		program->gateway = (program->gateway + 1) %
+		    program->callers->soak->gateway_count;
 	if (program->kind == CALL_TURN)
 		finish_turn(program, complete);
 	else
@@ -256,6 +273,8 @@
 	struct program *program = context;
 
 	program->status = head->status;
+	servers_check_response(program->callers->soak->servers,
+	    program->gateway, program->sent_us, head);
 	return H1_HEAD_ACCEPT;
 }
 
@@ -268,6 +287,18 @@
 		buf_append(&program->response, data, len);
 }
 
+static void
+note_cut(const struct program *program)
+{
+	struct callers *callers = program->callers;
+
+	if (!faults_all_planned(callers->soak->faults) || program->breaks_off ||
+	    callers->cut_request_count == MAX_CUT_REQUESTS)
+		return;
+	memcpy(callers->cut_requests[callers->cut_request_count++],
+	    program->request, sizeof(program->request));
+}
+
 static void
 handle_done(void *context, const struct h1_outcome *outcome)
 {
@@ -278,11 +309,14 @@
 		    "request %s: malformed HTTP response", program->request);
 	if (outcome->result == H1_CONNECT_FAILED) {
 		program->call = NULL;
-		program->gateway = (program->gateway + 1) % SOAK_GATEWAYS;
+		program->gateway = (program->gateway + 1) %
+		    program->callers->soak->gateway_count;
 		program->due_us =
 		    random_time_us(program->callers, RETRY_DELAY_MAX_MS);
 		return;
 	}
+	if (outcome->result == H1_CONNECTION_LOST)
+		note_cut(program);
 	finish_call(program, outcome->result == H1_COMPLETE);
 }
 
@@ -312,11 +346,33 @@
 	return chance < 0.85 ? CALL_ONCE : CALL_SAFE;
 }
 
+/* Returns the target of a turn. Some make the server frame or break off its
+ * stream in an unusual way, by the request's id, so that the choice takes no
+ * random number. */
+static const char *
+turn_target(const struct program *program, uint64_t id)
+{
+	static const char *const broken[] = {
+	    "/turn/unframed/partial",
+	    "/turn/unframed/empty",
+	    "/turn/unframed/reset",
+	    "/turn/partial",
+	    "/turn/reset",
+	};
+
+	if (program->callers->soak->basic_faults ||
+	    program->callers->recovering)
+		return "/turn/x";
+	if (id % BREAK_ONE_IN == 0)
+		return broken[id / BREAK_ONE_IN %
+		    (sizeof(broken) / sizeof(broken[0]))];
+	return id % 2 == 0 ? "/turn/unframed" : "/turn/x";
+}
+
 static void
 start_call(struct program *program)
 {
 	static const char *const targets[] = {
-	    [CALL_TURN] = "/turn/x",
 	    [CALL_ONCE] = "/once/a",
 	    [CALL_SAFE] = "/safe/a",
 	};
@@ -345,7 +401,13 @@
 	snprintf(address, sizeof(address), "127.0.0.1:%d",
 	    soak->cluster.gateways[program->gateway].process.port);
 	params.method = program->kind == CALL_SAFE ? "GET" : "POST";
-	params.target = targets[program->kind];
+	params.target = program->kind == CALL_TURN
+	    ? turn_target(program, callers->last_id)
+	    : targets[program->kind];
+	program->breaks_off = strstr(params.target, "/partial") != NULL ||
+	    strstr(params.target, "/empty") != NULL ||
+	    strstr(params.target, "/reset") != NULL;
+	program->sent_us = clock_monotonic_us();
 	h1_headers_add(&headers, "Host", "h.example");
 	h1_headers_add(&headers, "Request-Id", program->request);
 	h1_headers_add_number(&headers, "Deadline-Ms", DEADLINE_MS);
@@ -366,7 +428,7 @@
 	struct callers *callers = timer->data;
 	int64_t now_us = clock_monotonic_us();
 
-	for (int i = 0; i < PROGRAM_COUNT; i++) {
+	for (int i = 0; i < callers->program_count; i++) {
 		struct program *program = &callers->programs[i];
 
 		if (now_us < program->due_us)
@@ -386,9 +448,12 @@
 	struct callers *callers = xcalloc(1, sizeof(*callers));
 
 	callers->soak = soak;
-	for (int i = 0; i < PROGRAM_COUNT; i++) {
+	callers->program_count = PROGRAMS_PER_GATEWAY * soak->gateway_count;
+	if (callers->program_count < PROGRAMS_MIN)
+		callers->program_count = PROGRAMS_MIN;
+	for (int i = 0; i < callers->program_count; i++) {
 		program_reset(callers, &callers->programs[i]);
-		callers->programs[i].gateway = i % SOAK_GATEWAYS;
+		callers->programs[i].gateway = i % soak->gateway_count;
 	}
 	callers->timer = xcalloc(1, sizeof(*callers->timer));
 	uv_timer_init(soak->loop, callers->timer);
@@ -406,7 +471,7 @@
 void
 callers_destroy(struct callers *callers)
 {
-	for (int i = 0; i < PROGRAM_COUNT; i++) {
+	for (int i = 0; i < callers->program_count; i++) {
 		struct program *program = &callers->programs[i];
 
 		if (program->call != NULL)
@@ -422,7 +487,7 @@
 callers_begin_recovery(struct callers *callers)
 {
 	callers->recovering = true;
-	for (int i = 0; i < PROGRAM_COUNT; i++)
+	for (int i = 0; i < callers->program_count; i++)
 		callers->programs[i].recovered = false;
 }
 
@@ -431,18 +496,42 @@
 {
 	int count = 0;
 
-	for (int i = 0; i < PROGRAM_COUNT; i++)
+	for (int i = 0; i < callers->program_count; i++)
 		count += !callers->programs[i].recovered;
 	return count;
 }
 
+/* Returns how often servers have run a request. */
+static int
+count_runs(struct buf *runs, const char *request)
+{
+	char line[NAME_MAX_BYTES + 8];
+	const char *at = buf_text(runs);
+	int count = 0;
+
+	snprintf(line, sizeof(line), "ran %s\n", request);
+	while ((at = strstr(at, line)) != NULL) {
+		count++;
+		at += strlen(line);
+	}
+	return count;
+}
+
 void
 callers_check_runs(struct callers *callers)
 {
+	struct buf all_runs = {0};
+
+	cluster_read_runs(&callers->soak->cluster, &all_runs);
+	for (size_t i = 0; i < callers->cut_request_count; i++) {
+		if (count_runs(&all_runs, callers->cut_requests[i]) > 0)
+			soak_fail(callers->soak,
+			    "request %s ran and was cut by planned work",
+			    callers->cut_requests[i]);
+	}
 	for (size_t i = 0; i < callers->once_request_count; i++) {
 		const struct once_request *once = &callers->once_requests[i];
-		int runs = cluster_request_run_count(
-		    &callers->soak->cluster, once->request);
+		int runs = count_runs(&all_runs, once->request);
 
 		if (runs > 1)
 			soak_fail(callers->soak,
@@ -457,6 +546,7 @@
 			    "request %s was answered with 200, but did not run",
 			    once->request);
 	}
+	buf_reset(&all_runs);
 }
 
 void
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -16,6 +16,10 @@
 	DOWN_MAX_MS = 1500,       /* of a killed gateway */
 	PATH_FAULT_MAX_MS = 2500, /* of a gateway's path to the store */
 	STORE_FAULT_MAX_MS = 1800,
+	ROLL_GAP_MAX_MS = 700,
+	CONFIG_GAP_MAX_MS = 150,
+	CONFIG_SERIES_MAX = 12,
+	PLANNED_MS = 3500, /* at the start of a run */
 	JSON_BYTES = 128,
 };
 
@@ -28,9 +32,32 @@
 	FAULT_STORE_LOSS,   /* requests and responses are lost */
 	FAULT_KILL_ALL,
 	FAULT_CONFIG, /* a new configuration is published */
+	FAULT_BASIC_COUNT,
+	FAULT_ROLL = FAULT_BASIC_COUNT, /* SIGTERM to each gateway in turn */
+	FAULT_RELOAD,                   /* SIGHUP to a gateway */
+	FAULT_CONFIG_SERIES,
+	FAULT_SERVER_LEAVE,
+	FAULT_SERVER_LEAVE_UNLISTED,
+	FAULT_SERVER_KILL,
 	FAULT_KIND_COUNT,
 };
 
+/* Faults that are planned work, which must cut no request. */
+static const enum fault_kind planned_kinds[] = {
+    FAULT_STOP,
+    FAULT_ROLL,
+    FAULT_RELOAD,
+    FAULT_CONFIG,
+    FAULT_CONFIG_SERIES,
+    FAULT_SERVER_LEAVE,
+};
+
+/** Steps of one kind that follow each other. */
+struct series {
+	int left;
+	int64_t due_us; /**< of the next step */
+};
+
 /** The active faults of a gateway, with their ends. */
 struct gateway_faults {
 	int64_t paused_until_us;     /**< 0: not paused */
@@ -42,8 +69,11 @@
 struct faults {
 	struct soak *soak;
 	uv_timer_t *timer;
-	struct gateway_faults gateways[SOAK_GATEWAYS];
+	struct gateway_faults gateways[CLUSTER_MAX_GATEWAYS];
+	struct series roll;
+	struct series config_changes;
 	int64_t next_fault_us;
+	int64_t planned_until_us;    /**< until then only planned work */
 	int64_t store_loss_until_us; /**< 0: the store loses nothing */
 	int count;
 };
@@ -80,6 +110,7 @@
 	struct gateway_faults *gateway = &faults->gateways[number];
 
 	cluster_signal(gateway_process(faults, number), SIGKILL);
+	servers_gateway_interrupted(faults->soak->servers, number);
 	gateway->paused_until_us = 0;
 	gateway->stopping = false;
 	gateway->down_until_us = random_time_us(faults, DOWN_MAX_MS);
@@ -132,6 +163,7 @@
 		kill_gateway(faults, number);
 	} else if (kind == FAULT_PAUSE) {
 		cluster_signal(gateway_process(faults, number), SIGSTOP);
+		servers_gateway_interrupted(faults->soak->servers, number);
 		gateway->paused_until_us = random_time_us(faults, PAUSE_MAX_MS);
 	} else if (!gateway->stopping) {
 		gateway->stopping = true;
@@ -139,13 +171,60 @@
 	}
 }
 
+static enum fault_kind
+choose_kind(struct faults *faults)
+{
+	struct rng *rng = &faults->soak->rng;
+
+	if (faults->soak->basic_faults)
+		return (enum fault_kind)rng_below(rng, FAULT_BASIC_COUNT);
+	if (!faults_all_planned(faults))
+		return (enum fault_kind)rng_below(rng, FAULT_KIND_COUNT);
+	return planned_kinds[rng_below(
+	    rng, sizeof(planned_kinds) / sizeof(planned_kinds[0]))];
+}
+
+static int
+choose_server(struct faults *faults)
+{
+	return (int)rng_below(
+	    &faults->soak->rng, (uint64_t)faults->soak->server_count);
+}
+
+static void
+series_start(struct series *series, int count)
+{
+	if (series->left > 0)
+		return;
+	series->left = count;
+	series->due_us = clock_monotonic_us();
+}
+
+static void
+series_step(struct faults *faults)
+{
+	struct series *roll = &faults->roll;
+	struct series *changes = &faults->config_changes;
+	int64_t now_us = clock_monotonic_us();
+
+	if (roll->left > 0 && roll->due_us <= now_us) {
+		roll->left--;
+		inject_gateway_fault(faults, FAULT_STOP, roll->left);
+		roll->due_us = random_time_us(faults, ROLL_GAP_MAX_MS);
+	}
+	if (changes->left > 0 && changes->due_us <= now_us) {
+		changes->left--;
+		cluster_publish(&faults->soak->cluster, "");
+		changes->due_us = random_time_us(faults, CONFIG_GAP_MAX_MS);
+	}
+}
+
 static void
 inject_fault(struct faults *faults)
 {
 	struct rng *rng = &faults->soak->rng;
-	enum fault_kind kind =
-	    (enum fault_kind)rng_below(rng, FAULT_KIND_COUNT);
-	int number = (int)rng_below(rng, SOAK_GATEWAYS);
+	enum fault_kind kind = choose_kind(faults);
+	int number = (int)rng_below(rng, (uint64_t)faults->soak->gateway_count);
 
 	faults->count++;
 	switch (kind) {
@@ -165,9 +244,29 @@
 		if (rng_real(rng) < 0.7)
 			break;
 		soak_log(faults->soak, "all gateways: kill");
-		for (int i = 0; i < SOAK_GATEWAYS; i++)
+		for (int i = 0; i < faults->soak->gateway_count; i++)
 			kill_gateway(faults, i);
 		break;
+	case FAULT_ROLL:
+		soak_log(faults->soak, "all gateways: stop in turn");
+		series_start(&faults->roll, faults->soak->gateway_count);
+		break;
+	case FAULT_RELOAD:
+		if (faults->gateways[number].down_until_us == 0)
+			cluster_signal(gateway_process(faults, number), SIGHUP);
+		break;
+	case FAULT_CONFIG_SERIES:
+		series_start(&faults->config_changes,
+		    2 + (int)rng_below(rng, CONFIG_SERIES_MAX - 1));
+		break;
+	case FAULT_SERVER_LEAVE:
+	case FAULT_SERVER_LEAVE_UNLISTED:
+		servers_leave(faults->soak->servers, choose_server(faults),
+		    kind == FAULT_SERVER_LEAVE);
+		break;
+	case FAULT_SERVER_KILL:
+		servers_kill(faults->soak->servers, choose_server(faults));
+		break;
 	case FAULT_CONFIG:
 	case FAULT_KIND_COUNT:
 		cluster_publish(&faults->soak->cluster, "");
@@ -193,6 +292,7 @@
 	}
 	if (gateway->down_until_us != 0 && gateway->down_until_us <= now_us) {
 		gateway->down_until_us = 0;
+		servers_gateway_interrupted(faults->soak->servers, number);
 		cluster_restart_gateway(&faults->soak->cluster, number);
 	}
 	if (gateway->path_fault_until_us != 0 &&
@@ -216,12 +316,16 @@
 	struct faults *faults = timer->data;
 	int64_t now_us = clock_monotonic_us();
 
-	for (int i = 0; i < SOAK_GATEWAYS; i++)
+	for (int i = 0; i < faults->soak->gateway_count; i++)
 		recover_gateway(faults, i, faults->soak->faults_ended);
+	servers_step(faults->soak->servers, faults->soak->faults_ended);
 	if (faults->store_loss_until_us != 0 &&
 	    faults->store_loss_until_us <= now_us)
 		clear_store_losses(faults);
-	if (faults->soak->faults_ended || now_us < faults->next_fault_us)
+	if (faults->soak->faults_ended)
+		return;
+	series_step(faults);
+	if (now_us < faults->next_fault_us)
 		return;
 	inject_fault(faults);
 	faults->next_fault_us = random_time_us(faults, FAULT_GAP_MAX_MS) +
@@ -234,6 +338,9 @@
 	struct faults *faults = xcalloc(1, sizeof(*faults));
 
 	faults->soak = soak;
+	if (!soak->basic_faults)
+		faults->planned_until_us =
+		    clock_monotonic_us() + (int64_t)PLANNED_MS * US_PER_MS;
 	faults->next_fault_us = random_time_us(faults, FAULT_GAP_MAX_MS);
 	faults->timer = xcalloc(1, sizeof(*faults->timer));
 	uv_timer_init(soak->loop, faults->timer);
@@ -259,12 +366,18 @@
 void
 faults_destroy(struct faults *faults)
 {
-	for (int i = 0; i < SOAK_GATEWAYS; i++)
+	for (int i = 0; i < faults->soak->gateway_count; i++)
 		resume_gateway(faults, i);
 	uv_close((uv_handle_t *)faults->timer, handle_timer_closed);
 	free(faults);
 }
 
+bool
+faults_all_planned(const struct faults *faults)
+{
+	return clock_monotonic_us() < faults->planned_until_us;
+}
+
 int
 faults_count(const struct faults *faults)
 {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -11,6 +11,10 @@
  * - a request that must not be repeated runs at most once, and not at all if it
  *   was refused;
  * - a response belongs to its request;
+ * - a stream that broke off is not complete, and no turn can follow it;
+ * - a server that a gateway knew to leave when the caller sent a request does
+ *   not get that request;
+ * - in the first seconds, in which all is planned, no request that ran is cut;
  * - every program completes turns again after the faults have ended.
  */
 #include <argp.h>
@@ -26,6 +30,8 @@
 
 enum {
 	DEFAULT_SECONDS = 10,
+	DEFAULT_SERVERS = 4,
+	SERVICE_GROUP = 2, /* servers of a service in a row */
 	/* Time for each program to complete a turn after the faults. */
 	RECOVERY_TIMEOUT_MS = 12000,
 	STEP_MS = 50,
@@ -39,8 +45,17 @@
 	uint64_t seed;
 	uint64_t count;
 	int seconds;
+	int gateways;
+	int servers;
+	bool basic;
 	bool verbose;
-} arguments = {.seed = 1, .count = 1, .seconds = DEFAULT_SECONDS};
+} arguments = {
+    .seed = 1,
+    .count = 1,
+    .seconds = DEFAULT_SECONDS,
+    .gateways = SOAK_GATEWAYS,
+    .servers = DEFAULT_SERVERS,
+};
 
 /* Returns the time since the run's start. */
 static double
@@ -90,12 +105,13 @@
 	if (!cluster_start(&soak->cluster, arguments.build))
 		return false;
 	cluster_publish(&soak->cluster, "");
-	if (cluster_add_server(&soak->cluster, "models", "") < 0 ||
-	    cluster_add_server(&soak->cluster, "models", "") < 0 ||
-	    cluster_add_server(&soak->cluster, "tools", "") < 0 ||
-	    cluster_add_server(&soak->cluster, "tools", "") < 0)
-		return false;
-	for (int i = 0; i < SOAK_GATEWAYS; i++) {
+	for (int i = 0; i < soak->server_count; i++) {
+		if (cluster_add_server(&soak->cluster,
+			i / SERVICE_GROUP % 2 == 0 ? "models" : "tools",
+			"") < 0)
+			return false;
+	}
+	for (int i = 0; i < soak->gateway_count; i++) {
 		soak->proxies[i] =
 		    proxy_create(soak->loop, soak->cluster.store.port);
 		if (soak->proxies[i] == NULL)
@@ -106,6 +122,7 @@
 			return false;
 	}
 	soak->client = h1_client_create(soak->loop, &options);
+	soak->servers = servers_create(soak);
 	soak->callers = callers_create(soak);
 	soak->faults = faults_create(soak);
 	return true;
@@ -133,7 +150,9 @@
 	if (soak->client != NULL)
 		h1_client_destroy(soak->client);
 	cluster_stop(&soak->cluster);
-	for (int i = 0; i < SOAK_GATEWAYS; i++) {
+	if (soak->servers != NULL)
+		servers_destroy(soak->servers);
+	for (int i = 0; i < soak->gateway_count; i++) {
 		if (soak->proxies[i] != NULL)
 			proxy_destroy(soak->proxies[i]);
 	}
@@ -153,6 +172,9 @@
 	uv_loop_init(&loop);
 	soak->loop = &loop;
 	soak->start_us = clock_monotonic_us();
+	soak->gateway_count = arguments.gateways;
+	soak->server_count = arguments.servers;
+	soak->basic_faults = arguments.basic;
 	rng_init(&soak->rng, seed);
 	if (!start_run(soak)) {
 		soak_fail(soak, "the processes failed to start");
@@ -192,6 +214,23 @@
 	case 't':
 		arguments.seconds = (int)strtol(arg, NULL, 10);
 		return 0;
+	case 'g':
+		arguments.gateways = (int)strtol(arg, NULL, 10);
+		if (arguments.gateways < 1 ||
+		    arguments.gateways > CLUSTER_MAX_GATEWAYS)
+			argp_error(state, "--gateways: not from 1 to %d",
+			    CLUSTER_MAX_GATEWAYS);
+		return 0;
+	case 'm':
+		arguments.servers = (int)strtol(arg, NULL, 10);
+		if (arguments.servers < 2 * SERVICE_GROUP ||
+		    arguments.servers > CLUSTER_MAX_SERVERS)
+			argp_error(state, "--servers: not from %d to %d",
+			    2 * SERVICE_GROUP, CLUSTER_MAX_SERVERS);
+		return 0;
+	case 'b':
+		arguments.basic = true;
+		return 0;
 	case 'v':
 		arguments.verbose = true;
 		return 0;
@@ -215,6 +254,10 @@
 	    {"seed", 's', "N", 0, "Seed of the first run", 0},
 	    {"count", 'c', "N", 0, "Number of runs, with consecutive seeds", 0},
 	    {"seconds", 't', "N", 0, "Time with faults, in seconds", 0},
+	    {"gateways", 'g', "N", 0, "Number of gateways", 0},
+	    {"servers", 'm', "N", 0, "Number of backend servers", 0},
+	    {"basic", 'b', NULL, 0,
+		"No faults of servers, no series, no broken streams", 0},
 	    {"verbose", 'v', NULL, 0, "Print each fault", 0},
 	    {0},
 	};
--- /dev/null
+++ b/tests/soak/servers.c
@@ -0,0 +1,186 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "soak.h"
+
+enum {
+	/* From a server's first sign of leaving to its SIGTERM: longer than the
+	 * gateways' drain time. */
+	LEAVE_MIN_MS = 3000,
+	LEAVE_MAX_MS = 5000,
+	DOWN_MAX_MS = 1500,
+	/* After a gateway has passed on that a server leaves, a request that a
+	 * caller sends later than this must not reach the server: drain of the
+	 * gateways' settings. */
+	DRAIN_US = 2500 * US_PER_MS,
+};
+
+enum server_state {
+	SERVER_UP,
+	SERVER_LEAVING,  /* says in its responses that it leaves */
+	SERVER_STOPPING, /* SIGTERM was sent */
+	SERVER_DOWN,
+};
+
+/** A backend server and the end of its current state. */
+struct server {
+	enum server_state state;
+	int64_t due_us;
+	int64_t started_us;
+};
+
+struct servers {
+	struct soak *soak;
+	struct server servers[CLUSTER_MAX_SERVERS];
+	/** When a gateway first passed on that a server leaves; 0: not since
+	 * either started. */
+	int64_t leaving_since_us[CLUSTER_MAX_GATEWAYS][CLUSTER_MAX_SERVERS];
+};
+
+static struct cluster_process *
+server_process(struct servers *servers, int number)
+{
+	return &servers->soak->cluster.servers[number];
+}
+
+static int64_t
+random_time_us(struct servers *servers, int min_ms, int max_ms)
+{
+	uint64_t range = (uint64_t)(max_ms - min_ms);
+
+	return clock_monotonic_us() +
+	    (int64_t)(min_ms + (int)rng_below(&servers->soak->rng, range)) *
+	    US_PER_MS;
+}
+
+/* Returns whether another server of the same service is up. Services alternate
+ * in pairs, as start_run() adds them. */
+static bool
+has_substitute(const struct servers *servers, int number)
+{
+	for (int i = 0; i < servers->soak->cluster.server_count; i++) {
+		if (i != number && servers->servers[i].state == SERVER_UP &&
+		    (i % 4 < 2) == (number % 4 < 2))
+			return true;
+	}
+	return false;
+}
+
+void
+servers_leave(struct servers *servers, int number, bool listed)
+{
+	struct server *server = &servers->servers[number];
+
+	if (server->state != SERVER_UP || !has_substitute(servers, number))
+		return;
+	soak_log(servers->soak, "server %d: leaves%s", number,
+	    listed ? "" : ", unlisted");
+	cluster_signal(
+	    server_process(servers, number), listed ? SIGUSR1 : SIGUSR2);
+	server->state = SERVER_LEAVING;
+	server->due_us = random_time_us(servers, LEAVE_MIN_MS, LEAVE_MAX_MS);
+}
+
+void
+servers_kill(struct servers *servers, int number)
+{
+	struct server *server = &servers->servers[number];
+
+	if (server->state == SERVER_DOWN || !has_substitute(servers, number))
+		return;
+	soak_log(servers->soak, "server %d: kill", number);
+	cluster_signal(server_process(servers, number), SIGKILL);
+	server->state = SERVER_DOWN;
+	server->due_us = random_time_us(servers, 1, DOWN_MAX_MS);
+}
+
+static void
+restart(struct servers *servers, int number)
+{
+	struct server *server = &servers->servers[number];
+
+	if (!cluster_restart_server(&servers->soak->cluster, number))
+		soak_fail(
+		    servers->soak, "server %d does not start again", number);
+	server->state = SERVER_UP;
+	server->started_us = clock_monotonic_us();
+	for (int i = 0; i < CLUSTER_MAX_GATEWAYS; i++)
+		servers->leaving_since_us[i][number] = 0;
+}
+
+void
+servers_step(struct servers *servers, bool all)
+{
+	int64_t now_us = all ? INT64_MAX : clock_monotonic_us();
+
+	for (int i = 0; i < servers->soak->cluster.server_count; i++) {
+		struct server *server = &servers->servers[i];
+		struct cluster_process *process = server_process(servers, i);
+
+		if (server->state == SERVER_LEAVING &&
+		    server->due_us <= now_us) {
+			cluster_signal(process, SIGTERM);
+			server->state = SERVER_STOPPING;
+		}
+		if (server->state == SERVER_STOPPING &&
+		    waitpid(process->pid, NULL, WNOHANG) == process->pid) {
+			process->pid = 0;
+			server->state = SERVER_DOWN;
+			server->due_us = clock_monotonic_us();
+		}
+		if (server->state == SERVER_DOWN && server->due_us <= now_us)
+			restart(servers, i);
+	}
+}
+
+void
+servers_gateway_interrupted(struct servers *servers, int gateway)
+{
+	memset(servers->leaving_since_us[gateway], 0,
+	    sizeof(servers->leaving_since_us[gateway]));
+}
+
+void
+servers_check_response(struct servers *servers, int gateway, int64_t sent_us,
+    const struct h1_head *head)
+{
+	const char *id = h1_headers_find(&head->headers, "response-signature");
+	const char *dash = id != NULL ? strrchr(id, '-') : NULL;
+	int number = dash != NULL ? (int)strtol(dash + 1, NULL, 10) : -1;
+	int64_t *since_us;
+
+	if (number < 0 || number >= servers->soak->cluster.server_count)
+		return;
+	since_us = &servers->leaving_since_us[gateway][number];
+	/* The response may be of an earlier process of the server. */
+	if (sent_us < servers->servers[number].started_us)
+		return;
+	if (*since_us != 0 && sent_us > *since_us + DRAIN_US)
+		soak_fail(servers->soak,
+		    "gateway %d sent a request to server %d, %.3f s after it "
+		    "had passed on that the server leaves",
+		    gateway, number, (double)(sent_us - *since_us) / US_PER_S);
+	if (*since_us == 0 &&
+	    h1_headers_find(&head->headers, "server-leaving") != NULL)
+		*since_us = clock_monotonic_us();
+}
+
+struct servers *
+servers_create(struct soak *soak)
+{
+	struct servers *servers = xcalloc(1, sizeof(*servers));
+
+	servers->soak = soak;
+	return servers;
+}
+
+void
+servers_destroy(struct servers *servers)
+{
+	free(servers);
+}
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,22 +16,29 @@
 #include "standins/cluster.h"
 
 enum {
-	SOAK_GATEWAYS = 4,
+	SOAK_GATEWAYS = 4, /**< unless given by an option */
 	SOAK_FAILURE_BYTES = 512,
 };
 
 struct callers;
 struct faults;
+struct servers;
 
 /** The cluster, callers and faults of one run, that is of one seed. */
 struct soak {
 	uv_loop_t *loop;
 	struct rng rng;
 	struct cluster cluster;
-	struct proxy *proxies[SOAK_GATEWAYS]; /**< from gateway to store */
+	int gateway_count;
+	int server_count;
+	/** Only faults of gateways, their paths and the store, in the sequence
+	 * of the seeds that KNOWN-RED.txt lists. */
+	bool basic_faults;
+	struct proxy *proxies[CLUSTER_MAX_GATEWAYS]; /**< to the store */
 	struct h1_client *client;
 	struct callers *callers;
 	struct faults *faults;
+	struct servers *servers;
 	int64_t start_us;
 	bool faults_ended;                /**< no more faults are injected */
 	char failure[SOAK_FAILURE_BYTES]; /**< the first violation, or "" */
@@ -64,5 +71,25 @@
 void faults_destroy(struct faults *faults);
 /** Returns the number of faults injected so far. */
 int faults_count(const struct faults *faults);
+/** Returns whether there has been nothing but planned work so far: stops,
+ * restarts, reloads, changes of configuration, servers that leave. */
+bool faults_all_planned(const struct faults *faults);
+
+struct servers *servers_create(struct soak *soak);
+void servers_destroy(struct servers *servers);
+/** Makes a server leave and start again under its id. listed: whether its entry
+ * in the list says so, or only its responses. */
+void servers_leave(struct servers *servers, int number, bool listed);
+/** Kills a server, which starts again later. */
+void servers_kill(struct servers *servers, int number);
+/** Takes the steps that are due; with all set, every one. */
+void servers_step(struct servers *servers, bool all);
+/** Notes that a gateway was frozen or starts anew, and need not know which
+ * servers leave. */
+void servers_gateway_interrupted(struct servers *servers, int gateway);
+/** Checks that a response is not of a server which the gateway knew to leave
+ * when the caller sent the request. */
+void servers_check_response(struct servers *servers, int gateway,
+    int64_t sent_us, const struct h1_head *head);
 
 #endif
