Gateway: introduces itself to an owner that may not know its address

Cause: a gateway reads the list of members once, when it registers, and sends heartbeats to two gateways of each other failure domain only. An owner that had registered earlier did not know the address of those that came later in other domains; it dropped its replies to them (PEER_NO_ADDRESS) without a log line, for good. Evidence: the refusals belong to pairs of a gateway and an owner in different domains and go on until the pair's end, from the first second on; the owners answer others all the while.

A gateway that opens a connection to another sends its heartbeat first, which has its address; so it does again when an owner gives no answer, as the owner may have restarted. A message that is dropped for want of an address is logged (message_dropped).

--- a/gateway/peer_gateways.c
+++ b/gateway/peer_gateways.c
@@ -5,6 +5,7 @@
 #include "common/clock.h"
 #include "common/hash.h"
 #include "common/memory.h"
+#include "common/trace.h"
 #include "gateway/ownership.h"
 #include "gateway/peer_gateways_internal.h"
 #include "gateway/quarantine.h"
@@ -253,15 +254,45 @@
 	uv_idle_start(peer_gateways->self_message_idle, handle_self_messages);
 }
 
+void
+peer_gateways_introduce(struct peer_gateways *peer_gateways, const char *vm)
+{
+	struct message message;
+
+	if (strcmp(vm, peer_gateways_self_vm(peer_gateways)) == 0)
+		return;
+	peer_gateways_fill_heartbeat(peer_gateways, &message);
+	peer_send(peer_gateways->peer, vm, &message);
+}
+
+static void
+trace_no_address(const char *vm)
+{
+	struct trace trace;
+
+	trace_begin(&trace, "message_dropped");
+	trace_text(&trace, "vm", vm);
+	trace_text(&trace, "why", "its address is not known");
+	trace_end(&trace);
+}
+
 bool
 peer_gateways_send(struct peer_gateways *peer_gateways, const char *vm,
     struct message *message)
 {
+	enum peer_result result;
+
 	if (strcmp(vm, peer_gateways_self_vm(peer_gateways)) == 0) {
 		send_to_self(peer_gateways, message);
 		return true;
 	}
-	return peer_send(peer_gateways->peer, vm, message) == PEER_QUEUED;
+	if (message->type != MESSAGE_GATEWAY_HEARTBEAT &&
+	    !peer_is_connected(peer_gateways->peer, vm))
+		peer_gateways_introduce(peer_gateways, vm);
+	result = peer_send(peer_gateways->peer, vm, message);
+	if (result == PEER_NO_ADDRESS)
+		trace_no_address(vm);
+	return result == PEER_QUEUED;
 }
 
 void
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -172,8 +172,12 @@
 			turn_request_grant(turn);
 		return;
 	case TURN_REQUESTING_GRANT:
-		/* Even if the owner has replied, it may have changed since. */
+		/* Even if the owner has replied, it may have changed since. An
+		 * owner that has restarted may not know this gateway. */
 		turns_refresh_owners(turns_of(turn));
+		if (turn->last_result == 0)
+			turns_introduce_to_owner(
+			    turns_of(turn), turn->partition);
 		turn_request_grant(turn);
 		return;
 	case TURN_FINDING_PREVIOUS:
--- a/gateway/turn_owner.c
+++ b/gateway/turn_owner.c
@@ -73,6 +73,17 @@
 	return false;
 }
 
+void
+turns_introduce_to_owner(struct turns *turns, uint32_t partition)
+{
+	struct peer_gateways *peer_gateways = turns->gateway->peer_gateways;
+	const char *vm =
+	    peer_gateways_partition_owner(peer_gateways, partition);
+
+	if (vm != NULL)
+		peer_gateways_introduce(peer_gateways, vm);
+}
+
 static void
 report_free(struct end_report *report)
 {
--- a/include/gateway/peer_gateways.h
+++ b/include/gateway/peer_gateways.h
@@ -33,8 +33,12 @@
 bool peer_gateways_add_by_name(
     struct peer_gateways *peer_gateways, const char *name, char vm[NAME_BYTES]);
 
-/** Sends a message to a VM's gateway. Returns false when the message certainly
- * won't arrive. */
+/** Tells a VM's gateway the address of this one, without which it can't reply.
+ */
+void
+peer_gateways_introduce(struct peer_gateways *peer_gateways, const char *vm);
+/** Sends a message to a VM's gateway, after an introduction if it opens a
+ * connection. Returns false when the message certainly won't arrive. */
 bool peer_gateways_send(struct peer_gateways *peer_gateways, const char *vm,
     struct message *message);
 /** Sends a message to all other live gateways. */
--- a/include/gateway/turn_internal.h
+++ b/include/gateway/turn_internal.h
@@ -96,6 +96,8 @@
  * owners if the owner is unknown or can't be sent to. */
 bool turns_send_to_owner(
     struct turns *turns, uint32_t partition, struct message *message);
+/** Tells the owner of a partition the address of this gateway. */
+void turns_introduce_to_owner(struct turns *turns, uint32_t partition);
 /** Reports the tokens spent by a turn to the partition owner, and repeats the
  * report until it is acknowledged or too old. */
 void turn_report_spent(struct turn *turn, uint64_t spent);
--- a/include/peer/peer.h
+++ b/include/peer/peer.h
@@ -71,6 +71,8 @@
 /** Queues a message to a VM and fills in its sender. */
 enum peer_result
 peer_send(struct peer_transport *peer, const char *vm, struct message *message);
+/** Returns whether there is a connection to a VM; a message opens one. */
+bool peer_is_connected(const struct peer_transport *peer, const char *vm);
 /** Queues an encoded message to a VM. */
 enum peer_result peer_send_encoded(
     struct peer_transport *peer, const char *vm, const struct buf *wire);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -236,6 +236,14 @@
 		link_destroy(peer, link);
 }
 
+bool
+peer_is_connected(const struct peer_transport *peer, const char *vm)
+{
+	const struct peer_link *link = find_link(peer, vm);
+
+	return link != NULL && link->socket != NULL;
+}
+
 enum peer_result
 peer_send_encoded(
     struct peer_transport *peer, const char *vm, const struct buf *wire)
