Experiment: RETRY_BURST by name; a member that was never set goes; lint

The literal 10 was RETRY_BURST; sched_dispatch.hedge was never set. A parent's pauses are those of its last sub-agent, which is right: they lie on the path that it waited for; a comment says so.

The linter took uthash's relinking in backend_free() for a use after free since a call follows it, and wanted a constant in test-leaving.

--- a/dispatch/backends.c
+++ b/dispatch/backends.c
@@ -51,7 +51,9 @@
 static void
 backend_free(struct backends *backends, struct backend *backend)
 {
+	/* NOLINTNEXTLINE(clang-analyzer-*): uthash relinks */
 	HASH_DEL(backends->by_id, backend);
+	/* NOLINTNEXTLINE(clang-analyzer-*): uthash relinks */
 	HASH_DELETE(hh_hash, backends->by_hash, backend);
 	free(backend);
 }
--- a/experiment/simulation.c
+++ b/experiment/simulation.c
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "common/memory.h"
+#include "route/retry.h"
 
 /** Interval of the load samples. */
 static const double SIMULATION_SAMPLE_INTERVAL_S = 1;
@@ -290,10 +291,9 @@
 
 		for (int reason = 0; reason < RETRY_COUNT; reason++)
 			retries += (double)node->counters.retries[reason];
-		/* A retry budget starts with 10 retries, see RETRY_BURST. */
 		excess = retries -
 		    simulation->params.retry_share * (double)node->requests -
-		    10;
+		    RETRY_BURST;
 		if (excess > measures->retry_excess)
 			measures->retry_excess = excess;
 		total += retries;
--- a/experiment/simulation_program.c
+++ b/experiment/simulation_program.c
@@ -98,6 +98,7 @@
 
 		if (--parent->agents_left > 0)
 			return;
+		/* The parent waited for this sub-agent, the last to end. */
 		parent->pauses_us += program->pauses_us;
 		simulation_schedule(simulation,
 		    simulation->now_us +
--- a/include/route/sched.h
+++ b/include/route/sched.h
@@ -94,8 +94,7 @@
 struct sched_dispatch {
 	uint64_t call_id;
 	char server[NAME_BYTES];
-	uint32_t attempt; /**< number of the attempt, from 1 */
-	bool hedge;       /**< whether it is a second copy of a slow call */
+	uint32_t attempt;                /**< number of the attempt, from 1 */
 	uint64_t expected_cached_tokens; /**< history tokens expected in the
 					    server's KV cache */
 	uint32_t priority; /**< priority in the engine; lower runs first */
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -14,6 +14,7 @@
 	SLOTS = 8,         /**< requests that a server runs at a time */
 	LISTED_MS = 1200,  /**< until a gateway has read a changed list */
 	RESTART_MS = 4000, /**< until a restarted server gets requests */
+	REFUSED_WITHIN_US = 200 * US_PER_MS,
 	NO_SERVER = -1,
 };
 
@@ -266,7 +267,7 @@
 		ck_assert(call("/once/x", NULL).leaving);
 	started_us = clock_monotonic_us();
 	answer = call("/once/x", NULL);
-	ck_assert_int_lt(clock_monotonic_us() - started_us, 200 * US_PER_MS);
+	ck_assert_int_lt(clock_monotonic_us() - started_us, REFUSED_WITHIN_US);
 	ck_assert_int_eq(answer.status, 503);
 	ck_assert(answer.retry_after);
 	ck_assert(!has_run(TOOL_A, answer.request));
