--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -150,7 +150,7 @@
 }
 
 static void
-check_server_leaving(const struct request *request)
+mark_server_if_leaving(const struct request *request)
 {
 	struct gateway *gateway = request->gateway;
 	const struct forward *attempt = request->attempt;
@@ -183,7 +183,7 @@
 	if (has_request_id && !attempt->response.matches_request)
 		return H1_HEAD_SKIP;
 	attempt->head_received = true;
-	check_server_leaving(request);
+	mark_server_if_leaving(request);
 	attempt->content_length = content_length(&head->headers);
 	if (!response_is_acceptable(request)) {
 		h1_call_discard_connection(attempt->call);
