--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -175,7 +175,7 @@
 		/* Even if the owner has replied, it may have changed since. An
 		 * owner that has restarted may not know this gateway. */
 		turns_refresh_owners(turns_of(turn));
-		if (turn->last_result == 0)
+		if (turn->last_result == 0) /* no reply so far */
 			turns_introduce_to_owner(
 			    turns_of(turn), turn->partition);
 		turn_request_grant(turn);
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -27,6 +27,8 @@
 	MAX_REUSE_US = 4 * US_PER_S,
 	MAX_ONCE_REQUESTS = 16384, /* most that a run records */
 	MAX_CUT_REQUESTS = 256,    /* the same */
+	/* Of so many turns, the server breaks the stream of one off. */
+	TURNS_PER_BROKEN_STREAM = 16,
 	NAME_MAX_BYTES = 32,
 	INPUT_BYTES = 48,
 	FIELD_BYTES = 96,
@@ -45,11 +47,6 @@
 	int status; /**< 0: no complete response */
 };
 
-/** How often a turn's server breaks its stream off, of BREAK_ONE_IN turns. */
-enum {
-	BREAK_ONE_IN = 16,
-};
-
 /** A program and its current call. */
 struct program {
 	struct callers *callers;
@@ -363,8 +360,8 @@
 	if (program->callers->soak->basic_faults ||
 	    program->callers->recovering)
 		return "/turn/x";
-	if (id % BREAK_ONE_IN == 0)
-		return broken[id / BREAK_ONE_IN %
+	if (id % TURNS_PER_BROKEN_STREAM == 0)
+		return broken[id / TURNS_PER_BROKEN_STREAM %
 		    (sizeof(broken) / sizeof(broken[0]))];
 	return id % 2 == 0 ? "/turn/unframed" : "/turn/x";
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -191,6 +191,7 @@
 	    &faults->soak->rng, (uint64_t)faults->soak->server_count);
 }
 
+/* Starts a series unless one of the kind is under way. */
 static void
 series_start(struct series *series, int count)
 {
