--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -354,11 +354,12 @@
 int
 cluster_add_gateway(struct cluster *cluster)
 {
-	int number = cluster->gateway_count++;
+	int number = cluster->gateway_count;
 	struct cluster_gateway *gateway = &cluster->gateways[number];
 
 	if (number == CLUSTER_MAX_GATEWAYS)
 		return -1;
+	cluster->gateway_count++;
 	gateway->process.port = find_free_port();
 	gateway->readiness_port = find_free_port();
 	gateway->directory_port = find_free_port();
