Daemon: a request waits for the next owner instead of going in circles

Callers: redirected back and forth between two VMs while a shard moved, until their client gave up (curl: status 47, after 50 redirects).

Cause: the VM that released a shard redirects to the next owner by its list of members; the next owner has not read the release and redirects to the owner by its lane. Edges by lane always raise the epoch, so that each circle has an edge by the list of members, at a VM that knows of no owner.

Ruled out: a VM with an old view of the lane only (it would reach a VM with a newer epoch); the pause of the owner in the test (it has ended by then).

Change: such a VM keeps the request until it reads the claim, at most 250 ms (daemon/redirect.c, code without I/O), and reads the lane until then, also without shards of its own.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -7,6 +7,7 @@
 #include "common/diag.h"
 #include "common/memory.h"
 #include "daemon/call.h"
+#include "daemon/redirect.h"
 
 struct diag_context
 call_context(const struct call *call)
@@ -25,6 +26,10 @@
 	struct call *call = context;
 
 	call->exchange = NULL;
+	if (call->state == CALL_AWAITING_OWNER) {
+		call_destroy(call);
+		return;
+	}
 	switch (call->kind) {
 	case CALL_MODEL:
 		model_call_caller_gone(call);
@@ -204,51 +209,9 @@
 	call_destroy(call);
 }
 
-/* Returns whether the VM with this address is gone. For a lane that this VM
- * does not follow, the known owner may be a VM that died. */
-static bool
-address_is_gone(const struct daemon *daemon, const char *address)
-{
-	const struct members *members = &daemon->blackboard.members;
-	char member_address[2 * NAME_BYTES];
-
-	for (size_t i = 0; i < members->count; i++) {
-		const struct member *member = &members->items[i];
-
-		snprintf(member_address, sizeof(member_address), "%s:%d",
-		    member->address, member->port);
-		if (strcmp(member_address, address) == 0)
-			return member_state(member,
-				   daemon->blackboard.now_us) == MEMBER_GONE;
-	}
-	return false;
-}
-
-/* Copies the address of a shard's owner, or "" if it is not known: the recorded
- * owner unless it is this VM or gone, otherwise the member that should own the
- * shard. */
 static void
-owner_address(
-    const struct call *call, uint32_t shard, char *address, size_t size)
+send_redirect(struct call *call, const char *address)
 {
-	struct daemon *daemon = call->daemon;
-	const struct member *member;
-
-	owner_shard_address(daemon->owner, shard, address, size);
-	if (address[0] != '\0' && strcmp(address, daemon->address) != 0 &&
-	    !address_is_gone(daemon, address))
-		return;
-	address[0] = '\0';
-	member = members_shard_owner(
-	    &daemon->blackboard.members, shard, daemon->blackboard.now_us);
-	if (member != NULL && strcmp(member->vm, daemon->settings.vm_name) != 0)
-		snprintf(address, size, "%s:%d", member->address, member->port);
-}
-
-void
-call_redirect(struct call *call, uint32_t shard)
-{
-	char address[2 * NAME_BYTES];
 	char location[2 * HTTP_PATH_BYTES];
 	char *text;
 	json_t *body;
@@ -257,12 +220,6 @@
 	    {NULL, NULL},
 	};
 
-	owner_address(call, shard, address, sizeof(address));
-	if (address[0] == '\0' || call->exchange == NULL) {
-		call_refuse(call, REFUSAL_RECOVERING, EXECUTION_NOT_STARTED,
-		    "the program's owner is not known yet");
-		return;
-	}
 	call->daemon->blackboard.counters.refusals[REFUSAL_NOT_OWNER]++;
 	snprintf(location, sizeof(location), "%s://%s%s",
 	    call->daemon->settings.tls_certificate[0] != '\0' ? "https"
@@ -280,6 +237,60 @@
 	call_destroy(call);
 }
 
+/* Makes the call wait until the shard's next owner is known. */
+static void
+await_owner(struct call *call, uint32_t shard)
+{
+	const struct diag_context context = call_context(call);
+
+	if (call->state == CALL_AWAITING_OWNER)
+		return;
+	diag(LOG_INFO, &context,
+	    "shard %u changes its owner; the request waits for it", shard);
+	call->state = CALL_AWAITING_OWNER;
+	call->shard = shard;
+	call->awaiting_since_us = call->daemon->blackboard.now_us;
+}
+
+void
+call_redirect(struct call *call, uint32_t shard)
+{
+	struct daemon *daemon = call->daemon;
+	int64_t now_us = daemon->blackboard.now_us;
+	int64_t waited_us = call->state == CALL_AWAITING_OWNER
+	    ? now_us - call->awaiting_since_us
+	    : 0;
+	const struct redirect_view view = {
+	    .vm = daemon->settings.vm_name,
+	    .address = daemon->address,
+	    .ownership = owner_shard_ownership(daemon->owner, shard),
+	    .members = &daemon->blackboard.members,
+	};
+	char address[2 * NAME_BYTES] = "";
+	enum redirect_target target = redirect_choose(
+	    &view, shard, waited_us, now_us, address, sizeof(address));
+
+	if (call->exchange != NULL && target == REDIRECT_WAIT)
+		await_owner(call, shard);
+	else if (call->exchange != NULL && target != REDIRECT_NONE)
+		send_redirect(call, address);
+	else
+		call_refuse(call, REFUSAL_RECOVERING, EXECUTION_NOT_STARTED,
+		    "the program's owner is not known yet");
+}
+
+void
+redirect_waiting_calls(struct daemon *daemon)
+{
+	struct call *call;
+	struct call *next;
+
+	HASH_ITER (hh, daemon->calls, call, next) {
+		if (call->state == CALL_AWAITING_OWNER)
+			call_redirect(call, call->shard);
+	}
+}
+
 bool
 call_handle_decision(struct call *call, enum owner_decision decision,
     const struct owner_result *result)
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -152,6 +152,7 @@
 		handle_schedule(daemon);
 		handle_owner_events(daemon);
 		check_durable_timeouts(daemon);
+		redirect_waiting_calls(daemon);
 		lane_controller_pump(daemon->lane);
 		arm_timer(daemon);
 	} else {
--- a/include/daemon/call.h
+++ b/include/daemon/call.h
@@ -21,10 +21,12 @@
 
 /** Progress of a call. */
 enum call_state {
-	CALL_ADMITTING, /**< waiting for the owner's decision */
-	CALL_WAITING,   /**< waiting for a backend server */
-	CALL_RUNNING,   /**< sent to a server or service */
-	CALL_RECORDING, /**< response complete, its record not yet durable */
+	CALL_ADMITTING,      /**< waiting for the owner's decision */
+	CALL_AWAITING_OWNER, /**< waiting to be redirected to an owner */
+	CALL_WAITING,        /**< waiting for a backend server */
+	CALL_RUNNING,        /**< sent to a server or service */
+	CALL_RECORDING,      /**< response complete, its record not yet
+			      * durable */
 };
 
 struct attempt;
@@ -86,8 +88,10 @@
 	char request_id[NAME_BYTES]; /**< for log lines and responses */
 	char path[HTTP_PATH_BYTES];  /**< path of the HTTP request */
 	bool urgent;
-	uint64_t turn;   /**< number of the turn; 0: not given */
-	bool has_digest; /**< the caller sent a digest */
+	uint32_t shard; /**< of the program, in CALL_AWAITING_OWNER */
+	int64_t awaiting_since_us; /**< monotonic start of that state */
+	uint64_t turn;             /**< number of the turn; 0: not given */
+	bool has_digest;           /**< the caller sent a digest */
 	/** Digest of the history, as the caller sent it; later the digest of
 	 * the history with this turn. */
 	struct digest digest;
@@ -114,8 +118,11 @@
 void call_refuse(struct call *call, enum refusal reason,
     enum execution_state execution, const char *detail);
 /** Redirects the caller to the owner of the program's shard and frees the call.
- * Refuses the call with REFUSAL_RECOVERING if the owner is not known. */
+ * While the ownership moves, keeps the call until redirect_waiting_calls()
+ * finds the next owner. Refuses it with REFUSAL_RECOVERING if none is known. */
 void call_redirect(struct call *call, uint32_t shard);
+/** Redirects or refuses the calls that need not wait any longer. */
+void redirect_waiting_calls(struct daemon *daemon);
 /** Responds like call_refuse(), but keeps the call, so that a request already
  * sent to a service goes on. */
 void call_send_refusal(struct call *call, enum refusal reason,
--- a/include/program/internal.h
+++ b/include/program/internal.h
@@ -259,6 +259,10 @@
 void slot_lost(struct owner *owner, struct shard_slot *slot, int64_t now_us);
 void slot_tick(struct owner *owner, struct shard_slot *slot, int64_t now_us);
 
+/* lane.c */
+/** Returns whether this VM reads a lane of shards. */
+bool owner_reads_lane(const struct owner *owner, uint32_t lane);
+
 /* confirm.c */
 /** Handles a pending record that was read back, and frees it. */
 void pending_confirm(struct owner *owner, struct shard_slot *slot,
--- a/include/program/owner.h
+++ b/include/program/owner.h
@@ -111,10 +111,17 @@
 /** Sets this VM's share (0..1) of the system's appends per second. */
 void owner_set_append_share(struct owner *owner, double share);
 bool owner_owns(const struct owner *owner, uint32_t shard);
-/** Copies the address of a shard's owner according to its lane, or "" if there
- * is none. */
-void owner_shard_address(
-    const struct owner *owner, uint32_t shard, char *address, size_t size);
+/** The ownership of a shard, as far as this VM has read its lane. */
+struct shard_ownership {
+	bool owned;               /**< by this VM */
+	bool lane_read;           /**< this VM goes on reading the lane */
+	char vm[NAME_BYTES];      /**< VM with the newest claim; "" if there is
+				   * none or it released the shard */
+	char address[NAME_BYTES]; /**< "IP:port" for callers, from the claim */
+};
+
+struct shard_ownership
+owner_shard_ownership(const struct owner *owner, uint32_t shard);
 size_t owner_owned_shard_count(const struct owner *owner);
 size_t owner_open_call_count(const struct owner *owner);
 /** Reads the shard from a program id. Returns false if the id is malformed. */
--- a/program/lane.c
+++ b/program/lane.c
@@ -23,6 +23,15 @@
 		snprintf(name, size, "index-%u", lane - lanes - 1);
 }
 
+/* Returns whether this VM released the shard and no VM has claimed it since.
+ * Callers who still ask this VM are told the next owner, which its claim
+ * names. */
+static bool
+slot_handed_over(const struct owner *owner, const struct shard_slot *slot)
+{
+	return slot->shard.released && strcmp(slot->shard.vm, owner->vm) == 0;
+}
+
 static bool
 lane_needed(const struct owner *owner, uint32_t lane)
 {
@@ -30,12 +39,20 @@
 	     i += owner->limits.lanes) {
 		const struct shard_slot *slot = &owner->slots[i];
 
-		if (slot->wanted || slot->owned || !list_empty(&slot->pending))
+		if (slot->wanted || slot->owned ||
+		    slot_handed_over(owner, slot) ||
+		    !list_empty(&slot->pending))
 			return true;
 	}
 	return kv_release_needs_lane(owner, lane);
 }
 
+bool
+owner_reads_lane(const struct owner *owner, uint32_t lane)
+{
+	return owner->lanes[lane].started && lane_needed(owner, lane);
+}
+
 bool
 owner_lane_position(const struct owner *owner, uint32_t lane, uint64_t *from)
 {
@@ -46,7 +63,7 @@
 	if (lane == lanes)
 		return true;
 	if (lane < lanes)
-		return state->started && lane_needed(owner, lane);
+		return owner_reads_lane(owner, lane);
 	if (!list_empty(&state->unsharded))
 		return true;
 	return !owner->lanes[lane - lanes - 1].started &&
--- a/program/owner.c
+++ b/program/owner.c
@@ -140,15 +140,23 @@
 	return shard < owner->limits.shards && owner->slots[shard].owned;
 }
 
-void
-owner_shard_address(
-    const struct owner *owner, uint32_t shard, char *address, size_t size)
+struct shard_ownership
+owner_shard_ownership(const struct owner *owner, uint32_t shard)
 {
-	const char *text = "";
-
-	if (shard < owner->limits.shards && !owner->slots[shard].shard.released)
-		text = owner->slots[shard].shard.address;
-	snprintf(address, size, "%s", text);
+	struct shard_ownership ownership = {0};
+	const struct shard *state;
+
+	if (shard >= owner->limits.shards)
+		return ownership;
+	state = &owner->slots[shard].shard;
+	ownership.owned = owner->slots[shard].owned;
+	ownership.lane_read =
+	    owner_reads_lane(owner, shard % owner->limits.lanes);
+	if (!state->released) {
+		memcpy(ownership.vm, state->vm, NAME_BYTES);
+		memcpy(ownership.address, state->address, NAME_BYTES);
+	}
+	return ownership;
 }
 
 size_t
