Test: late-outcome pauses the VM that sent the invoice

The shard of the program may move between the turn and the invoice, as long as the daemons have just started.

--- a/tests/end_to_end.sh
+++ b/tests/end_to_end.sh
@@ -59,6 +59,18 @@
 	sed 's/.*:\([0-9]*\)\/.*/\1/' "$work/url"
 }
 
+# find_sender: sets sender to the number of the VM that has sent a request since
+# before_1, before_2 and before_3 were counted.
+find_sender() {
+	for sender in 1 2 3; do
+		eval "port=\$port_$sender before=\$before_$sender"
+		if [ "$(count_attempts "$port")" -gt "$before" ]; then
+			return 0
+		fi
+	done
+	return 1
+}
+
 message='{"model": "draft-1", "messages": [{"role": "user", "content": "go"}]'
 
 # check_paused_owner [late]: pauses the owner of a program while a
@@ -71,27 +83,25 @@
 	call "$port_2" POST /v1/chat/completions "$message, \"max_tokens\": 4}" \
 	    -H "x-guavakeel-program: $program"
 	expect 200 '"durable":true'
-	case $(responding_port) in
-	"$port_1") paused=$pid_1 other=$port_2 ;;
-	"$port_2") paused=$pid_2 other=$port_3 ;;
-	*) paused=$pid_3 other=$port_1 ;;
-	esac
 	curl -sf -X POST -d '{"delay_ms": 1500}' \
 	    "http://127.0.0.1:$tool_port/faults" >/dev/null || fail "ordering a delay"
-	owner_port=$(responding_port)
-	before=$(count_attempts "$owner_port")
+	for number in 1 2 3; do
+		eval "before_$number=\$(count_attempts \$port_$number)"
+	done
 	curl -sL --max-time 30 -o "$work/late" -X POST -d '{"amount": 7}' \
 	    -H 'x-guavakeel-workspace: studio' -H "x-guavakeel-program: $program" \
 	    -H 'idempotency-key: i7' \
 	    "http://127.0.0.1:$(responding_port)/v1/tools/invoice" &
 	late=$!
-	# Wait until the tool has the call, which it delays.
+	# Wait until the tool has the call, which it delays. The program's shard
+	# may move until then.
 	tries=0
-	until [ "$(count_attempts "$owner_port")" -gt "$before" ]; do
+	until find_sender; do
 		tries=$((tries + 1))
 		[ $tries -lt 200 ] || fail "the invoice is not sent"
 		sleep 0.05
 	done
+	eval "paused=\$pid_$sender other=\$port_$((sender % 3 + 1))"
 	sleep 0.3
 	kill -STOP "$paused"
 	tries=0
