Gateway: a turn refused while it waited for the store reports no end

A turn in TURN_WAITING_STORE has asked no owner for a grant; its end was reported all the same, and again every 250 ms until the owner replied, in an outage of the store. Callers saw nothing of it: the owner keeps no record of an unknown turn that spent nothing, which the new test shows with the store away for 2.5 s.

--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -297,7 +297,7 @@
 		recorder_detach(turn->pending_record);
 	/* The owner may have granted the turn although its reply has not
 	 * arrived. In that case it must learn of the turn's end. */
-	if (turn->state != TURN_REPORTED)
+	if (turn->state != TURN_REPORTED && turn->state != TURN_WAITING_STORE)
 		turn_report_spent(turn, turn_tokens_spent(request));
 	if (turns_find(turns, turn->id) == turn)
 		HASH_DEL(turns->by_id, turn);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -13,6 +13,7 @@
 enum {
 	CALL_MS = 5000,
 	TEXT_BYTES = 512,
+	PARTITIONS = 12, /* of the gateways that cluster.c starts */
 };
 
 static struct cluster cluster;
@@ -283,6 +284,68 @@
 }
 END_TEST
 
+/* Returns whether the log of turns holds a text. */
+static bool
+turn_log_contains(const char *text)
+{
+	bool found = false;
+
+	for (int partition = 0; partition < PARTITIONS && !found; partition++) {
+		struct http_reply reply;
+		char target[TEXT_BYTES];
+
+		snprintf(target, sizeof(target),
+		    "/v1/log-read?topic=turns&part=%d&from=0", partition);
+		http_call_once(cluster.store.port, "GET", target, "Host: x\r\n",
+		    NULL, 0, CALL_MS, &reply);
+		found = reply.status == 200 &&
+		    memmem(reply.body.data, reply.body.len, text,
+			strlen(text)) != NULL;
+		http_reply_reset(&reply);
+	}
+	return found;
+}
+
+START_TEST(turns_refused_before_a_grant_leave_no_record)
+{
+	struct conversation conversations[] = {
+	    {.program = "p-outage"}, {.program = "p-outage-2"}};
+	struct http_caller caller;
+	struct http_reply reply;
+	const char *const running =
+	    "POST /turn/x HTTP/1.1\r\nHost: h.example\r\n"
+	    "Request-Id: outage-running\r\nDeadline-Ms: 5000\r\n"
+	    "Program-Id: p-outage\r\nToken-Usage: 9,50\r\n"
+	    "Token-Budget: 10000\r\nContent-Length: 1\r\n\r\ny";
+
+	for (int i = 0; i < 2; i++) {
+		ck_assert_int_eq(send_turn_with_retries(&conversations[i], 0,
+				     conversations[i].program, "x;", 10000),
+		    200);
+		buf_reset(&conversations[i].transcript);
+	}
+	ck_assert(http_caller_open(&caller, port_of(0)));
+	ck_assert(http_caller_send(&caller, running, strlen(running)));
+	usleep(50 * US_PER_MS);
+	cluster_set_store_faults(&cluster, "{\"outage_ms\": 2500}");
+	usleep(1500 * US_PER_MS);
+	send_request(0, "/turn/x", "outage-waiting",
+	    "Program-Id: p-outage-2\r\nToken-Usage: 9,50\r\n"
+	    "Token-Budget: 10000\r\n",
+	    "y", &reply);
+	ck_assert_int_eq(reply.status, 503);
+	ck_assert_ptr_nonnull(strstr(buf_text(&reply.body), "log_unavailable"));
+	http_reply_reset(&reply);
+	http_caller_read(&caller, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	http_reply_reset(&reply);
+	http_caller_close(&caller);
+	usleep(1000 * US_PER_MS);
+	ck_assert(turn_log_contains("outage-running"));
+	ck_assert(!turn_log_contains("outage-waiting"));
+}
+END_TEST
+
 START_TEST(requests_are_forwarded_unchanged)
 {
 	struct http_reply reply;
@@ -704,6 +767,7 @@
 	    unknown_turn_is_not_found,
 	    turns_beyond_the_budget_are_refused,
 	    response_end_waits_for_the_store,
+	    turns_refused_before_a_grant_leave_no_record,
 	    requests_are_forwarded_unchanged,
 	    bad_requests_are_refused_with_a_reason,
 	    long_heads_are_refused,
