Ledger: a turn past its deadline holds no more than the promised overrun

Callers: a program with little budget left is refused for seconds after a VM died ("waits for other turns to end").

Ruled out: timed_out_turns (mended before), placeholders (they may be overrun at once). A shorter END_REPORT_TIMEOUT_US alone would end programs with 402 that have budget left.

Change: a turn whose end is not reported half a second after its deadline is unconfirmed, as a placeholder is: it still counts with its most, and the one turn of overrun that is promised covers it.

--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -169,6 +169,27 @@
 }
 END_TEST
 
+/* The VM of such a turn is probably gone. Until then its program was refused
+ * for 5 s after the deadline (soak, seeds 7, 344, 811). */
+START_TEST(overdue_turns_hold_no_budget_beyond_the_promised_overrun)
+{
+	struct ledger *ledger = create_owned_ledger();
+	int64_t late_us = 3600 * US_PER_MS;
+
+	begin(ledger, "p", "t1", 250, 0);
+	begin(ledger, "p", "t2", 250, 0);
+	make_durable(ledger);
+	ck_assert_int_eq(begin(ledger, "p", "t3", 250, 3300 * US_PER_MS),
+	    LEDGER_BEGIN_BUDGET_IN_USE);
+	ck_assert_int_eq(begin(ledger, "p", "t3", 250, late_us),
+	    LEDGER_BEGIN_RECORD_PENDING);
+	/* t1, t2 and t3 may have spent the budget and one turn. */
+	ck_assert_int_eq(
+	    begin(ledger, "p", "t4", 250, late_us), LEDGER_BEGIN_BUDGET_IN_USE);
+	ledger_destroy(ledger);
+}
+END_TEST
+
 START_TEST(turn_without_output_counts_nothing)
 {
 	struct ledger *ledger = create_owned_ledger();
@@ -706,6 +727,7 @@
 	    record_round_trip,
 	    concurrent_turns_need_a_record,
 	    running_turns_count_with_max_tokens,
+	    overdue_turns_hold_no_budget_beyond_the_promised_overrun,
 	    turn_without_output_counts_nothing,
 	    copies_of_an_end_count_once,
 	    timed_out_end_counts_max_tokens_until_known,
--- a/turn/ledger_grant.c
+++ b/turn/ledger_grant.c
@@ -14,6 +14,10 @@
  * turns. A turn that ends later counts in addition to its placeholder. */
 static const int64_t PLACEHOLDER_REMAINING_US = (int64_t)5 * US_PER_S;
 
+/* Time after a turn's deadline at which its end is presumed lost. A VM reports
+ * an end at once, and a lost message again after 250 ms. */
+static const int64_t LATE_REPORT_US = (int64_t)500 * US_PER_MS;
+
 static void
 format_placeholder_id(
     char id[NAME_BYTES], const struct ledger_program *program, uint64_t epoch)
@@ -92,19 +96,24 @@
 /** Tokens that the running turns of a program may generate. */
 struct running_tokens {
 	uint64_t max_tokens;
-	uint64_t unconfirmed_tokens; /**< those of placeholders */
+	uint64_t placeholder_tokens;
+	/** Those of turns whose end was not reported soon after their
+	 * deadline. */
+	uint64_t overdue_tokens;
 };
 
 static struct running_tokens
-count_running(const struct ledger_program *program)
+count_running(const struct ledger_program *program, int64_t now_us)
 {
 	struct running_tokens running = {0};
 
 	list_for_each (
 	    turn, &program->running_turns, struct ledger_turn, link) {
 		running.max_tokens += turn->max_tokens;
-		running.unconfirmed_tokens +=
-		    turn->placeholder ? turn->max_tokens : 0;
+		if (turn->placeholder)
+			running.placeholder_tokens += turn->max_tokens;
+		else if (now_us - turn->deadline_us > LATE_REPORT_US)
+			running.overdue_tokens += turn->max_tokens;
 	}
 	if (turn_mutation_on(TURN_MUTATION_IGNORE_RUNNING))
 		running.max_tokens = 0;
@@ -125,20 +134,21 @@
 /* Checks whether the rest of the budget is enough for a turn. Running turns and
  * placeholders count with their max_tokens. */
 static enum ledger_begin_result
-check_budget(
-    const struct ledger_program *program, const struct ledger_request *request)
+check_budget(const struct ledger_program *program,
+    const struct ledger_request *request, int64_t now_us)
 {
-	struct running_tokens running = count_running(program);
+	struct running_tokens running = count_running(program, now_us);
 	uint64_t wanted = program->spent + request->max_tokens;
 
 	if (!request->has_budget)
 		return LEDGER_BEGIN_GRANTED;
 	if (wanted > request->budget +
 		overrun_allowance(program,
-		    program->unconfirmed_tokens - running.unconfirmed_tokens))
+		    program->unconfirmed_tokens - running.placeholder_tokens))
 		return LEDGER_BEGIN_BUDGET_EXHAUSTED;
 	if (wanted + running.max_tokens > request->budget +
-		overrun_allowance(program, program->unconfirmed_tokens))
+		overrun_allowance(program,
+		    program->unconfirmed_tokens + running.overdue_tokens))
 		return LEDGER_BEGIN_BUDGET_IN_USE;
 	return LEDGER_BEGIN_GRANTED;
 }
@@ -196,7 +206,7 @@
 		add_placeholder(ledger, program, EPOCH_UNKNOWN, now_us);
 	if (request->budget > program->budget)
 		program->budget = request->budget;
-	result = check_budget(program, request);
+	result = check_budget(program, request, now_us);
 	if (result != LEDGER_BEGIN_GRANTED)
 		return result;
 	turn = ledger_add_turn(
