Stand-ins: a cluster reserves the ports of its gateways

A socket that is bound and does not listen now keeps each port for the cluster's lifetime. test-gateway: ports_of_a_gateway_that_is_down_stay_ reserved fails before, passes now.

--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -114,10 +114,12 @@
 	return -1;
 }
 
-/* Returns a free port outside the range for outgoing connections, so that no
- * such connection takes the port before the gateway binds it. */
+/* Reserves a free port outside the range for outgoing connections, so that no
+ * such connection takes the port before the gateway binds it. The socket of the
+ * reservation does not listen: it lets the gateway bind the port, but no other
+ * cluster that looks for one, also while the gateway is down. */
 static int
-find_free_port(void)
+reserve_port(struct cluster *cluster)
 {
 	static int next;
 	struct sockaddr_in address = {
@@ -125,21 +127,23 @@
 	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)},
 	};
 	int on = 1;
-	bool bound = false;
 
 	if (next == 0)
 		next = (int)(getpid() % PORT_RANGES) * PORT_STRIDE;
-	while (!bound) {
-		int fd = socket(AF_INET, SOCK_STREAM, 0);
+	for (;;) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 		next = (next + 1) % PORT_COUNT;
 		address.sin_port = htons((uint16_t)(PORT_FIRST + next));
-		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-		bound =
-		    bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+		if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ==
+		    0) {
+			setsockopt(
+			    fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+			cluster->reserved_ports[cluster->reserved_count++] = fd;
+			return PORT_FIRST + next;
+		}
 		close(fd);
 	}
-	return PORT_FIRST + next;
 }
 
 bool
@@ -185,6 +189,8 @@
 	for (int i = 0; i < cluster->server_count; i++)
 		cluster_signal(&cluster->servers[i], SIGKILL);
 	cluster_signal(&cluster->store, SIGKILL);
+	while (cluster->reserved_count > 0)
+		close(cluster->reserved_ports[--cluster->reserved_count]);
 	if (getenv("KEEP_LOGS") == NULL)
 		remove_work_dir(cluster);
 	else
@@ -360,11 +366,11 @@
 	if (number == CLUSTER_MAX_GATEWAYS)
 		return -1;
 	cluster->gateway_count++;
-	gateway->process.port = find_free_port();
-	gateway->readiness_port = find_free_port();
-	gateway->directory_port = find_free_port();
-	gateway->peers_port = find_free_port();
-	gateway->metrics_port = find_free_port();
+	gateway->process.port = reserve_port(cluster);
+	gateway->readiness_port = reserve_port(cluster);
+	gateway->directory_port = reserve_port(cluster);
+	gateway->peers_port = reserve_port(cluster);
+	gateway->metrics_port = reserve_port(cluster);
 	return cluster_restart_gateway(cluster, number) ? number : -1;
 }
 
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -14,6 +14,7 @@
 	CLUSTER_MAX_GATEWAYS = 128,
 	CLUSTER_MAX_SERVERS = 64,
 	CLUSTER_ARGUMENTS_BYTES = 256,
+	CLUSTER_GATEWAY_PORTS = 5,
 };
 
 /** A child process. */
@@ -45,6 +46,9 @@
 	int gateway_count;
 	int server_count;
 	int config_version; /**< version that was published last */
+	/** Sockets that reserve the gateways' ports. */
+	int reserved_ports[CLUSTER_MAX_GATEWAYS * CLUSTER_GATEWAY_PORTS];
+	int reserved_count;
 };
 
 /** Creates the work directory and starts the store. Servers and gateways are
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
@@ -5,6 +6,10 @@
 #include <string.h>
 #include <unistd.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include "common/clock.h"
 #include "common/hash.h"
 #include "standins/cluster.h"
@@ -346,6 +351,27 @@
 }
 END_TEST
 
+/* Regression test (soak, seed 1350): another test's gateway took the ports of
+ * a gateway that was down, and got its requests. */
+START_TEST(ports_of_a_gateway_that_is_down_stay_reserved)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET,
+	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)},
+	    .sin_port = htons((uint16_t)cluster.gateways[0].directory_port),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	cluster_signal(&cluster.gateways[0].process, SIGKILL);
+	ck_assert_int_eq(
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)), -1);
+	ck_assert_int_eq(errno, EADDRINUSE);
+	close(fd);
+	ck_assert(cluster_restart_gateway(&cluster, 0));
+	ck_assert(cluster_wait_ready(&cluster, 0));
+}
+END_TEST
+
 START_TEST(requests_are_forwarded_unchanged)
 {
 	struct http_reply reply;
@@ -768,6 +794,7 @@
 	    turns_beyond_the_budget_are_refused,
 	    response_end_waits_for_the_store,
 	    turns_refused_before_a_grant_leave_no_record,
+	    ports_of_a_gateway_that_is_down_stay_reserved,
 	    requests_are_forwarded_unchanged,
 	    bad_requests_are_refused_with_a_reason,
 	    long_heads_are_refused,
