--- a/daemon/redirect.c
+++ b/daemon/redirect.c
@@ -6,8 +6,8 @@
 /** Whether the VM that claimed a shard last still owns it. */
 enum claim_state {
 	CLAIM_HELD,
-	CLAIM_MOVING, /**< another claim is expected soon */
-	CLAIM_GONE,   /**< the VM is gone, or the lane is not read here */
+	CLAIM_MOVING,  /**< this VM will soon read another claim */
+	CLAIM_UNKNOWN, /**< the VM is gone, or this VM does not read the lane */
 };
 
 static void
@@ -25,7 +25,7 @@
 }
 
 static enum claim_state
-claim_state(const struct redirect_view *view, int64_t now_us)
+find_claim_state(const struct redirect_view *view, int64_t now_us)
 {
 	const struct shard_ownership *ownership = &view->ownership;
 	char address[2 * NAME_BYTES];
@@ -34,18 +34,18 @@
 	if (ownership->owned)
 		return CLAIM_HELD;
 	if (ownership->vm[0] == '\0' || strcmp(ownership->vm, view->vm) == 0)
-		return ownership->lane_read ? CLAIM_MOVING : CLAIM_GONE;
+		return ownership->lane_read ? CLAIM_MOVING : CLAIM_UNKNOWN;
 	member = members_find(view->members, ownership->vm);
 	if (member == NULL)
 		return CLAIM_HELD;
 	if (member_state(member, now_us) == MEMBER_GONE)
-		return CLAIM_GONE;
+		return CLAIM_UNKNOWN;
 	member_caller_address(member, address, sizeof(address));
 	if (strcmp(address, ownership->address) == 0 && is_heard(member))
 		return CLAIM_HELD;
 	/* The VM was restarted, maybe at an address that the platform's list
 	 * does not have yet, and claims again. */
-	return ownership->lane_read ? CLAIM_MOVING : CLAIM_GONE;
+	return ownership->lane_read ? CLAIM_MOVING : CLAIM_UNKNOWN;
 }
 
 enum redirect_target
@@ -54,7 +54,7 @@
 {
 	const struct member *preferred;
 
-	switch (claim_state(view, now_us)) {
+	switch (find_claim_state(view, now_us)) {
 	case CLAIM_HELD:
 		snprintf(address, size, "%s",
 		    view->ownership.owned ? view->address
@@ -64,7 +64,7 @@
 		if (waited_us < REDIRECT_WAIT_US)
 			return REDIRECT_WAIT;
 		break;
-	case CLAIM_GONE:
+	case CLAIM_UNKNOWN:
 		break;
 	}
 	preferred = members_shard_owner(view->members, shard, now_us);
--- a/include/daemon/redirect.h
+++ b/include/daemon/redirect.h
@@ -25,7 +25,7 @@
 	const char *vm;      /**< this VM */
 	const char *address; /**< "IP:port" of this VM for callers */
 	struct shard_ownership ownership;
-	struct members *members;
+	struct members *members; /**< all known VMs */
 };
 
 /** Chooses where to send a request that has waited for waited_us, and writes
--- a/include/program/owner.h
+++ b/include/program/owner.h
@@ -120,6 +120,7 @@
 	char address[NAME_BYTES]; /**< "IP:port" for callers, from the claim */
 };
 
+/** Returns what this VM knows about the ownership of a shard. */
 struct shard_ownership
 owner_shard_ownership(const struct owner *owner, uint32_t shard);
 size_t owner_owned_shard_count(const struct owner *owner);
--- a/program/lane.c
+++ b/program/lane.c
@@ -23,9 +23,8 @@
 		snprintf(name, size, "index-%u", lane - lanes - 1);
 }
 
-/* Returns whether this VM released the shard and no VM has claimed it since.
- * Callers who still ask this VM are told the next owner, which its claim
- * names. */
+/* Returns whether this VM released the shard and has read no claim since. It
+ * reads on, so that it can redirect callers to the next owner. */
 static bool
 slot_handed_over(const struct owner *owner, const struct shard_slot *slot)
 {
