--- a/tests/test_redirect.c
+++ b/tests/test_redirect.c
@@ -177,7 +177,7 @@
 	char address[NAME_BYTES];
 
 	members_find(&members, "vm-0")->last_heartbeat_us = 1;
-	fixture->now_us += 60 * US_PER_S;
+	fixture->now_us += (int64_t)60 * US_PER_S;
 	ck_assert_int_eq(choose(1, 0, address), REDIRECT_NONE);
 }
 END_TEST
--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -174,12 +174,13 @@
 START_TEST(overdue_turns_hold_no_budget_beyond_the_promised_overrun)
 {
 	struct ledger *ledger = create_owned_ledger();
-	int64_t late_us = 3600 * US_PER_MS;
+	int64_t late_us = (int64_t)3600 * US_PER_MS;
 
 	begin(ledger, "p", "t1", 250, 0);
 	begin(ledger, "p", "t2", 250, 0);
 	make_durable(ledger);
-	ck_assert_int_eq(begin(ledger, "p", "t3", 250, 3300 * US_PER_MS),
+	ck_assert_int_eq(
+	    begin(ledger, "p", "t3", 250, (int64_t)3300 * US_PER_MS),
 	    LEDGER_BEGIN_BUDGET_IN_USE);
 	ck_assert_int_eq(begin(ledger, "p", "t3", 250, late_us),
 	    LEDGER_BEGIN_RECORD_PENDING);
