Gateway: log the limit that a server states in its response

The field is now decoded into a type of its own and written into the `request` event. Nothing decides by it yet. Values that are no plain decimal number are told apart from an absent field; a limit above a million a second is cut to that.

test-platform: limits_of_servers_are_decoded.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -183,6 +183,7 @@
 	if (has_request_id && !attempt->response.matches_request)
 		return H1_HEAD_SKIP;
 	attempt->head_received = true;
+	request->stated_limit = attempt->response.limit;
 	mark_server_if_leaving(request);
 	attempt->content_length = content_length(&head->headers);
 	if (!response_is_acceptable(request)) {
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -59,6 +59,25 @@
 		    (int64_t)request->unfinished_event_bytes);
 }
 
+/* Tells which limit on requests the server's latest response stated. */
+static void
+trace_stated_limit(struct trace *trace, const struct request *request)
+{
+	static const double MILLI = 1000;
+
+	switch (request->stated_limit.kind) {
+	case LIMIT_ABSENT:
+		return;
+	case LIMIT_STATED:
+		trace_number(trace, "server_limit_per_1000_s",
+		    (int64_t)(request->stated_limit.per_s * MILLI));
+		return;
+	case LIMIT_MALFORMED:
+		trace_text(trace, "server_limit", "malformed");
+		return;
+	}
+}
+
 static void
 request_trace(const struct request *request, int status, const char *reason,
     const char *why)
@@ -89,6 +108,7 @@
 	trace_elapsed(&trace, "first_ms", request, request->first_byte_us);
 	trace_elapsed(&trace, "ended_ms", request, request->body_ended_us);
 	trace_body_end(&trace, request);
+	trace_stated_limit(&trace, request);
 	trace_end(&trace);
 }
 
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -91,10 +91,12 @@
 	size_t unfinished_event_bytes;
 	char last_backend[NAME_BYTES]; /**< id of the server of the latest
 					  attempt */
-	struct turn *turn;             /**< NULL: not a turn of a program */
-	uint32_t record_bytes;         /**< size of the turn's encoded record */
-	int64_t turn_wake_us; /**< when turn_handle_timeout() is due; 0: not
-				 scheduled */
+	/** Limit that the latest response stated. */
+	struct stated_limit stated_limit;
+	struct turn *turn;     /**< NULL: not a turn of a program */
+	uint32_t record_bytes; /**< size of the turn's encoded record */
+	int64_t turn_wake_us;  /**< when turn_handle_timeout() is due; 0: not
+				  scheduled */
 };
 
 /** Results of an attempt. */
--- a/include/platform/request.h
+++ b/include/platform/request.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "common/error.h"
+#include "dispatch/stated_limit.h"
 #include "gateway/attributes.h"
 #include "h1/message.h"
 
@@ -33,6 +34,7 @@
 	bool matches_request; /**< Request-Id is that of the request sent */
 	bool has_signature;   /**< Response-Signature is present */
 	bool server_leaving;  /**< the server is about to stop */
+	struct stated_limit limit;
 };
 
 /** Decodes the header fields of a caller's request.
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -261,6 +261,39 @@
 }
 END_TEST
 
+static struct stated_limit
+decode_limit(const char *value)
+{
+	struct h1_head head = {.status = 200};
+	struct backend_response response;
+
+	h1_headers_add(&head.headers, "Server-Limit", value);
+	platform_response_decode(&head, "r1", &response);
+	h1_head_reset(&head);
+	return response.limit;
+}
+
+START_TEST(limits_of_servers_are_decoded)
+{
+	static const char *const malformed[] = {
+	    "", "-1", "+1", ".5", "inf", "nan", "0x10", "1e3", "5 ", "5,0"};
+	struct h1_head head = {.status = 200};
+	struct backend_response response;
+
+	platform_response_decode(&head, "r1", &response);
+	ck_assert_int_eq(response.limit.kind, LIMIT_ABSENT);
+	ck_assert_int_eq(decode_limit("5.6").kind, LIMIT_STATED);
+	ck_assert_double_eq_tol(decode_limit("5.6").per_s, 5.6, 1e-9);
+	ck_assert_double_eq_tol(decode_limit("3.").per_s, 3, 1e-9);
+	ck_assert_int_eq(decode_limit("0").kind, LIMIT_STATED);
+	ck_assert_double_eq_tol(
+	    decode_limit("99999999999999999999999").per_s, 1e6, 1e-9);
+	for (size_t i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++)
+		ck_assert_int_eq(
+		    decode_limit(malformed[i]).kind, LIMIT_MALFORMED);
+}
+END_TEST
+
 static void
 set_target(struct h1_head *head, const char *target)
 {
@@ -328,6 +361,7 @@
 	    errors_name_the_invalid_field,
 	    reserved_fields_of_callers_are_replaced,
 	    responses_are_decoded,
+	    limits_of_servers_are_decoded,
 	    readiness_and_resolve_requests_are_decoded,
 	    keyed_records_are_encoded_and_decoded,
 	};
