--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -500,6 +500,19 @@
 	return running;
 }
 
+void
+cluster_state_limit(
+    const struct cluster *cluster, int server, const char *value)
+{
+	struct http_reply reply;
+	char target[PATH_BYTES];
+
+	snprintf(target, sizeof(target), "/stand-in/limit/%s", value);
+	http_call_once(cluster->servers[server].port, "GET", target,
+	    "Host: x\r\n", "", 0, CALL_TIMEOUT_MS, &reply);
+	http_reply_reset(&reply);
+}
+
 void
 cluster_set_store_faults(struct cluster *cluster, const char *json)
 {
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -89,6 +89,10 @@
  * which has another id. */
 void
 cluster_register_server(struct cluster *cluster, const char *id, int server);
+/** Makes a server state a limit on the rate of requests in all its responses.
+ * value: its text; "": none. */
+void cluster_state_limit(
+    const struct cluster *cluster, int server, const char *value);
 /** Returns the number of requests in progress on a server. */
 int cluster_requests_in_progress(const struct cluster *cluster, int server);
 /** Reads which requests the servers have run since the start of the cluster,
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -14,6 +14,9 @@
  * SIGUSR1 makes the server leave: it reports so in the list and in all its
  * responses, but goes on serving. After SIGUSR2 only its responses say so.
  * After SIGTERM it ends once no request is in progress.
+ *
+ * GET /stand-in/limit/VALUE makes all later responses state that limit on the
+ * rate of requests; without a VALUE they state none.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -43,6 +46,8 @@
 	ID_BYTES = 64,
 };
 
+static const char LIMIT_PATH[] = "/stand-in/limit/";
+
 /** Values of the command-line options. */
 static struct {
 	const char *id;
@@ -93,8 +98,9 @@
 static struct list runs = {&runs, &runs}; /**< list of struct run */
 static char run_ids[RUNS_MAX][ID_BYTES];  /**< ids of past requests */
 static size_t run_id_count;
-static int64_t started_ms; /**< start of the process, wall clock */
-static int sequence;       /**< number of the last heartbeat */
+static int64_t started_ms;          /**< start of the process, wall clock */
+static int sequence;                /**< number of the last heartbeat */
+static char stated_limit[ID_BYTES]; /**< "": none */
 
 static enum h1_head_action
 ignore_head(void *context, const struct h1_head *head)
@@ -180,14 +186,23 @@
 	run_free(context);
 }
 
+/* Adds what the server says of itself in each response. */
+static void
+add_server_state(struct h1_headers *headers)
+{
+	if (options.leaving)
+		h1_headers_add(headers, "Server-Leaving", "1");
+	if (stated_limit[0] != '\0')
+		h1_headers_add(headers, "Server-Limit", stated_limit);
+}
+
 static void
 add_response_headers(const struct run *run, struct h1_headers *headers)
 {
 	h1_headers_add(headers, "Request-Id", run->id);
 	if (!run->is_unsigned)
 		h1_headers_add(headers, "Response-Signature", options.id);
-	if (options.leaving)
-		h1_headers_add(headers, "Server-Leaving", "1");
+	add_server_state(headers);
 }
 
 /* Starts the next event of a stream without a length or chunks. As only the end
@@ -363,8 +378,7 @@
 	if (request_id != NULL)
 		h1_headers_add(&headers, "Request-Id", request_id);
 	h1_headers_add(&headers, "Not-Executed", "1");
-	if (options.leaving)
-		h1_headers_add(&headers, "Server-Leaving", "1");
+	add_server_state(&headers);
 	h1_headers_add(&headers, "Instance-Id", options.id);
 	h1_respond(exchange, status, &headers, "", 0);
 	h1_headers_reset(&headers);
@@ -394,6 +408,13 @@
 	buf_reset(&body);
 }
 
+static void
+set_limit(struct h1_exchange *exchange, const char *value)
+{
+	snprintf(stated_limit, sizeof(stated_limit), "%s", value);
+	h1_respond(exchange, 200, NULL, "", 0);
+}
+
 /* Counts a run of the request and drops its connection. */
 static void
 lose_response(struct h1_exchange *exchange, const char *request_id)
@@ -416,6 +437,8 @@
 		reply_runs(exchange);
 	else if (strcmp(path, "/stand-in/running") == 0)
 		reply_running(exchange);
+	else if (strncmp(path, LIMIT_PATH, strlen(LIMIT_PATH)) == 0)
+		set_limit(exchange, path + strlen(LIMIT_PATH));
 	else if (strstr(path, "/crash") != NULL)
 		raise(SIGKILL);
 	else if (request_id == NULL)
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -5,22 +5,19 @@
 #include <unistd.h>
 
 #include "common/clock.h"
-#include "standins/cluster.h"
+#include "tests/calls.h"
 #include "tests/runner.h"
 
 enum {
-	CALL_MS = 5000,
 	SAMPLES = 14,      /**< requests side by side; each server gets some */
 	SLOTS = 8,         /**< requests that a server runs at a time */
 	LISTED_MS = 1200,  /**< until a gateway has read a changed list */
 	RESTART_MS = 4000, /**< until a restarted server gets requests */
 	REFUSED_WITHIN_US = 200 * US_PER_MS,
-	NO_SERVER = -1,
 };
 
 static struct cluster cluster;
 static const char *build_dir;
-static int next_request;
 
 /** Servers of the cluster, by number: two of models, then two of tools. */
 enum { MODEL_A, MODEL_B, TOOL_A, TOOL_B };
@@ -45,81 +42,10 @@
 	cluster_stop(&cluster);
 }
 
-/** What a caller got. */
-struct answer {
-	char request[32];
-	int status;
-	bool complete;
-	bool leaving;     /**< it says that the server leaves */
-	bool retry_after; /**< it says when to come back */
-	int server;       /**< number of the server, or NO_SERVER */
-};
-
-static void
-read_answer(struct http_reply *reply, struct answer *answer)
-{
-	const char *signature = http_reply_field(reply, "response-signature");
-	const char *dash = signature != NULL ? strrchr(signature, '-') : NULL;
-
-	answer->status = reply->status;
-	answer->complete = reply->complete;
-	answer->server =
-	    dash != NULL ? (int)strtol(dash + 1, NULL, 10) : NO_SERVER;
-	answer->leaving = http_reply_field(reply, "server-leaving") != NULL;
-	answer->retry_after = http_reply_field(reply, "retry-after") != NULL;
-	http_reply_reset(reply);
-}
-
-static void
-format_request(const char *target, const char *previous_turn, char request[32],
-    struct buf *out)
-{
-	snprintf(request, 32, "leaving-%03d", ++next_request);
-	buf_printf(out,
-	    "POST %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\n"
-	    "Deadline-Ms: 4000\r\nProgram-Id: p\r\nSession-Id: s\r\n"
-	    "Token-Budget: 100000\r\nToken-Usage: 100,50\r\n"
-	    "Content-Length: 5\r\n",
-	    target, request);
-	if (previous_turn != NULL)
-		buf_printf(out, "Previous-Turn: %s\r\n", previous_turn);
-	buf_append_text(out, "\r\ninput");
-}
-
-static struct http_caller
-start_call(const char *target, const char *previous_turn, char request[32])
-{
-	struct http_caller caller;
-	struct buf out = {0};
-
-	format_request(target, previous_turn, request, &out);
-	ck_assert(http_caller_open(&caller, cluster.gateways[0].process.port));
-	ck_assert(http_caller_send(&caller, out.data, out.len));
-	buf_reset(&out);
-	return caller;
-}
-
-static struct answer
-finish_call(struct http_caller *caller)
-{
-	struct answer answer = {0};
-	struct http_reply reply;
-
-	http_caller_read(caller, CALL_MS, &reply);
-	read_answer(&reply, &answer);
-	http_caller_close(caller);
-	return answer;
-}
-
 static struct answer
 call(const char *target, const char *previous_turn)
 {
-	char request[32];
-	struct http_caller caller = start_call(target, previous_turn, request);
-	struct answer answer = finish_call(&caller);
-
-	memcpy(answer.request, request, sizeof(request));
-	return answer;
+	return call_once(&cluster, 0, target, previous_turn);
 }
 
 static bool
@@ -141,13 +67,13 @@
 learn_that_server_leaves(const char *target, int server)
 {
 	struct http_caller callers[SAMPLES];
-	char request[32];
+	char request[CALL_REQUEST_BYTES];
 	int leaving = 0;
 
 	for (int i = 0; i < SAMPLES; i++)
-		callers[i] = start_call(target, NULL, request);
+		callers[i] = call_start(&cluster, 0, target, NULL, request);
 	for (int i = 0; i < SAMPLES; i++) {
-		struct answer answer = finish_call(&callers[i]);
+		struct answer answer = call_finish(&callers[i]);
 
 		leaving += answer.leaving;
 		if (answer.leaving && answer.server != NO_SERVER)
@@ -160,12 +86,12 @@
 check_server_gets_nothing(const char *target, int server)
 {
 	struct http_caller callers[SLOTS];
-	char request[32];
+	char request[CALL_REQUEST_BYTES];
 
 	for (int i = 0; i < SLOTS; i++)
-		callers[i] = start_call(target, NULL, request);
+		callers[i] = call_start(&cluster, 0, target, NULL, request);
 	for (int i = 0; i < SLOTS; i++) {
-		struct answer answer = finish_call(&callers[i]);
+		struct answer answer = call_finish(&callers[i]);
 
 		ck_assert_int_eq(answer.status, 200);
 		ck_assert_int_ne(answer.server, server);
@@ -237,19 +163,19 @@
 
 START_TEST(streams_of_a_leaving_server_end_whole)
 {
-	char request[32];
+	char request[CALL_REQUEST_BYTES];
 	struct http_caller stream;
 	struct answer answer;
 
 	stop_other_server(MODEL_B);
-	stream = start_call("/stream/slow", NULL, request);
+	stream = call_start(&cluster, 0, "/stream/slow", NULL, request);
 	usleep(200 * US_PER_MS);
 	cluster_signal(&cluster.servers[MODEL_A], SIGUSR2);
 	learn_that_server_leaves("/stream/x", MODEL_A);
 	answer = call("/stream/x", NULL);
 	ck_assert_int_eq(answer.status, 503);
-	ck_assert(answer.retry_after);
-	answer = finish_call(&stream);
+	ck_assert_double_ge(answer.retry_after, 0);
+	answer = call_finish(&stream);
 	ck_assert_int_eq(answer.status, 200);
 	ck_assert_int_eq(answer.server, MODEL_A);
 	ck_assert(answer.complete);
@@ -269,7 +195,7 @@
 	answer = call("/once/x", NULL);
 	ck_assert_int_lt(clock_monotonic_us() - started_us, REFUSED_WITHIN_US);
 	ck_assert_int_eq(answer.status, 503);
-	ck_assert(answer.retry_after);
+	ck_assert_double_ge(answer.retry_after, 0);
 	ck_assert(!has_run(TOOL_A, answer.request));
 	ck_assert(!has_run(TOOL_B, answer.request));
 }
