Gateway: requests to a server that states a limit need a permit

What callers saw: nothing; a server in need got several times the requests that it had said it takes, from all gateways together.

Cause: no gateway read the limit. Class of fault: a limit that holds for all VMs together was nobody's, so that each gateway by itself looked right.

Change: a gateway that hears a limit tells the others. Each limited server has a coordinator among the gateways, preferably of its failure domain, by rendezvous hashing over the heartbeats that exist. It gives permits to all gateways; a request without a permit goes to another server or is refused at once, the less urgent first, with a Retry-After taken from the limits. A new coordinator gives half at first, and one that sees less than half of the gateways only their share, so that two of them stay below one and a half times the limit. A limit ends with the first response without one to a request that was sent after the limit was last stated; once a second the coordinator sends a request to find out.

--- a/dispatch/backends.c
+++ b/dispatch/backends.c
@@ -15,6 +15,8 @@
 	AVOID_MAX_US = 2 * US_PER_S,
 	DOMAIN_ROUND_TRIP_US = 3 * US_PER_MS,  /* between failure domains */
 	REGION_ROUND_TRIP_US = 16 * US_PER_MS, /* between regions */
+	/* Asking for a permit of a server that limits its requests. */
+	PERMIT_ROUND_TRIP_US = 5 * US_PER_MS,
 	DEFAULT_RESPONSE_US = 20 * US_PER_MS,
 };
 
@@ -73,6 +75,7 @@
 	}
 	residency_reset(&backends->residency);
 	leaving_reset(&backends->leaving);
+	limits_reset(&backends->limits);
 }
 
 static struct backend_service *
@@ -106,6 +109,15 @@
 	return backend;
 }
 
+struct backend *
+backends_find_hash(const struct backends *backends, uint64_t hash)
+{
+	struct backend *backend;
+
+	HASH_FIND(hh_hash, backends->by_hash, &hash, sizeof(hash), backend);
+	return backend;
+}
+
 void
 backends_clear_remote(struct backends *backends)
 {
@@ -117,9 +129,8 @@
 void
 backends_add_remote(struct backends *backends, uint64_t hash, uint32_t running)
 {
-	struct backend *backend;
+	struct backend *backend = backends_find_hash(backends, hash);
 
-	HASH_FIND(hh_hash, backends->by_hash, &hash, sizeof(hash), backend);
 	if (backend != NULL)
 		backend->remote_running += running;
 }
@@ -212,8 +223,8 @@
 	return false;
 }
 
-static bool
-is_available(const struct backend *backend, const char *service)
+bool
+backend_is_available(const struct backend *backend, const char *service)
 {
 	return backend->accepts_requests && !backend->leaving &&
 	    strcmp(backend->entry.service, service) == 0;
@@ -224,7 +235,7 @@
 {
 	for (const struct backend *backend = backends->by_id; backend != NULL;
 	     backend = backend->hh.next) {
-		if (is_available(backend, service))
+		if (backend_is_available(backend, service))
 			return true;
 	}
 	return false;
@@ -330,6 +341,59 @@
 	return distance_us(backends, backend) + work_us;
 }
 
+struct limit *
+backend_limit(const struct backends *backends, const struct backend *backend)
+{
+	const struct server_start start = {
+	    .server = backend->hash,
+	    .started_wall_ms = backend->entry.started_wall_ms,
+	};
+
+	if (backends->limits.entries == NULL)
+		return NULL;
+	return limits_find(&backends->limits, &start);
+}
+
+/* Returns the expected delay for a permit: 0 if none is needed, and INT64_MAX
+ * if the request can't have one in time. */
+static int64_t
+permit_delay_us(const struct backends *backends, const struct backend *backend,
+    const struct backend_request *request, int64_t now_us)
+{
+	const struct limit *limit = backend_limit(backends, backend);
+	int64_t wait_us;
+
+	if (limit == NULL)
+		return 0;
+	wait_us = limit_permit_wait_us(limit, now_us);
+	if (!request->permits_allowed || wait_us > request->max_permit_wait_us)
+		return INT64_MAX;
+	return PERMIT_ROUND_TRIP_US + wait_us;
+}
+
+int64_t
+backends_limited_retry_us(struct backends *backends, const char *service,
+    size_t vm_count, int64_t now_us)
+{
+	int64_t wait_us = INT64_MAX;
+	double per_s = 0;
+
+	for (const struct backend *backend = backends->by_id; backend != NULL;
+	     backend = backend->hh.next) {
+		const struct limit *limit = backend_limit(backends, backend);
+
+		if (limit == NULL || !backend_is_available(backend, service))
+			continue;
+		per_s += limit->statement.per_s;
+		if (limit_permit_wait_us(limit, now_us) < wait_us)
+			wait_us = limit_permit_wait_us(limit, now_us);
+	}
+	if (wait_us == INT64_MAX)
+		return 0;
+	return return_schedule_add(&ensure_service(backends, service)->returns,
+	    wait_us, per_s / (double)vm_count, now_us);
+}
+
 struct backend *
 backends_choose(struct backends *backends,
     const struct backend_request *request, int64_t now_us)
@@ -341,12 +405,16 @@
 	for (struct backend *backend = backends->by_id; backend != NULL;
 	     backend = backend->hh.next) {
 		bool avoided = backend->avoid_until_us > now_us;
+		int64_t delay_us;
 		double us;
 
-		if (!is_available(backend, request->service) ||
+		if (!backend_is_available(backend, request->service) ||
 		    is_excluded(request, backend) || (avoided && !best_avoided))
 			continue;
-		us = cost_us(backends, backend, request) +
+		delay_us = permit_delay_us(backends, backend, request, now_us);
+		if (delay_us == INT64_MAX)
+			continue;
+		us = cost_us(backends, backend, request) + (double)delay_us +
 		    rng_real(&backends->rng);
 		if (us < best_us || (best_avoided && !avoided)) {
 			best = backend;
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -185,6 +185,9 @@
 	attempt->head_received = true;
 	request->stated_limit = attempt->response.limit;
 	mark_server_if_leaving(request);
+	if (response_is_from_server(&attempt->response))
+		server_limits_handle_response(
+		    request->gateway->server_limits, request);
 	attempt->content_length = content_length(&head->headers);
 	if (!response_is_acceptable(request)) {
 		h1_call_discard_connection(attempt->call);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -15,6 +15,7 @@
 #include "gateway/quarantine.h"
 #include "gateway/recorder.h"
 #include "gateway/request.h"
+#include "gateway/server_limits.h"
 #include "gateway/settings_reload.h"
 #include "gateway/stop.h"
 #include "gateway/turn.h"
@@ -151,6 +152,7 @@
 	if (gateway->peer_gateways == NULL)
 		return false;
 	gateway->quarantine = quarantine_create(gateway);
+	gateway->server_limits = server_limits_create(gateway);
 	gateway->recorder = recorder_create(gateway);
 	gateway->turns = turns_create(gateway);
 	gateway->ownership = ownership_create(gateway);
@@ -172,6 +174,7 @@
 	turns_destroy(gateway->turns);
 	recorder_destroy(gateway->recorder);
 	quarantine_destroy(gateway->quarantine);
+	server_limits_destroy(gateway->server_limits);
 	peer_gateways_destroy(gateway->peer_gateways);
 	store_destroy(gateway->store);
 	h1_server_destroy(gateway->caller_server);
--- a/gateway/peer_gateways.c
+++ b/gateway/peer_gateways.c
@@ -10,6 +10,7 @@
 #include "gateway/peer_gateways_internal.h"
 #include "gateway/quarantine.h"
 #include "gateway/recorder.h"
+#include "gateway/server_limits.h"
 #include "gateway/turn.h"
 
 enum {
@@ -351,6 +352,11 @@
 	case MESSAGE_STORE_APPEND_REPLY:
 		recorder_handle_message(gateway->recorder, message);
 		return;
+	case MESSAGE_SERVER_LIMIT:
+	case MESSAGE_PERMIT_GET:
+	case MESSAGE_PERMIT:
+		server_limits_handle_message(gateway->server_limits, message);
+		return;
 	default:
 		return;
 	}
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -7,6 +7,7 @@
 #include "common/memory.h"
 #include "common/trace.h"
 #include "dispatch/retry.h"
+#include "gateway/peer_gateways.h"
 #include "gateway/quarantine.h"
 #include "gateway/request.h"
 #include "gateway/turn.h"
@@ -33,6 +34,7 @@
 		turn_destroy(request);
 	if (request->attempt != NULL)
 		forward_cancel(request);
+	server_limits_cancel(request);
 	uv_close((uv_handle_t *)request->timer, handle_timer_closed);
 	list_remove(&request->link);
 	gateway_config_unref(request->config);
@@ -99,6 +101,9 @@
 	trace_text(&trace, "server", request->last_backend);
 	trace_number(&trace, "sent", (int64_t)request->tried_count);
 	trace_number(&trace, "may_have_run", request->possible_executions);
+	if (request->permit_wait.asked > 0)
+		trace_number(
+		    &trace, "permits_asked", request->permit_wait.asked);
 	if (request->config != NULL)
 		trace_number(&trace, "config_version",
 		    (int64_t)request->config->version);
@@ -239,7 +244,7 @@
 
 static void handle_timer(uv_timer_t *timer);
 
-static void
+void
 request_arm_timer(struct request *request)
 {
 	int64_t due_us = request->deadline_us;
@@ -250,6 +255,9 @@
 		due_us = request->attempt->response_deadline_us;
 	if (request->turn_wake_us != 0 && request->turn_wake_us < due_us)
 		due_us = request->turn_wake_us;
+	if (request->permit_wait.number != 0 &&
+	    request->permit_wait.due_us < due_us)
+		due_us = request->permit_wait.due_us;
 	wait_us = due_us - clock_monotonic_us();
 	uv_timer_start(request->timer, handle_timer,
 	    wait_us > 0 ? (uint64_t)(wait_us / US_PER_MS) + 1 : 0, 0);
@@ -279,6 +287,11 @@
 		request_attempt_ended(request, ATTEMPT_TIMED_OUT, "no answer");
 		return;
 	}
+	if (request->permit_wait.number != 0 &&
+	    request->permit_wait.due_us <= clock_monotonic_us()) {
+		server_limits_handle_due(request);
+		return;
+	}
 	if (request->turn_wake_us != 0 &&
 	    request->turn_wake_us <= clock_monotonic_us()) {
 		request->turn_wake_us = 0;
@@ -299,6 +312,8 @@
 	    .part_count = request->attributes.prompt_part_count,
 	    .prompt_tokens = request->attributes.prompt_tokens,
 	    .max_tokens = request->attributes.max_tokens,
+	    .permits_allowed = server_limits_may_ask(request),
+	    .max_permit_wait_us = server_limits_max_wait_us(request),
 	    .excluded_servers = request->tried,
 	    .excluded_count = request->tried_count,
 	};
@@ -334,25 +349,10 @@
 }
 
 void
-request_dispatch(struct request *request)
+request_send(struct request *request, struct backend *backend)
 {
 	const struct backend_request criteria = backend_request_of(request);
-	struct backend *backend = choose_backend(request);
 
-	if (backend == NULL) {
-		if (request->possible_executions > 0)
-			request_fail(
-			    request, REFUSAL_SERVER_FAILED, "no other server");
-		else
-			request_refuse(request,
-			    request->declined_count > 0 ? REFUSAL_OVERLOADED
-							: REFUSAL_NO_SERVER,
-			    request->declined_count > 0
-				? RETRY_AFTER_DECLINED_US
-				: RETRY_AFTER_NO_SERVER_US,
-			    NULL);
-		return;
-	}
 	memcpy(request->tried[request->tried_count++], backend->entry.id,
 	    NAME_BYTES);
 	memcpy(request->last_backend, backend->entry.id, NAME_BYTES);
@@ -368,6 +368,61 @@
 	request_arm_timer(request);
 }
 
+static void
+refuse_without_server(struct request *request)
+{
+	if (request->possible_executions > 0)
+		request_fail(request, REFUSAL_SERVER_FAILED, "no other server");
+	else if (request->declined_count > 0)
+		request_refuse(
+		    request, REFUSAL_OVERLOADED, RETRY_AFTER_DECLINED_US, NULL);
+	else
+		request_refuse(
+		    request, REFUSAL_NO_SERVER, RETRY_AFTER_NO_SERVER_US, NULL);
+}
+
+void
+request_refuse_limited(struct request *request)
+{
+	struct gateway *gateway = request->gateway;
+	size_t known;
+	size_t live;
+	int64_t retry_us;
+
+	peer_gateways_count(gateway->peer_gateways, &known, &live);
+	retry_us = backends_limited_retry_us(&gateway->blackboard.backends,
+	    request->service, live, clock_monotonic_us());
+	if (retry_us == 0 || request->possible_executions > 0)
+		refuse_without_server(request);
+	else
+		request_refuse(request, REFUSAL_OVERLOADED, retry_us,
+		    "servers limit their requests");
+}
+
+void
+request_dispatch(struct request *request)
+{
+	struct backend *backend = server_limits_choose_check(request);
+
+	request->turn_wake_us = 0;
+	if (backend == NULL)
+		backend = choose_backend(request);
+	while (backend != NULL) {
+		switch (server_limits_take_permit(request, backend)) {
+		case PERMIT_GRANTED:
+			request_send(request, backend);
+			return;
+		case PERMIT_PENDING:
+			request_arm_timer(request);
+			return;
+		case PERMIT_DENIED:
+			break;
+		}
+		backend = choose_backend(request);
+	}
+	request_refuse_limited(request);
+}
+
 static const char *
 attempt_result_name(enum attempt_result result)
 {
--- a/include/common/counter.h
+++ b/include/common/counter.h
@@ -30,6 +30,9 @@
 	X(claims_total, "Ownership claims appended") \
 	X(takeovers_total, "Shards taken over from another VM") \
 	X(servers_leaving_total, "Servers that said in a response they leave") \
+	X(permits_granted_total, "Permits given for servers with a limit") \
+	X(permits_denied_total, "Permits denied for servers with a limit") \
+	X(permits_unanswered_total, "Requests for permits without a reply") \
 	X(peer_bytes_sent_total, "Bytes sent to other daemons") \
 	X(peer_bytes_received_total, "Bytes received from other daemons") \
 	X(peer_dropped_total, "Messages to daemons dropped on a full queue") \
--- a/include/dispatch/backends.h
+++ b/include/dispatch/backends.h
@@ -14,6 +14,8 @@
 #include "common/rng.h"
 #include "dispatch/backend_entry.h"
 #include "dispatch/leaving.h"
+#include "dispatch/limits.h"
+#include "dispatch/permits.h"
 #include "dispatch/residency.h"
 #include "dispatch/speed.h"
 
@@ -48,6 +50,7 @@
 	UT_hash_handle hh; /**< by service */
 	char service[NAME_BYTES];
 	struct speed speed;
+	struct return_schedule returns;
 };
 
 /** A part of a prompt. Parts with equal ids have equal tokens. */
@@ -73,6 +76,7 @@
 	struct backend_service *services; /**< uthash */
 	struct residency residency;
 	struct leaving leaving;
+	struct limits limits;
 	char region[NAME_BYTES];         /**< region of this VM */
 	char failure_domain[NAME_BYTES]; /**< failure domain of this VM */
 	struct rng rng;
@@ -87,6 +91,10 @@
 	size_t part_count;
 	uint64_t prompt_tokens;
 	uint64_t max_tokens;
+	/** Servers that limit their requests may be chosen. */
+	bool permits_allowed;
+	/** Longest wait for a permit of a server that limits its requests. */
+	int64_t max_permit_wait_us;
 	/** Ids of servers that must not be chosen. */
 	const char (*excluded_servers)[NAME_BYTES];
 	size_t excluded_count;
@@ -96,6 +104,9 @@
     const char *failure_domain, uint64_t seed);
 void backends_reset(struct backends *backends);
 struct backend *backends_find(const struct backends *backends, const char *id);
+/** Returns the server with this hash of its id, or NULL. */
+struct backend *
+backends_find_hash(const struct backends *backends, uint64_t hash);
 /** Adds or updates a server from its entry in the platform's list. region: the
  * region of its failure domain. Returns whether the change affects which
  * servers requests may be sent to. */
@@ -111,16 +122,27 @@
 bool backends_mark_leaving(
     struct backends *backends, const char *id, int64_t started_wall_ms);
 /** Returns the server with the lowest expected cost for a request. Servers in
- * the pause after a failure are chosen only if there is no other. Returns NULL
- * if no server is available. */
+ * the pause after a failure are chosen only if there is no other, and those
+ * without a permit in time are not chosen. Returns NULL if no server is
+ * available. */
 struct backend *backends_choose(struct backends *backends,
     const struct backend_request *request, int64_t now_us);
+/** Returns the limit on requests that a server has stated, or NULL. */
+struct limit *
+backend_limit(const struct backends *backends, const struct backend *backend);
+/** Returns after what time a caller should return whose request found no permit
+ * in time, or 0 if no available server of the service limits its requests.
+ * vm_count: VMs that share the permits. */
+int64_t backends_limited_retry_us(struct backends *backends,
+    const char *service, size_t vm_count, int64_t now_us);
 /** Sets the running requests of other VMs to 0 on all servers. */
 void backends_clear_remote(struct backends *backends);
 /** Adds requests that another VM runs on the server with this hash. Ignores
  * unknown servers. */
 void
 backends_add_remote(struct backends *backends, uint64_t hash, uint32_t running);
+/** Returns whether a server of a service accepts requests. */
+bool backend_is_available(const struct backend *backend, const char *service);
 /** Returns whether a service has a server that accepts requests. */
 bool
 backends_has_available(const struct backends *backends, const char *service);
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -28,6 +28,7 @@
 struct ownership;
 struct quarantine;
 struct recorder;
+struct server_limits;
 struct server_watch;
 struct turns;
 
@@ -60,6 +61,7 @@
 	struct list requests; /**< of struct request */
 	struct config_watch *config_watch;
 	struct server_watch *server_watch;
+	struct server_limits *server_limits;
 	struct directory *directory;
 	struct peer_gateways *peer_gateways;
 	struct ownership *ownership;
--- a/include/gateway/peer_gateways.h
+++ b/include/gateway/peer_gateways.h
@@ -61,6 +61,15 @@
  * that it is not the owner. */
 void peer_gateways_clear_partition_owner(
     struct peer_gateways *peer_gateways, uint32_t partition);
+/** Returns the VM that coordinates the permits for a backend server, as seen
+ * from this one: a live gateway, preferably of the server's failure domain,
+ * chosen by rendezvous hashing. May be this VM. server: hash of its id. */
+const char *peer_gateways_coordinator(const struct peer_gateways *peer_gateways,
+    uint64_t server, const char *failure_domain);
+/** Counts the gateways known in the last minute, and those that are live. Both
+ * include this one. */
+void peer_gateways_count(
+    const struct peer_gateways *peer_gateways, size_t *known, size_t *live);
 /** Fills addresses with those that callers in a failure domain should use: the
  * live gateways of that domain, else of the region, else all. Returns their
  * number. */
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -13,6 +13,7 @@
 #include "gateway/attributes.h"
 #include "gateway/event_stream.h"
 #include "gateway/gateway.h"
+#include "gateway/server_limits.h"
 #include "h1/client.h"
 #include "platform/request.h"
 
@@ -95,7 +96,8 @@
 	struct stated_limit stated_limit;
 	struct turn *turn;     /**< NULL: not a turn of a program */
 	uint32_t record_bytes; /**< size of the turn's encoded record */
-	int64_t turn_wake_us;  /**< when turn_handle_timeout() is due; 0: not
+	struct permit_wait permit_wait;
+	int64_t turn_wake_us; /**< when turn_handle_timeout() is due; 0: not
 				  scheduled */
 };
 
@@ -116,6 +118,13 @@
 /** Sends the request to a backend server. Refuses it if there is none to
  * choose, or fails it if it may have run already. */
 void request_dispatch(struct request *request);
+/** Sends the request to a backend server that was chosen for it. */
+void request_send(struct request *request, struct backend *backend);
+/** Refuses a request for which no server has a permit in time, or fails it if
+ * it may have run already. */
+void request_refuse_limited(struct request *request);
+/** Schedules the next timeout of the request. */
+void request_arm_timer(struct request *request);
 /** Handles the end of an attempt: completes, repeats, refuses or fails the
  * request. why describes the failure for logs; NULL for ATTEMPT_COMPLETED. */
 void request_attempt_ended(
--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -52,6 +52,11 @@
 	MESSAGE_GATEWAY_CONFIG_GET = 23,
 	MESSAGE_SERVERS_GET = 24, /**< asks for the list of backend servers */
 	MESSAGE_SERVERS = 25,     /**< reply to MESSAGE_SERVERS_GET */
+	/** A backend server began, changed or ended a limit on requests. */
+	MESSAGE_SERVER_LIMIT = 26,
+	/** Asks a server's coordinator for a permit to send it a request. */
+	MESSAGE_PERMIT_GET = 27,
+	MESSAGE_PERMIT = 28, /**< reply to MESSAGE_PERMIT_GET */
 };
 
 /** Description of a daemon, given by itself or by a relay. */
@@ -319,6 +324,30 @@
 	size_t server_count;
 };
 
+/** What the sender knows of a backend server's limit on requests. */
+struct message_server_limit {
+	uint64_t server_hash;    /**< hash of the server's id */
+	int64_t started_wall_ms; /**< start of the server that this is about */
+	bool limited;
+	uint64_t per_1000_s; /**< requests in 1000 s */
+	int64_t age_us;      /**< time since the server stated it */
+};
+
+struct message_permit_get {
+	uint64_t number; /**< given by the sender; returned in the reply */
+	struct message_server_limit limit;
+	char failure_domain[NAME_BYTES]; /**< of the backend server */
+	int64_t max_wait_us; /**< longest wait that the request accepts */
+};
+
+struct message_permit {
+	uint64_t number;
+	struct message_server_limit limit; /**< may be newer than the sender's
+					      of MESSAGE_PERMIT_GET */
+	bool granted;
+	int64_t wait_us; /**< as in struct permit */
+};
+
 struct message_store_append {
 	uint64_t number; /**< given by the sender; returned in the reply */
 	uint32_t partition;
@@ -360,6 +389,9 @@
 		struct message_servers servers;
 		struct message_store_append store_append;
 		struct message_store_append_reply store_append_reply;
+		struct message_server_limit server_limit;
+		struct message_permit_get permit_get;
+		struct message_permit permit;
 	};
 };
 
--- a/peer/message.c
+++ b/peer/message.c
@@ -300,6 +300,28 @@
     FIELD(3, WIRE_UNSIGNED, store_append_reply.first_offset),
 };
 
+#define LIMIT_FIELDS(limit) \
+	FIELD(1, WIRE_UNSIGNED, limit.server_hash), \
+	    FIELD(2, WIRE_SIGNED, limit.started_wall_ms), \
+	    FIELD(3, WIRE_BOOL, limit.limited), \
+	    FIELD(4, WIRE_UNSIGNED, limit.per_1000_s), \
+	    FIELD(5, WIRE_SIGNED, limit.age_us)
+static const struct wire_field server_limit_fields[] = {
+    LIMIT_FIELDS(server_limit),
+};
+static const struct wire_field permit_get_fields[] = {
+    LIMIT_FIELDS(permit_get.limit),
+    FIELD(20, WIRE_UNSIGNED, permit_get.number),
+    FIELD(21, WIRE_TEXT, permit_get.failure_domain),
+    FIELD(22, WIRE_SIGNED, permit_get.max_wait_us),
+};
+static const struct wire_field permit_fields[] = {
+    LIMIT_FIELDS(permit.limit),
+    FIELD(20, WIRE_UNSIGNED, permit.number),
+    FIELD(21, WIRE_BOOL, permit.granted),
+    FIELD(22, WIRE_SIGNED, permit.wait_us),
+};
+
 /* The names appear in error texts and through message_type_name(). They must
  * not change, even where they differ from the names of the types. */
 static const struct wire_layout layouts[] = {
@@ -329,6 +351,9 @@
     [MESSAGE_GATEWAY_CONFIG_GET] = {"declared_get", NULL, 0, true},
     [MESSAGE_SERVERS_GET] = {"servers_get", NULL, 0, true},
     [MESSAGE_SERVERS] = SPARSE("servers", servers_fields),
+    [MESSAGE_SERVER_LIMIT] = SPARSE("server_limit", server_limit_fields),
+    [MESSAGE_PERMIT_GET] = SPARSE("permit_get", permit_get_fields),
+    [MESSAGE_PERMIT] = SPARSE("permit", permit_fields),
 };
 
 static const struct wire_layout *
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -289,6 +289,9 @@
 	case MESSAGE_GATEWAY_CONFIG_GET:
 	case MESSAGE_SERVERS_GET:
 	case MESSAGE_SERVERS:
+	case MESSAGE_SERVER_LIMIT:
+	case MESSAGE_PERMIT_GET:
+	case MESSAGE_PERMIT:
 		break;
 	}
 }
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -11,8 +11,9 @@
 	SERVERS = 3,
 	LISTED_MS = 1200,   /**< until a gateway has read the list */
 	CALL_EVERY_MS = 15, /**< time between calls: 67 a second */
-	IN_FLIGHT = 8,
-	CALLS_MAX = 1024,
+	IN_FLIGHT = 32,
+	REFUSED_WITHIN_US = 800 * US_PER_MS,
+	CALLS_MAX = 2048,
 	GRACE_US = 1000 * US_PER_MS, /**< until all gateways were told */
 	WINDOW_US = 4 * US_PER_S,    /**< in which requests are counted */
 };
@@ -59,6 +60,18 @@
 	calls[number].ended_us = clock_monotonic_us();
 }
 
+/* Returns the running gateways in turn. */
+static int
+next_gateway(void)
+{
+	static int next;
+
+	do
+		next = (next + 1) % GATEWAYS;
+	while (cluster.gateways[next].process.pid == 0);
+	return next;
+}
+
 /* Sends calls to all gateways in turn, at a constant rate. */
 static void
 play_load(int ms)
@@ -83,7 +96,7 @@
 		ck_assert_int_lt(call_count, CALLS_MAX);
 		calls[call_count].started_us = clock_monotonic_us();
 		callers[call_count % IN_FLIGHT] = call_start(
-		    &cluster, call_count % GATEWAYS, "/safe/x", NULL, request);
+		    &cluster, next_gateway(), "/safe/x", NULL, request);
 		call_count++;
 	}
 	for (; done < call_count; done++)
@@ -143,11 +156,113 @@
 }
 END_TEST
 
+/* Returns how many calls a server answered from since_us on. */
+static int
+count_served(int server, int64_t since_us)
+{
+	int count = 0;
+
+	for (int i = 0; i < call_count; i++)
+		count += calls[i].answer.server == server &&
+		    calls[i].started_us >= since_us;
+	return count;
+}
+
+START_TEST(server_is_used_again_after_its_limit_has_ended)
+{
+	int64_t since_us;
+
+	cluster_state_limit(&cluster, 0, "5.0");
+	play_load(4000);
+	cluster_state_limit(&cluster, 0, "");
+	play_load(2000);
+	since_us = clock_monotonic_us();
+	play_load(2000);
+	/* A third of the calls, of which it got a tenth before. */
+	ck_assert_int_ge(count_served(0, since_us), 2000 / CALL_EVERY_MS / 5);
+}
+END_TEST
+
+START_TEST(calls_beyond_all_limits_are_refused_at_once)
+{
+	int64_t since_us = clock_monotonic_us();
+	int served;
+
+	for (int i = 0; i < SERVERS; i++)
+		cluster_state_limit(&cluster, i, "6");
+	play_load(8000);
+	for (int i = 0; i < SERVERS; i++)
+		check_limit(i, 6, since_us);
+	served = count_status(200);
+	ck_assert_int_eq(served + count_status(503), call_count);
+	/* Two thirds of what the limits allow: at first, half is permitted. */
+	ck_assert_int_ge(served, SERVERS * 6 * 8 * 2 / 3);
+	for (int i = 0; i < call_count; i++) {
+		const struct answer *answer = &calls[i].answer;
+
+		ck_assert_int_le(
+		    calls[i].ended_us - calls[i].started_us, REFUSED_WITHIN_US);
+		if (answer->status == 503)
+			ck_assert_double_gt(answer->retry_after, 0);
+	}
+}
+END_TEST
+
+START_TEST(limits_hold_while_gateways_die_and_return)
+{
+	int64_t since_us = clock_monotonic_us();
+
+	for (int i = 0; i < SERVERS; i++)
+		cluster_state_limit(&cluster, i, "6");
+	play_load(3000);
+	for (int i = 0; i < GATEWAYS; i++) {
+		cluster_signal(&cluster.gateways[i].process, SIGKILL);
+		play_load(2000);
+		ck_assert(cluster_restart_gateway(&cluster, i));
+		ck_assert(cluster_wait_ready(&cluster, i));
+		play_load(1000);
+	}
+	for (int i = 0; i < SERVERS; i++)
+		check_limit(i, 6, since_us);
+}
+END_TEST
+
+START_TEST(server_with_a_limit_of_nothing_gets_next_to_nothing)
+{
+	int64_t since_us = clock_monotonic_us();
+
+	cluster_state_limit(&cluster, 0, "0");
+	play_load(6000);
+	check_limit(0, 0, since_us);
+	ck_assert_int_eq(count_status(200), call_count);
+}
+END_TEST
+
+START_TEST(malformed_limits_are_ignored)
+{
+	static const char *const values[] = {"-1", "x", "1e3", "nan"};
+
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		int64_t since_us = clock_monotonic_us();
+
+		cluster_state_limit(&cluster, 0, values[i]);
+		play_load(1000);
+		ck_assert_int_ge(
+		    count_served(0, since_us), 1000 / CALL_EVERY_MS / 5);
+	}
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
 	const TTest *tests[] = {
 	    server_gets_no_more_than_its_limit_from_all_gateways,
+	    server_is_used_again_after_its_limit_has_ended,
+	    calls_beyond_all_limits_are_refused_at_once,
+	    limits_hold_while_gateways_die_and_return,
+	    server_with_a_limit_of_nothing_gets_next_to_nothing,
+	    malformed_limits_are_ignored,
 	};
 
 	build_dir = argc > 1 ? argv[1] : "build";
