--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -315,6 +315,7 @@
 
 	attempt->call = NULL;
 	request->body_end = outcome->body_end;
+	request->kept_connection = outcome->reused;
 	request->unfinished_event_bytes = request->events.pending.len;
 	if (outcome->result == H1_CONNECT_FAILED) {
 		backend_connection_failed(attempt->backend, now_us);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -101,6 +101,8 @@
 	trace_text(&trace, "server", request->last_backend);
 	trace_number(&trace, "sent", (int64_t)request->tried_count);
 	trace_number(&trace, "may_have_run", request->possible_executions);
+	if (request->unreachable_count > 0)
+		trace_number(&trace, "unreachable", request->unreachable_count);
 	if (request->permit_wait.asked > 0)
 		trace_number(
 		    &trace, "permits_asked", request->permit_wait.asked);
@@ -283,6 +285,8 @@
 	    clock_monotonic_us() >= request->attempt->response_deadline_us) {
 		backend_connection_failed(
 		    request->attempt->backend, clock_monotonic_us());
+		request->kept_connection =
+		    h1_call_reuses_connection(request->attempt->call);
 		forward_cancel(request);
 		request_attempt_ended(request, ATTEMPT_TIMED_OUT, "no answer");
 		return;
@@ -455,6 +459,8 @@
 	trace_text(&trace, "server", request->last_backend);
 	trace_text(&trace, "result", attempt_result_name(result));
 	trace_text(&trace, "why", why);
+	trace_text(
+	    &trace, "connection", request->kept_connection ? "kept" : "new");
 	trace_body_end(&trace, request);
 	trace_ms(
 	    &trace, "left_ms", request->deadline_us - clock_monotonic_us());
@@ -480,6 +486,7 @@
 			request_complete(request);
 		return;
 	case ATTEMPT_UNREACHABLE:
+		request->unreachable_count++;
 		if (may_try_another)
 			request_dispatch(request);
 		else if (request->possible_executions > 0)
--- a/h1/client.c
+++ b/h1/client.c
@@ -611,6 +611,12 @@
 	return call->sent;
 }
 
+bool
+h1_call_reuses_connection(const struct h1_call *call)
+{
+	return call->connection != NULL && call->connection->served;
+}
+
 /* Closes the connections whose idle time has passed by now_us; INT64_MAX
  * closes all. */
 static void
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -74,10 +74,13 @@
 	size_t tried_count;
 	uint32_t possible_executions; /**< attempts in which a server may have
 					 run it */
-	uint32_t declined_count; /**< attempts that a server declined without
-				    running it */
-	bool response_started;   /**< the response head has been sent to the
-				    caller */
+	uint32_t declined_count;    /**< attempts that a server declined without
+				       running it */
+	uint32_t unreachable_count; /**< attempts without a connection */
+	bool kept_connection;  /**< the latest attempt used a connection that
+				  had served an earlier request */
+	bool response_started; /**< the response head has been sent to the
+				  caller */
 	int status; /**< HTTP status sent to the caller; 0: none yet */
 	struct event_stream events;
 	int64_t first_byte_us; /**< when the first byte of the response body was
--- a/include/h1/client.h
+++ b/include/h1/client.h
@@ -103,6 +103,8 @@
 const char *h1_body_end_name(enum h1_body_end body_end);
 /** Returns whether a byte of the request may have reached the server. */
 bool h1_call_sent(const struct h1_call *call);
+/** Returns whether the call uses a connection that served an earlier one. */
+bool h1_call_reuses_connection(const struct h1_call *call);
 /** Closes all idle connections to an address. */
 void h1_client_close_idle(struct h1_client *client, const char *address);
 /** Returns the number of connections opened so far. */
