--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -184,8 +184,10 @@
 void
 cluster_stop(struct cluster *cluster)
 {
-	for (int i = 0; i < cluster->gateway_count; i++)
+	for (int i = 0; i < cluster->gateway_count; i++) {
 		cluster_signal(&cluster->gateways[i].process, SIGKILL);
+		cluster_signal(&cluster->gateways[i].paths, SIGKILL);
+	}
 	for (int i = 0; i < cluster->server_count; i++)
 		cluster_signal(&cluster->servers[i], SIGKILL);
 	cluster_signal(&cluster->store, SIGKILL);
@@ -374,6 +376,43 @@
 	return cluster_restart_gateway(cluster, number) ? number : -1;
 }
 
+int
+cluster_add_gateway_with_paths(struct cluster *cluster)
+{
+	int number = cluster->gateway_count;
+	struct cluster_gateway *gateway = &cluster->gateways[number];
+	char program[PATH_BYTES];
+	char log[LOG_BYTES];
+	char arguments[CLUSTER_ARGUMENTS_BYTES];
+	char *argv[ARGUMENTS_MAX] = {program};
+
+	if (number == CLUSTER_MAX_GATEWAYS)
+		return -1;
+	gateway->store_port = reserve_port(cluster);
+	snprintf(program, sizeof(program), "%s/standins/standin-paths",
+	    cluster->build_directory);
+	snprintf(log, sizeof(log), "paths-%d.log", number);
+	snprintf(arguments, sizeof(arguments),
+	    "--number %d --store-port %d --port %d", number + 1,
+	    cluster->store.port, gateway->store_port);
+	append_arguments(arguments, argv, 1);
+	gateway->paths.pid = spawn(cluster, log, argv);
+	gateway->paths.port = wait_listening(cluster, log);
+	return gateway->paths.port != 0 ? cluster_add_gateway(cluster) : -1;
+}
+
+void
+cluster_set_paths(const struct cluster *cluster, int number, const char *mode)
+{
+	struct http_reply reply;
+	char target[PATH_BYTES];
+
+	snprintf(target, sizeof(target), "/stand-in/mode/%s", mode);
+	http_call_once(cluster->gateways[number].paths.port, "GET", target,
+	    "Host: x\r\n", "", 0, CALL_TIMEOUT_MS, &reply);
+	http_reply_reset(&reply);
+}
+
 bool
 cluster_wait_ready(struct cluster *cluster, int number)
 {
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -14,7 +14,7 @@
 	CLUSTER_MAX_GATEWAYS = 128,
 	CLUSTER_MAX_SERVERS = 64,
 	CLUSTER_ARGUMENTS_BYTES = 256,
-	CLUSTER_GATEWAY_PORTS = 5,
+	CLUSTER_GATEWAY_PORTS = 7,
 };
 
 /** A child process. */
@@ -31,6 +31,7 @@
 	int peers_port;
 	int metrics_port;
 	int store_port; /**< port of a proxy to the store; 0: no proxy */
+	struct cluster_process paths; /**< standin-paths, if it was started */
 };
 
 /** A store, backend servers and gateways on this host. */
@@ -67,6 +68,13 @@
 bool cluster_restart_server(struct cluster *cluster, int number);
 /** Starts a gateway on free ports. Returns its number, or -1 on failure. */
 int cluster_add_gateway(struct cluster *cluster);
+/** Starts a gateway whose paths to the servers can be cut. Returns its number,
+ * or -1 on failure. At most eight of a cluster. */
+int cluster_add_gateway_with_paths(struct cluster *cluster);
+/** Sets the mode of a gateway's paths to all servers: "pass", "refuse", "reset"
+ * or "dark". */
+void
+cluster_set_paths(const struct cluster *cluster, int number, const char *mode);
 /** Starts a gateway, or restarts one that was killed, on its known ports.
  * Returns false on failure. */
 bool cluster_restart_gateway(struct cluster *cluster, int number);
--- a/tests/soak/proxy.c
+++ b/standins/proxy.c
@@ -1,16 +1,21 @@
-#include "proxy.h"
-
+#include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "common/list.h"
 #include "common/memory.h"
+#include "standins/proxy.h"
 
 enum {
 	BACKLOG = 64,
 	DELAY_MS = 250, /* longer than a gateway waits to hedge an append */
 	READ_BYTES = 16384,
 	ENDPOINT_COUNT = 2,
+	/* Connections that fill the queue of a socket that accepts none;
+	 * further ones hang. */
+	FILLER_COUNT = 2,
 };
 
 struct connection;
@@ -35,10 +40,12 @@
 
 struct proxy {
 	uv_loop_t *loop;
-	uv_tcp_t listener;
+	struct proxy_options options; /**< without the address text */
+	struct sockaddr_in address;   /**< that it listens on */
+	uv_tcp_t *listener;           /**< NULL: new connections fail */
+	/** Socket that accepts nothing, and connections to it; -1: none. */
+	int dark_fds[1 + FILLER_COUNT];
 	struct list connections;
-	int target_port;
-	int port;
 	enum proxy_mode mode;
 	bool closing;
 };
@@ -62,6 +69,8 @@
 	    [PROXY_BLACKHOLE] = "black hole",
 	    [PROXY_DROP_REQUESTS] = "drop requests",
 	    [PROXY_DROP_REPLIES] = "drop replies",
+	    [PROXY_REFUSE] = "refuse",
+	    [PROXY_DARK] = "dark",
 	};
 
 	return names[mode];
@@ -173,6 +182,7 @@
 
 	switch (connection->proxy->mode) {
 	case PROXY_BLACKHOLE:
+	case PROXY_DARK:
 		return true;
 	case PROXY_DROP_REQUESTS:
 		return is_request;
@@ -212,8 +222,13 @@
 		uv_read_stop(stream);
 		return;
 	}
-	if (len > 0)
-		forward(to, buf->base, (size_t)len);
+	if (len == 0)
+		return;
+	if (from == &connection->endpoints[1] &&
+	    connection->proxy->options.on_reply != NULL)
+		connection->proxy->options.on_reply(
+		    connection->proxy->options.context, buf->base, (size_t)len);
+	forward(to, buf->base, (size_t)len);
 }
 
 static void
@@ -256,47 +271,98 @@
 		connection_close(connection, true);
 		return;
 	}
-	uv_ip4_addr("127.0.0.1", proxy->target_port, &address);
+	uv_ip4_addr("127.0.0.1", proxy->options.target_port, &address);
 	connection->connect.data = connection;
 	if (uv_tcp_connect(&connection->connect, &connection->endpoints[1].tcp,
 		(struct sockaddr *)&address, handle_connected) != 0)
 		connection_close(connection, true);
 }
 
-struct proxy *
-proxy_create(uv_loop_t *loop, int target_port)
+static void
+handle_listener_closed(uv_handle_t *handle)
 {
-	struct proxy *proxy = xcalloc(1, sizeof(*proxy));
-	struct sockaddr_in address;
-	int len = sizeof(address);
+	free(handle);
+}
 
-	proxy->loop = loop;
-	proxy->target_port = target_port;
-	list_init(&proxy->connections);
-	uv_tcp_init(loop, &proxy->listener);
-	proxy->listener.data = proxy;
-	uv_ip4_addr("127.0.0.1", 0, &address);
-	if (uv_tcp_bind(&proxy->listener, (struct sockaddr *)&address, 0) !=
-		0 ||
-	    uv_listen((uv_stream_t *)&proxy->listener, BACKLOG,
-		handle_connection) != 0 ||
+static void
+stop_listening(struct proxy *proxy)
+{
+	if (proxy->listener == NULL)
+		return;
+	uv_close((uv_handle_t *)proxy->listener, handle_listener_closed);
+	proxy->listener = NULL;
+}
+
+static bool
+start_listening(struct proxy *proxy)
+{
+	int len = sizeof(proxy->address);
+
+	if (proxy->listener != NULL)
+		return true;
+	proxy->listener = xcalloc(1, sizeof(*proxy->listener));
+	uv_tcp_init(proxy->loop, proxy->listener);
+	proxy->listener->data = proxy;
+	if (uv_tcp_bind(
+		proxy->listener, (struct sockaddr *)&proxy->address, 0) == 0 &&
+	    uv_listen((uv_stream_t *)proxy->listener, BACKLOG,
+		handle_connection) == 0 &&
 	    uv_tcp_getsockname(
-		&proxy->listener, (struct sockaddr *)&address, &len) != 0) {
-		proxy_destroy(proxy);
-		return NULL;
+		proxy->listener, (struct sockaddr *)&proxy->address, &len) == 0)
+		return true;
+	stop_listening(proxy);
+	return false;
+}
+
+/* Listens without accepting, with a full queue, so that the kernel drops the
+ * first packet of each new connection. */
+static void
+start_darkness(struct proxy *proxy)
+{
+	const struct sockaddr *address = (struct sockaddr *)&proxy->address;
+	int on = 1;
+
+	for (int i = 0; i < 1 + FILLER_COUNT; i++) {
+		int fd = socket(
+		    AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+		proxy->dark_fds[i] = fd;
+		if (i > 0) {
+			(void)connect(fd, address, sizeof(proxy->address));
+			continue;
+		}
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		if (bind(fd, address, sizeof(proxy->address)) == 0)
+			(void)listen(fd, 0);
 	}
-	proxy->port = ntohs(address.sin_port);
-	return proxy;
 }
 
 static void
-handle_listener_closed(uv_handle_t *handle)
+stop_darkness(struct proxy *proxy)
 {
-	struct proxy *proxy = handle->data;
+	for (int i = 0; i < 1 + FILLER_COUNT; i++) {
+		if (proxy->dark_fds[i] >= 0)
+			close(proxy->dark_fds[i]);
+		proxy->dark_fds[i] = -1;
+	}
+}
 
-	proxy->closing = true;
-	if (list_empty(&proxy->connections))
-		free(proxy);
+struct proxy *
+proxy_create(uv_loop_t *loop, const struct proxy_options *options)
+{
+	struct proxy *proxy = xcalloc(1, sizeof(*proxy));
+
+	proxy->loop = loop;
+	proxy->options = *options;
+	proxy->options.address = NULL;
+	for (int i = 0; i < 1 + FILLER_COUNT; i++)
+		proxy->dark_fds[i] = -1;
+	list_init(&proxy->connections);
+	uv_ip4_addr(options->address, options->port, &proxy->address);
+	if (start_listening(proxy))
+		return proxy;
+	free(proxy);
+	return NULL;
 }
 
 void
@@ -305,25 +371,43 @@
 	list_for_each_safe (
 	    connection, tmp, &proxy->connections, struct connection, list_entry)
 		connection_close(connection, true);
-	uv_close((uv_handle_t *)&proxy->listener, handle_listener_closed);
+	stop_listening(proxy);
+	stop_darkness(proxy);
+	proxy->closing = true;
+	if (list_empty(&proxy->connections))
+		free(proxy);
 }
 
 int
 proxy_port(const struct proxy *proxy)
 {
-	return proxy->port;
+	return ntohs(proxy->address.sin_port);
+}
+
+static bool
+drops_bytes(enum proxy_mode mode)
+{
+	return mode == PROXY_BLACKHOLE || mode == PROXY_DROP_REQUESTS ||
+	    mode == PROXY_DROP_REPLIES || mode == PROXY_DARK;
 }
 
 void
 proxy_set_mode(struct proxy *proxy, enum proxy_mode mode)
 {
+	if (mode == proxy->mode)
+		return;
 	/* Connections that lost bytes cannot continue. */
-	if (mode == PROXY_RESET || proxy->mode == PROXY_BLACKHOLE ||
-	    proxy->mode == PROXY_DROP_REQUESTS ||
-	    proxy->mode == PROXY_DROP_REPLIES) {
+	if (mode == PROXY_RESET || drops_bytes(proxy->mode)) {
 		list_for_each_safe (connection, tmp, &proxy->connections,
 		    struct connection, list_entry)
 			connection_close(connection, true);
 	}
 	proxy->mode = mode;
+	stop_darkness(proxy);
+	if (mode == PROXY_REFUSE || mode == PROXY_DARK)
+		stop_listening(proxy);
+	else
+		(void)start_listening(proxy);
+	if (mode == PROXY_DARK)
+		start_darkness(proxy);
 }
--- a/tests/soak/proxy.h
+++ b/standins/proxy.h
@@ -1,9 +1,11 @@
 /** @file
- * TCP proxy on loopback between a gateway and the store, with injected network
- * faults.
+ * TCP proxy on loopback between a gateway and the store or a backend server,
+ * with injected network faults.
  */
-#ifndef SOAK_PROXY_H
-#define SOAK_PROXY_H
+#ifndef STANDINS_PROXY_H
+#define STANDINS_PROXY_H
+
+#include <stddef.h>
 
 #include <uv.h>
 
@@ -16,11 +18,24 @@
 	PROXY_BLACKHOLE,     /**< both directions are dropped, none is closed */
 	PROXY_DROP_REQUESTS, /**< bytes to the store are dropped */
 	PROXY_DROP_REPLIES,  /**< bytes from the store are dropped */
+	PROXY_REFUSE, /**< new connections are refused, open ones go on */
+	PROXY_DARK,   /**< as PROXY_BLACKHOLE, and new connections hang */
 	PROXY_MODE_COUNT,
 };
 
-/** Creates a proxy on a free port to a local port. Returns NULL on failure. */
-struct proxy *proxy_create(uv_loop_t *loop, int target_port);
+struct proxy_options {
+	const char *address; /**< IP address to listen on */
+	int port;            /**< 0: any free port */
+	int target_port;     /**< on 127.0.0.1 */
+	/** May change bytes of a reply before they are passed on. May be NULL.
+	 */
+	void (*on_reply)(void *context, char *data, size_t len);
+	void *context;
+};
+
+/** Returns NULL when the address can't be bound. */
+struct proxy *
+proxy_create(uv_loop_t *loop, const struct proxy_options *options);
 /** Closes the listener and all connections. The loop must run until their
  * handles are closed, which frees the proxy. */
 void proxy_destroy(struct proxy *proxy);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -112,8 +112,12 @@
 			return false;
 	}
 	for (int i = 0; i < soak->gateway_count; i++) {
-		soak->proxies[i] =
-		    proxy_create(soak->loop, soak->cluster.store.port);
+		const struct proxy_options proxy_options = {
+		    .address = "127.0.0.1",
+		    .target_port = soak->cluster.store.port,
+		};
+
+		soak->proxies[i] = proxy_create(soak->loop, &proxy_options);
 		if (soak->proxies[i] == NULL)
 			return false;
 		soak->cluster.gateways[i].store_port =
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -12,8 +12,8 @@
 
 #include "common/rng.h"
 #include "h1/client.h"
-#include "proxy.h"
 #include "standins/cluster.h"
+#include "standins/proxy.h"
 
 enum {
 	SOAK_GATEWAYS = 4, /**< unless given by an option */
