Gateway: requests go through another gateway while no server is reached

What callers saw: a gateway that had lost its paths to all servers served none of them; 502, 504, or no answer until their deadline.

Cause: a gateway judged each server by itself and never its own paths to all of them. Each request found out anew, 400 ms a server, and had no other way; the directory went on naming the gateway. Class of fault: many failures with one cause were handled one by one.

Change: connections that fail at three servers, with no response on a new one in between, show that the paths are lost; the first failure, or silence of all servers that have requests, makes the next requests open new connections, on which nothing is lost. From then on requests go to another gateway that reaches servers, over HTTP to a port of its own, before anything is done with them here, so that order, budget, history, limits and quarantine are handled once, there. They are not passed on twice. The heartbeat tells the others, and the directory leaves the gateway out. A server that refuses connections while others do too is no longer taken for a crash of which its requests are suspected.

--- a/config/settings_table.c
+++ b/config/settings_table.c
@@ -76,6 +76,8 @@
 	gateway_peers, 0, 0, SETTING_GATEWAY),
     [GATEWAY_METRICS] = SETTING("gateway", "metrics", SETTING_ENDPOINT,
 	gateway_metrics, 0, 0, SETTING_OPTIONAL),
+    [GATEWAY_RELAY] = SETTING("gateway", "relay", SETTING_ENDPOINT,
+	gateway_relay, 0, 0, SETTING_OPTIONAL),
     [GATEWAY_STORE] = SETTING("gateway", "store", SETTING_ENDPOINT,
 	gateway_store, 0, 0, SETTING_GATEWAY),
     [GATEWAY_PARTITIONS] = SETTING("gateway", "partitions", SETTING_NUMBER,
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -5,12 +5,16 @@
 #include "common/clock.h"
 #include "common/memory.h"
 #include "common/trace.h"
+#include "gateway/path_watch.h"
 #include "gateway/quarantine.h"
+#include "gateway/relay.h"
 #include "gateway/request.h"
 
 enum {
 	/* Connecting to another region takes a few milliseconds. */
 	CONNECT_TIMEOUT_US = 400 * US_PER_MS,
+	/* While it is in doubt whether any server can be reached. */
+	DOUBTFUL_CONNECT_TIMEOUT_US = 150 * US_PER_MS,
 	/* Open connections that were idle for longer are not reused. The limit
 	 * is low for requests that must not run twice: they could not be
 	 * repeated if the server was just closing an idle connection. */
@@ -72,8 +76,9 @@
 static void
 begin_response(struct request *request, int64_t length)
 {
-	const struct forward *attempt = request->attempt;
+	struct forward *attempt = request->attempt;
 
+	relay_add_server(request, &attempt->headers);
 	request->response_started = true;
 	request->status = attempt->response.status;
 	request->state = REQUEST_RESPONDING;
@@ -106,6 +111,8 @@
 	struct request *request = context;
 	struct forward *attempt = request->attempt;
 
+	reach_handle_bytes(
+	    &request->gateway->blackboard.reach, clock_monotonic_us());
 	if (attempt->response.not_executed)
 		return;
 	if (is_stream(request)) {
@@ -170,6 +177,33 @@
 	trace_end(&trace);
 }
 
+static void
+learn_limit(const struct request *request)
+{
+	const struct forward *attempt = request->attempt;
+	const struct server_start start = {
+	    .server = attempt->backend->hash,
+	    .started_wall_ms = attempt->server_started_wall_ms,
+	};
+
+	if (response_is_from_server(&attempt->response))
+		server_limits_handle_stated(request->gateway->server_limits,
+		    &start, &attempt->response.limit, attempt->started_us,
+		    request->attributes.request_id);
+}
+
+/* Only a response on a new connection shows that servers can be reached: kept
+ * ones may live on while new ones are cut off. */
+static void
+note_server_reached(const struct request *request)
+{
+	struct gateway *gateway = request->gateway;
+
+	reach_handle_bytes(&gateway->blackboard.reach, clock_monotonic_us());
+	if (!h1_call_reuses_connection(request->attempt->call))
+		path_watch_handle_reached(gateway->path_watch);
+}
+
 static enum h1_head_action
 handle_head(void *context, const struct h1_head *head)
 {
@@ -177,6 +211,7 @@
 	struct forward *attempt = request->attempt;
 	bool has_request_id = platform_response_has_request_id(head);
 
+	note_server_reached(request);
 	platform_response_decode(
 	    head, request->attributes.request_id, &attempt->response);
 	/* Skips a late response to an earlier request on this connection. */
@@ -185,9 +220,7 @@
 	attempt->head_received = true;
 	request->stated_limit = attempt->response.limit;
 	mark_server_if_leaving(request);
-	if (response_is_from_server(&attempt->response))
-		server_limits_handle_response(
-		    request->gateway->server_limits, request);
+	learn_limit(request);
 	attempt->content_length = content_length(&head->headers);
 	if (!response_is_acceptable(request)) {
 		h1_call_discard_connection(attempt->call);
@@ -309,6 +342,7 @@
 handle_done(void *context, const struct h1_outcome *outcome)
 {
 	struct request *request = context;
+	struct gateway *gateway = request->gateway;
 	struct forward *attempt = request->attempt;
 	int64_t now_us = clock_monotonic_us();
 	const char *reason;
@@ -319,10 +353,14 @@
 	request->unfinished_event_bytes = request->events.pending.len;
 	if (outcome->result == H1_CONNECT_FAILED) {
 		backend_connection_failed(attempt->backend, now_us);
-		if (outcome->refused)
+		path_watch_handle_failure(
+		    gateway->path_watch, attempt->backend);
+		/* While several servers fail at once, the paths to them may be
+		 * lost rather than a server have crashed. */
+		if (outcome->refused &&
+		    gateway->blackboard.reach.failed_count < 2)
 			quarantine_handle_server_end(
-			    request->gateway->quarantine,
-			    request->last_backend);
+			    gateway->quarantine, request->last_backend);
 		forward_free(request);
 		request_attempt_ended(request, ATTEMPT_UNREACHABLE,
 		    outcome->refused ? "connection refused"
@@ -345,7 +383,9 @@
 	}
 	if (response_broke_off(request, outcome)) {
 		backend_connection_failed(attempt->backend, now_us);
-		quarantine_add_broken_connection(request->gateway->quarantine,
+		path_watch_handle_failure(
+		    gateway->path_watch, attempt->backend);
+		quarantine_add_broken_connection(gateway->quarantine,
 		    request->fingerprint, attempt->backend);
 	}
 	reason = attempt_broken_reason(request, outcome);
@@ -353,12 +393,21 @@
 	request_attempt_ended(request, ATTEMPT_BROKEN, reason);
 }
 
+static int64_t
+max_reuse_us(const struct request *request)
+{
+	return request->route->kind == ROUTE_SAFE ? MAX_IDLE_SAFE_US
+						  : MAX_IDLE_ONCE_US;
+}
+
 void
 forward_start(struct request *request, struct backend *backend,
     const struct backend_request *criteria)
 {
 	struct backends *backends = &request->gateway->blackboard.backends;
 	const struct h1_head *head = h1_exchange_head(request->exchange);
+	bool is_doubtful =
+	    reach_needs_new_connection(&request->gateway->blackboard.reach);
 	struct forward *attempt = xcalloc(1, sizeof(*attempt));
 	int64_t now_us = clock_monotonic_us();
 	const struct forward_fields fields = {
@@ -374,10 +423,9 @@
 	    .headers = &headers,
 	    .body = request->body.data,
 	    .body_len = request->body.len,
-	    .connect_timeout_us = CONNECT_TIMEOUT_US,
-	    .max_reuse_us = request->route->kind == ROUTE_SAFE
-		? MAX_IDLE_SAFE_US
-		: MAX_IDLE_ONCE_US,
+	    .connect_timeout_us =
+		is_doubtful ? DOUBTFUL_CONNECT_TIMEOUT_US : CONNECT_TIMEOUT_US,
+	    .max_reuse_us = is_doubtful ? 0 : max_reuse_us(request),
 	    .on_head = handle_head,
 	    .on_data = handle_data,
 	    .on_done = handle_done,
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -11,9 +11,11 @@
 #include "common/trace.h"
 #include "gateway/gateway.h"
 #include "gateway/ownership.h"
+#include "gateway/path_watch.h"
 #include "gateway/peer_gateways.h"
 #include "gateway/quarantine.h"
 #include "gateway/recorder.h"
+#include "gateway/relay.h"
 #include "gateway/request.h"
 #include "gateway/server_limits.h"
 #include "gateway/settings_reload.h"
@@ -94,6 +96,7 @@
 	struct gateway *gateway = timer->data;
 
 	stop_tick(gateway);
+	path_watch_tick(gateway->path_watch);
 	settings_reload_tick(gateway);
 	trace_flush();
 }
@@ -145,6 +148,11 @@
 	    gateway->settings.gateway_store, &gateway->counters);
 	if (!create_caller_server(gateway, err))
 		return false;
+	if (gateway->settings.gateway_relay[0] != '\0') {
+		gateway->relay_server = relay_server_create(gateway, err);
+		if (gateway->relay_server == NULL)
+			return false;
+	}
 	gateway->directory = directory_create(gateway, err);
 	if (gateway->directory == NULL)
 		return false;
@@ -153,6 +161,7 @@
 		return false;
 	gateway->quarantine = quarantine_create(gateway);
 	gateway->server_limits = server_limits_create(gateway);
+	gateway->path_watch = path_watch_create(gateway);
 	gateway->recorder = recorder_create(gateway);
 	gateway->turns = turns_create(gateway);
 	gateway->ownership = ownership_create(gateway);
@@ -175,9 +184,11 @@
 	recorder_destroy(gateway->recorder);
 	quarantine_destroy(gateway->quarantine);
 	server_limits_destroy(gateway->server_limits);
+	path_watch_destroy(gateway->path_watch);
 	peer_gateways_destroy(gateway->peer_gateways);
 	store_destroy(gateway->store);
 	h1_server_destroy(gateway->caller_server);
+	h1_server_destroy(gateway->relay_server);
 	h1_client_destroy(gateway->http_client);
 	uv_close((uv_handle_t *)&gateway->tick_timer, NULL);
 	for (int i = 0; i < 3; i++)
--- a/gateway/peer_gateways.c
+++ b/gateway/peer_gateways.c
@@ -388,57 +388,6 @@
 	return best;
 }
 
-/** How far a gateway is from a caller. */
-enum distance {
-	SAME_DOMAIN,
-	SAME_REGION,
-	ANYWHERE,
-	DISTANCE_COUNT,
-};
-
-static enum distance
-distance_of(const char *domain, const char *region, const char *from_domain,
-    const char *from_region)
-{
-	if (strcmp(domain, from_domain) == 0)
-		return SAME_DOMAIN;
-	return strcmp(region, from_region) == 0 ? SAME_REGION : ANYWHERE;
-}
-
-size_t
-peer_gateways_caller_addresses(struct peer_gateways *peer_gateways,
-    const char *failure_domain, const char *region, const char **addresses,
-    size_t max)
-{
-	const struct gateway *gateway = peer_gateways->gateway;
-	const struct settings *settings = &gateway->settings;
-	int64_t now_us = clock_monotonic_us();
-	size_t count = 0;
-
-	for (int max_distance = SAME_DOMAIN;
-	     max_distance < DISTANCE_COUNT && count == 0; max_distance++) {
-		if (!gateway->blackboard.stopping &&
-		    (int)distance_of(settings->failure_domain, settings->region,
-			failure_domain, region) <= max_distance)
-			addresses[count++] = settings->gateway_callers;
-		for (size_t i = 0;
-		     i < peer_gateways->members.count && count < max; i++) {
-			const struct member *member =
-			    &peer_gateways->members.items[i];
-
-			if (member_state(member, now_us) == MEMBER_LIVE &&
-			    peer_gateways->gateways[i].caller_address[0] !=
-				'\0' &&
-			    (int)distance_of(member->failure_domain,
-				member->region, failure_domain,
-				region) <= max_distance)
-				addresses[count++] =
-				    peer_gateways->gateways[i].caller_address;
-		}
-	}
-	return count;
-}
-
 struct peer_gateways *
 peer_gateways_create(struct gateway *gateway, struct error *err)
 {
--- a/gateway/peer_heartbeat.c
+++ b/gateway/peer_heartbeat.c
@@ -52,6 +52,13 @@
 	    recorder_store_is_unreachable(gateway->recorder);
 	if (gateway->blackboard.config != NULL)
 		self->config_version = gateway->blackboard.config->version;
+	if (settings->gateway_relay[0] != '\0') {
+		settings_split_endpoint(
+		    settings->gateway_relay, address, &port);
+		message->gateway_heartbeat.relay_port = (uint32_t)port;
+	}
+	message->gateway_heartbeat.servers_unreachable =
+	    gateway->blackboard.reach.lost;
 	message->gateway_heartbeat.ownership_generation =
 	    ownership_generation(gateway->ownership);
 	message->gateway_heartbeat.owned_partitions =
@@ -330,6 +337,8 @@
 	member->draining = heartbeat->self.draining;
 	member->config_version = heartbeat->self.config_version;
 	peer_gateway->store_unreachable = heartbeat->self.log_unreachable;
+	peer_gateway->servers_unreachable = heartbeat->servers_unreachable;
+	peer_gateway->relay_port = heartbeat->relay_port;
 	if (heartbeat->load_count > 0 ||
 	    peer_gateway_in_own_domain(peer_gateways, member)) {
 		free(peer_gateway->loads);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -9,6 +9,7 @@
 #include "dispatch/retry.h"
 #include "gateway/peer_gateways.h"
 #include "gateway/quarantine.h"
+#include "gateway/relay.h"
 #include "gateway/request.h"
 #include "gateway/turn.h"
 
@@ -17,6 +18,9 @@
 	RETRY_AFTER_NO_SERVER_US = 500 * US_PER_MS,
 	RETRY_AFTER_DECLINED_US = 200 * US_PER_MS,
 	RETRY_AFTER_CRASHES_US = 60 * US_PER_S,
+	/* The other gateways know within a heartbeat that this one reaches no
+	 * server. */
+	RETRY_AFTER_UNREACHABLE_US = 150 * US_PER_MS,
 	DECLINED_MAX = 4, /* declines after which a request is refused */
 	RETRY_AFTER_TEXT_BYTES = 24,
 };
@@ -35,6 +39,7 @@
 	if (request->attempt != NULL)
 		forward_cancel(request);
 	server_limits_cancel(request);
+	relay_cancel(request);
 	uv_close((uv_handle_t *)request->timer, handle_timer_closed);
 	list_remove(&request->link);
 	gateway_config_unref(request->config);
@@ -99,6 +104,10 @@
 	trace_text(&trace, "why", why);
 	trace_text(&trace, "waits_for", turn_wait_reason(request));
 	trace_text(&trace, "server", request->last_backend);
+	if (request->relay.count > 0)
+		trace_text(&trace, "relayed_to", request->relay.vm);
+	if (request->relayed)
+		trace_text(&trace, "relayed_by", request->relayed_by);
 	trace_number(&trace, "sent", (int64_t)request->tried_count);
 	trace_number(&trace, "may_have_run", request->possible_executions);
 	if (request->unreachable_count > 0)
@@ -139,6 +148,9 @@
 		    text, sizeof(text), "%.3f", (double)retry_us / US_PER_S);
 		h1_headers_add(&headers, "Retry-After", text);
 	}
+	if (request->relayed && run == EXECUTION_NOT_STARTED &&
+	    request->gateway->blackboard.reach.lost)
+		h1_headers_add(&headers, RELAY_FIELD_UNREACHABLE, "1");
 	buf_printf(&body,
 	    "{\"error\":{\"reason\":\"%s\",\"detail\":\"%s\",\"run\":\"%s\"}}",
 	    refusal_name(reason), why != NULL ? why : "",
@@ -180,7 +192,8 @@
 request_abort(struct request *request, enum refusal reason)
 {
 	const struct forward *attempt = request->attempt;
-	bool sent = attempt != NULL && h1_call_sent(attempt->call);
+	bool sent = (attempt != NULL && h1_call_sent(attempt->call)) ||
+	    relay_is_sent(request);
 
 	if (request->possible_executions > 0 || request->response_started ||
 	    sent)
@@ -375,7 +388,11 @@
 static void
 refuse_without_server(struct request *request)
 {
-	if (request->possible_executions > 0)
+	if (request->possible_executions == 0 &&
+	    request->gateway->blackboard.reach.lost)
+		request_refuse(request, REFUSAL_NO_SERVER,
+		    RETRY_AFTER_UNREACHABLE_US, "this VM reaches no server");
+	else if (request->possible_executions > 0)
 		request_fail(request, REFUSAL_SERVER_FAILED, "no other server");
 	else if (request->declined_count > 0)
 		request_refuse(
@@ -409,6 +426,13 @@
 	struct backend *backend = server_limits_choose_check(request);
 
 	request->turn_wake_us = 0;
+	if (relay_start(request))
+		return;
+	if (request->gateway->blackboard.reach.lost &&
+	    request->unreachable_count > 0) {
+		refuse_without_server(request);
+		return;
+	}
 	if (backend == NULL)
 		backend = choose_backend(request);
 	while (backend != NULL) {
@@ -516,6 +540,18 @@
 	}
 }
 
+void
+request_handle_lost_response(struct request *request)
+{
+	request->state = REQUEST_WAITING;
+	request->possible_executions++;
+	if (!request->response_started && may_run_again(request))
+		request_dispatch(request);
+	else
+		request_fail(request, REFUSAL_SERVER_FAILED,
+		    "response of another gateway lost");
+}
+
 static struct request *
 request_create(struct gateway *gateway, struct h1_exchange *exchange)
 {
@@ -591,10 +627,10 @@
 }
 
 static uint64_t
-fingerprint_of(const struct request *request, const struct h1_head *head)
+fingerprint_of(const struct request *request, const char *caller)
 {
-	uint64_t hash =
-	    hash_text(h1_exchange_remote_address(request->exchange), 0);
+	const struct h1_head *head = h1_exchange_head(request->exchange);
+	uint64_t hash = hash_text(caller, 0);
 
 	hash = hash_text(head->method, hash);
 	hash = hash_text((const char *)head->target.data, hash);
@@ -609,23 +645,33 @@
 }
 
 void
-request_handle(void *context, struct h1_exchange *exchange)
+request_handle_here(struct request *request)
 {
-	struct gateway *gateway = context;
-	struct request *request = request_create(gateway, exchange);
-	const struct h1_head *head = h1_exchange_head(exchange);
+	if (is_turn(request))
+		turn_begin(request);
+	else
+		request_dispatch(request);
+}
+
+/* Finds the route of a request and prepares it to be handled. Returns false if
+ * it was refused. */
+static bool
+request_prepare(struct request *request, const char *caller)
+{
+	struct gateway *gateway = request->gateway;
+	const struct h1_head *head = h1_exchange_head(request->exchange);
 	struct error err = {0};
 
 	if (!platform_request_decode(
 		&head->headers, &request->attributes, &err)) {
 		request_respond_error(request, REFUSAL_MALFORMED,
 		    EXECUTION_NOT_STARTED, 0, err.text);
-		return;
+		return false;
 	}
 	if (request->config == NULL) {
 		request_refuse(
 		    request, REFUSAL_NO_CONFIG, RETRY_AFTER_NO_CONFIG_US, NULL);
-		return;
+		return false;
 	}
 	if (!request_find_route(request, head)) {
 		if (config_may_be_stale(gateway))
@@ -633,19 +679,41 @@
 			    RETRY_AFTER_NO_CONFIG_US, NULL);
 		else
 			request_refuse(request, REFUSAL_UNKNOWN_ROUTE, 0, NULL);
-		return;
+		return false;
 	}
 	request_set_deadline(request);
 	request->events.collect_data = request->route->retained;
-	request->body = h1_exchange_take_body(exchange);
-	request->fingerprint = fingerprint_of(request, head);
-	if (quarantine_contains(gateway->quarantine, request->fingerprint)) {
-		request_refuse(request, REFUSAL_CRASHES_SERVERS,
-		    RETRY_AFTER_CRASHES_US, "it has crashed several servers");
+	request->body = h1_exchange_take_body(request->exchange);
+	request->fingerprint = fingerprint_of(request, caller);
+	if (!quarantine_contains(gateway->quarantine, request->fingerprint))
+		return true;
+	request_refuse(request, REFUSAL_CRASHES_SERVERS, RETRY_AFTER_CRASHES_US,
+	    "it has crashed several servers");
+	return false;
+}
+
+void
+request_handle_from(struct gateway *gateway, struct h1_exchange *exchange,
+    const struct request_origin *origin)
+{
+	struct request *request = request_create(gateway, exchange);
+
+	request->relayed = origin->relayed;
+	request->possible_executions = origin->possible_executions;
+	if (origin->vm != NULL)
+		snprintf(request->relayed_by, NAME_BYTES, "%.63s", origin->vm);
+	if (!request_prepare(request,
+		origin->caller != NULL ? origin->caller
+				       : h1_exchange_remote_address(exchange)))
 		return;
-	}
-	if (is_turn(request))
-		turn_begin(request);
-	else
-		request_dispatch(request);
+	if (!relay_start(request))
+		request_handle_here(request);
+}
+
+void
+request_handle(void *context, struct h1_exchange *exchange)
+{
+	const struct request_origin origin = {0};
+
+	request_handle_from(context, exchange, &origin);
 }
--- a/gateway/server_limits.c
+++ b/gateway/server_limits.c
@@ -113,30 +113,24 @@
 }
 
 void
-server_limits_handle_response(
-    struct server_limits *server_limits, const struct request *request)
+server_limits_handle_stated(struct server_limits *server_limits,
+    const struct server_start *start, const struct stated_limit *stated,
+    int64_t sent_us, const char *request_id)
 {
-	const struct forward *attempt = request->attempt;
-	const struct stated_limit *stated = &attempt->response.limit;
-	const struct server_start start = {
-	    .server = attempt->backend->hash,
-	    .started_wall_ms = attempt->server_started_wall_ms,
-	};
 	int64_t now_us = clock_monotonic_us();
 	const struct limit_statement statement = {
 	    .limited = stated->kind == LIMIT_STATED,
 	    .per_s = stated->per_s,
-	    .stated_us =
-		stated->kind == LIMIT_STATED ? now_us : attempt->started_us,
+	    .stated_us = stated->kind == LIMIT_STATED ? now_us : sent_us,
 	};
 	struct message message = {.type = MESSAGE_SERVER_LIMIT};
 
 	if (stated->kind == LIMIT_MALFORMED ||
-	    !limits_apply(limits_of(server_limits), &start, &statement))
+	    !limits_apply(limits_of(server_limits), start, &statement))
 		return;
-	trace_limit(attempt->backend->entry.id, &statement,
-	    request->attributes.request_id);
-	message.server_limit = encode_statement(&start, &statement, now_us);
+	trace_limit(
+	    server_id(server_limits, start->server), &statement, request_id);
+	message.server_limit = encode_statement(start, &statement, now_us);
 	peer_gateways_broadcast(
 	    server_limits->gateway->peer_gateways, &message);
 }
--- a/gateway/stop.c
+++ b/gateway/stop.c
@@ -37,6 +37,8 @@
 	    (int64_t)h1_server_connections(gateway->caller_server));
 	trace_end(&trace);
 	h1_server_drain(gateway->caller_server, CONNECTION_IDLE_US);
+	if (gateway->relay_server != NULL)
+		h1_server_drain(gateway->relay_server, CONNECTION_IDLE_US);
 	ownership_leave(gateway->ownership);
 	peer_gateways_announce_state(gateway->peer_gateways);
 }
--- a/h1/client.c
+++ b/h1/client.c
@@ -461,19 +461,6 @@
 		uv_timer_stop(timer);
 }
 
-static bool
-parse_address(const char *text, struct sockaddr_in *address)
-{
-	char host[H1_ADDRESS_BYTES];
-	const char *colon = strrchr(text, ':');
-
-	if (colon == NULL || (size_t)(colon - text) >= sizeof(host))
-		return false;
-	snprintf(host, sizeof(host), "%.*s", (int)(colon - text), text);
-	return uv_ip4_addr(host, (int)strtol(colon + 1, NULL, 10), address) ==
-	    0;
-}
-
 static bool
 connection_open(struct h1_call *call, const char *address)
 {
@@ -481,7 +468,7 @@
 	struct h1_connection *connection;
 	struct sockaddr_in target;
 
-	if (!parse_address(address, &target))
+	if (!h1_socket_parse_address(address, &target))
 		return false;
 	connection = xcalloc(1, sizeof(*connection));
 	connection->client = client;
--- a/h1/socket.c
+++ b/h1/socket.c
@@ -2,6 +2,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,6 +15,7 @@
 	KEEPALIVE_IDLE_S = 5,     /* before the first probe */
 	KEEPALIVE_INTERVAL_S = 2, /* between probes */
 	KEEPALIVE_PROBES = 3,
+	ADDRESS_BYTES = 32, /* "IP:port" */
 };
 
 /** A queued write and its data. */
@@ -91,3 +93,16 @@
 	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 &&
 	    error == 0;
 }
+
+bool
+h1_socket_parse_address(const char *text, struct sockaddr_in *address)
+{
+	char host[ADDRESS_BYTES];
+	const char *colon = strrchr(text, ':');
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	snprintf(host, sizeof(host), "%.*s", (int)(colon - text), text);
+	return uv_ip4_addr(host, (int)strtol(colon + 1, NULL, 10), address) ==
+	    0;
+}
--- a/h1/socket.h
+++ b/h1/socket.h
@@ -18,6 +18,8 @@
  * the end. */
 bool h1_socket_write(uv_tcp_t *tcp, const void *data, size_t len);
 
+/** Parses "IP:port". */
+bool h1_socket_parse_address(const char *text, struct sockaddr_in *address);
 /** Returns whether the peer closed an ended connection in order rather than by
  * a reset. The loop reports a reset as UV_EOF too when data arrived with it. */
 bool h1_socket_closed_in_order(uv_tcp_t *tcp);
--- a/include/common/counter.h
+++ b/include/common/counter.h
@@ -30,6 +30,9 @@
 	X(claims_total, "Ownership claims appended") \
 	X(takeovers_total, "Shards taken over from another VM") \
 	X(servers_leaving_total, "Servers that said in a response they leave") \
+	X(path_losses_total, "Losses of the paths to all backend servers") \
+	X(relayed_total, "Requests passed to other gateways") \
+	X(relay_failures_total, "Requests that other gateways did not answer") \
 	X(permits_granted_total, "Permits given for servers with a limit") \
 	X(permits_denied_total, "Permits denied for servers with a limit") \
 	X(permits_unanswered_total, "Requests for permits without a reply") \
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "common/rng.h"
 #include "config/settings.h"
 #include "dispatch/backends.h"
+#include "dispatch/reach.h"
 #include "gateway/config.h"
 #include "h1/client.h"
 #include "h1/server.h"
@@ -28,6 +29,7 @@
 struct ownership;
 struct quarantine;
 struct recorder;
+struct path_watch;
 struct server_limits;
 struct server_watch;
 struct turns;
@@ -39,6 +41,10 @@
 	/** Last time at which config was known to be the newest version. */
 	int64_t config_confirmed_at_us;
 	struct backends backends;
+	struct reach reach; /**< of this VM to the servers */
+	/** Newest configuration of gateways that took requests of this one's
+	 * callers. */
+	uint64_t relayed_config_version;
 	bool backends_loaded; /**< the list of servers was read once */
 	bool stopping;
 	bool stopped;
@@ -57,6 +63,7 @@
 	struct gateway_blackboard blackboard;
 	struct h1_client *http_client; /**< to backend servers and the store */
 	struct h1_server *caller_server;
+	struct h1_server *relay_server; /**< NULL: not configured */
 	struct store *store;
 	struct list requests; /**< of struct request */
 	struct config_watch *config_watch;
@@ -66,6 +73,7 @@
 	struct peer_gateways *peer_gateways;
 	struct ownership *ownership;
 	struct recorder *recorder;
+	struct path_watch *path_watch;
 	struct turns *turns;
 	struct quarantine *quarantine;
 	uv_timer_t tick_timer;
--- a/include/gateway/peer_gateways.h
+++ b/include/gateway/peer_gateways.h
@@ -17,6 +17,13 @@
 	PEER_GATEWAY_NAME_BYTES = 2 * NAME_BYTES,
 };
 
+/** A gateway that takes a request of this one's caller. */
+struct relay_target {
+	char vm[NAME_BYTES];
+	char address[H1_ADDRESS_BYTES];
+	uint64_t config_version; /**< that it reported last */
+};
+
 /** Listens on the peer address of the settings. Returns NULL with ERROR_IO when
  * the address can't be bound. */
 struct peer_gateways *
@@ -70,9 +77,16 @@
  * include this one. */
 void peer_gateways_count(
     const struct peer_gateways *peer_gateways, size_t *known, size_t *live);
-/** Fills addresses with those that callers in a failure domain should use: the
- * live gateways of that domain, else of the region, else all. Returns their
- * number. */
+/** Chooses a gateway that reaches servers, as near as enough of them do, and
+ * whose configuration is not older than a version. excluded_vm is not chosen;
+ * "": none. Returns false if there is none. */
+bool peer_gateways_choose_relay(struct peer_gateways *peer_gateways,
+    uint64_t config_version, const char *excluded_vm,
+    struct relay_target *target);
+/** Fills addresses with those that callers in a failure domain should use: live
+ * gateways that reach servers, of that domain if a third of its gateways do,
+ * else also of the region, else all. If none reaches servers, the live gateways
+ * of the domain, else of the region, else all. Returns their number. */
 size_t peer_gateways_caller_addresses(struct peer_gateways *peer_gateways,
     const char *failure_domain, const char *region, const char **addresses,
     size_t max);
--- a/include/gateway/peer_gateways_internal.h
+++ b/include/gateway/peer_gateways_internal.h
@@ -22,7 +22,9 @@
 	char caller_address[SETTING_BYTES]; /**< "IP:port" */
 	uint64_t incarnation;
 	bool store_unreachable;
-	bool reported_live; /**< the last trace event was gateway_live */
+	bool servers_unreachable;
+	uint32_t relay_port; /**< 0: accepts no requests of other gateways */
+	bool reported_live;  /**< the last trace event was gateway_live */
 	struct message_load *loads; /**< its requests by backend server */
 	size_t load_count;
 };
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -13,6 +13,7 @@
 #include "gateway/attributes.h"
 #include "gateway/event_stream.h"
 #include "gateway/gateway.h"
+#include "gateway/relay.h"
 #include "gateway/server_limits.h"
 #include "h1/client.h"
 #include "platform/request.h"
@@ -23,6 +24,7 @@
 	REQUEST_WAITING,    /**< no server has it: being prepared, or between
 			       attempts */
 	REQUEST_SENT,       /**< sent to a backend server */
+	REQUEST_RELAYED,    /**< sent to another gateway */
 	REQUEST_RESPONDING, /**< the response is being sent to the caller */
 	REQUEST_COMMITTING, /**< all of the response is sent except its end */
 };
@@ -69,6 +71,9 @@
 				deadline */
 	uv_timer_t *timer;
 	struct forward *attempt; /**< attempt in progress, or NULL */
+	struct relay_attempt relay;
+	bool relayed;                /**< another gateway passed it on */
+	char relayed_by[NAME_BYTES]; /**< VM of that gateway */
 	/** Ids of the servers of all attempts. */
 	char tried[BACKEND_TRIED_MAX][NAME_BYTES];
 	size_t tried_count;
@@ -115,9 +120,25 @@
 	ATTEMPT_TIMED_OUT, /**< no response in time; the request may have run */
 };
 
+/** Where a request comes from. Zero-initialized: from a caller. */
+struct request_origin {
+	bool relayed;       /**< from another gateway */
+	const char *vm;     /**< of that gateway; may be NULL */
+	const char *caller; /**< IP address of its caller; may be NULL */
+	/** Attempts there in which a server may have run the request. */
+	uint32_t possible_executions;
+};
+
 /** Handles a request that the HTTP server for callers has received. context is
  * the gateway. */
 void request_handle(void *context, struct h1_exchange *exchange);
+void request_handle_from(struct gateway *gateway, struct h1_exchange *exchange,
+    const struct request_origin *origin);
+/** Handles the request by this gateway's own paths to servers. */
+void request_handle_here(struct request *request);
+/** Handles the loss of a response of another gateway: repeats or fails the
+ * request. */
+void request_handle_lost_response(struct request *request);
 /** Sends the request to a backend server. Refuses it if there is none to
  * choose, or fails it if it may have run already. */
 void request_dispatch(struct request *request);
--- a/include/gateway/server_limits.h
+++ b/include/gateway/server_limits.h
@@ -12,6 +12,7 @@
 #include <uthash.h>
 
 #include "dispatch/backends.h"
+#include "dispatch/stated_limit.h"
 
 struct forward;
 struct gateway;
@@ -39,9 +40,11 @@
 
 struct server_limits *server_limits_create(struct gateway *gateway);
 void server_limits_destroy(struct server_limits *server_limits);
-/** Applies what a server's response to the request's attempt states. */
-void server_limits_handle_response(
-    struct server_limits *server_limits, const struct request *request);
+/** Applies what a server's response states. sent_us: when the request was sent;
+ * request_id: of the request. */
+void server_limits_handle_stated(struct server_limits *server_limits,
+    const struct server_start *start, const struct stated_limit *stated,
+    int64_t sent_us, const char *request_id);
 /** Returns a server of the request's service that this gateway coordinates and
  * that has not stated its limit for a while, or NULL. Servers with a limit may
  * otherwise not be chosen for long, although it has ended. */
--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -191,7 +191,10 @@
 	/** Not in every heartbeat. */
 	struct message_reachable_gateway *reachable_gateways;
 	size_t reachable_gateway_count;
-	bool reply_requested; /**< set by a gateway that has just started */
+	uint32_t relay_port; /**< for requests of other gateways' callers; 0:
+				none */
+	bool servers_unreachable; /**< the sender reaches no backend server */
+	bool reply_requested;     /**< set by a gateway that has just started */
 };
 
 struct message_turn_begin {
--- a/include/platform/request.h
+++ b/include/platform/request.h
@@ -46,6 +46,11 @@
  * the gateway's. */
 void platform_request_forward(const struct h1_headers *from,
     const struct forward_fields *fields, struct h1_headers *to);
+/** Builds the header of a request that another gateway is to handle: the
+ * caller's end-to-end fields, except those that only a gateway may set, and the
+ * time left. */
+void platform_request_relay(
+    const struct h1_headers *from, int64_t remaining_us, struct h1_headers *to);
 /** Returns whether a response has a Request-Id field. */
 bool platform_response_has_request_id(const struct h1_head *head);
 /** Decodes a response to the request with the given id. */
--- a/peer/message.c
+++ b/peer/message.c
@@ -203,6 +203,8 @@
     FIELD(23, WIRE_BOOL, gateway_heartbeat.reply_requested),
     LIST(24, gateway_heartbeat.cached_prefixes, &cached_prefix_layout),
     LIST(25, gateway_heartbeat.reachable_gateways, &reachable_gateway_layout),
+    FIELD(26, WIRE_UNSIGNED, gateway_heartbeat.relay_port),
+    FIELD(27, WIRE_BOOL, gateway_heartbeat.servers_unreachable),
 };
 static const struct wire_field turn_begin_fields[] = {
     FIELD(1, WIRE_TEXT, turn_begin.turn),
--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -327,12 +327,14 @@
 	    "[vm]\nname = entry-%d\nfailure_domain = %c\nregion = r\n"
 	    "[gateway]\ncallers = 127.0.0.1:%d\nreadiness = 127.0.0.1:%d\n"
 	    "directory = 127.0.0.1:%d\npeers = 127.0.0.1:%d\n"
-	    "metrics = 127.0.0.1:%d\nstore = 127.0.0.1:%d\n"
+	    "metrics = 127.0.0.1:%d\nrelay = 127.0.0.1:%d\n"
+	    "store = 127.0.0.1:%d\n"
 	    "partitions = 12\nlease = 1000 ms\ndrain = 2500 ms\n"
 	    "[limits]\nstop_grace = 8 s\n[failure_domains]\n",
 	    number, domain_letter(number / GATEWAYS_PER_DOMAIN),
 	    gateway->process.port, gateway->readiness_port,
 	    gateway->directory_port, gateway->peers_port, gateway->metrics_port,
+	    gateway->relay_port,
 	    gateway->store_port != 0 ? gateway->store_port
 				     : cluster->store.port);
 	for (int i = 0; i < DOMAIN_COUNT; i++)
@@ -373,6 +375,7 @@
 	gateway->directory_port = reserve_port(cluster);
 	gateway->peers_port = reserve_port(cluster);
 	gateway->metrics_port = reserve_port(cluster);
+	gateway->relay_port = reserve_port(cluster);
 	return cluster_restart_gateway(cluster, number) ? number : -1;
 }
 
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -30,6 +30,7 @@
 	int directory_port;
 	int peers_port;
 	int metrics_port;
+	int relay_port;
 	int store_port; /**< port of a proxy to the store; 0: no proxy */
 	struct cluster_process paths; /**< standin-paths, if it was started */
 };
