Tests of the hop between gateways; kept connections while they live on

What runs over the hop runs once, a lost response or a gateway that dies is never said not to have run, callers that leave are noticed, programs go on, and what a server says of itself reaches the gateway whose caller hears it.

With all gateways cut off, a request was sent on a kept connection that was dead, and answered 502 after the fact.

--- a/dispatch/reach.c
+++ b/dispatch/reach.c
@@ -76,9 +76,12 @@
 }
 
 bool
-reach_needs_new_connection(const struct reach *reach)
+reach_needs_new_connection(const struct reach *reach, int64_t now_us)
 {
-	return !reach->lost && (reach->failed_count > 0 || reach->silent);
+	/* Kept connections may live on while new ones fail. */
+	if (reach->lost)
+		return reach->last_byte_us < reach_silence_start_us(now_us);
+	return reach->failed_count > 0 || reach->silent;
 }
 
 bool
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -406,8 +406,8 @@
 {
 	struct backends *backends = &request->gateway->blackboard.backends;
 	const struct h1_head *head = h1_exchange_head(request->exchange);
-	bool is_doubtful =
-	    reach_needs_new_connection(&request->gateway->blackboard.reach);
+	bool is_doubtful = reach_needs_new_connection(
+	    &request->gateway->blackboard.reach, clock_monotonic_us());
 	struct forward *attempt = xcalloc(1, sizeof(*attempt));
 	int64_t now_us = clock_monotonic_us();
 	const struct forward_fields fields = {
--- a/include/dispatch/reach.h
+++ b/include/dispatch/reach.h
@@ -53,7 +53,7 @@
 int64_t reach_silence_start_us(int64_t now_us);
 /** Returns whether requests should open new connections, which shows whether
  * the paths are lost: nothing is sent on a connection that fails. */
-bool reach_needs_new_connection(const struct reach *reach);
+bool reach_needs_new_connection(const struct reach *reach, int64_t now_us);
 /** Returns whether to try a connection to a server, to notice the end of the
  * loss. */
 bool reach_probe_is_due(struct reach *reach, int64_t now_us);
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -1,5 +1,7 @@
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "common/clock.h"
@@ -13,6 +15,7 @@
 	IN_FLIGHT = 64,
 	DETECTED_MS = 3000, /**< after which the calls count */
 	COUNTED_MS = 3000,
+	REFUSED_WITHIN_US = 1000 * US_PER_MS,
 };
 
 static struct cluster cluster;
@@ -126,6 +129,219 @@
 }
 END_TEST
 
+static void
+cut(int gateway)
+{
+	cluster_set_paths(&cluster, gateway, "reset");
+	play(gateway, 1000);
+}
+
+/* Cuts off all gateways, silently. */
+static void
+cut_all(void)
+{
+	for (int i = 0; i < GATEWAYS; i++)
+		cluster_set_paths(&cluster, i, "dark");
+	for (int i = 0; i < GATEWAYS; i++)
+		play(i, 1000);
+}
+
+static int
+run_count(const char *request)
+{
+	return cluster_request_run_count(&cluster, request);
+}
+
+START_TEST(requests_run_once_over_the_hop)
+{
+	cut(0);
+	for (int i = 0; i < 20; i++) {
+		struct answer answer = call_once(&cluster, 0, "/once/x", NULL);
+
+		ck_assert_int_eq(answer.status, 200);
+		ck_assert_int_eq(run_count(answer.request), 1);
+	}
+	ck_assert_int_ge(cluster_counter(&cluster, 0, "relayed_total"), 20);
+}
+END_TEST
+
+START_TEST(lost_responses_are_not_said_not_to_have_run)
+{
+	struct answer answer;
+
+	cut(0);
+	for (int i = 0; i < 5; i++) {
+		answer = call_once(&cluster, 0, "/once/lose", NULL);
+		ck_assert_int_eq(answer.status, 502);
+		ck_assert_int_eq(run_count(answer.request), 1);
+	}
+}
+END_TEST
+
+START_TEST(gateway_that_dies_over_the_hop_leaves_no_false_promise)
+{
+	char requests[2][CALL_REQUEST_BYTES];
+	struct http_caller callers[2];
+
+	cut(0);
+	/* One goes to each of the other gateways, or both to one. */
+	for (int i = 0; i < 2; i++)
+		callers[i] =
+		    call_start(&cluster, 0, "/once/slow", NULL, requests[i]);
+	usleep(300 * US_PER_MS);
+	cluster_signal(&cluster.gateways[1].process, SIGKILL);
+	cluster_signal(&cluster.gateways[2].process, SIGKILL);
+	for (int i = 0; i < 2; i++) {
+		ck_assert_int_eq(call_finish(&callers[i]).status, 502);
+		ck_assert_int_eq(run_count(requests[i]), 1);
+	}
+}
+END_TEST
+
+START_TEST(callers_that_leave_are_noticed_over_the_hop)
+{
+	struct http_caller callers[4];
+	char request[CALL_REQUEST_BYTES];
+	int running = 0;
+
+	cut(0);
+	for (int i = 0; i < 4; i++)
+		callers[i] =
+		    call_start(&cluster, 0, "/stream/slow", NULL, request);
+	usleep(500 * US_PER_MS);
+	for (int i = 0; i < 6; i++)
+		running += cluster_requests_in_progress(&cluster, i);
+	ck_assert_int_eq(running, 4);
+	for (int i = 0; i < 4; i++)
+		http_caller_close(&callers[i]);
+	usleep(400 * US_PER_MS);
+	for (int i = 0; i < 6; i++)
+		ck_assert_int_eq(cluster_requests_in_progress(&cluster, i), 0);
+}
+END_TEST
+
+START_TEST(programs_go_on_over_the_hop)
+{
+	struct answer turn = call_once(&cluster, 0, "/turn/x", NULL);
+
+	ck_assert_int_eq(turn.status, 200);
+	cut(0);
+	for (int i = 0; i < 4; i++) {
+		turn =
+		    call_once(&cluster, i % GATEWAYS, "/turn/x", turn.request);
+		ck_assert_int_eq(turn.status, 200);
+	}
+}
+END_TEST
+
+START_TEST(gateways_that_are_cut_off_too_are_passed_over)
+{
+	cut(0);
+	cut(1);
+	check_served(0);
+	check_served(1);
+}
+END_TEST
+
+START_TEST(requests_are_refused_at_once_when_all_gateways_are_cut_off)
+{
+	cut_all();
+	for (int i = 0; i < GATEWAYS; i++) {
+		int64_t started_us = clock_monotonic_us();
+		struct answer answer = call_once(&cluster, i, "/turn/x", NULL);
+
+		ck_assert_int_eq(answer.status, 503);
+		ck_assert_double_gt(answer.retry_after, 0);
+		ck_assert_int_eq(run_count(answer.request), 0);
+		ck_assert_int_le(
+		    clock_monotonic_us() - started_us, REFUSED_WITHIN_US);
+	}
+}
+END_TEST
+
+static bool
+directory_names(int asked, int gateway)
+{
+	struct http_reply reply;
+	char address[32];
+	bool found;
+
+	snprintf(address, sizeof(address), "127.0.0.1:%d",
+	    cluster.gateways[gateway].process.port);
+	http_call_once(cluster.gateways[asked].directory_port, "GET",
+	    "/v1/resolve?name=h.example&region=r&zone=a", "Host: x\r\n", "", 0,
+	    CALL_MS, &reply);
+	found = strstr(buf_text(&reply.body), address) != NULL;
+	http_reply_reset(&reply);
+	return found;
+}
+
+START_TEST(directory_leaves_out_gateways_that_are_cut_off)
+{
+	ck_assert(directory_names(0, 0) && directory_names(1, 0));
+	cut(0);
+	ck_assert(!directory_names(0, 0) && !directory_names(1, 0));
+	ck_assert(directory_names(0, 1) && directory_names(0, 2));
+	cut(1);
+	cut(2);
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert(directory_names(0, i));
+}
+END_TEST
+
+START_TEST(what_a_server_says_is_heard_over_the_hop)
+{
+	int leaving = 0;
+
+	cut(0);
+	for (int i = 0; i < 6; i++) {
+		cluster_state_limit(&cluster, i, "100");
+		cluster_signal(&cluster.servers[i], SIGUSR2);
+	}
+	for (int i = 0; i < 12; i++) {
+		struct answer answer = call_once(&cluster, 0, "/safe/x", NULL);
+
+		leaving += answer.leaving;
+		if (answer.server != NO_SERVER)
+			ck_assert_int_ge(answer.server, 3);
+	}
+	ck_assert_int_ge(leaving, 3);
+	cluster_set_paths(&cluster, 0, "pass");
+	usleep(1000 * US_PER_MS);
+	/* It knows of all three servers of the service that they leave. */
+	ck_assert_int_eq(call_once(&cluster, 0, "/safe/x", NULL).status, 503);
+}
+END_TEST
+
+START_TEST(fields_between_gateways_do_not_come_from_callers)
+{
+	static const char request[] =
+	    "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: forged\r\n"
+	    "Deadline-Ms: 1000\r\nGuavakeel-Executions: 7\r\n\r\n";
+	struct http_caller caller;
+	struct http_reply reply;
+
+	ck_assert(http_caller_open(&caller, cluster.gateways[0].process.port));
+	ck_assert(http_caller_send(&caller, request, strlen(request)));
+	http_caller_read(&caller, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert_ptr_null(strstr(buf_text(&reply.head), "Guavakeel-"));
+	http_reply_reset(&reply);
+	http_caller_close(&caller);
+}
+END_TEST
+
+START_TEST(one_silent_server_is_no_cut)
+{
+	cluster_signal(&cluster.servers[0], SIGSTOP);
+	cluster_signal(&cluster.servers[3], SIGSTOP);
+	play(1, 1500);
+	cluster_signal(&cluster.servers[0], SIGCONT);
+	cluster_signal(&cluster.servers[3], SIGCONT);
+	ck_assert_int_eq(cluster_counter(&cluster, 1, "path_losses_total"), 0);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -133,6 +349,17 @@
 	    callers_are_served_while_paths_to_servers_hang,
 	    callers_are_served_while_paths_to_servers_are_reset,
 	    callers_are_served_while_new_paths_to_servers_are_refused,
+	    requests_run_once_over_the_hop,
+	    lost_responses_are_not_said_not_to_have_run,
+	    gateway_that_dies_over_the_hop_leaves_no_false_promise,
+	    callers_that_leave_are_noticed_over_the_hop,
+	    programs_go_on_over_the_hop,
+	    gateways_that_are_cut_off_too_are_passed_over,
+	    requests_are_refused_at_once_when_all_gateways_are_cut_off,
+	    directory_leaves_out_gateways_that_are_cut_off,
+	    what_a_server_says_is_heard_over_the_hop,
+	    fields_between_gateways_do_not_come_from_callers,
+	    one_silent_server_is_no_cut,
 	};
 
 	build_dir = argc > 1 ? argv[1] : "build";
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -53,7 +53,7 @@
 			return;
 		}
 		if (vm->fault == FAULT_HANGS)
-			now_us += reach_needs_new_connection(&vm->reach)
+			now_us += reach_needs_new_connection(&vm->reach, now_us)
 			    ? DOUBTFUL_CONNECT_US
 			    : CONNECT_US;
 		if (reach_handle_failure(
@@ -167,7 +167,7 @@
 		ck_assert(!reach_handle_failure(&reach, 1, 1, i));
 	for (int i = 0; i < 10; i++)
 		ck_assert(!reach_handle_failure(&reach, 1, SERVERS, i));
-	ck_assert(reach_needs_new_connection(&reach));
+	ck_assert(reach_needs_new_connection(&reach, 3 * US_PER_S));
 }
 END_TEST
 
@@ -177,14 +177,28 @@
 
 	reach_handle_bytes(&reach, 0);
 	reach_check_silence(&reach, 5, 200 * US_PER_MS);
-	ck_assert(!reach_needs_new_connection(&reach));
+	ck_assert(!reach_needs_new_connection(&reach, 3 * US_PER_S));
 	reach_check_silence(&reach, 1, 2 * US_PER_S);
-	ck_assert(!reach_needs_new_connection(&reach));
+	ck_assert(!reach_needs_new_connection(&reach, 3 * US_PER_S));
 	reach_check_silence(&reach, 2, 2 * US_PER_S);
-	ck_assert(reach_needs_new_connection(&reach));
+	ck_assert(reach_needs_new_connection(&reach, 3 * US_PER_S));
 	ck_assert(!reach.lost);
 	reach_handle_bytes(&reach, 2 * US_PER_S);
-	ck_assert(!reach_needs_new_connection(&reach));
+	ck_assert(!reach_needs_new_connection(&reach, 3 * US_PER_S));
+}
+END_TEST
+
+START_TEST(kept_connections_are_used_while_they_live_on)
+{
+	struct reach reach = {0};
+
+	for (uint64_t server = 1; server <= 3; server++)
+		reach_handle_failure(&reach, server, SERVERS, 10 * US_PER_S);
+	ck_assert(reach.lost);
+	ck_assert(reach_needs_new_connection(&reach, 10 * US_PER_S));
+	reach_handle_bytes(&reach, 10 * US_PER_S);
+	ck_assert(!reach_needs_new_connection(&reach, 10 * US_PER_S + 1));
+	ck_assert(reach_needs_new_connection(&reach, 11 * US_PER_S));
 }
 END_TEST
 
@@ -280,6 +294,7 @@
 	    old_failures_are_no_evidence,
 	    one_server_alone_is_no_evidence,
 	    silence_asks_for_new_connections_only,
+	    kept_connections_are_used_while_they_live_on,
 	    requests_go_as_near_as_enough_vms_reach_servers,
 	    taken_over_requests_are_spread,
 	};
