--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -515,20 +515,28 @@
 }
 
 void
-cluster_register_server(struct cluster *cluster, const char *id, int server)
+cluster_register_port(
+    struct cluster *cluster, const char *id, const char *service, int port)
 {
 	struct buf value = {0};
 
 	buf_printf(&value,
-	    "{\"service\":\"tools\",\"address\":\"127.0.0.1:%d\","
+	    "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
 	    "\"zone\":\"a\",\"version\":\"v1\",\"maxBatch\":8,"
 	    "\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1,"
 	    "\"born\":1}",
-	    cluster->servers[server].port);
+	    service, port);
 	append_keyed(cluster, STORE_TOPIC_SERVERS, id, buf_text(&value));
 	buf_reset(&value);
 }
 
+void
+cluster_register_server(struct cluster *cluster, const char *id, int server)
+{
+	cluster_register_port(
+	    cluster, id, "tools", cluster->servers[server].port);
+}
+
 int
 cluster_requests_in_progress(const struct cluster *cluster, int server)
 {
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -102,6 +102,10 @@
  * value: its text; "": none. */
 void cluster_state_limit(
     const struct cluster *cluster, int server, const char *value);
+/** Registers a server of "tools" or "models" at a port that the caller serves.
+ */
+void cluster_register_port(
+    struct cluster *cluster, const char *id, const char *service, int port);
 /** Returns the number of requests in progress on a server. */
 int cluster_requests_in_progress(const struct cluster *cluster, int server);
 /** Reads which requests the servers have run since the start of the cluster,
