HTTP client: bytes that belong to no body end the call after 256 KiB

What callers saw: nothing until their deadline, while a server in trouble sent interim responses, or responses to other requests, without end. Cause: the parser bounds a head, but not how many of them are skipped. Class of fault: a bound on each part, none on the whole. Bytes in a row that belong to no body are now bounded; the connection is closed and the request may have run. test-endless: interim_responses_ and responses_to_other_requests_without_end_ are_closed failed before, pass after; test-h1 18 of 18.

--- a/h1/client.c
+++ b/h1/client.c
@@ -19,6 +19,10 @@
 	/* Subtracted from the time in a server's Keep-Alive field, so that no
 	 * request is sent while the server closes the connection. */
 	KEEP_ALIVE_MARGIN_US = 500 * US_PER_MS,
+	/* Bytes in a row that belong to no body: heads, interim responses,
+	 * responses to other calls, headers of chunks, trailers. Several times
+	 * the longest head that the parser accepts. */
+	OVERHEAD_MAX_BYTES = 256 << 10,
 };
 
 /** Idle connections to one address. */
@@ -53,9 +57,10 @@
 	struct buf request;           /**< encoded request, until sent */
 	struct h1_head head;
 	bool sent;
-	bool skipping;    /**< discards a response to another call */
-	bool complete;    /**< the whole response has been parsed */
-	bool head_method; /**< HEAD: the response has no body */
+	bool skipping;         /**< discards a response to another call */
+	bool complete;         /**< the whole response has been parsed */
+	size_t overhead_bytes; /**< received since the last byte of the body */
+	bool head_method;      /**< HEAD: the response has no body */
 	enum h1_body_end body_end;
 	int64_t connect_deadline_us;
 	uv_timer_t *start_failure_timer; /**< NULL unless starting failed */
@@ -273,7 +278,10 @@
 	struct h1_connection *connection = parser->data;
 	struct h1_call *call = connection->call;
 
-	if (!call->skipping && call->params.on_data != NULL)
+	if (call->skipping)
+		return 0;
+	call->overhead_bytes = 0;
+	if (call->params.on_data != NULL)
 		call->params.on_data(call->params.context, at, len);
 	return connection->call == NULL ? -1 : 0;
 }
@@ -319,9 +327,13 @@
 static void
 connection_parse(struct h1_connection *connection, const char *data, size_t len)
 {
-	size_t used = http_parser_execute(
-	    &connection->parser, &parser_settings, data, len);
 	struct h1_call *call = connection->call;
+	size_t used;
+
+	call->overhead_bytes += len;
+	used = http_parser_execute(
+	    &connection->parser, &parser_settings, data, len);
+	call = connection->call;
 
 	if (call == NULL) /* cancelled by a callback */
 		return;
@@ -332,7 +344,8 @@
 		return;
 	}
 	if (HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK ||
-	    connection->parser.upgrade)
+	    connection->parser.upgrade ||
+	    call->overhead_bytes > OVERHEAD_MAX_BYTES)
 		call_fail(call, H1_MALFORMED, 0);
 }
 
