Gateway: a response that is not passed on is not passed on in part either

What callers saw: a body without the server's signature with status 200, if it was longer than 64 KiB; for a stream, bytes without a head. Cause: whether a response is acceptable was asked at its head and at its end, but not while its body came. Such bodies are now counted and dropped, and end the attempt after 64 KiB: as declined if the server said so, else as broken. test-endless: bodies_without_a_signature_, streams_without_a_signature_are_closed and declined_requests_with_an_endless_body_have_not_run failed before, pass after; test-forward 6 of 6, test-gateway 23 of 23.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -22,6 +22,9 @@
 	MAX_IDLE_SAFE_US = 10 * US_PER_S,
 	/* Longer response bodies are forwarded before they are complete. */
 	BUFFERED_BODY_MAX_BYTES = 64 << 10,
+	/* A longer body that is not passed on ends the attempt. Error pages are
+	 * shorter. */
+	DISCARDED_BODY_MAX_BYTES = 64 << 10,
 };
 
 static void
@@ -105,6 +108,27 @@
 	buf_reset(&out);
 }
 
+static bool
+response_is_acceptable(const struct request *request)
+{
+	const struct backend_response *response = &request->attempt->response;
+
+	return response->matches_request && response->has_signature &&
+	    !response->not_executed;
+}
+
+/* Ends an attempt whose response is not passed on and has no end in sight. */
+static void
+end_discarded(struct request *request)
+{
+	bool declined = request->attempt->response.not_executed;
+
+	forward_cancel(request);
+	request_attempt_ended(request,
+	    declined ? ATTEMPT_DECLINED : ATTEMPT_BROKEN,
+	    "body without end in a response that is not passed on");
+}
+
 static void
 handle_data(void *context, const void *data, size_t len)
 {
@@ -113,8 +137,12 @@
 
 	reach_handle_bytes(
 	    &request->gateway->blackboard.reach, clock_monotonic_us());
-	if (attempt->response.not_executed)
+	if (!response_is_acceptable(request)) {
+		attempt->discarded_bytes += len;
+		if (attempt->discarded_bytes > DISCARDED_BODY_MAX_BYTES)
+			end_discarded(request);
 		return;
+	}
 	if (is_stream(request)) {
 		send_events(request, data, len);
 		return;
@@ -138,15 +166,6 @@
 	return value == NULL ? -1 : (int64_t)strtoll(value, NULL, 10);
 }
 
-static bool
-response_is_acceptable(const struct request *request)
-{
-	const struct backend_response *response = &request->attempt->response;
-
-	return response->matches_request && response->has_signature &&
-	    !response->not_executed;
-}
-
 /* Returns whether the response is known to be from the server that the request
  * was sent to. Declined requests have no signature. */
 static bool
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -48,6 +48,7 @@
 	struct backend_response response;
 	struct h1_headers headers; /**< response fields for the caller */
 	int64_t content_length; /**< length of the response body; -1: unknown */
+	size_t discarded_bytes; /**< of a body that is not passed on */
 	/** Response body that is not yet sent to the caller. */
 	struct buf body;
 };
