Gateway: an event or a turn without end breaks off

What callers saw: a stream that went on until their deadline, while the gateway kept all of an unfinished event, or all data of a turn to be retained, in memory. Cause: no bound on either.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -25,6 +25,10 @@
 	/* A longer body that is not passed on ends the attempt. Error pages are
 	 * shorter. */
 	DISCARDED_BODY_MAX_BYTES = 64 << 10,
+	/* Longest event, as long as the longest record of a turn. */
+	EVENT_MAX_BYTES = 256 << 10,
+	/* Data of a retained turn, many times what a turn generates. */
+	TURN_DATA_MAX_BYTES = 1 << 20,
 };
 
 static void
@@ -98,6 +102,13 @@
 	size_t complete_len = event_stream_feed(events, data, len);
 	struct buf out = {0};
 
+	if (events->pending.len - complete_len > EVENT_MAX_BYTES ||
+	    events->data.len > TURN_DATA_MAX_BYTES) {
+		forward_cancel(request);
+		request_attempt_ended(
+		    request, ATTEMPT_BROKEN, "event or turn without end");
+		return;
+	}
 	if (complete_len == 0)
 		return;
 	if (request->attempt->first_event_us == 0)
