Gateway: a declined request does not wait for the end of a slow body

What callers saw: 504 at their deadline, though the server had said in the head of its response that it did not run the request. Cause: the attempt ended with the response's body, whose bytes may come without end, and few at a time.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -25,6 +25,9 @@
 	/* A longer body that is not passed on ends the attempt. Error pages are
 	 * shorter. */
 	DISCARDED_BODY_MAX_BYTES = 64 << 10,
+	/* Wait for the rest of a response whose head tells that the request was
+	 * not executed. */
+	DECLINED_BODY_US = 100 * US_PER_MS,
 	/* Longest event, as long as the longest record of a turn. */
 	EVENT_MAX_BYTES = 256 << 10,
 	/* Data of a retained turn, many times what a turn generates. */
@@ -234,6 +237,14 @@
 		path_watch_handle_reached(gateway->path_watch);
 }
 
+static void
+limit_declined_body(struct request *request)
+{
+	request->attempt->response_deadline_us =
+	    clock_monotonic_us() + DECLINED_BODY_US;
+	request_arm_timer(request);
+}
+
 static enum h1_head_action
 handle_head(void *context, const struct h1_head *head)
 {
@@ -254,6 +265,8 @@
 	attempt->content_length = content_length(&head->headers);
 	if (!response_is_acceptable(request)) {
 		h1_call_discard_connection(attempt->call);
+		if (attempt->response.not_executed)
+			limit_declined_body(request);
 		return H1_HEAD_ACCEPT;
 	}
 	h1_headers_copy_end_to_end(&head->headers, &attempt->headers);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -285,6 +285,22 @@
 	request_arm_timer(request);
 }
 
+static void
+end_silent_attempt(struct request *request)
+{
+	const struct forward *attempt = request->attempt;
+	bool declined =
+	    attempt->head_received && attempt->response.not_executed;
+
+	if (!declined)
+		backend_connection_failed(
+		    attempt->backend, clock_monotonic_us());
+	request->kept_connection = h1_call_reuses_connection(attempt->call);
+	forward_cancel(request);
+	request_attempt_ended(request,
+	    declined ? ATTEMPT_DECLINED : ATTEMPT_TIMED_OUT, "no answer");
+}
+
 static void
 handle_timer(uv_timer_t *timer)
 {
@@ -296,12 +312,7 @@
 	}
 	if (request->state == REQUEST_SENT &&
 	    clock_monotonic_us() >= request->attempt->response_deadline_us) {
-		backend_connection_failed(
-		    request->attempt->backend, clock_monotonic_us());
-		request->kept_connection =
-		    h1_call_reuses_connection(request->attempt->call);
-		forward_cancel(request);
-		request_attempt_ended(request, ATTEMPT_TIMED_OUT, "no answer");
+		end_silent_attempt(request);
 		return;
 	}
 	if (request->permit_wait.number != 0 &&
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -35,6 +35,7 @@
 	const char *piece;
 	/** Bytes that the gateway may take, with what the kernel buffers. */
 	int closed_after_mb;
+	int pause_ms; /**< between single pieces; 0: none, and 16 KiB at once */
 };
 
 #define HEAD    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
@@ -95,7 +96,9 @@
 	snprintf(start, sizeof(start), trouble->start, id);
 	if (!send_all(fd, start, strlen(start)))
 		return;
-	while (send_all(fd, pieces, len)) {
+	while (send_all(
+	    fd, pieces, trouble->pause_ms > 0 ? strlen(trouble->piece) : len)) {
+		usleep((useconds_t)(trouble->pause_ms * US_PER_MS));
 		sent += (int64_t)len;
 		if (sent > (int64_t)trouble->closed_after_mb << 20)
 			_exit(1);
@@ -291,6 +294,16 @@
 }
 END_TEST
 
+START_TEST(declined_requests_do_not_wait_for_a_slow_body)
+{
+	check_end("tools", "/once/x",
+	    &(struct trouble){
+		"HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n\r\n",
+		"full ", 8, 20},
+	    503);
+}
+END_TEST
+
 START_TEST(events_without_end_are_cut)
 {
 	check_end("models", "/stream/x",
@@ -325,6 +338,7 @@
 	    bodies_without_a_signature_are_closed,
 	    streams_without_a_signature_are_closed,
 	    declined_requests_with_an_endless_body_have_not_run,
+	    declined_requests_do_not_wait_for_a_slow_body,
 	    events_without_end_are_cut,
 	    turns_without_end_are_cut,
 	};
