Soak: gateways that lose all servers, servers that limit their requests

The first eight gateways of a run reach the store and each server through proxies of their own, which reset, refuse, silence or drop connections for some seconds. Servers state limits of 1 to 3 requests a second; the soak counts what a limited server gets from gateways that know of it. The basic faults keep their sequence.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -39,6 +39,8 @@
 	FAULT_SERVER_LEAVE,
 	FAULT_SERVER_LEAVE_UNLISTED,
 	FAULT_SERVER_KILL,
+	FAULT_SERVER_PATHS, /* a gateway loses all servers */
+	FAULT_SERVER_LIMIT, /* a server limits its requests */
 	FAULT_KIND_COUNT,
 };
 
@@ -64,6 +66,7 @@
 	int64_t down_until_us;       /**< 0: running or stopping */
 	bool stopping;               /**< SIGTERM was sent */
 	int64_t path_fault_until_us; /**< 0: the path to the store works */
+	int64_t cut_until_us;        /**< 0: the paths to servers work */
 };
 
 struct faults {
@@ -119,8 +122,11 @@
 static void
 inject_path_fault(struct faults *faults, int number)
 {
+	/* The sequence of the basic faults stays as it was. */
+	uint64_t mode_count =
+	    faults->soak->basic_faults ? PROXY_REFUSE : PROXY_MODE_COUNT;
 	enum proxy_mode mode = (enum proxy_mode)(
-	    1 + rng_below(&faults->soak->rng, PROXY_MODE_COUNT - 1));
+	    1 + rng_below(&faults->soak->rng, mode_count - 1));
 
 	proxy_set_mode(faults->soak->proxies[number], mode);
 	faults->gateways[number].path_fault_until_us =
@@ -129,6 +135,23 @@
 	    proxy_mode_name(mode));
 }
 
+static void
+inject_server_paths_fault(struct faults *faults, int number)
+{
+	static const enum proxy_mode modes[] = {
+	    PROXY_RESET, PROXY_BLACKHOLE, PROXY_REFUSE, PROXY_DARK};
+	enum proxy_mode mode = modes[rng_below(
+	    &faults->soak->rng, sizeof(modes) / sizeof(modes[0]))];
+
+	if (number >= SOAK_PATHS_MAX)
+		return;
+	paths_set_server_mode(faults->soak->paths[number], mode);
+	faults->gateways[number].cut_until_us =
+	    random_time_us(faults, PATH_FAULT_MAX_MS);
+	soak_log(faults->soak, "servers of gateway %d: %s", number,
+	    proxy_mode_name(mode));
+}
+
 static void
 inject_store_fault(struct faults *faults, bool outage)
 {
@@ -268,6 +291,12 @@
 	case FAULT_SERVER_KILL:
 		servers_kill(faults->soak->servers, choose_server(faults));
 		break;
+	case FAULT_SERVER_PATHS:
+		inject_server_paths_fault(faults, number);
+		break;
+	case FAULT_SERVER_LIMIT:
+		servers_limit(faults->soak->servers, choose_server(faults));
+		break;
 	case FAULT_CONFIG:
 	case FAULT_KIND_COUNT:
 		cluster_publish(&faults->soak->cluster, "");
@@ -301,6 +330,10 @@
 		gateway->path_fault_until_us = 0;
 		proxy_set_mode(faults->soak->proxies[number], PROXY_PASS);
 	}
+	if (gateway->cut_until_us != 0 && gateway->cut_until_us <= now_us) {
+		gateway->cut_until_us = 0;
+		paths_set_server_mode(faults->soak->paths[number], PROXY_PASS);
+	}
 }
 
 static void
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -14,6 +14,8 @@
  * - a stream that broke off is not complete, and no turn can follow it;
  * - a server that a gateway knew to leave when the caller sent a request does
  *   not get that request;
+ * - a server that limits its requests gets no more than one and a half times as
+ *   many, and five, in four seconds from gateways that know of the limit;
  * - in the first seconds, in which all is planned, no request that ran is cut;
  * - every program completes turns again after the faults have ended.
  */
@@ -94,6 +96,37 @@
 	printf("\n");
 }
 
+/* Creates the paths of a gateway to the store and, unless all faults are basic,
+ * to the servers. */
+static bool
+create_paths(struct soak *soak, int number)
+{
+	const struct proxy_options options = {
+	    .address = "127.0.0.1",
+	    .target_port = soak->cluster.store.port,
+	};
+
+	if (soak->basic_faults || number >= SOAK_PATHS_MAX) {
+		soak->proxies[number] = proxy_create(soak->loop, &options);
+		return soak->proxies[number] != NULL;
+	}
+	soak->paths[number] =
+	    paths_create(soak->loop, number + 1, soak->cluster.store.port, 0);
+	if (soak->paths[number] == NULL)
+		return false;
+	soak->proxies[number] = paths_store(soak->paths[number]);
+	return true;
+}
+
+static void
+destroy_paths(struct soak *soak, int number)
+{
+	if (number < SOAK_PATHS_MAX && soak->paths[number] != NULL)
+		paths_destroy(soak->paths[number]);
+	else if (soak->proxies[number] != NULL)
+		proxy_destroy(soak->proxies[number]);
+}
+
 static bool
 start_run(struct soak *soak)
 {
@@ -112,13 +145,7 @@
 			return false;
 	}
 	for (int i = 0; i < soak->gateway_count; i++) {
-		const struct proxy_options proxy_options = {
-		    .address = "127.0.0.1",
-		    .target_port = soak->cluster.store.port,
-		};
-
-		soak->proxies[i] = proxy_create(soak->loop, &proxy_options);
-		if (soak->proxies[i] == NULL)
+		if (!create_paths(soak, i))
 			return false;
 		soak->cluster.gateways[i].store_port =
 		    proxy_port(soak->proxies[i]);
@@ -156,10 +183,8 @@
 	cluster_stop(&soak->cluster);
 	if (soak->servers != NULL)
 		servers_destroy(soak->servers);
-	for (int i = 0; i < soak->gateway_count; i++) {
-		if (soak->proxies[i] != NULL)
-			proxy_destroy(soak->proxies[i]);
-	}
+	for (int i = 0; i < soak->gateway_count; i++)
+		destroy_paths(soak, i);
 	uv_run(soak->loop, UV_RUN_DEFAULT);
 }
 
--- a/tests/soak/servers.c
+++ b/tests/soak/servers.c
@@ -18,6 +18,14 @@
 	 * caller sends later than this must not reach the server: drain of the
 	 * gateways' settings. */
 	DRAIN_US = 2500 * US_PER_MS,
+	LIMIT_MIN_MS = 4000,
+	LIMIT_MAX_MS = 8000,
+	/* After a server has stated a limit, it is not checked for this time,
+	 * and a gateway counts this time after it has passed the limit on. */
+	LIMIT_SETTLE_US = 3 * US_PER_S,
+	LIMIT_TOLD_US = 500 * US_PER_MS,
+	LIMIT_WINDOW_US = 4 * US_PER_S,
+	ARRIVALS_MAX = 512,
 };
 
 enum server_state {
@@ -32,6 +40,12 @@
 	enum server_state state;
 	int64_t due_us;
 	int64_t started_us;
+	int limit_per_s; /* 0: none */
+	int64_t limited_us;
+	int64_t limit_due_us; /* end of the limit */
+	/* Requests from gateways that know of the limit, a ring. */
+	int64_t arrivals_us[ARRIVALS_MAX];
+	size_t arrival_count;
 };
 
 struct servers {
@@ -40,6 +54,8 @@
 	/** When a gateway first passed on that a server leaves; 0: not since
 	 * either started. */
 	int64_t leaving_since_us[CLUSTER_MAX_GATEWAYS][CLUSTER_MAX_SERVERS];
+	/** The same for a limit. */
+	int64_t limited_since_us[CLUSTER_MAX_GATEWAYS][CLUSTER_MAX_SERVERS];
 };
 
 static struct cluster_process *
@@ -99,6 +115,36 @@
 	server->due_us = random_time_us(servers, 1, DOWN_MAX_MS);
 }
 
+/* Clears what is known of a server's limit. */
+static void
+end_limit(struct servers *servers, int number)
+{
+	struct server *server = &servers->servers[number];
+
+	server->limit_per_s = 0;
+	server->arrival_count = 0;
+	for (int i = 0; i < CLUSTER_MAX_GATEWAYS; i++)
+		servers->limited_since_us[i][number] = 0;
+}
+
+void
+servers_limit(struct servers *servers, int number)
+{
+	struct server *server = &servers->servers[number];
+	char value[16];
+
+	if (server->state != SERVER_UP || server->limit_per_s != 0)
+		return;
+	server->limit_per_s = 1 + (int)rng_below(&servers->soak->rng, 3);
+	server->limited_us = clock_monotonic_us();
+	server->limit_due_us =
+	    random_time_us(servers, LIMIT_MIN_MS, LIMIT_MAX_MS);
+	soak_log(servers->soak, "server %d: limit of %d a second", number,
+	    server->limit_per_s);
+	snprintf(value, sizeof(value), "%d", server->limit_per_s);
+	cluster_state_limit(&servers->soak->cluster, number, value);
+}
+
 static void
 restart(struct servers *servers, int number)
 {
@@ -109,6 +155,7 @@
 		    servers->soak, "server %d does not start again", number);
 	server->state = SERVER_UP;
 	server->started_us = clock_monotonic_us();
+	end_limit(servers, number);
 	for (int i = 0; i < CLUSTER_MAX_GATEWAYS; i++)
 		servers->leaving_since_us[i][number] = 0;
 }
@@ -135,6 +182,11 @@
 		}
 		if (server->state == SERVER_DOWN && server->due_us <= now_us)
 			restart(servers, i);
+		if (server->state == SERVER_UP && server->limit_per_s != 0 &&
+		    server->limit_due_us <= now_us) {
+			cluster_state_limit(&servers->soak->cluster, i, "");
+			end_limit(servers, i);
+		}
 	}
 }
 
@@ -143,6 +195,39 @@
 {
 	memset(servers->leaving_since_us[gateway], 0,
 	    sizeof(servers->leaving_since_us[gateway]));
+	memset(servers->limited_since_us[gateway], 0,
+	    sizeof(servers->limited_since_us[gateway]));
+}
+
+/* Counts a request to a server that states a limit, and checks the requests of
+ * the last seconds. */
+static void
+check_limit(struct servers *servers, int gateway, int number, int64_t sent_us)
+{
+	struct server *server = &servers->servers[number];
+	int64_t *since_us = &servers->limited_since_us[gateway][number];
+	int64_t now_us = clock_monotonic_us();
+	int count = 0;
+
+	if (server->limit_per_s == 0)
+		return;
+	if (*since_us == 0) {
+		*since_us = now_us;
+		return;
+	}
+	if (sent_us < *since_us + LIMIT_TOLD_US)
+		return;
+	server->arrivals_us[server->arrival_count++ % ARRIVALS_MAX] = now_us;
+	if (now_us < server->limited_us + LIMIT_SETTLE_US + LIMIT_WINDOW_US)
+		return;
+	for (size_t i = 0; i < ARRIVALS_MAX && i < server->arrival_count; i++)
+		count += server->arrivals_us[i] > now_us - LIMIT_WINDOW_US;
+	if (2 * count >
+	    3 * server->limit_per_s * LIMIT_WINDOW_US / US_PER_S + 2 * 5)
+		soak_fail(servers->soak,
+		    "server %d limits its requests to %d a second and got %d "
+		    "in 4 s from gateways that knew",
+		    number, server->limit_per_s, count);
 }
 
 void
@@ -160,6 +245,8 @@
 	/* The response may be of an earlier process of the server. */
 	if (sent_us < servers->servers[number].started_us)
 		return;
+	if (h1_headers_find(&head->headers, "server-limit") != NULL)
+		check_limit(servers, gateway, number, sent_us);
 	if (*since_us != 0 && sent_us > *since_us + DRAIN_US)
 		soak_fail(servers->soak,
 		    "gateway %d sent a request to server %d, %.3f s after it "
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -13,10 +13,11 @@
 #include "common/rng.h"
 #include "h1/client.h"
 #include "standins/cluster.h"
-#include "standins/proxy.h"
+#include "standins/paths.h"
 
 enum {
-	SOAK_GATEWAYS = 4, /**< unless given by an option */
+	SOAK_GATEWAYS = 4,  /**< unless given by an option */
+	SOAK_PATHS_MAX = 8, /**< gateways whose paths to servers can be cut */
 	SOAK_FAILURE_BYTES = 512,
 };
 
@@ -35,6 +36,7 @@
 	 * of the seeds that KNOWN-RED.txt lists. */
 	bool basic_faults;
 	struct proxy *proxies[CLUSTER_MAX_GATEWAYS]; /**< to the store */
+	struct paths *paths[SOAK_PATHS_MAX]; /**< NULL: basic faults only */
 	struct h1_client *client;
 	struct callers *callers;
 	struct faults *faults;
@@ -82,13 +84,16 @@
 void servers_leave(struct servers *servers, int number, bool listed);
 /** Kills a server, which starts again later. */
 void servers_kill(struct servers *servers, int number);
+/** Makes a server limit the rate of its requests for some seconds. */
+void servers_limit(struct servers *servers, int number);
 /** Takes the steps that are due; with all set, every one. */
 void servers_step(struct servers *servers, bool all);
 /** Notes that a gateway was frozen or starts anew, and need not know which
  * servers leave. */
 void servers_gateway_interrupted(struct servers *servers, int gateway);
 /** Checks that a response is not of a server which the gateway knew to leave
- * when the caller sent the request. */
+ * when the caller sent the request, and that a server which limits its requests
+ * does not get too many from gateways that know of the limit. */
 void servers_check_response(struct servers *servers, int gateway,
     int64_t sent_us, const struct h1_head *head);
 
