test-leaving: waits until the server has handled its signal

Cause: a signal is handled some time after kill() returns; requests that the server answered before did not say that it leaves, and the test went on as if they had. No check is changed; the test waits until the stand-in server's responses say that it leaves.

--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -550,6 +550,28 @@
 	return running;
 }
 
+bool
+cluster_leave(struct cluster *cluster, int server, int signal)
+{
+	int64_t deadline_us =
+	    clock_monotonic_us() + (int64_t)START_TIMEOUT_MS * US_PER_MS;
+	bool leaving = false;
+
+	cluster_signal(&cluster->servers[server], signal);
+	while (!leaving && clock_monotonic_us() < deadline_us) {
+		struct http_reply reply;
+
+		http_call_once(cluster->servers[server].port, "GET",
+		    "/stand-in/leaving", "Host: x\r\n", "", 0, CALL_TIMEOUT_MS,
+		    &reply);
+		leaving = strcmp(buf_text(&reply.body), "1") == 0;
+		http_reply_reset(&reply);
+		if (!leaving)
+			usleep(POLL_INTERVAL_US);
+	}
+	return leaving;
+}
+
 void
 cluster_state_limit(
     const struct cluster *cluster, int server, const char *value)
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -89,6 +89,9 @@
 bool cluster_wait_ready(struct cluster *cluster, int number);
 /** Sends a signal to a process; after SIGKILL waits for the process to exit. */
 void cluster_signal(struct cluster_process *process, int signal);
+/** Makes a server leave by SIGUSR1 or SIGUSR2, and waits until its responses
+ * say so. Returns false on timeout. */
+bool cluster_leave(struct cluster *cluster, int server, int signal);
 /** Waits at most ms milliseconds for a process to exit. Returns its exit
  * status, 128 if a signal ended it, or -1 on timeout. */
 int cluster_wait(struct cluster_process *process, int ms);
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -397,6 +397,14 @@
 	buf_reset(&body);
 }
 
+/* Handles GET /stand-in/leaving: tells whether responses say that the server
+ * leaves. */
+static void
+reply_leaving(struct h1_exchange *exchange)
+{
+	h1_respond(exchange, 200, NULL, options.leaving ? "1" : "0", 1);
+}
+
 /* Handles GET /stand-in/running: sends the number of requests in progress. */
 static void
 reply_running(struct h1_exchange *exchange)
@@ -437,6 +445,8 @@
 		reply_runs(exchange);
 	else if (strcmp(path, "/stand-in/running") == 0)
 		reply_running(exchange);
+	else if (strcmp(path, "/stand-in/leaving") == 0)
+		reply_leaving(exchange);
 	else if (strncmp(path, LIMIT_PATH, strlen(LIMIT_PATH)) == 0)
 		set_limit(exchange, path + strlen(LIMIT_PATH));
 	else if (strstr(path, "/crash") != NULL)
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -296,7 +296,7 @@
 	cut(0);
 	for (int i = 0; i < 6; i++) {
 		cluster_state_limit(&cluster, i, "100");
-		cluster_signal(&cluster.servers[i], SIGUSR2);
+		ck_assert(cluster_leave(&cluster, i, SIGUSR2));
 	}
 	for (int i = 0; i < 12; i++) {
 		struct answer answer = call_once(&cluster, 0, "/safe/x", NULL);
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -101,7 +101,7 @@
 static void
 stop_other_server(int server)
 {
-	cluster_signal(&cluster.servers[server], SIGUSR1);
+	ck_assert(cluster_leave(&cluster, server, SIGUSR1));
 	usleep(LISTED_MS * US_PER_MS);
 }
 
@@ -109,7 +109,7 @@
 {
 	int server = call("/safe/x", NULL).server;
 
-	cluster_signal(&cluster.servers[server], SIGUSR2);
+	ck_assert(cluster_leave(&cluster, server, SIGUSR2));
 	learn_that_server_leaves("/safe/x", server);
 	check_server_gets_nothing("/safe/x", server);
 	usleep(LISTED_MS * US_PER_MS);
@@ -125,7 +125,7 @@
 
 	cluster_set_store_faults(&cluster, "{\"outage_ms\": 20000}");
 	usleep(LISTED_MS * US_PER_MS);
-	cluster_signal(&cluster.servers[server], SIGUSR1);
+	ck_assert(cluster_leave(&cluster, server, SIGUSR1));
 	learn_that_server_leaves("/safe/x", server);
 	check_server_gets_nothing("/safe/x", server);
 }
@@ -135,7 +135,7 @@
 {
 	int server = call("/safe/x", NULL).server;
 
-	cluster_signal(&cluster.servers[server], SIGUSR2);
+	ck_assert(cluster_leave(&cluster, server, SIGUSR2));
 	learn_that_server_leaves("/safe/x", server);
 	for (int i = 0; i < 5; i++) {
 		struct answer answer = call("/safe/lose", NULL);
@@ -151,7 +151,7 @@
 	int server = turn.server;
 
 	ck_assert_int_eq(turn.status, 200);
-	cluster_signal(&cluster.servers[server], SIGUSR2);
+	ck_assert(cluster_leave(&cluster, server, SIGUSR2));
 	learn_that_server_leaves("/stream/x", server);
 	for (int i = 0; i < SAMPLES; i++) {
 		turn = call("/turn/x", turn.request);
@@ -170,7 +170,7 @@
 	stop_other_server(MODEL_B);
 	stream = call_start(&cluster, 0, "/stream/slow", NULL, request);
 	usleep(200 * US_PER_MS);
-	cluster_signal(&cluster.servers[MODEL_A], SIGUSR2);
+	ck_assert(cluster_leave(&cluster, MODEL_A, SIGUSR2));
 	learn_that_server_leaves("/stream/x", MODEL_A);
 	answer = call("/stream/x", NULL);
 	ck_assert_int_eq(answer.status, 503);
@@ -187,8 +187,8 @@
 	int64_t started_us;
 	struct answer answer;
 
-	cluster_signal(&cluster.servers[TOOL_A], SIGUSR2);
-	cluster_signal(&cluster.servers[TOOL_B], SIGUSR2);
+	ck_assert(cluster_leave(&cluster, TOOL_A, SIGUSR2));
+	ck_assert(cluster_leave(&cluster, TOOL_B, SIGUSR2));
 	for (int i = 0; i < 2; i++)
 		ck_assert(call("/once/x", NULL).leaving);
 	started_us = clock_monotonic_us();
@@ -206,7 +206,7 @@
 	struct answer answer;
 
 	stop_other_server(TOOL_B);
-	cluster_signal(&cluster.servers[TOOL_A], SIGUSR2);
+	ck_assert(cluster_leave(&cluster, TOOL_A, SIGUSR2));
 	ck_assert_int_eq(call("/once/decline", NULL).status, 503);
 	answer = call("/once/x", NULL);
 	ck_assert_int_eq(answer.status, 503);
@@ -217,7 +217,7 @@
 START_TEST(answers_without_a_signature_mark_no_server)
 {
 	stop_other_server(TOOL_B);
-	cluster_signal(&cluster.servers[TOOL_A], SIGUSR2);
+	ck_assert(cluster_leave(&cluster, TOOL_A, SIGUSR2));
 	ck_assert_int_eq(call("/once/unsigned", NULL).status, 502);
 	ck_assert_int_eq(call("/once/x", NULL).status, 200);
 }
@@ -230,7 +230,7 @@
 	struct answer answer = {.server = NO_SERVER};
 
 	stop_other_server(TOOL_B);
-	cluster_signal(&cluster.servers[TOOL_A], SIGUSR2);
+	ck_assert(cluster_leave(&cluster, TOOL_A, SIGUSR2));
 	learn_that_server_leaves("/once/x", TOOL_A);
 	ck_assert_int_eq(call("/once/x", NULL).status, 503);
 	cluster_signal(&cluster.servers[TOOL_A], SIGKILL);
