Gateway: an attempt that found no connection in time has not been sent

What callers saw: 502, may have run, for a request that had reached no server. Cause: the time limit of an attempt that may be repeated (80 ms and more) can pass while its connection is being opened; this counted as a server's silence. It counts as unreachable now, which is true, and is evidence of lost paths. Casts for the linter.

--- a/bench/limit_ways.c
+++ b/bench/limit_ways.c
@@ -131,7 +131,7 @@
 		if (limit_permit_wait_us(&share->known, now_us) > MAX_WAIT_US)
 			return false;
 		permit = ask(server, MAX_WAIT_US, now_us);
-		delay_us = 2 * DELAY_US + permit.wait_us;
+		delay_us = (int64_t)2 * DELAY_US + permit.wait_us;
 		for (; permit.granted && got < batch; got++) {
 			const struct permit_terms terms = {.per_s = fleet.per_s,
 			    .share = 1,
@@ -171,7 +171,7 @@
 				: MAX_WAIT_US));
 	if (!permit.granted)
 		return false;
-	send_request(server, now_us, 2 * DELAY_US + permit.wait_us);
+	send_request(server, now_us, (int64_t)2 * DELAY_US + permit.wait_us);
 	return true;
 }
 
--- a/dispatch/limits.c
+++ b/dispatch/limits.c
@@ -50,6 +50,7 @@
 		limit_free(limits, limits->entries);
 	limit = xcalloc(1, sizeof(*limit));
 	limit->start = *start;
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): uthash relinks */
 	HASH_ADD(hh, limits->entries, start, sizeof(limit->start), limit);
 	return limit;
 }
--- a/dispatch/permits.c
+++ b/dispatch/permits.c
@@ -73,6 +73,7 @@
 	bucket->server = server;
 	bucket->created_us = now_us;
 	bucket->next_us = now_us;
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): uthash relinks */
 	HASH_ADD(hh, permits->buckets, server, sizeof(server), bucket);
 	return bucket;
 }
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -7,6 +7,7 @@
 #include "common/memory.h"
 #include "common/trace.h"
 #include "dispatch/retry.h"
+#include "gateway/path_watch.h"
 #include "gateway/peer_gateways.h"
 #include "gateway/quarantine.h"
 #include "gateway/relay.h"
@@ -285,20 +286,31 @@
 	request_arm_timer(request);
 }
 
+/* Returns how an attempt without a response in time ends. */
+static enum attempt_result
+silent_attempt_result(const struct forward *attempt)
+{
+	if (attempt->head_received && attempt->response.not_executed)
+		return ATTEMPT_DECLINED;
+	return h1_call_sent(attempt->call) ? ATTEMPT_TIMED_OUT
+					   : ATTEMPT_UNREACHABLE;
+}
+
 static void
 end_silent_attempt(struct request *request)
 {
 	const struct forward *attempt = request->attempt;
-	bool declined =
-	    attempt->head_received && attempt->response.not_executed;
+	enum attempt_result result = silent_attempt_result(attempt);
 
-	if (!declined)
+	if (result != ATTEMPT_DECLINED)
 		backend_connection_failed(
 		    attempt->backend, clock_monotonic_us());
+	if (result == ATTEMPT_UNREACHABLE)
+		path_watch_handle_failure(
+		    request->gateway->path_watch, attempt->backend);
 	request->kept_connection = h1_call_reuses_connection(attempt->call);
 	forward_cancel(request);
-	request_attempt_ended(request,
-	    declined ? ATTEMPT_DECLINED : ATTEMPT_TIMED_OUT, "no answer");
+	request_attempt_ended(request, result, "no answer");
 }
 
 static void
--- a/include/config/settings.h
+++ b/include/config/settings.h
@@ -66,7 +66,7 @@
 	char gateway_metrics[SETTING_BYTES]; /**< metrics endpoint; "": none */
 	/** Endpoint for requests of other gateways' callers; "": none. */
 	char gateway_relay[SETTING_BYTES];
-	char gateway_store[SETTING_BYTES];   /**< platform's store endpoint */
+	char gateway_store[SETTING_BYTES]; /**< platform's store endpoint */
 	int gateway_partitions; /**< partitions of a topic in the store */
 	char gateway_seeds[SETTINGS_PATH_BYTES]; /**< initial peer endpoints,
 						    separated by commas */
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -243,6 +243,29 @@
 }
 END_TEST
 
+START_TEST(requests_are_passed_on_once_only)
+{
+	static const char fields[] =
+	    "Host: h.example\r\nRequest-Id: hop\r\nDeadline-Ms: 1000\r\n"
+	    "Guavakeel-Vm: entry-0\r\nGuavakeel-Caller: 127.0.0.1\r\n";
+	struct http_reply reply;
+	long relayed;
+
+	cluster_set_paths(&cluster, 1, "dark");
+	play(1, 1000);
+	relayed = cluster_counter(&cluster, 1, "relayed_total");
+	ck_assert_int_ge(relayed, 1);
+	http_call_once(cluster.gateways[1].relay_port, "GET", "/safe/x", fields,
+	    "", 0, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 503);
+	ck_assert_ptr_nonnull(
+	    http_reply_field(&reply, "guavakeel-unreachable"));
+	http_reply_reset(&reply);
+	ck_assert_int_eq(
+	    cluster_counter(&cluster, 1, "relayed_total"), relayed);
+}
+END_TEST
+
 START_TEST(requests_are_refused_at_once_when_all_gateways_are_cut_off)
 {
 	cut_all();
@@ -355,6 +378,7 @@
 	    callers_that_leave_are_noticed_over_the_hop,
 	    programs_go_on_over_the_hop,
 	    gateways_that_are_cut_off_too_are_passed_over,
+	    requests_are_passed_on_once_only,
 	    requests_are_refused_at_once_when_all_gateways_are_cut_off,
 	    directory_leaves_out_gateways_that_are_cut_off,
 	    what_a_server_says_is_heard_over_the_hop,
--- a/tests/test_permits.c
+++ b/tests/test_permits.c
@@ -21,6 +21,18 @@
 	SETTLE_US = 5 * US_PER_S, /**< after which the capacity is measured */
 };
 
+static int64_t
+ms(int count)
+{
+	return (int64_t)count * US_PER_MS;
+}
+
+static int64_t
+seconds(int count)
+{
+	return (int64_t)count * US_PER_S;
+}
+
 static const int VM_COUNTS[] = {12, 79, 300};
 
 /** A fleet of VMs that send requests to servers with equal limits. */
@@ -135,7 +147,8 @@
 	permit = permits_take(second ? &fleet.second : &fleet.first,
 	    (uint64_t)server + 1, &terms, now_us + DELAY_US);
 	if (permit.granted)
-		record_arrival(server, now_us + 2 * DELAY_US + permit.wait_us);
+		record_arrival(
+		    server, now_us + (int64_t)2 * DELAY_US + permit.wait_us);
 	limit_expect_permit(known,
 	    now_us + permit.wait_us +
 		(permit.granted ? (int64_t)(US_PER_S / fleet.per_s)
@@ -165,7 +178,7 @@
 	int vm = (int)(fleet.vms * pow(rng_real(&fleet.rng), 2));
 	const struct permit_claim claim = {
 	    .priority = (uint32_t)rng_below(&fleet.rng, 3),
-	    .left_us = 3 * US_PER_S,
+	    .left_us = seconds(3),
 	};
 	int64_t max_wait_us = permits_max_wait_us(&claim);
 
@@ -203,9 +216,9 @@
 			double used;
 
 			fleet_init(VM_COUNTS[i], limits[k]);
-			play(0, 40 * US_PER_S, 4);
+			play(0, seconds(40), 4);
 			check_sums();
-			used = capacity_used(SETTLE_US, 40 * US_PER_S);
+			used = capacity_used(SETTLE_US, seconds(40));
 			ck_assert_msg(used > 0.9,
 			    "%d VMs, %.1f a second: %.2f of it used",
 			    VM_COUNTS[i], limits[k], used);
@@ -221,7 +234,7 @@
 		play(0, SETTLE_US, 0.5);
 		fleet.refused = 0;
 		fleet.requests = 0;
-		play(SETTLE_US, 40 * US_PER_S, 0.7);
+		play(SETTLE_US, seconds(40), 0.7);
 		check_sums();
 		ck_assert_msg(fleet.refused < fleet.requests / 50,
 		    "%d VMs: %llu of %llu refused", VM_COUNTS[i],
@@ -235,13 +248,13 @@
 {
 	for (size_t i = 0; i < 3; i++) {
 		fleet_init(VM_COUNTS[i], 5);
-		play(0, 10 * US_PER_S, 2);
+		play(0, seconds(10), 2);
 		fleet.first_dead = true;
-		play(10 * US_PER_S, 10 * US_PER_S + DEAD_AFTER_US, 2);
+		play(seconds(10), seconds(10) + DEAD_AFTER_US, 2);
 		fleet.second_part = 1;
-		play(10 * US_PER_S + DEAD_AFTER_US, 40 * US_PER_S, 2);
+		play(seconds(10) + DEAD_AFTER_US, seconds(40), 2);
 		check_sums();
-		ck_assert(capacity_used(17 * US_PER_S, 40 * US_PER_S) > 0.9);
+		ck_assert(capacity_used(seconds(17), seconds(40)) > 0.9);
 	}
 }
 END_TEST
@@ -250,11 +263,11 @@
 {
 	for (size_t i = 0; i < 3; i++) {
 		fleet_init(VM_COUNTS[i], 5);
-		play(0, 10 * US_PER_S, 2);
+		play(0, seconds(10), 2);
 		fleet.second_part = 0.5;
-		play(10 * US_PER_S, 14 * US_PER_S, 2);
+		play(seconds(10), seconds(14), 2);
 		fleet.second_part = 0;
-		play(14 * US_PER_S, 30 * US_PER_S, 2);
+		play(seconds(14), seconds(30), 2);
 		check_sums();
 	}
 }
@@ -266,11 +279,11 @@
 		size_t vms = (size_t)VM_COUNTS[i];
 
 		fleet_init(VM_COUNTS[i], 5);
-		play(0, 10 * US_PER_S, 2);
+		play(0, seconds(10), 2);
 		fleet.second_part = 0.4;
 		fleet.second_share = permits_share(vms * 4 / 10, vms);
 		fleet.first_share = permits_share(vms - vms * 4 / 10, vms);
-		play(10 * US_PER_S, 40 * US_PER_S, 4);
+		play(seconds(10), seconds(40), 4);
 		check_sums();
 	}
 }
@@ -295,31 +308,28 @@
 
 START_TEST(less_urgent_requests_are_refused_first)
 {
-	const struct permit_claim urgent = {.left_us = 3 * US_PER_S};
-	const struct permit_claim late = {
-	    .priority = 2, .left_us = 3 * US_PER_S};
+	const struct permit_claim urgent = {.left_us = seconds(3)};
+	const struct permit_claim late = {.priority = 2, .left_us = seconds(3)};
 	const struct permit_claim fresh = {
-	    .begins_program = true, .left_us = 3 * US_PER_S};
-	const struct permit_claim hurried = {.left_us = 200 * US_PER_MS};
+	    .begins_program = true, .left_us = seconds(3)};
+	const struct permit_claim hurried = {.left_us = ms(200)};
 	int64_t urgent_us = permits_max_wait_us(&urgent);
 	struct permit_terms terms = {.per_s = 10, .share = 1};
 	int granted[2] = {0, 0};
 
 	ck_assert_int_gt(urgent_us, permits_max_wait_us(&late));
 	ck_assert_int_gt(urgent_us, permits_max_wait_us(&fresh));
-	ck_assert_int_le(permits_max_wait_us(&hurried), 50 * US_PER_MS);
+	ck_assert_int_le(permits_max_wait_us(&hurried), ms(50));
 	permits_reset(&fleet.first);
-	for (int ms = 0; ms < 20000; ms += 50) {
+	for (int at_ms = 0; at_ms < 20000; at_ms += 50) {
 		terms.max_wait_us = permits_max_wait_us(&late);
-		granted[0] += permits_take(
-		    &fleet.first, 1, &terms, (int64_t)ms * US_PER_MS)
-				  .granted;
+		granted[0] +=
+		    permits_take(&fleet.first, 1, &terms, ms(at_ms)).granted;
 		terms.max_wait_us = urgent_us;
-		granted[1] += permits_take(
-		    &fleet.first, 1, &terms, (int64_t)ms * US_PER_MS)
-				  .granted;
+		granted[1] +=
+		    permits_take(&fleet.first, 1, &terms, ms(at_ms)).granted;
 	}
-	ck_assert_int_gt(granted[1], 10 * granted[0]);
+	ck_assert_int_gt(granted[1] / 10, granted[0]);
 }
 END_TEST
 
@@ -329,10 +339,9 @@
 	int granted = 0;
 
 	permits_reset(&fleet.first);
-	for (int ms = 0; ms < 40000; ms += 10)
-		granted += permits_take(
-		    &fleet.first, 1, &terms, (int64_t)ms * US_PER_MS)
-			       .granted;
+	for (int at_ms = 0; at_ms < 40000; at_ms += 10)
+		granted +=
+		    permits_take(&fleet.first, 1, &terms, ms(at_ms)).granted;
 	ck_assert_int_ge(granted, 5);
 	ck_assert_int_le(granted, 9);
 }
@@ -378,18 +387,17 @@
 	int64_t last_us = 0;
 
 	for (int i = 0; i < 8; i++) {
-		int64_t us =
-		    return_schedule_add(&schedule, 200 * US_PER_MS, 5, 1000);
+		int64_t us = return_schedule_add(&schedule, ms(200), 5, 1000);
 
-		ck_assert_int_ge(us, 200 * US_PER_MS);
+		ck_assert_int_ge(us, ms(200));
 		ck_assert_int_gt(us, last_us);
 		last_us = us;
 	}
-	ck_assert_int_le(last_us, 2 * US_PER_S);
+	ck_assert_int_le(last_us, seconds(2));
 	for (int i = 0; i < 100; i++)
 		ck_assert_int_le(
-		    return_schedule_add(&schedule, 200 * US_PER_MS, 5, 1000),
-		    2 * US_PER_S);
+		    return_schedule_add(&schedule, ms(200), 5, 1000),
+		    seconds(2));
 }
 END_TEST
 
@@ -399,7 +407,7 @@
 	struct backend_request request = {.service = "s",
 	    .preferred = "",
 	    .permits_allowed = true,
-	    .max_permit_wait_us = 100 * US_PER_MS};
+	    .max_permit_wait_us = ms(100)};
 	struct backend_entry entry = {.slots = 8, .started_wall_ms = 1};
 	const struct server_start start = {
 	    .server = hash_text("a", 0), .started_wall_ms = 1};
@@ -414,10 +422,10 @@
 	limits_apply(&backends.limits, &start, &statement);
 	limit = limits_find(&backends.limits, &start);
 	ck_assert_ptr_nonnull(backends_choose(&backends, &request, 10));
-	limit_expect_permit(limit, 10 + 200 * US_PER_MS);
+	limit_expect_permit(limit, 10 + ms(200));
 	ck_assert_ptr_null(backends_choose(&backends, &request, 10));
 	ck_assert_int_ge(
-	    backends_limited_retry_us(&backends, "s", 12, 10), 200 * US_PER_MS);
+	    backends_limited_retry_us(&backends, "s", 12, 10), ms(200));
 	memcpy(entry.id, "b", 2);
 	backends_update(&backends, &entry, "r1");
 	ck_assert_str_eq(
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -15,6 +15,18 @@
 	TICK_US = 100 * US_PER_MS,
 };
 
+static int64_t
+ms(int count)
+{
+	return (int64_t)count * US_PER_MS;
+}
+
+static int64_t
+seconds(int count)
+{
+	return (int64_t)count * US_PER_S;
+}
+
 /* Requests a second that one VM gets: 144 at 12 VMs, 360 at 79 and 300. */
 static const double RATES[] = {12, 4.5, 1.2};
 
@@ -85,17 +97,17 @@
 				struct vm vm;
 
 				vm_init(&vm, seed, (enum fault)fault);
-				play(&vm, RATES[i], 0, 10 * US_PER_S);
+				play(&vm, RATES[i], 0, seconds(10));
 				ck_assert(!vm.reach.lost);
 				memset(vm.dead, true, sizeof(vm.dead));
-				play(&vm, RATES[i], 10 * US_PER_S,
-				    25 * US_PER_S);
+				play(&vm, RATES[i], seconds(10), seconds(25));
 				ck_assert(vm.reach.lost);
 				/* Until the first request, and its tries. */
 				ck_assert_int_le(vm.lost_us,
-				    10 * US_PER_S +
-					(int64_t)(7 * US_PER_S / RATES[i]) +
-					2 * US_PER_S);
+				    seconds(10) +
+					(int64_t)((double)seconds(7) /
+					    RATES[i]) +
+					seconds(2));
 			}
 		}
 	}
@@ -116,7 +128,7 @@
 				vm_init(&vm, seed, FAULT_HANGS);
 				for (size_t d = 0; d < dead_counts[k]; d++)
 					vm.dead[d] = true;
-				play(&vm, RATES[i], 0, 10 * US_PER_S);
+				play(&vm, RATES[i], 0, seconds(10));
 				losses += vm.lost_us != 0;
 			}
 			/* Three in a row must be dead: never with one, and
@@ -135,14 +147,14 @@
 
 	vm_init(&vm, 1, FAULT_REFUSED);
 	memset(vm.dead, true, sizeof(vm.dead));
-	play(&vm, 12, 0, 5 * US_PER_S);
+	play(&vm, 12, 0, seconds(5));
 	ck_assert(vm.reach.lost);
-	ck_assert(reach_probe_is_due(&vm.reach, 6 * US_PER_S));
-	ck_assert(!reach_probe_is_due(&vm.reach, 6 * US_PER_S + 1000));
-	ck_assert(reach_handle_reached(&vm.reach, 6 * US_PER_S));
+	ck_assert(reach_probe_is_due(&vm.reach, seconds(6)));
+	ck_assert(!reach_probe_is_due(&vm.reach, seconds(6) + 1000));
+	ck_assert(reach_handle_reached(&vm.reach, seconds(6)));
 	ck_assert(!vm.reach.lost);
-	ck_assert(!reach_handle_reached(&vm.reach, 6 * US_PER_S));
-	ck_assert(!reach_probe_is_due(&vm.reach, 9 * US_PER_S));
+	ck_assert(!reach_handle_reached(&vm.reach, seconds(6)));
+	ck_assert(!reach_probe_is_due(&vm.reach, seconds(9)));
 }
 END_TEST
 
@@ -152,10 +164,10 @@
 
 	for (uint64_t server = 1; server <= 8; server++)
 		ck_assert(!reach_handle_failure(
-		    &reach, server, SERVERS, (int64_t)server * 6 * US_PER_S));
-	ck_assert(!reach_handle_failure(&reach, 8, SERVERS, 49 * US_PER_S));
-	ck_assert(!reach_handle_failure(&reach, 9, SERVERS, 49 * US_PER_S));
-	ck_assert(reach_handle_failure(&reach, 10, SERVERS, 49 * US_PER_S));
+		    &reach, server, SERVERS, seconds(6 * (int)server)));
+	ck_assert(!reach_handle_failure(&reach, 8, SERVERS, seconds(49)));
+	ck_assert(!reach_handle_failure(&reach, 9, SERVERS, seconds(49)));
+	ck_assert(reach_handle_failure(&reach, 10, SERVERS, seconds(49)));
 }
 END_TEST
 
@@ -167,7 +179,7 @@
 		ck_assert(!reach_handle_failure(&reach, 1, 1, i));
 	for (int i = 0; i < 10; i++)
 		ck_assert(!reach_handle_failure(&reach, 1, SERVERS, i));
-	ck_assert(reach_needs_new_connection(&reach, 3 * US_PER_S));
+	ck_assert(reach_needs_new_connection(&reach, seconds(3)));
 }
 END_TEST
 
@@ -176,15 +188,15 @@
 	struct reach reach = {0};
 
 	reach_handle_bytes(&reach, 0);
-	reach_check_silence(&reach, 5, 200 * US_PER_MS);
-	ck_assert(!reach_needs_new_connection(&reach, 3 * US_PER_S));
-	reach_check_silence(&reach, 1, 2 * US_PER_S);
-	ck_assert(!reach_needs_new_connection(&reach, 3 * US_PER_S));
-	reach_check_silence(&reach, 2, 2 * US_PER_S);
-	ck_assert(reach_needs_new_connection(&reach, 3 * US_PER_S));
+	reach_check_silence(&reach, 5, ms(200));
+	ck_assert(!reach_needs_new_connection(&reach, seconds(3)));
+	reach_check_silence(&reach, 1, seconds(2));
+	ck_assert(!reach_needs_new_connection(&reach, seconds(3)));
+	reach_check_silence(&reach, 2, seconds(2));
+	ck_assert(reach_needs_new_connection(&reach, seconds(3)));
 	ck_assert(!reach.lost);
-	reach_handle_bytes(&reach, 2 * US_PER_S);
-	ck_assert(!reach_needs_new_connection(&reach, 3 * US_PER_S));
+	reach_handle_bytes(&reach, seconds(2));
+	ck_assert(!reach_needs_new_connection(&reach, seconds(3)));
 }
 END_TEST
 
@@ -193,12 +205,12 @@
 	struct reach reach = {0};
 
 	for (uint64_t server = 1; server <= 3; server++)
-		reach_handle_failure(&reach, server, SERVERS, 10 * US_PER_S);
+		reach_handle_failure(&reach, server, SERVERS, seconds(10));
 	ck_assert(reach.lost);
-	ck_assert(reach_needs_new_connection(&reach, 10 * US_PER_S));
-	reach_handle_bytes(&reach, 10 * US_PER_S);
-	ck_assert(!reach_needs_new_connection(&reach, 10 * US_PER_S + 1));
-	ck_assert(reach_needs_new_connection(&reach, 11 * US_PER_S));
+	ck_assert(reach_needs_new_connection(&reach, seconds(10)));
+	reach_handle_bytes(&reach, seconds(10));
+	ck_assert(!reach_needs_new_connection(&reach, seconds(10) + 1));
+	ck_assert(reach_needs_new_connection(&reach, seconds(11)));
 }
 END_TEST
 
