Server list: an outage of this gateway alone is none of the store

Cause: entries also expire while the store is down, so a gateway that regains the store waits 2.2 s before it takes a removed entry for final. It did so after an outage of its own as well, when the store was there and the removal was meant.

--- a/gateway/server_watch.c
+++ b/gateway/server_watch.c
@@ -45,6 +45,8 @@
 	int64_t failed_since_us; /**< time of the first of the failed reads */
 	/** Time of the first success after failed reads; 0: none. */
 	int64_t recovered_us;
+	int64_t outage_us; /**< from the first of these to recovered_us */
+	int64_t reading_since_us;  /**< first success since the last failure */
 	int64_t peer_requested_us; /**< time of the last request to another
 				      gateway */
 	char last_key[NAME_BYTES]; /**< last key of the pages read so far */
@@ -231,10 +233,47 @@
 	}
 	message.servers.servers = servers;
 	message.servers.server_count = count;
+	message.servers.reachable_us =
+	    clock_monotonic_us() - watch->reading_since_us;
 	peer_gateways_send(watch->gateway->peer_gateways, vm, &message);
 	free(servers);
 }
 
+/* Removes the servers whose entries were removed during the outage. */
+static void
+end_reregistration(struct server_watch *watch)
+{
+	watch->recovered_us = 0;
+	while (watch->expired_count > 0)
+		remove_server(watch, watch->expired[--watch->expired_count].id);
+}
+
+/* Handles how long another gateway has read the list. If it did so during this
+ * one's outage, the store was there, and no entry expired by itself. */
+static void
+handle_peer_reachable(struct server_watch *watch, int64_t reachable_us)
+{
+	if (watch->recovered_us != 0 &&
+	    reachable_us >
+		clock_monotonic_us() - watch->recovered_us + watch->outage_us)
+		end_reregistration(watch);
+}
+
+/* Asks another gateway whether the store was there during the outage. */
+static void
+ask_for_outage(struct server_watch *watch)
+{
+	struct message message = {.type = MESSAGE_SERVERS_GET};
+	const char *vm;
+
+	if (watch->recovered_us == 0 ||
+	    clock_monotonic_us() - watch->recovered_us > REREGISTER_US)
+		return;
+	vm = peer_gateways_next_relay(watch->gateway->peer_gateways);
+	if (vm != NULL)
+		peer_gateways_send(watch->gateway->peer_gateways, vm, &message);
+}
+
 static void add_listed(struct server_watch *watch, const char *id);
 static void finish_relisting(struct server_watch *watch);
 
@@ -244,6 +283,8 @@
 {
 	bool positioned = watch->positioned;
 
+	if (!watch->read_failed)
+		handle_peer_reachable(watch, message->servers.reachable_us);
 	if (!watch->read_failed || watch->listed_count > 0)
 		return;
 	for (size_t i = 0; i < message->servers.server_count; i++) {
@@ -286,12 +327,15 @@
 static void
 handle_read_success(struct server_watch *watch)
 {
+	if (watch->reading_since_us == 0)
+		watch->reading_since_us = clock_monotonic_us();
 	if (!watch->read_failed)
 		return;
 	watch->read_failed = false;
 	watch->recovered_us = clock_monotonic_us();
-	dependency_trace_recovered(
-	    "store/servers", watch->recovered_us - watch->failed_since_us);
+	watch->outage_us = watch->recovered_us - watch->failed_since_us;
+	watch->reading_since_us = watch->recovered_us;
+	dependency_trace_recovered("store/servers", watch->outage_us);
 }
 
 static int64_t
@@ -402,6 +446,7 @@
 			handle_entry_removed(watch, id);
 	}
 	watch->next_offset += read->count;
+	ask_for_outage(watch);
 	remove_expired(watch);
 	start_later(watch, poll_interval_us(watch));
 }
--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -325,6 +325,8 @@
 struct message_servers {
 	struct message_server *servers;
 	size_t server_count;
+	/** Time for which the sender has read the list without a failure. */
+	int64_t reachable_us;
 };
 
 /** What the sender knows of a backend server's limit on requests. */
--- a/peer/message.c
+++ b/peer/message.c
@@ -290,6 +290,7 @@
 
 static const struct wire_field servers_fields[] = {
     LIST(1, servers.servers, &server_layout),
+    FIELD(2, WIRE_SIGNED, servers.reachable_us),
 };
 static const struct wire_field store_append_fields[] = {
     FIELD(1, WIRE_UNSIGNED, store_append.number),
--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -404,18 +404,46 @@
 	return gateway->paths.port != 0 ? cluster_add_gateway(cluster) : -1;
 }
 
-void
-cluster_set_paths(const struct cluster *cluster, int number, const char *mode)
+static void
+set_path(const struct cluster *cluster, int number, const char *path,
+    const char *mode)
 {
 	struct http_reply reply;
 	char target[PATH_BYTES];
 
-	snprintf(target, sizeof(target), "/stand-in/mode/%s", mode);
+	snprintf(target, sizeof(target), "/stand-in/%s/%s", path, mode);
 	http_call_once(cluster->gateways[number].paths.port, "GET", target,
 	    "Host: x\r\n", "", 0, CALL_TIMEOUT_MS, &reply);
 	http_reply_reset(&reply);
 }
 
+void
+cluster_set_paths(const struct cluster *cluster, int number, const char *mode)
+{
+	set_path(cluster, number, "mode", mode);
+}
+
+void
+cluster_set_store_path(
+    const struct cluster *cluster, int number, const char *mode)
+{
+	set_path(cluster, number, "store", mode);
+}
+
+bool
+cluster_has_logged(const struct cluster *cluster, int number, const char *text)
+{
+	struct buf log = {0};
+	char name[LOG_BYTES];
+	bool found;
+
+	snprintf(name, sizeof(name), "entry-%d.log", number);
+	append_file(cluster, name, &log);
+	found = strstr(buf_text(&log), text) != NULL;
+	buf_reset(&log);
+	return found;
+}
+
 bool
 cluster_wait_ready(struct cluster *cluster, int number)
 {
@@ -530,6 +558,12 @@
 	buf_reset(&value);
 }
 
+void
+cluster_unregister_server(struct cluster *cluster, const char *id)
+{
+	append_keyed(cluster, STORE_TOPIC_SERVERS, id, "");
+}
+
 void
 cluster_register_server(struct cluster *cluster, const char *id, int server)
 {
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -76,6 +76,14 @@
  * or "dark". */
 void
 cluster_set_paths(const struct cluster *cluster, int number, const char *mode);
+/** The same for its path to the store. */
+void cluster_set_store_path(
+    const struct cluster *cluster, int number, const char *mode);
+/** Removes a server's entry from the list. */
+void cluster_unregister_server(struct cluster *cluster, const char *id);
+/** Returns whether a gateway's log has a text. */
+bool
+cluster_has_logged(const struct cluster *cluster, int number, const char *text);
 /** Starts a gateway, or restarts one that was killed, on its known ports.
  * Returns false on failure. */
 bool cluster_restart_gateway(struct cluster *cluster, int number);
--- a/standins/paths_program.c
+++ b/standins/paths_program.c
@@ -1,7 +1,7 @@
 /** @file
  * standin-paths: the network paths of one gateway, see standins/paths.h. GET
  * /stand-in/mode/NAME sets the mode of the paths to all servers: pass, refuse,
- * reset or dark.
+ * reset or dark. GET /stand-in/store/NAME sets that of the path to the store.
  */
 #include <argp.h>
 #include <signal.h>
@@ -27,27 +27,49 @@
 static struct paths *paths;
 
 static const char MODE_PATH[] = "/stand-in/mode/";
+static const char STORE_PATH[] = "/stand-in/store/";
+
+/* Returns the rest of a path after a prefix, or NULL. */
+static const char *
+path_suffix(const char *path, const char *prefix)
+{
+	size_t len = strlen(prefix);
+
+	return strncmp(path, prefix, len) == 0 ? path + len : NULL;
+}
+
+/* Returns the mode of a name, or PROXY_MODE_COUNT. */
+static enum proxy_mode
+mode_of(const char *name)
+{
+	int mode = 0;
+
+	while (mode < PROXY_MODE_COUNT &&
+	    strcmp(name, proxy_mode_name((enum proxy_mode)mode)) != 0)
+		mode++;
+	return (enum proxy_mode)mode;
+}
 
 static void
 handle(void *context, struct h1_exchange *exchange)
 {
 	const char *path =
 	    (const char *)h1_exchange_head(exchange)->target.data;
+	const char *servers = path_suffix(path, MODE_PATH);
+	const char *store = path_suffix(path, STORE_PATH);
+	const char *name = servers != NULL ? servers : store;
+	enum proxy_mode mode = name != NULL ? mode_of(name) : PROXY_MODE_COUNT;
 
 	(void)context;
-	if (strncmp(path, MODE_PATH, strlen(MODE_PATH)) != 0) {
+	if (mode == PROXY_MODE_COUNT) {
 		h1_respond(exchange, 404, NULL, "", 0);
 		return;
 	}
-	for (int mode = 0; mode < PROXY_MODE_COUNT; mode++) {
-		if (strcmp(path + strlen(MODE_PATH),
-			proxy_mode_name((enum proxy_mode)mode)) != 0)
-			continue;
-		paths_set_server_mode(paths, (enum proxy_mode)mode);
-		h1_respond(exchange, 200, NULL, "", 0);
-		return;
-	}
-	h1_respond(exchange, 400, NULL, "", 0);
+	if (servers != NULL)
+		paths_set_server_mode(paths, mode);
+	else
+		proxy_set_mode(paths_store(paths), mode);
+	h1_respond(exchange, 200, NULL, "", 0);
 }
 
 static const struct argp_option argp_options[] = {
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -15,6 +15,7 @@
 	IN_FLIGHT = 64,
 	DETECTED_MS = 3000, /**< after which the calls count */
 	COUNTED_MS = 3000,
+	DRAIN_MS = 2500, /**< of the gateways' settings */
 	REFUSED_WITHIN_US = 1000 * US_PER_MS,
 };
 
@@ -354,6 +355,32 @@
 }
 END_TEST
 
+START_TEST(removed_servers_are_left_after_an_outage_of_one_gateway)
+{
+	static const char removed[] =
+	    "\"server_removed\",\"server\":\"removed-1\"";
+	int64_t until_us;
+
+	cluster_register_server(&cluster, "removed-1", 3);
+	usleep(LISTED_MS * US_PER_MS);
+	/* Paused, the others can't pass their list on during the outage. */
+	cluster_signal(&cluster.gateways[1].process, SIGSTOP);
+	cluster_signal(&cluster.gateways[2].process, SIGSTOP);
+	cluster_set_store_path(&cluster, 0, "dark");
+	usleep(2500 * US_PER_MS);
+	cluster_unregister_server(&cluster, "removed-1");
+	until_us = clock_monotonic_us() + (int64_t)DRAIN_MS * US_PER_MS;
+	usleep(500 * US_PER_MS);
+	cluster_set_store_path(&cluster, 0, "pass");
+	cluster_signal(&cluster.gateways[1].process, SIGCONT);
+	cluster_signal(&cluster.gateways[2].process, SIGCONT);
+	while (!cluster_has_logged(&cluster, 0, removed) &&
+	    clock_monotonic_us() < until_us)
+		usleep(20 * US_PER_MS);
+	ck_assert(cluster_has_logged(&cluster, 0, removed));
+}
+END_TEST
+
 START_TEST(one_silent_server_is_no_cut)
 {
 	cluster_signal(&cluster.servers[0], SIGSTOP);
@@ -383,6 +410,7 @@
 	    directory_leaves_out_gateways_that_are_cut_off,
 	    what_a_server_says_is_heard_over_the_hop,
 	    fields_between_gateways_do_not_come_from_callers,
+	    removed_servers_are_left_after_an_outage_of_one_gateway,
 	    one_silent_server_is_no_cut,
 	};
 
