Gateway: a request that another gateway may have had run is never refused

A safe request that was lost at one server is passed on with that execution. The gateway that takes it refused it as not run where it failed before any server was chosen, for example without a configuration or by quarantine. Found by reading; a request that may have run is now failed wherever it would be refused. test-cut: requests_that_may_have_run_elsewhere_are_not_refused. What sends a body to a caller stands once, and so do times in tests.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -68,21 +68,6 @@
 	    is_success(request->attempt);
 }
 
-/* Sends part of the response body to the caller. Fails and frees the request if
- * the caller reads too slowly. */
-static void
-send_body(struct request *request, const void *data, size_t len)
-{
-	if (request->first_byte_us == 0) {
-		request->first_byte_us = clock_monotonic_us();
-		histogram_add(&request->gateway->counters.first_token_us,
-		    request->first_byte_us - request->received_us);
-	}
-	if (!h1_respond_data(request->exchange, data, len))
-		request_fail(
-		    request, REFUSAL_CALLER_GONE, "caller reads too slowly");
-}
-
 static void
 begin_response(struct request *request, int64_t length)
 {
@@ -118,7 +103,7 @@
 		request->attempt->first_event_us = clock_monotonic_us();
 	buf_append(&out, events->pending.data, complete_len);
 	event_stream_consume(events, complete_len);
-	send_body(request, out.data, out.len);
+	request_send_body(request, out.data, out.len);
 	buf_reset(&out);
 }
 
@@ -162,13 +147,14 @@
 		return;
 	}
 	if (request->response_started) {
-		send_body(request, data, len);
+		request_send_body(request, data, len);
 		return;
 	}
 	buf_append(&attempt->body, data, len);
 	if (attempt->body.len > BUFFERED_BODY_MAX_BYTES) {
 		begin_response(request, attempt->content_length);
-		send_body(request, attempt->body.data, attempt->body.len);
+		request_send_body(
+		    request, attempt->body.data, attempt->body.len);
 	}
 }
 
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -99,16 +99,8 @@
 {
 	struct request *request = context;
 
-	if (!request->response_started)
-		return;
-	if (request->first_byte_us == 0) {
-		request->first_byte_us = clock_monotonic_us();
-		histogram_add(&request->gateway->counters.first_token_us,
-		    request->first_byte_us - request->received_us);
-	}
-	if (!h1_respond_data(request->exchange, data, len))
-		request_fail(
-		    request, REFUSAL_CALLER_GONE, "caller reads too slowly");
+	if (request->response_started)
+		request_send_body(request, data, len);
 }
 
 /* Goes on with a request that the other gateway certainly has not run. */
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -168,8 +168,12 @@
 request_refuse(struct request *request, enum refusal reason, int64_t retry_us,
     const char *why)
 {
-	request_respond_error(
-	    request, reason, EXECUTION_NOT_STARTED, retry_us, why);
+	/* The gateway that passed it on may have had it run. */
+	if (request->possible_executions > 0)
+		request_fail(request, REFUSAL_SERVER_FAILED, why);
+	else
+		request_respond_error(
+		    request, reason, EXECUTION_NOT_STARTED, retry_us, why);
 }
 
 void
@@ -224,6 +228,19 @@
 	request_destroy(request);
 }
 
+void
+request_send_body(struct request *request, const void *data, size_t len)
+{
+	if (request->first_byte_us == 0) {
+		request->first_byte_us = clock_monotonic_us();
+		histogram_add(&request->gateway->counters.first_token_us,
+		    request->first_byte_us - request->received_us);
+	}
+	if (!h1_respond_data(request->exchange, data, len))
+		request_fail(
+		    request, REFUSAL_CALLER_GONE, "caller reads too slowly");
+}
+
 void
 request_complete(struct request *request)
 {
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -154,13 +154,17 @@
  * request. why describes the failure for logs; NULL for ATTEMPT_COMPLETED. */
 void request_attempt_ended(
     struct request *request, enum attempt_result result, const char *why);
+/** Sends part of the response body to the caller. Fails and frees the request
+ * if the caller reads too slowly. */
+void request_send_body(struct request *request, const void *data, size_t len);
 /** Ends the response, of which everything else has been sent, and frees the
  * request. */
 void request_complete(struct request *request);
 /** Schedules turn_handle_timeout() at a monotonic time. */
 void request_wake_at(struct request *request, int64_t at_us);
-/** Responds that the request has not run and will not run, and frees it.
- * retry_us: delay after which the caller may retry; 0: no such advice. */
+/** Responds that the request has not run and will not run, and frees it; fails
+ * it if it may have run. retry_us: delay after which the caller may retry; 0:
+ * no such advice. */
 void request_refuse(struct request *request, enum refusal reason,
     int64_t retry_us, const char *why);
 /** Ends and frees a request that may have run. Responds with an error, or
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -267,6 +267,22 @@
 }
 END_TEST
 
+START_TEST(requests_that_may_have_run_elsewhere_are_not_refused)
+{
+	static const char fields[] =
+	    "Host: h.example\r\nRequest-Id: hop\r\nDeadline-Ms: 1000\r\n"
+	    "Guavakeel-Vm: entry-0\r\nGuavakeel-Executions: 1\r\n";
+	struct http_reply reply;
+
+	cluster_set_paths(&cluster, 1, "dark");
+	play(1, 1000);
+	http_call_once(cluster.gateways[1].relay_port, "GET", "/safe/x", fields,
+	    "", 0, CALL_MS, &reply);
+	ck_assert_int_eq(reply.status, 502);
+	http_reply_reset(&reply);
+}
+END_TEST
+
 START_TEST(requests_are_refused_at_once_when_all_gateways_are_cut_off)
 {
 	cut_all();
@@ -406,6 +422,7 @@
 	    programs_go_on_over_the_hop,
 	    gateways_that_are_cut_off_too_are_passed_over,
 	    requests_are_passed_on_once_only,
+	    requests_that_may_have_run_elsewhere_are_not_refused,
 	    requests_are_refused_at_once_when_all_gateways_are_cut_off,
 	    directory_leaves_out_gateways_that_are_cut_off,
 	    what_a_server_says_is_heard_over_the_hop,
--- a/tests/test_permits.c
+++ b/tests/test_permits.c
@@ -9,6 +9,7 @@
 #include "dispatch/limits.h"
 #include "dispatch/permits.h"
 #include "tests/runner.h"
+#include "tests/times.h"
 
 enum {
 	SERVERS = 12,
@@ -21,18 +22,6 @@
 	SETTLE_US = 5 * US_PER_S, /**< after which the capacity is measured */
 };
 
-static int64_t
-ms(int count)
-{
-	return (int64_t)count * US_PER_MS;
-}
-
-static int64_t
-seconds(int count)
-{
-	return (int64_t)count * US_PER_S;
-}
-
 static const int VM_COUNTS[] = {12, 79, 300};
 
 /** A fleet of VMs that send requests to servers with equal limits. */
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -5,6 +5,7 @@
 #include "common/rng.h"
 #include "dispatch/reach.h"
 #include "tests/runner.h"
+#include "tests/times.h"
 
 enum {
 	SERVERS = 15,
@@ -15,18 +16,6 @@
 	TICK_US = 100 * US_PER_MS,
 };
 
-static int64_t
-ms(int count)
-{
-	return (int64_t)count * US_PER_MS;
-}
-
-static int64_t
-seconds(int count)
-{
-	return (int64_t)count * US_PER_S;
-}
-
 /* Requests a second that one VM gets: 144 at 12 VMs, 360 at 79 and 300. */
 static const double RATES[] = {12, 4.5, 1.2};
 
