--- a/include/dispatch/permits.h
+++ b/include/dispatch/permits.h
@@ -16,11 +16,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common/clock.h"
+
 struct permit_bucket;
 
 enum {
 	/** Longer than any request waits for a permit. */
-	PERMIT_PAUSE_US = 500000,
+	PERMIT_PAUSE_US = 500 * US_PER_MS,
 };
 
 /** What a coordinator has given, by server; empty when zeroed. */
--- a/include/dispatch/reach.h
+++ b/include/dispatch/reach.h
@@ -45,7 +45,7 @@
 /** Records that a server has sent something. */
 void reach_handle_bytes(struct reach *reach, int64_t now_us);
 /** Checks for silence. waiting_servers: servers that have had a request for
- * REACH_SILENCE_US or longer. */
+ * the time of reach_silence_start_us() or longer. */
 void reach_check_silence(
     struct reach *reach, size_t waiting_servers, int64_t now_us);
 /** Returns since when a request must wait to count for reach_check_silence().
