--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -388,8 +388,8 @@
 		 * lost rather than a server have crashed. */
 		if (outcome->refused &&
 		    gateway->blackboard.reach.failed_count < 2)
-			quarantine_handle_server_end(
-			    gateway->quarantine, request->last_backend);
+			quarantine_handle_server_end(gateway->quarantine,
+			    request->last_backend, "connection refused");
 		forward_free(request);
 		request_attempt_ended(request, ATTEMPT_UNREACHABLE,
 		    outcome->refused ? "connection refused"
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -1,3 +1,5 @@
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,6 +17,7 @@
 	 * most this long before the end of the server was noticed. */
 	CRASH_NOTICE_MAX_US = 4 * US_PER_S,
 	BROKEN_CONNECTIONS_MAX = 256,
+	FINGERPRINT_TEXT_BYTES = 17,
 };
 
 /** A request whose connection to its backend server broke. */
@@ -76,12 +79,15 @@
 		sizeof(crashed->started_wall_ms),
 		hash_text(crashed->server, 0)),
 	};
+	char fingerprint[FINGERPRINT_TEXT_BYTES];
 	struct trace trace;
 
 	memcpy(report.server, crashed->server, sizeof(report.server));
 	crash_add(&quarantine->evidence, &report);
 	trace_begin(&trace, "request_crashed_server");
-	trace_number(&trace, "fingerprint", (int64_t)crashed->fingerprint);
+	snprintf(fingerprint, sizeof(fingerprint), "%016" PRIx64,
+	    crashed->fingerprint);
+	trace_text(&trace, "fingerprint", fingerprint);
 	trace_text(&trace, "server", crashed->server);
 	trace_text(&trace, "seen_by", source);
 	trace_number(&trace, "held",
@@ -89,11 +95,28 @@
 	trace_end(&trace);
 }
 
+static void
+trace_server_end(
+    const char *server, const char *sign, size_t suspects, size_t too_old)
+{
+	struct trace trace;
+
+	trace_begin(&trace, "server_ended");
+	trace_text(&trace, "server", server);
+	trace_text(&trace, "sign", sign);
+	trace_number(&trace, "suspects", (int64_t)suspects);
+	trace_number(&trace, "too_old", (int64_t)too_old);
+	trace_end(&trace);
+}
+
 void
-quarantine_handle_server_end(struct quarantine *quarantine, const char *server)
+quarantine_handle_server_end(
+    struct quarantine *quarantine, const char *server, const char *sign)
 {
 	struct gateway *gateway = quarantine->gateway;
 	int64_t now_us = clock_monotonic_us();
+	size_t suspects = 0;
+	size_t too_old = 0;
 
 	for (size_t i = 0; i < BROKEN_CONNECTIONS_MAX; i++) {
 		struct broken_connection *broken =
@@ -108,9 +131,13 @@
 		};
 
 		if (broken->fingerprint == 0 ||
-		    now_us - broken->broken_us > CRASH_NOTICE_MAX_US ||
 		    strcmp(broken->server, server) != 0)
 			continue;
+		if (now_us - broken->broken_us > CRASH_NOTICE_MAX_US) {
+			too_old++;
+			continue;
+		}
+		suspects++;
 		broken->fingerprint = 0;
 		memcpy(message.server_crashed.server, server,
 		    strnlen(server, NAME_BYTES - 1));
@@ -118,6 +145,7 @@
 		    gateway->settings.vm_name);
 		peer_gateways_broadcast(gateway->peer_gateways, &message);
 	}
+	trace_server_end(server, sign, suspects, too_old);
 }
 
 void
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -24,6 +25,7 @@
 	RETRY_AFTER_UNREACHABLE_US = 150 * US_PER_MS,
 	DECLINED_MAX = 4, /* declines after which a request is refused */
 	RETRY_AFTER_TEXT_BYTES = 24,
+	FINGERPRINT_TEXT_BYTES = 17,
 };
 
 static void
@@ -86,6 +88,15 @@
 	}
 }
 
+static void
+trace_fingerprint(struct trace *trace, const struct request *request)
+{
+	char text[FINGERPRINT_TEXT_BYTES];
+
+	snprintf(text, sizeof(text), "%016" PRIx64, request->fingerprint);
+	trace_text(trace, "fingerprint", text);
+}
+
 static void
 request_trace(const struct request *request, int status, const char *reason,
     const char *why)
@@ -126,6 +137,9 @@
 	trace_elapsed(&trace, "ended_ms", request, request->body_ended_us);
 	trace_body_end(&trace, request);
 	trace_stated_limit(&trace, request);
+	if (reason != NULL &&
+	    strcmp(reason, refusal_name(REFUSAL_CRASHES_SERVERS)) == 0)
+		trace_fingerprint(&trace, request);
 	trace_end(&trace);
 }
 
@@ -528,6 +542,8 @@
 	trace_body_end(&trace, request);
 	trace_ms(
 	    &trace, "left_ms", request->deadline_us - clock_monotonic_us());
+	if (result == ATTEMPT_BROKEN || result == ATTEMPT_TIMED_OUT)
+		trace_fingerprint(&trace, request);
 	trace_end(&trace);
 }
 
--- a/gateway/server_watch.c
+++ b/gateway/server_watch.c
@@ -89,7 +89,8 @@
 {
 	struct gateway *gateway = watch->gateway;
 
-	quarantine_handle_server_end(gateway->quarantine, id);
+	quarantine_handle_server_end(
+	    gateway->quarantine, id, "removed from the list");
 	if (backends_remove(&gateway->blackboard.backends, id))
 		trace_server("server_removed", id, NULL, 0);
 }
@@ -125,7 +126,8 @@
 	bool was_leaving = known != NULL && known->leaving;
 
 	if (restarted)
-		quarantine_handle_server_end(gateway->quarantine, entry->id);
+		quarantine_handle_server_end(
+		    gateway->quarantine, entry->id, "new start in the list");
 	if (backends_update(&gateway->blackboard.backends, entry,
 		settings_region(&gateway->settings, entry->failure_domain)))
 		trace_server(
--- a/include/gateway/quarantine.h
+++ b/include/gateway/quarantine.h
@@ -18,9 +18,10 @@
     uint64_t fingerprint, const struct backend *backend);
 /** Handles the end of a server process, which is gone or has restarted: counts
  * it as a crash by the requests whose connections to it have just broken, and
- * broadcasts that to the other gateways. */
-void
-quarantine_handle_server_end(struct quarantine *quarantine, const char *server);
+ * broadcasts that to the other gateways. sign: how the end was noticed, for the
+ * log. */
+void quarantine_handle_server_end(
+    struct quarantine *quarantine, const char *server, const char *sign);
 /** Adds a crash that another gateway has reported. */
 void quarantine_handle_peer_report(struct quarantine *quarantine,
     const struct message_server_crashed *crashed);
