Test: requests that crash servers, counted at the servers

Real gateways, servers that start again after a crash, and one request of the same path, caller and body, which comes again at gateways that start, join, wake, are cut off or have no store. After three crashes it must not reach a server through a gateway that had 3 s to learn of them; in all, three sends more are permitted. Two cases ask that a request which is harmless is served after all servers died at once while they ran it.

--- /dev/null
+++ b/tests/test_crash.c
@@ -0,0 +1,347 @@
+/* A request that crashes each server which runs it comes again and again, at
+ * any gateway. Once it has crashed three servers, gateways that had been up and
+ * in contact for a while must send it to servers three times more at most, all
+ * of them together. What counts is what the servers run. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "tests/calls.h"
+#include "tests/runner.h"
+
+enum {
+	GATEWAYS = 3,
+	GATEWAYS_MAX = 6,
+	SERVERS = 4,
+	LISTED_MS = 1500, /* until the gateways use the servers */
+	/* Crashes from which on the request is not to be sent, and sends that
+	 * are permitted after that. */
+	CRASHES = 3,
+	SENDS_AFTER = 3,
+	/* A gateway that starts, wakes or is in contact again must know by then
+	 * what the others know. */
+	SETTLE_MS = 3000,
+	RESTART_MS = 600, /* until a crashed server runs again */
+	TRIES_MAX = 12,   /* of the request, while it may still crash servers */
+	AFTER_TRIES = 6,
+	STORE_AWAY_MS = 14000,
+};
+
+static struct cluster cluster;
+static const char *build_dir;
+static int crashes;
+
+static void
+start_cluster(bool with_paths)
+{
+	crashes = 0;
+	ck_assert(cluster_start(&cluster, build_dir));
+	cluster_publish(&cluster, "");
+	for (int i = 0; i < SERVERS; i++)
+		ck_assert_int_eq(cluster_add_server(&cluster, "tools", ""), i);
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert_int_eq(with_paths
+			? cluster_add_gateway_with_paths(&cluster)
+			: cluster_add_gateway(&cluster),
+		    i);
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert(cluster_wait_ready(&cluster, i));
+	usleep(LISTED_MS * US_PER_MS);
+}
+
+static void
+setup(void)
+{
+	start_cluster(false);
+}
+
+static void
+teardown(void)
+{
+	cluster_stop(&cluster);
+}
+
+/* Counts the servers that have crashed, and starts them again. */
+static void
+restart_crashed(void)
+{
+	for (int i = 0; i < cluster.server_count; i++) {
+		if (cluster.servers[i].pid == 0 ||
+		    cluster_wait(&cluster.servers[i], 1) == -1)
+			continue;
+		crashes++;
+		ck_assert(cluster_restart_server(&cluster, i));
+	}
+}
+
+/* Sends the request to a gateway, and counts the servers that it crashes. */
+static struct answer
+send_crashing(int gateway, const char *target)
+{
+	struct answer answer = call_once(&cluster, gateway, target, NULL);
+
+	ck_assert_int_ne(answer.status, 200);
+	if (answer.status != 503)
+		usleep(RESTART_MS * US_PER_MS);
+	restart_crashed();
+	return answer;
+}
+
+/* Sends the request to the gateways in turn until it is refused. */
+static void
+crash_until_refused(const char *target)
+{
+	for (int i = 0; i < TRIES_MAX; i++) {
+		if (send_crashing(i % GATEWAYS, target).status == 503 &&
+		    crashes >= CRASHES)
+			return;
+	}
+	ck_abort_msg("after %d tries the request was not refused", TRIES_MAX);
+}
+
+/* Sends the request to a gateway again. None of it may reach a server. */
+static void
+check_refused(int gateway, const char *target)
+{
+	int before = crashes;
+
+	for (int i = 0; i < AFTER_TRIES; i++) {
+		struct answer answer = send_crashing(gateway, target);
+
+		ck_assert_msg(answer.status == 503 && crashes == before,
+		    "gateway %d: status %d, %d servers crashed after the third",
+		    gateway, answer.status, crashes - before);
+		ck_assert_double_gt(answer.retry_after, 0);
+	}
+}
+
+static void
+check_bound(void)
+{
+	ck_assert_msg(crashes <= CRASHES + SENDS_AFTER,
+	    "the request crashed %d servers, at most %d are permitted", crashes,
+	    CRASHES + SENDS_AFTER);
+}
+
+START_TEST(request_is_refused_everywhere_after_three_crashes)
+{
+	crash_until_refused("/once/crash");
+	ck_assert_int_eq(crashes, CRASHES);
+	for (int i = 0; i < GATEWAYS; i++)
+		check_refused(i, "/once/crash");
+}
+END_TEST
+
+START_TEST(retries_of_one_call_count_as_crashes)
+{
+	crash_until_refused("/safe/crash");
+	check_bound();
+	for (int i = 0; i < GATEWAYS; i++)
+		check_refused(i, "/safe/crash");
+}
+END_TEST
+
+START_TEST(turn_that_crashes_servers_is_refused)
+{
+	for (int i = 0; i < SERVERS; i++)
+		ck_assert_int_ge(cluster_add_server(&cluster, "models", ""), 0);
+	usleep(LISTED_MS * US_PER_MS);
+	crash_until_refused("/turn/crash");
+	check_bound();
+	for (int i = 0; i < GATEWAYS; i++)
+		check_refused(i, "/turn/crash");
+}
+END_TEST
+
+START_TEST(restarted_gateway_sends_no_request_that_crashed_three_servers)
+{
+	crash_until_refused("/once/crash");
+	cluster_signal(&cluster.gateways[0].process, SIGKILL);
+	ck_assert(cluster_restart_gateway(&cluster, 0));
+	ck_assert(cluster_wait_ready(&cluster, 0));
+	usleep(SETTLE_MS * US_PER_MS);
+	check_refused(0, "/once/crash");
+}
+END_TEST
+
+START_TEST(added_gateway_sends_no_request_that_crashed_three_servers)
+{
+	int added;
+
+	crash_until_refused("/once/crash");
+	added = cluster_add_gateway(&cluster);
+	ck_assert(cluster_wait_ready(&cluster, added));
+	usleep(SETTLE_MS * US_PER_MS);
+	check_refused(added, "/once/crash");
+}
+END_TEST
+
+/* After a loss of power at all VMs, only the store knows. */
+START_TEST(crashes_are_known_after_all_gateways_died)
+{
+	crash_until_refused("/once/crash");
+	for (int i = 0; i < GATEWAYS; i++)
+		cluster_signal(&cluster.gateways[i].process, SIGKILL);
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert(cluster_restart_gateway(&cluster, i));
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert(cluster_wait_ready(&cluster, i));
+	usleep(SETTLE_MS * US_PER_MS);
+	for (int i = 0; i < GATEWAYS; i++)
+		check_refused(i, "/once/crash");
+}
+END_TEST
+
+START_TEST(crashes_before_a_rolling_restart_count)
+{
+	for (int i = 0; i < GATEWAYS; i++) {
+		send_crashing(i, "/once/crash");
+		cluster_signal(&cluster.gateways[i].process, SIGTERM);
+		ck_assert_int_ne(
+		    cluster_wait(&cluster.gateways[i].process, 10000), -1);
+		ck_assert(cluster_restart_gateway(&cluster, i));
+		ck_assert(cluster_wait_ready(&cluster, i));
+	}
+	usleep(SETTLE_MS * US_PER_MS);
+	crash_until_refused("/once/crash");
+	check_bound();
+}
+END_TEST
+
+START_TEST(frozen_gateway_knows_of_crashes_soon_after_it_wakes)
+{
+	cluster_signal(&cluster.gateways[2].process, SIGSTOP);
+	for (int i = 0; i < TRIES_MAX && crashes < CRASHES; i++)
+		send_crashing(i % 2, "/once/crash");
+	/* The others have dropped it from their list by then. */
+	usleep(SETTLE_MS * US_PER_MS);
+	cluster_signal(&cluster.gateways[2].process, SIGCONT);
+	usleep(SETTLE_MS * US_PER_MS);
+	check_refused(2, "/once/crash");
+}
+END_TEST
+
+START_TEST(request_is_refused_while_the_store_is_away)
+{
+	char json[64];
+
+	snprintf(json, sizeof(json), "{\"outage_ms\": %d}", STORE_AWAY_MS);
+	cluster_set_store_faults(&cluster, json);
+	/* Servers come back at other ports, which only the list tells. */
+	for (int i = 0; i < TRIES_MAX; i++)
+		send_crashing(i % GATEWAYS, "/once/crash");
+	check_bound();
+	usleep(STORE_AWAY_MS * US_PER_MS);
+	for (int i = 0; i < GATEWAYS; i++)
+		check_refused(i, "/once/crash");
+	check_bound();
+}
+END_TEST
+
+/* Only the other gateways can tell what the store keeps. */
+START_TEST(gateway_that_starts_without_the_store_asks_the_others)
+{
+	teardown();
+	start_cluster(true);
+	crash_until_refused("/once/crash");
+	cluster_signal(&cluster.gateways[0].process, SIGKILL);
+	ck_assert(cluster_restart_gateway(&cluster, 0));
+	ck_assert(cluster_wait_ready(&cluster, 0));
+	cluster_set_store_path(&cluster, 0, "refuse");
+	cluster_signal(&cluster.gateways[1].process, SIGSTOP);
+	usleep(SETTLE_MS * US_PER_MS);
+	cluster_signal(&cluster.gateways[1].process, SIGCONT);
+	check_refused(0, "/once/crash");
+	usleep(SETTLE_MS * US_PER_MS);
+	check_refused(1, "/once/crash");
+}
+END_TEST
+
+START_TEST(relayed_request_counts_and_is_refused)
+{
+	teardown();
+	start_cluster(true);
+	cluster_set_paths(&cluster, 0, "refuse");
+	for (int i = 0; i < 20; i++)
+		call_once(&cluster, 0, "/once/x", NULL);
+	for (int i = 0; i < TRIES_MAX && crashes < CRASHES; i++)
+		send_crashing(0, "/once/crash");
+	ck_assert_int_ge(crashes, CRASHES);
+	check_bound();
+	for (int i = 0; i < GATEWAYS; i++)
+		check_refused(i, "/once/crash");
+}
+END_TEST
+
+/* Kills all servers while each runs the same request of one caller, and starts
+ * them again. */
+static void
+kill_all_servers_during(const char *target)
+{
+	struct http_caller callers[GATEWAYS * SERVERS];
+	char request[CALL_REQUEST_BYTES];
+
+	for (int i = 0; i < GATEWAYS * SERVERS; i++)
+		callers[i] =
+		    call_start(&cluster, i % GATEWAYS, target, NULL, request);
+	usleep(300 * US_PER_MS);
+	for (int i = 0; i < SERVERS; i++)
+		cluster_signal(&cluster.servers[i], SIGKILL);
+	for (int i = 0; i < GATEWAYS * SERVERS; i++)
+		call_finish(&callers[i]);
+	for (int i = 0; i < SERVERS; i++)
+		ck_assert(cluster_restart_server(&cluster, i));
+	usleep(LISTED_MS * US_PER_MS);
+}
+
+START_TEST(requests_at_servers_that_all_die_are_served_again)
+{
+	kill_all_servers_during("/once/slow");
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert_int_eq(
+		    call_once(&cluster, i, "/once/slow", NULL).status, 200);
+}
+END_TEST
+
+START_TEST(request_that_has_run_whole_is_no_suspect)
+{
+	for (int i = 0; i < CRASHES + 1; i++) {
+		kill_all_servers_during("/once/slow");
+		ck_assert_int_eq(
+		    call_once(&cluster, i % GATEWAYS, "/once/slow", NULL)
+			.status,
+		    200);
+	}
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert_int_eq(
+		    call_once(&cluster, i, "/once/slow", NULL).status, 200);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+	const TTest *tests[] = {
+	    request_is_refused_everywhere_after_three_crashes,
+	    retries_of_one_call_count_as_crashes,
+	    turn_that_crashes_servers_is_refused,
+	    restarted_gateway_sends_no_request_that_crashed_three_servers,
+	    added_gateway_sends_no_request_that_crashed_three_servers,
+	    crashes_are_known_after_all_gateways_died,
+	    crashes_before_a_rolling_restart_count,
+	    frozen_gateway_knows_of_crashes_soon_after_it_wakes,
+	    request_is_refused_while_the_store_is_away,
+	    gateway_that_starts_without_the_store_asks_the_others,
+	    relayed_request_counts_and_is_refused,
+	    requests_at_servers_that_all_die_are_served_again,
+	    request_that_has_run_whole_is_no_suspect,
+	};
+
+	build_dir = argc > 1 ? argv[1] : "build";
+	signal(SIGPIPE, SIG_IGN);
+	return run_tests_in(
+	    "crash", tests, sizeof(tests) / sizeof(tests[0]), setup, teardown);
+}
