--- /dev/null
+++ b/include/dispatch/suspects.h
@@ -0,0 +1,90 @@
+/** @file
+ * Requests that are suspected of crashing the backend servers that run them, as
+ * all VMs together know them. No I/O; callers pass the time.
+ *
+ * A crash is the end of one start of a server while it ran the request. What is
+ * known is a set of crashes, which VMs join in any order and as often as they
+ * like. A request that completes has not crashed its server, so it can't be one
+ * that crashes each server: all its crashes are cleared by a new epoch, which
+ * goes before those of earlier epochs at each VM.
+ *
+ * Many servers may end at once for another reason while they run the same
+ * request of a caller. So a crash is in round N+1 if the request was sent there
+ * after a crash of round N. Crashes of one round, whose runs overlapped, may
+ * have one cause that has nothing to do with the request.
+ */
+#ifndef DISPATCH_SUSPECTS_H
+#define DISPATCH_SUSPECTS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "dispatch/unfinished.h"
+
+enum {
+	/** Crashes of different rounds after which a request is refused. */
+	SUSPECT_ROUNDS_MAX = 3,
+	/** Crashes after which it is refused if they are of two rounds. */
+	SUSPECT_CRASHES_MAX = 3,
+	/** Crashes that are kept of one request. */
+	SUSPECT_CRASHES_KEPT = 8,
+	SUSPECTS_MAX = 1024, /**< beyond it, the oldest is dropped */
+};
+
+/** One crash, or with crash 0 the start of an epoch without any. */
+struct suspect_crash {
+	uint64_t fingerprint; /**< of the request */
+	uint32_t epoch;
+	uint32_t round;
+	uint64_t crash;     /**< hash of the server's start */
+	int64_t crashed_us; /**< INT64_MIN: before anything this VM has sent */
+};
+
+/** What is known of a request. */
+struct suspect {
+	UT_hash_handle hh;
+	uint64_t fingerprint;
+	uint32_t epoch;
+	uint32_t crash_count;
+	struct suspect_crash crashes[SUSPECT_CRASHES_KEPT];
+};
+
+/** Empty when zeroed. */
+struct suspects {
+	struct suspect *by_fingerprint; /**< in the order of addition */
+	/** Equal at VMs that know the same of all requests with two crashes or
+	 * more. */
+	uint64_t digest;
+	int64_t changed_us; /**< when this VM added or cleared something */
+	int64_t asked_us;   /**< last time at which suspects_should_ask() did */
+};
+
+void suspects_reset(struct suspects *suspects);
+/** Adds the crash of a server that had not finished this run. Fills added with
+ * what other VMs should hear. Returns false if it was known. */
+bool suspects_add_run(struct suspects *suspects,
+    const struct unfinished_run *run, struct suspect_crash *added);
+/** Joins what another VM or the store knows. Returns whether it was new. */
+bool
+suspects_join(struct suspects *suspects, const struct suspect_crash *crash);
+/** Clears a request that has completed. Fills cleared with what other VMs
+ * should hear. Returns false if it was under no suspicion. */
+bool suspects_clear(struct suspects *suspects, uint64_t fingerprint,
+    struct suspect_crash *cleared, int64_t now_us);
+/** Returns whether a request must not be sent to servers any more. */
+bool suspects_refuse(const struct suspects *suspects, uint64_t fingerprint);
+const struct suspect *
+suspects_find(const struct suspects *suspects, uint64_t fingerprint);
+/** Returns whether to ask a VM with another digest for all that it knows. Not
+ * while a change is still on its way to all, and not too often. */
+bool suspects_should_ask(
+    struct suspects *suspects, uint64_t other_digest, int64_t now_us);
+/** Fills list with what is known, the newest requests first, and returns the
+ * number of entries. */
+size_t suspects_list(
+    const struct suspects *suspects, struct suspect_crash *list, size_t max);
+
+#endif
--- a/tests/runner.h
+++ b/tests/runner.h
@@ -8,13 +8,15 @@
 #include <check.h>
 #include <stddef.h>
 #include <stdlib.h>
+#include <string.h>
 
 enum {
 	TEST_TIMEOUT_S = 100,
 };
 
-/** Runs each test between setup and teardown, which may be NULL. Returns the
- * exit status of the process. */
+/** Runs each test between setup and teardown, which may be NULL; only those
+ * with the text of the environment's TEST_CASE in their names, if it is set.
+ * Returns the exit status of the process. */
 static inline int
 run_tests_in(const char *module, const TTest **tests, size_t count, SFun setup,
     SFun teardown)
@@ -22,12 +24,15 @@
 	Suite *suite = suite_create(module);
 	TCase *cases = tcase_create(module);
 	SRunner *runner;
+	const char *wanted = getenv("TEST_CASE");
 	int failed;
 
 	tcase_add_checked_fixture(cases, setup, teardown);
 	tcase_set_timeout(cases, TEST_TIMEOUT_S);
-	for (size_t i = 0; i < count; i++)
-		tcase_add_test(cases, tests[i]);
+	for (size_t i = 0; i < count; i++) {
+		if (wanted == NULL || strstr(tests[i]->name, wanted) != NULL)
+			tcase_add_test(cases, tests[i]);
+	}
 	suite_add_tcase(suite, cases);
 	runner = srunner_create(suite);
 	srunner_set_fork_status(runner, CK_NOFORK);
