--- a/standins/runner.c
+++ b/standins/runner.c
@@ -3,13 +3,13 @@
  * itself in the store. It responds to model requests with streams of events,
  * and to other requests with whole responses. The data of a stream's first
  * event is the hash of the request body, so that a test can check which history
- * the server received. A path that contains /crash kills the process, one with
- * /lose runs without a response, and one with /slow takes two seconds. With
- * /unframed in the path, a response has neither a length nor chunks and ends
- * with its connection. With /partial a stream ends inside an event, with /empty
- * it has no event, and with /reset the connection is reset in the middle.
- * Requests with /decline in the path are declined, and responses to those with
- * /unsigned lack the signature.
+ * the server received. A request that runs and has /crash in its path kills the
+ * process, one with /lose runs without a response, and one with /slow takes two
+ * seconds. With /unframed in the path, a response has neither a length nor
+ * chunks and ends with its connection. With /partial a stream ends inside an
+ * event, with /empty it has no event, and with /reset the connection is reset
+ * in the middle. Requests with /decline in the path are declined, and responses
+ * to those with /unsigned lack the signature.
  *
  * SIGUSR1 makes the server leave: it reports so in the list and in all its
  * responses, but goes on serving. After SIGUSR2 only its responses say so.
@@ -431,6 +431,13 @@
 	h1_exchange_abort(exchange);
 }
 
+static void
+crash(const char *request_id)
+{
+	record_run(request_id);
+	raise(SIGKILL);
+}
+
 static void
 handle(void *context, struct h1_exchange *exchange)
 {
@@ -449,8 +456,6 @@
 		reply_leaving(exchange);
 	else if (strncmp(path, LIMIT_PATH, strlen(LIMIT_PATH)) == 0)
 		set_limit(exchange, path + strlen(LIMIT_PATH));
-	else if (strstr(path, "/crash") != NULL)
-		raise(SIGKILL);
 	else if (request_id == NULL)
 		reply_not_executed(exchange, 400, NULL);
 	else if (expected_id != NULL && strcmp(expected_id, options.id) != 0)
@@ -458,6 +463,8 @@
 	else if (list_length(&runs) >= (size_t)options.slots ||
 	    strstr(path, "/decline") != NULL)
 		reply_not_executed(exchange, 503, request_id);
+	else if (strstr(path, "/crash") != NULL)
+		crash(request_id);
 	else if (strstr(path, "/lose") != NULL)
 		lose_response(exchange, request_id);
 	else
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -67,6 +67,7 @@
 	bool stopping;               /**< SIGTERM was sent */
 	int64_t path_fault_until_us; /**< 0: the path to the store works */
 	int64_t cut_until_us;        /**< 0: the paths to servers work */
+	int64_t troubled_us;         /**< last time of any of these */
 };
 
 struct faults {
@@ -78,6 +79,7 @@
 	int64_t next_fault_us;
 	int64_t planned_until_us;    /**< until then only planned work */
 	int64_t store_loss_until_us; /**< 0: the store loses nothing */
+	int64_t store_troubled_us;   /**< end of its latest trouble */
 	int count;
 };
 
@@ -152,22 +154,35 @@
 	    proxy_mode_name(mode));
 }
 
+static void
+note_store_trouble(struct faults *faults, int64_t until_us)
+{
+	if (until_us > faults->store_troubled_us)
+		faults->store_troubled_us = until_us;
+}
+
 static void
 inject_store_fault(struct faults *faults, bool outage)
 {
 	struct rng *rng = &faults->soak->rng;
 	char json[JSON_BYTES];
 
-	if (outage)
-		snprintf(json, sizeof(json), "{\"outage_ms\": %d}",
-		    (int)(50 + rng_below(rng, STORE_FAULT_MAX_MS)));
-	else
+	int outage_ms;
+
+	if (outage) {
+		outage_ms = (int)(50 + rng_below(rng, STORE_FAULT_MAX_MS));
+		snprintf(json, sizeof(json), "{\"outage_ms\": %d}", outage_ms);
+		note_store_trouble(faults,
+		    clock_monotonic_us() + (int64_t)outage_ms * US_PER_MS);
+	} else
 		snprintf(json, sizeof(json),
 		    "{\"lose_probability\": 0.3, \"drop_probability\": 0.2}");
 	cluster_set_store_faults(&faults->soak->cluster, json);
-	if (!outage)
+	if (!outage) {
 		faults->store_loss_until_us =
 		    random_time_us(faults, STORE_FAULT_MAX_MS);
+		note_store_trouble(faults, faults->store_loss_until_us);
+	}
 	soak_log(faults->soak, "store: %s", json);
 }
 
@@ -312,6 +327,10 @@
 	struct cluster_process *process = gateway_process(faults, number);
 	int64_t now_us = all ? INT64_MAX : clock_monotonic_us();
 
+	if (gateway->paused_until_us != 0 || gateway->down_until_us != 0 ||
+	    gateway->stopping || gateway->path_fault_until_us != 0 ||
+	    gateway->cut_until_us != 0)
+		gateway->troubled_us = clock_monotonic_us();
 	if (gateway->paused_until_us != 0 && gateway->paused_until_us <= now_us)
 		resume_gateway(faults, number);
 	if (gateway->stopping && process->pid != 0 &&
@@ -412,6 +431,16 @@
 	return clock_monotonic_us() < faults->planned_until_us;
 }
 
+int64_t
+faults_calm_us(const struct faults *faults, int gateway)
+{
+	int64_t since_us = faults->gateways[gateway].troubled_us;
+
+	if (faults->store_troubled_us > since_us)
+		since_us = faults->store_troubled_us;
+	return clock_monotonic_us() - since_us;
+}
+
 int
 faults_count(const struct faults *faults)
 {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -16,6 +16,8 @@
  *   not get that request;
  * - a server that limits its requests gets no more than one and a half times as
  *   many, and five, in four seconds from gateways that know of the limit;
+ * - a request that has crashed three servers reaches three more at most through
+ *   gateways that had the time to learn of it;
  * - in the first seconds, in which all is planned, no request that ran is cut;
  * - every program completes turns again after the faults have ended.
  */
@@ -36,6 +38,9 @@
 	SERVICE_GROUP = 2, /* servers of a service in a row */
 	/* Time for each program to complete a turn after the faults. */
 	RECOVERY_TIMEOUT_MS = 12000,
+	/* Until gateways know of all crashes after the faults. */
+	SETTLE_MS = 3500,
+	ASK_ALL_MS = 20000,
 	STEP_MS = 50,
 	CLIENT_ACK_TIMEOUT_US = 3 * US_PER_S,
 	CLIENT_IDLE_TIMEOUT_US = 4 * US_PER_S,
@@ -156,6 +161,8 @@
 	soak->servers = servers_create(soak);
 	soak->callers = callers_create(soak);
 	soak->faults = faults_create(soak);
+	if (!soak->basic_faults)
+		soak->crashers = crashers_create(soak);
 	return true;
 }
 
@@ -176,6 +183,8 @@
 {
 	if (soak->callers != NULL)
 		callers_destroy(soak->callers);
+	if (soak->crashers != NULL)
+		crashers_destroy(soak->crashers);
 	if (soak->faults != NULL)
 		faults_destroy(soak->faults);
 	if (soak->client != NULL)
@@ -188,6 +197,24 @@
 	uv_run(soak->loop, UV_RUN_DEFAULT);
 }
 
+/* Sends the requests that crash servers to each gateway, once these had the
+ * time to learn of all crashes. */
+static void
+check_crashers(struct soak *soak)
+{
+	int64_t until_us;
+
+	if (soak->crashers == NULL)
+		return;
+	run_loop(soak, SETTLE_MS, false);
+	crashers_ask_all(soak->crashers);
+	until_us = clock_monotonic_us() + (int64_t)ASK_ALL_MS * US_PER_MS;
+	while (clock_monotonic_us() < until_us &&
+	    !crashers_asked_all(soak->crashers))
+		uv_run(soak->loop, UV_RUN_ONCE);
+	crashers_check(soak->crashers);
+}
+
 /* Runs the test once and prints its result. Returns whether there was no
  * violation. */
 static bool
@@ -216,6 +243,7 @@
 			soak_fail(soak,
 			    "%d programs completed no turn after the faults",
 			    callers_unrecovered_count(soak->callers));
+		check_crashers(soak);
 		callers_check_runs(soak->callers);
 		callers_describe(soak->callers, summary, sizeof(summary));
 	}
--- a/tests/soak/servers.c
+++ b/tests/soak/servers.c
@@ -174,6 +174,17 @@
 			cluster_signal(process, SIGTERM);
 			server->state = SERVER_STOPPING;
 		}
+		/* A request has crashed it. */
+		if ((server->state == SERVER_UP ||
+			server->state == SERVER_LEAVING) &&
+		    process->pid != 0 &&
+		    waitpid(process->pid, NULL, WNOHANG) == process->pid) {
+			soak_log(servers->soak, "server %d: crashed", i);
+			process->pid = 0;
+			server->state = SERVER_DOWN;
+			server->due_us =
+			    random_time_us(servers, 1, DOWN_MAX_MS);
+		}
 		if (server->state == SERVER_STOPPING &&
 		    waitpid(process->pid, NULL, WNOHANG) == process->pid) {
 			process->pid = 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -22,6 +22,7 @@
 };
 
 struct callers;
+struct crashers;
 struct faults;
 struct servers;
 
@@ -39,6 +40,7 @@
 	struct paths *paths[SOAK_PATHS_MAX]; /**< NULL: basic faults only */
 	struct h1_client *client;
 	struct callers *callers;
+	struct crashers *crashers; /**< NULL: basic faults only */
 	struct faults *faults;
 	struct servers *servers;
 	int64_t start_us;
@@ -77,6 +79,19 @@
  * restarts, reloads, changes of configuration, servers that leave. */
 bool faults_all_planned(const struct faults *faults);
 
+/** Returns for how long a gateway and the store have been without trouble. */
+int64_t faults_calm_us(const struct faults *faults, int gateway);
+
+/** Requests that crash the server which runs them, and come again. */
+struct crashers *crashers_create(struct soak *soak);
+void crashers_destroy(struct crashers *crashers);
+/** From now on sends each of them to each gateway once. */
+void crashers_ask_all(struct crashers *crashers);
+/** Returns whether that is done. */
+bool crashers_asked_all(const struct crashers *crashers);
+/** Checks that they reached servers no more often than is permitted. */
+void crashers_check(struct crashers *crashers);
+
 struct servers *servers_create(struct soak *soak);
 void servers_destroy(struct servers *servers);
 /** Makes a server leave and start again under its id. listed: whether its entry
