--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -251,10 +251,9 @@
 	teardown();
 	start_cluster(true, "");
 	crash_until_refused("/once/crash");
+	cluster_set_store_path(&cluster, 0, "refuse");
 	cluster_signal(&cluster.gateways[0].process, SIGKILL);
 	ck_assert(cluster_restart_gateway(&cluster, 0));
-	ck_assert(cluster_wait_ready(&cluster, 0));
-	cluster_set_store_path(&cluster, 0, "refuse");
 	cluster_signal(&cluster.gateways[1].process, SIGSTOP);
 	usleep(SETTLE_MS * US_PER_MS);
 	cluster_signal(&cluster.gateways[1].process, SIGCONT);
