Quarantine: a request that is refused without cause is served again

Cause: the evidence against it and against a request that crashes servers is the same as long as neither can run; nobody let it run.

Change: a request that has completed at a gateway is not suspected by it at the next end of a server; and 30 s after its last crash one gateway, found by rendezvous hashing, sends a refused request once more. At most three sends follow the third crash.

request_that_is_refused_without_cause_is_served_again fails without it (refused for 40 s) and passes.

--- a/dispatch/suspects.c
+++ b/dispatch/suspects.c
@@ -13,6 +13,8 @@
 	/* Longer than a message takes to all VMs. */
 	SPREAD_US = 300 * US_PER_MS,
 	ASK_INTERVAL_US = 1 * US_PER_S,
+	/* Servers that all ended at once serve again by then. */
+	TRIAL_AFTER_US = 30 * US_PER_S,
 };
 
 static struct suspect *
@@ -186,12 +188,24 @@
 	suspects->digest = digest;
 }
 
+static uint64_t *
+completed_slot(struct suspects *suspects, uint64_t fingerprint)
+{
+	return &suspects->completed[fingerprint % SUSPECT_COMPLETED_KEPT];
+}
+
 bool
 suspects_add_run(struct suspects *suspects, const struct unfinished_run *run,
     struct suspect_crash *added)
 {
-	struct suspect *suspect = find_or_add(suspects, run->fingerprint);
+	uint64_t *completed = completed_slot(suspects, run->fingerprint);
+	struct suspect *suspect;
 
+	if (*completed == run->fingerprint) {
+		*completed = 0;
+		return false;
+	}
+	suspect = find_or_add(suspects, run->fingerprint);
 	*added = (struct suspect_crash){
 	    .fingerprint = run->fingerprint,
 	    .epoch = suspect->epoch,
@@ -237,6 +251,7 @@
 {
 	struct suspect *suspect = find(suspects, fingerprint);
 
+	*completed_slot(suspects, fingerprint) = fingerprint;
 	if (suspect == NULL || suspect->crash_count == 0)
 		return false;
 	suspect->epoch++;
@@ -262,6 +277,33 @@
 		suspect->crash_count >= SUSPECT_CRASHES_MAX);
 }
 
+static int64_t
+last_crash_us(const struct suspect *suspect)
+{
+	int64_t last_us = INT64_MIN;
+
+	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+		if (suspect->crashes[i].crashed_us > last_us)
+			last_us = suspect->crashes[i].crashed_us;
+	}
+	return last_us;
+}
+
+bool
+suspects_take_trial(
+    struct suspects *suspects, uint64_t fingerprint, int64_t now_us)
+{
+	struct suspect *suspect = find(suspects, fingerprint);
+
+	if (suspect == NULL || last_round(suspect) >= SUSPECT_ROUNDS_GIVEN_UP ||
+	    last_crash_us(suspect) > now_us - TRIAL_AFTER_US ||
+	    (suspect->trial_us != 0 &&
+		now_us - suspect->trial_us < TRIAL_AFTER_US))
+		return false;
+	suspect->trial_us = now_us;
+	return true;
+}
+
 bool
 suspects_should_ask(
     struct suspects *suspects, uint64_t other_digest, int64_t now_us)
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -50,6 +50,26 @@
 	return suspects_refuse(&quarantine->suspects, fingerprint);
 }
 
+bool
+quarantine_take_trial(struct quarantine *quarantine, uint64_t fingerprint)
+{
+	struct gateway *gateway = quarantine->gateway;
+	char text[FINGERPRINT_TEXT_BYTES];
+	struct trace trace;
+
+	if (strcmp(peer_gateways_coordinator(
+		       gateway->peer_gateways, fingerprint, ""),
+		gateway->settings.vm_name) != 0 ||
+	    !suspects_take_trial(
+		&quarantine->suspects, fingerprint, clock_monotonic_us()))
+		return false;
+	snprintf(text, sizeof(text), "%016" PRIx64, fingerprint);
+	trace_begin(&trace, "quarantine_trial");
+	trace_text(&trace, "fingerprint", text);
+	trace_end(&trace);
+	return true;
+}
+
 uint64_t
 quarantine_digest(const struct quarantine *quarantine)
 {
@@ -143,12 +163,11 @@
 {
 	const struct suspect *known =
 	    suspects_find(&quarantine->suspects, fingerprint);
+	struct suspect before = {0};
 	struct suspect_crash cleared;
-	struct suspect before;
 
-	if (known == NULL)
-		return;
-	before = *known;
+	if (known != NULL)
+		before = *known;
 	if (!suspects_clear(&quarantine->suspects, fingerprint, &cleared,
 		clock_monotonic_us()))
 		return;
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -433,7 +433,8 @@
 
 	/* It may have crashed servers while it waited, or in this very call. */
 	if (quarantine_refuses(
-		request->gateway->quarantine, request->fingerprint)) {
+		request->gateway->quarantine, request->fingerprint) &&
+	    !(request->is_trial && request->tried_count == 0)) {
 		refuse_in_quarantine(request);
 		return;
 	}
@@ -756,6 +757,10 @@
 	request->fingerprint = fingerprint_of(request, caller);
 	if (!quarantine_refuses(gateway->quarantine, request->fingerprint))
 		return true;
+	request->is_trial =
+	    quarantine_take_trial(gateway->quarantine, request->fingerprint);
+	if (request->is_trial)
+		return true;
 	refuse_in_quarantine(request);
 	return false;
 }
--- a/include/dispatch/suspects.h
+++ b/include/dispatch/suspects.h
@@ -11,7 +11,12 @@
  * Many servers may end at once for another reason while they run the same
  * request of a caller. So a crash is in round N+1 if the request was sent there
  * after a crash of round N. Crashes of one round, whose runs overlapped, may
- * have one cause that has nothing to do with the request.
+ * have one cause that has nothing to do with the request. For the same reason a
+ * request that has completed before is not suspected at the next end of a
+ * server.
+ *
+ * A request that is refused may be innocent still. After a while one VM sends
+ * it once more.
  */
 #ifndef DISPATCH_SUSPECTS_H
 #define DISPATCH_SUSPECTS_H
@@ -32,6 +37,10 @@
 	/** Crashes that are kept of one request. */
 	SUSPECT_CRASHES_KEPT = 8,
 	SUSPECTS_MAX = 1024, /**< beyond it, the oldest is dropped */
+	/** Crashes of different rounds after which there is no trial any more.
+	 * At most three sends follow the third crash. */
+	SUSPECT_ROUNDS_GIVEN_UP = 4,
+	SUSPECT_COMPLETED_KEPT = 4096, /**< requests that have completed */
 };
 
 /** One crash, or with crash 0 the start of an epoch without any. */
@@ -50,6 +59,7 @@
 	uint32_t epoch;
 	uint32_t crash_count;
 	struct suspect_crash crashes[SUSPECT_CRASHES_KEPT];
+	int64_t trial_us; /**< of the latest trial here; 0: none */
 };
 
 /** Empty when zeroed. */
@@ -59,23 +69,30 @@
 	 * more. */
 	uint64_t digest;
 	int64_t changed_us; /**< when this VM added or cleared something */
-	int64_t asked_us;   /**< last time at which suspects_should_ask() did */
+	/** Fingerprints of requests that completed here, by their last bits. */
+	uint64_t completed[SUSPECT_COMPLETED_KEPT];
+	int64_t asked_us; /**< last time at which suspects_should_ask() did */
 };
 
 void suspects_reset(struct suspects *suspects);
 /** Adds the crash of a server that had not finished this run. Fills added with
- * what other VMs should hear. Returns false if it was known. */
+ * what other VMs should hear. Returns false if it was known, or if the request
+ * had completed here since the last end of a server under it. */
 bool suspects_add_run(struct suspects *suspects,
     const struct unfinished_run *run, struct suspect_crash *added);
 /** Joins what another VM or the store knows. Returns whether it was new. */
 bool
 suspects_join(struct suspects *suspects, const struct suspect_crash *crash);
-/** Clears a request that has completed. Fills cleared with what other VMs
- * should hear. Returns false if it was under no suspicion. */
+/** Notes that a request has completed, and clears it. Fills cleared with what
+ * other VMs should hear. Returns false if it was under no suspicion. */
 bool suspects_clear(struct suspects *suspects, uint64_t fingerprint,
     struct suspect_crash *cleared, int64_t now_us);
 /** Returns whether a request must not be sent to servers any more. */
 bool suspects_refuse(const struct suspects *suspects, uint64_t fingerprint);
+/** Returns whether a request that is refused may be sent once all the same, and
+ * counts that as the trial. One VM is to ask. */
+bool suspects_take_trial(
+    struct suspects *suspects, uint64_t fingerprint, int64_t now_us);
 const struct suspect *
 suspects_find(const struct suspects *suspects, uint64_t fingerprint);
 /** Returns whether to ask a VM with another digest for all that it knows. Not
--- a/include/gateway/quarantine.h
+++ b/include/gateway/quarantine.h
@@ -20,6 +20,9 @@
  * server. */
 bool
 quarantine_refuses(const struct quarantine *quarantine, uint64_t fingerprint);
+/** Returns whether such a request may be sent once all the same: one gateway
+ * tries it again after a while, as it may be innocent. */
+bool quarantine_take_trial(struct quarantine *quarantine, uint64_t fingerprint);
 
 /** Notes that a server has not finished a request that was sent to it at
  * sent_us. broken: its connection broke; else it was closed from this side. */
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -66,6 +66,7 @@
 	struct buf body;      /**< body for the backend server */
 	uint64_t fingerprint; /**< equal for repetitions of a request by the
 				 same caller */
+	bool is_trial;        /**< of quarantine_take_trial() */
 	enum request_state state;
 	int64_t received_us;
 	int64_t deadline_us; /**< earlier one of the caller's and the route's
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -28,6 +28,7 @@
 	TRIES_MAX = 12,   /* of the request, while it may still crash servers */
 	AFTER_TRIES = 6,
 	STORE_AWAY_MS = 14000,
+	TRIAL_MS = 40000, /* in which a refused request is tried again */
 };
 
 /* A server that still runs a request when it is killed. */
@@ -331,6 +332,29 @@
 }
 END_TEST
 
+/* It is caught by the ends of servers, one after the other, before it has ever
+ * completed. One gateway tries it again. */
+START_TEST(request_that_is_refused_without_cause_is_served_again)
+{
+	int served = 0;
+
+	teardown();
+	start_cluster(false, SLOW_SERVER);
+	for (int i = 0; i < CRASHES - 1; i++)
+		kill_all_servers();
+	ck_assert_int_eq(call_once(&cluster, 0, "/once/x", NULL).status, 503);
+	for (int i = 0; i < TRIAL_MS / 1000 && served < GATEWAYS; i++) {
+		served = 0;
+		for (int k = 0; k < GATEWAYS; k++)
+			served +=
+			    call_once(&cluster, k, "/once/x", NULL).status ==
+			    200;
+		usleep(1000 * US_PER_MS);
+	}
+	ck_assert_int_eq(served, GATEWAYS);
+}
+END_TEST
+
 /* The paths break and refuse connections, as if all servers had ended. */
 START_TEST(requests_of_a_gateway_that_is_cut_off_are_no_suspects)
 {
@@ -375,6 +399,7 @@
 	    relayed_request_counts_and_is_refused,
 	    requests_at_servers_that_all_die_are_served_again,
 	    request_that_has_run_whole_is_no_suspect,
+	    request_that_is_refused_without_cause_is_served_again,
 	    requests_of_a_gateway_that_is_cut_off_are_no_suspects,
 	};
 
