--- a/dispatch/suspects.c
+++ b/dispatch/suspects.c
@@ -277,10 +277,11 @@
 		suspect->crash_count >= SUSPECT_CRASHES_MAX);
 }
 
+/* Returns the time of the last crash, as late as it may have been. */
 static int64_t
-last_crash_us(const struct suspect *suspect)
+last_crash_us(const struct suspects *suspects, const struct suspect *suspect)
 {
-	int64_t last_us = INT64_MIN;
+	int64_t last_us = suspects->started_us;
 
 	for (uint32_t i = 0; i < suspect->crash_count; i++) {
 		if (suspect->crashes[i].crashed_us > last_us)
@@ -296,7 +297,7 @@
 	struct suspect *suspect = find(suspects, fingerprint);
 
 	if (suspect == NULL || last_round(suspect) >= SUSPECT_ROUNDS_GIVEN_UP ||
-	    last_crash_us(suspect) > now_us - TRIAL_AFTER_US ||
+	    last_crash_us(suspects, suspect) > now_us - TRIAL_AFTER_US ||
 	    (suspect->trial_us != 0 &&
 		now_us - suspect->trial_us < TRIAL_AFTER_US))
 		return false;
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -24,6 +24,7 @@
 	struct quarantine *quarantine = xcalloc(1, sizeof(*quarantine));
 
 	quarantine->gateway = gateway;
+	quarantine->suspects.started_us = clock_monotonic_us();
 	list_init(&quarantine->probes);
 	quarantine->store = quarantine_store_create(quarantine);
 	return quarantine;
--- a/include/dispatch/suspects.h
+++ b/include/dispatch/suspects.h
@@ -68,6 +68,9 @@
 	/** Equal at VMs that know the same of all requests with two crashes or
 	 * more. */
 	uint64_t digest;
+	/** Start of this VM. Crashes that only the store tells of may have been
+	 * at any time before it. */
+	int64_t started_us;
 	int64_t changed_us; /**< when this VM added or cleared something */
 	/** Fingerprints of requests that completed here, by their last bits. */
 	uint64_t completed[SUSPECT_COMPLETED_KEPT];
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -253,6 +253,7 @@
 	    .down_until_us =
 		world.now_us + (int64_t)rng_below(&world.rng, DOWN_MAX_US),
 	};
+	vm->suspects.started_us = vm->down_until_us;
 }
 
 static void
@@ -453,6 +454,26 @@
 }
 END_TEST
 
+/* The store does not tell when the crashes were. */
+START_TEST(new_vm_does_not_try_a_refused_request_at_once)
+{
+	static struct suspects suspects;
+	struct suspect_crash crash = {
+	    .fingerprint = 1, .crashed_us = INT64_MIN};
+
+	suspects.started_us = 100 * US_PER_S;
+	for (uint32_t i = 1; i <= 3; i++) {
+		crash.round = i;
+		crash.crash = i;
+		ck_assert(suspects_join(&suspects, &crash));
+	}
+	ck_assert(suspects_refuse(&suspects, 1));
+	ck_assert(!suspects_take_trial(&suspects, 1, 103 * US_PER_S));
+	ck_assert(suspects_take_trial(&suspects, 1, 140 * US_PER_S));
+	suspects_reset(&suspects);
+}
+END_TEST
+
 START_TEST(request_that_completed_before_is_not_suspected_at_once)
 {
 	static struct suspects suspects;
@@ -579,6 +600,7 @@
 	    requests_on_a_server_with_a_crasher_are_cleared_when_they_complete,
 	    two_requests_that_always_run_together_are_both_refused,
 	    refused_request_is_tried_once_more_after_a_while,
+	    new_vm_does_not_try_a_refused_request_at_once,
 	    request_that_completed_before_is_not_suspected_at_once,
 	    late_reports_do_not_undo_a_clearing,
 	    crashes_join_alike_in_any_order,
