--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -35,6 +35,7 @@
 	 * their process id, so that tests that run in parallel do not clash. */
 	PORT_RANGES = 120,
 	PORT_STRIDE = 100,
+	KEPT_DIRS_MAX = 64,
 };
 
 /* Starts a program, which is killed when this process ends in any way. */
@@ -164,26 +165,57 @@
 }
 
 static void
-remove_work_dir(const struct cluster *cluster)
+remove_work_dir(const char *work_dir)
 {
-	DIR *directory = opendir(cluster->work_dir);
+	DIR *directory = opendir(work_dir);
 	struct dirent *entry;
 	char path[2 * PATH_BYTES];
 
 	if (directory == NULL)
 		return;
 	while ((entry = readdir(directory)) != NULL) {
-		snprintf(path, sizeof(path), "%s/%s", cluster->work_dir,
-		    entry->d_name);
+		snprintf(path, sizeof(path), "%s/%s", work_dir, entry->d_name);
 		unlink(path);
 	}
 	closedir(directory);
-	rmdir(cluster->work_dir);
+	rmdir(work_dir);
+}
+
+/* Work directories that are kept until it is known whether a test failed. */
+static char kept_dirs[KEPT_DIRS_MAX][WORK_DIR_BYTES];
+static size_t kept_dir_count;
+
+static void
+remove_kept_dirs(void)
+{
+	bool failed = getenv(CLUSTER_TEST_FAILED) != NULL;
+
+	for (size_t i = 0; i < kept_dir_count; i++) {
+		if (failed)
+			printf("logs kept in %s\n", kept_dirs[i]);
+		else
+			remove_work_dir(kept_dirs[i]);
+	}
+}
+
+/* Removes the logs at the end of the process, unless a test has failed. */
+static void
+keep_until_exit(const struct cluster *cluster)
+{
+	if (kept_dir_count == 0)
+		atexit(remove_kept_dirs);
+	if (kept_dir_count == KEPT_DIRS_MAX)
+		remove_work_dir(cluster->work_dir);
+	else
+		memcpy(kept_dirs[kept_dir_count++], cluster->work_dir,
+		    WORK_DIR_BYTES);
 }
 
 void
 cluster_stop(struct cluster *cluster)
 {
+	const char *keep_logs;
+
 	for (int i = 0; i < cluster->gateway_count; i++) {
 		cluster_signal(&cluster->gateways[i].process, SIGKILL);
 		cluster_signal(&cluster->gateways[i].paths, SIGKILL);
@@ -193,8 +225,11 @@
 	cluster_signal(&cluster->store, SIGKILL);
 	while (cluster->reserved_count > 0)
 		close(cluster->reserved_ports[--cluster->reserved_count]);
-	if (getenv("KEEP_LOGS") == NULL)
-		remove_work_dir(cluster);
+	keep_logs = getenv("KEEP_LOGS");
+	if (keep_logs == NULL)
+		remove_work_dir(cluster->work_dir);
+	else if (strcmp(keep_logs, "failures") == 0)
+		keep_until_exit(cluster);
 	else
 		printf("logs kept in %s\n", cluster->work_dir);
 }
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -15,8 +15,12 @@
 	CLUSTER_MAX_SERVERS = 64,
 	CLUSTER_ARGUMENTS_BYTES = 256,
 	CLUSTER_GATEWAY_PORTS = 7,
+	WORK_DIR_BYTES = 64,
 };
 
+/** Set in the environment of a test program by itself when a test failed. */
+#define CLUSTER_TEST_FAILED "CLUSTER_TEST_FAILED"
+
 /** A child process. */
 struct cluster_process {
 	pid_t pid; /**< 0: not running */
@@ -37,8 +41,9 @@
 
 /** A store, backend servers and gateways on this host. */
 struct cluster {
-	const char *build_directory; /**< directory of the built programs */
-	char work_dir[64]; /**< directory for settings files and logs */
+	const char *build_directory;   /**< directory of the built programs */
+	char work_dir[WORK_DIR_BYTES]; /**< directory for settings files and
+					  logs */
 	struct cluster_process store;
 	struct cluster_process servers[CLUSTER_MAX_SERVERS];
 	/** Arguments of each server, and how often it was started. */
@@ -57,7 +62,8 @@
  * added one at a time. Returns false on failure. */
 bool cluster_start(struct cluster *cluster, const char *build);
 /** Kills all processes. Removes the work directory, unless KEEP_LOGS is set in
- * the environment. */
+ * the environment. If that is "failures", it is removed at the end of this
+ * process, unless CLUSTER_TEST_FAILED is set then. */
 void cluster_stop(struct cluster *cluster);
 /** Starts a backend server of the service "models" or "tools". `extra` has
  * further arguments separated by spaces, or is "". Returns the number of the
--- a/tests/runner.h
+++ b/tests/runner.h
@@ -10,6 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "standins/cluster.h"
+
 enum {
 	TEST_TIMEOUT_S = 100,
 };
@@ -39,6 +41,8 @@
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
+	if (failed > 0)
+		setenv(CLUSTER_TEST_FAILED, "1", 1);
 	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -252,6 +252,8 @@
 	    ok ? "ok" : soak->failure,
 	    soak->faults != NULL ? faults_count(soak->faults) : 0, summary);
 	fflush(stdout);
+	if (!ok)
+		setenv(CLUSTER_TEST_FAILED, "1", 1);
 	stop_run(soak);
 	uv_loop_close(&loop);
 	free(soak);
