Suspects: one completed run excuses all runs at one server's end

A request that completed here before is not suspected at the next end of a server; but with several runs of it at that server, the first took the excuse and the second was counted, so that it did nothing for the requests that it is for.

request_that_completed_before_is_not_suspected_at_once and memory_is_bounded_and_repeated_suspects_stay (which is stricter than the case it replaces: it was refused already) fail before. Hashes in log lines are written by one function.

--- a/common/trace.c
+++ b/common/trace.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <poll.h>
 #include <stdio.h>
 #include <string.h>
@@ -14,6 +15,7 @@
 	LINES_BURST = 1200,
 	TAIL_BYTES = 8, /* reserved for the end of a line */
 	NUMBER_BYTES = 32,
+	HASH_TEXT_BYTES = 17,
 };
 
 static const char *process_name = "guavakeel";
@@ -146,6 +148,15 @@
 	append_string(trace, value);
 }
 
+void
+trace_hash(struct trace *trace, const char *name, uint64_t value)
+{
+	char text[HASH_TEXT_BYTES];
+
+	snprintf(text, sizeof(text), "%016" PRIx64, value);
+	trace_text(trace, name, text);
+}
+
 void
 trace_number(struct trace *trace, const char *name, int64_t value)
 {
--- a/dispatch/suspects.c
+++ b/dispatch/suspects.c
@@ -51,14 +51,14 @@
 		suspect_free(suspects, suspect);
 }
 
-/* Drops the oldest request that is not refused; if all are, the oldest one. */
+/* Drops the oldest request with a single crash or none; if there is no such,
+ * the oldest one. */
 static void
 drop_one(struct suspects *suspects)
 {
 	struct suspect *suspect = suspects->by_fingerprint;
 
-	while (
-	    suspect != NULL && suspects_refuse(suspects, suspect->fingerprint))
+	while (suspect != NULL && suspect->crash_count >= COMPARED_CRASHES)
 		suspect = suspect->hh.next;
 	suspect_free(
 	    suspects, suspect != NULL ? suspect : suspects->by_fingerprint);
@@ -188,35 +188,47 @@
 	suspects->digest = digest;
 }
 
-static uint64_t *
+static struct suspect_completed *
 completed_slot(struct suspects *suspects, uint64_t fingerprint)
 {
 	return &suspects->completed[fingerprint % SUSPECT_COMPLETED_KEPT];
 }
 
+/* Returns whether a request is not suspected of a crash, since it has completed
+ * here. That holds for one crash until it completes again. */
+static bool
+is_excused(struct suspects *suspects, uint64_t fingerprint, uint64_t crash)
+{
+	struct suspect_completed *completed =
+	    completed_slot(suspects, fingerprint);
+
+	if (completed->fingerprint != fingerprint)
+		return false;
+	if (completed->excused_crash == 0)
+		completed->excused_crash = crash;
+	return completed->excused_crash == crash;
+}
+
 bool
 suspects_add_run(struct suspects *suspects, const struct unfinished_run *run,
     struct suspect_crash *added)
 {
-	uint64_t *completed = completed_slot(suspects, run->fingerprint);
+	uint64_t crash = hash_bytes(&run->start, sizeof(run->start), 0);
 	struct suspect *suspect;
 
-	if (*completed == run->fingerprint) {
-		*completed = 0;
+	if (is_excused(suspects, run->fingerprint, crash))
 		return false;
-	}
 	suspect = find_or_add(suspects, run->fingerprint);
 	*added = (struct suspect_crash){
 	    .fingerprint = run->fingerprint,
 	    .epoch = suspect->epoch,
 	    .round = round_at(suspect, run->sent_us) + 1,
-	    .crash = hash_bytes(&run->start, sizeof(run->start), 0),
+	    .crash = crash,
 	    .crashed_us = run->ended_us,
 	};
 	/* What accepts connections for a server that has ended, and closes
 	 * them, does not make it end again. */
-	if (find_crash(suspect, added->crash) != NULL ||
-	    !add_crash(suspect, added))
+	if (find_crash(suspect, crash) != NULL || !add_crash(suspect, added))
 		return false;
 	suspects->changed_us = run->ended_us;
 	update_digest(suspects);
@@ -229,6 +241,8 @@
 	struct suspect *suspect = find(suspects, crash->fingerprint);
 	bool is_new = false;
 
+	if (crash->epoch == 0 && crash->crash == 0)
+		return false;
 	if (suspect == NULL)
 		suspect = find_or_add(suspects, crash->fingerprint);
 	else if (crash->epoch < suspect->epoch)
@@ -251,7 +265,8 @@
 {
 	struct suspect *suspect = find(suspects, fingerprint);
 
-	*completed_slot(suspects, fingerprint) = fingerprint;
+	*completed_slot(suspects, fingerprint) =
+	    (struct suspect_completed){.fingerprint = fingerprint};
 	if (suspect == NULL || suspect->crash_count == 0)
 		return false;
 	suspect->epoch++;
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -1,5 +1,3 @@
-#include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,7 +13,6 @@
 	CLOSE_NOTICED_US = 500 * US_PER_MS,
 	RUNS_MAX = 64,    /* requests under suspicion for one server's end */
 	LISTED_MAX = 512, /* entries of a reply to another gateway */
-	FINGERPRINT_TEXT_BYTES = 17,
 };
 
 struct quarantine *
@@ -55,7 +52,6 @@
 quarantine_take_trial(struct quarantine *quarantine, uint64_t fingerprint)
 {
 	struct gateway *gateway = quarantine->gateway;
-	char text[FINGERPRINT_TEXT_BYTES];
 	struct trace trace;
 
 	if (strcmp(peer_gateways_coordinator(
@@ -64,9 +60,8 @@
 	    !suspects_take_trial(
 		&quarantine->suspects, fingerprint, clock_monotonic_us()))
 		return false;
-	snprintf(text, sizeof(text), "%016" PRIx64, fingerprint);
 	trace_begin(&trace, "quarantine_trial");
-	trace_text(&trace, "fingerprint", text);
+	trace_hash(&trace, "fingerprint", fingerprint);
 	trace_end(&trace);
 	return true;
 }
@@ -81,16 +76,13 @@
 trace_crash(const struct quarantine *quarantine,
     const struct suspect_crash *crash, const char *server, const char *source)
 {
-	char fingerprint[FINGERPRINT_TEXT_BYTES];
 	const struct suspect *suspect =
 	    suspects_find(&quarantine->suspects, crash->fingerprint);
 	struct trace trace;
 
-	snprintf(fingerprint, sizeof(fingerprint), "%016" PRIx64,
-	    crash->fingerprint);
 	trace_begin(&trace,
 	    crash->crash != 0 ? "request_crashed_server" : "suspicion_cleared");
-	trace_text(&trace, "fingerprint", fingerprint);
+	trace_hash(&trace, "fingerprint", crash->fingerprint);
 	trace_text(&trace, "server", server);
 	trace_text(&trace, "seen_by", source);
 	trace_number(&trace, "epoch", crash->epoch);
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -1,4 +1,3 @@
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,7 +24,6 @@
 	RETRY_AFTER_UNREACHABLE_US = 150 * US_PER_MS,
 	DECLINED_MAX = 4, /* declines after which a request is refused */
 	RETRY_AFTER_TEXT_BYTES = 24,
-	FINGERPRINT_TEXT_BYTES = 17,
 };
 
 static void
@@ -88,15 +86,6 @@
 	}
 }
 
-static void
-trace_fingerprint(struct trace *trace, const struct request *request)
-{
-	char text[FINGERPRINT_TEXT_BYTES];
-
-	snprintf(text, sizeof(text), "%016" PRIx64, request->fingerprint);
-	trace_text(trace, "fingerprint", text);
-}
-
 static void
 request_trace(const struct request *request, int status, const char *reason,
     const char *why)
@@ -139,7 +128,7 @@
 	trace_stated_limit(&trace, request);
 	if (reason != NULL &&
 	    strcmp(reason, refusal_name(REFUSAL_CRASHES_SERVERS)) == 0)
-		trace_fingerprint(&trace, request);
+		trace_hash(&trace, "fingerprint", request->fingerprint);
 	trace_end(&trace);
 }
 
@@ -557,7 +546,7 @@
 	trace_ms(
 	    &trace, "left_ms", request->deadline_us - clock_monotonic_us());
 	if (result == ATTEMPT_BROKEN || result == ATTEMPT_TIMED_OUT)
-		trace_fingerprint(&trace, request);
+		trace_hash(&trace, "fingerprint", request->fingerprint);
 	trace_end(&trace);
 }
 
--- a/include/common/trace.h
+++ b/include/common/trace.h
@@ -30,6 +30,8 @@
 void trace_begin_unlimited(struct trace *trace, const char *event);
 /** Adds a text member, unless value is NULL or "". */
 void trace_text(struct trace *trace, const char *name, const char *value);
+/** Adds a hash as 16 hexadecimal digits. */
+void trace_hash(struct trace *trace, const char *name, uint64_t value);
 void trace_number(struct trace *trace, const char *name, int64_t value);
 /** Adds a time as milliseconds with one decimal. */
 void trace_ms(struct trace *trace, const char *name, int64_t us);
--- a/include/dispatch/suspects.h
+++ b/include/dispatch/suspects.h
@@ -40,7 +40,7 @@
 	/** Crashes of different rounds after which there is no trial any more.
 	 * At most three sends follow the third crash. */
 	SUSPECT_ROUNDS_GIVEN_UP = 4,
-	SUSPECT_COMPLETED_KEPT = 4096, /**< requests that have completed */
+	SUSPECT_COMPLETED_KEPT = 2048, /**< requests that have completed */
 };
 
 /** One crash, or with crash 0 the start of an epoch without any. */
@@ -62,6 +62,13 @@
 	int64_t trial_us; /**< of the latest trial here; 0: none */
 };
 
+/** A request that has completed at this VM. */
+struct suspect_completed {
+	uint64_t fingerprint;
+	/** Crash that it is not suspected of for that reason; 0: none yet. */
+	uint64_t excused_crash;
+};
+
 /** Empty when zeroed. */
 struct suspects {
 	struct suspect *by_fingerprint; /**< in the order of addition */
@@ -72,8 +79,9 @@
 	 * at any time before it. */
 	int64_t started_us;
 	int64_t changed_us; /**< when this VM added or cleared something */
-	/** Fingerprints of requests that completed here, by their last bits. */
-	uint64_t completed[SUSPECT_COMPLETED_KEPT];
+	/** Requests that completed here, by the remainder of the fingerprint.
+	 */
+	struct suspect_completed completed[SUSPECT_COMPLETED_KEPT];
 	int64_t asked_us; /**< last time at which suspects_should_ask() did */
 };
 
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -480,7 +480,9 @@
 	struct suspect_crash cleared;
 
 	ck_assert(!suspects_clear(&suspects, 1, &cleared, 5));
+	/* Several runs of it were at the same server. */
 	ck_assert(!add(&suspects, 1, 1, 10, 19));
+	ck_assert(!add(&suspects, 1, 1, 11, 19));
 	ck_assert(add(&suspects, 1, 2, 20, 29));
 	suspects_reset(&suspects);
 }
@@ -540,16 +542,18 @@
 }
 END_TEST
 
-START_TEST(memory_is_bounded_and_refused_requests_stay)
+START_TEST(memory_is_bounded_and_repeated_suspects_stay)
 {
 	enum { ADDED = 3 * SUSPECTS_MAX };
 	static struct suspects suspects;
 
-	for (int64_t i = 0; i < 3; i++)
+	/* It is not refused yet, but has crashed two servers. */
+	for (int64_t i = 0; i < 2; i++)
 		add(&suspects, 1, (uint64_t)i + 1, 10 * i + 1, 10 * i + 9);
 	for (uint64_t request = 2; request < ADDED; request++)
 		add(&suspects, request, 9, 100, 200);
 	ck_assert_uint_le(HASH_COUNT(suspects.by_fingerprint), SUSPECTS_MAX);
+	ck_assert(add(&suspects, 1, 3, 300, 400));
 	ck_assert(suspects_refuse(&suspects, 1));
 	suspects_reset(&suspects);
 }
@@ -604,7 +608,7 @@
 	    request_that_completed_before_is_not_suspected_at_once,
 	    late_reports_do_not_undo_a_clearing,
 	    crashes_join_alike_in_any_order,
-	    memory_is_bounded_and_refused_requests_stay,
+	    memory_is_bounded_and_repeated_suspects_stay,
 	    runs_at_a_server_that_lives_on_are_dropped,
 	    runs_at_another_start_of_a_server_are_kept,
 	};
