--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -15,6 +15,8 @@
 	STEP_US = 10 * US_PER_MS,
 	START_US = 10 * US_PER_S,
 	DAY_S = 40,
+	LATE_US = 40 * US_PER_S, /* a refused request may be tried again */
+	NEW_VM_US = 100 * US_PER_S,
 	DOWN_MAX_US = 2 * US_PER_S,
 	TROUBLE_MAX_US = 5 * US_PER_S,
 	/* A VM whose process, paths or store were troubled within this time, or
@@ -437,7 +439,7 @@
 {
 	static struct suspects suspects;
 	struct suspect_crash cleared;
-	int64_t late_us = 40 * US_PER_S;
+	int64_t late_us = LATE_US;
 
 	for (int64_t i = 0; i < 3; i++)
 		add(&suspects, 1, (uint64_t)i + 1, 10 * i + 1, 10 * i + 9);
@@ -461,15 +463,15 @@
 	struct suspect_crash crash = {
 	    .fingerprint = 1, .crashed_us = INT64_MIN};
 
-	suspects.started_us = 100 * US_PER_S;
+	suspects.started_us = NEW_VM_US;
 	for (uint32_t i = 1; i <= 3; i++) {
 		crash.round = i;
 		crash.crash = i;
 		ck_assert(suspects_join(&suspects, &crash));
 	}
 	ck_assert(suspects_refuse(&suspects, 1));
-	ck_assert(!suspects_take_trial(&suspects, 1, 103 * US_PER_S));
-	ck_assert(suspects_take_trial(&suspects, 1, 140 * US_PER_S));
+	ck_assert(!suspects_take_trial(&suspects, 1, NEW_VM_US + SETTLE_US));
+	ck_assert(suspects_take_trial(&suspects, 1, NEW_VM_US + LATE_US));
 	suspects_reset(&suspects);
 }
 END_TEST
