Tests: a raw server that other tests can use

test-endless had a server process of its own that sends any bytes. The tests of late responses need one too, so it moves to tests/raw_server.c; a test gives it the function that handles a connection.

--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -1,25 +1,16 @@
-#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
-#include <sys/mman.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-
 #include "common/clock.h"
-#include "tests/calls.h"
+#include "tests/raw_server.h"
 #include "tests/runner.h"
 
 /* A server in trouble sends bytes without end where a response is due. */
 
 enum {
-	LISTED_MS = 1200,
 	REQUEST_BYTES = 8192,
 	PIECE_BYTES = 16384,
 	MEMORY_KB = 8 << 10, /**< that the gateway may need besides */
@@ -39,54 +30,26 @@
 };
 
 #define HEAD    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-#define SIGNED  HEAD "Response-Signature: endless-0\r\n"
+#define SIGNED  HEAD "Response-Signature: raw-0\r\n"
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 
 static struct cluster cluster;
 static const char *build_dir;
-static pid_t server;
-static int listener;
-
-static bool
-send_all(int fd, const char *data, size_t len)
-{
-	while (len > 0) {
-		ssize_t sent = send(fd, data, len, MSG_NOSIGNAL);
-
-		if (sent < 0 && errno == EINTR)
-			continue;
-		if (sent <= 0)
-			return false;
-		data += sent;
-		len -= (size_t)sent;
-	}
-	return true;
-}
-
-static void
-read_request_id(int fd, char id[CALL_REQUEST_BYTES])
-{
-	char request[REQUEST_BYTES] = {0};
-	ssize_t len = recv(fd, request, sizeof(request) - 1, 0);
-	const char *at = len > 0 ? strstr(request, "Request-Id: ") : NULL;
-
-	id[0] = '\0';
-	if (at != NULL)
-		sscanf(at + strlen("Request-Id: "), "%31[^\r]", id);
-}
+static struct raw_server server;
 
 /* Sends pieces until the gateway closes the connection. The process ends if it
  * does not in time. */
 static void
-serve_connection(int fd, const struct trouble *trouble)
+serve_connection(int fd, const void *script)
 {
+	const struct trouble *trouble = script;
 	char id[CALL_REQUEST_BYTES];
 	char start[REQUEST_BYTES];
 	static char pieces[PIECE_BYTES];
 	size_t len = 0;
 	int64_t sent = 0;
 
-	read_request_id(fd, id);
+	raw_server_read_id(fd, id);
 	if (id[0] == '\0')
 		return;
 	while (len + strlen(trouble->piece) <= sizeof(pieces)) {
@@ -94,9 +57,9 @@
 		len += strlen(trouble->piece);
 	}
 	snprintf(start, sizeof(start), trouble->start, id);
-	if (!send_all(fd, start, strlen(start)))
+	if (!raw_server_send(fd, start, strlen(start)))
 		return;
-	while (send_all(
+	while (raw_server_send(
 	    fd, pieces, trouble->pause_ms > 0 ? strlen(trouble->piece) : len)) {
 		usleep((useconds_t)(trouble->pause_ms * US_PER_MS));
 		sent += (int64_t)len;
@@ -105,47 +68,9 @@
 	}
 }
 
-static void
-serve(const struct trouble *trouble)
-{
-	for (;;) {
-		int fd = accept(listener, NULL, NULL);
-
-		if (fd < 0)
-			_exit(2);
-		serve_connection(fd, trouble);
-		close(fd);
-	}
-}
-
-static void
-start_server(const char *service, const struct trouble *trouble)
-{
-	struct sockaddr_in address = {
-	    .sin_family = AF_INET,
-	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)},
-	};
-	socklen_t len = sizeof(address);
-
-	listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	ck_assert_int_eq(
-	    bind(listener, (struct sockaddr *)&address, sizeof(address)), 0);
-	ck_assert_int_eq(listen(listener, 16), 0);
-	getsockname(listener, (struct sockaddr *)&address, &len);
-	server = fork();
-	if (server == 0) {
-		prctl(PR_SET_PDEATHSIG, SIGKILL);
-		serve(trouble);
-	}
-	cluster_register_port(
-	    &cluster, "endless-0", service, ntohs(address.sin_port));
-	usleep(LISTED_MS * US_PER_MS);
-}
-
 static void
 setup(void)
 {
-	server = 0;
 	ck_assert(cluster_start(&cluster, build_dir));
 	cluster_publish(&cluster, "");
 	ck_assert_int_ge(cluster_add_gateway(&cluster), 0);
@@ -155,11 +80,7 @@
 static void
 teardown(void)
 {
-	if (server > 0) {
-		kill(server, SIGKILL);
-		waitpid(server, NULL, 0);
-	}
-	close(listener);
+	raw_server_stop(&server);
 	cluster_stop(&cluster);
 }
 
@@ -193,7 +114,7 @@
 	int64_t started_us;
 	int exit_status;
 
-	start_server(service, trouble);
+	server = raw_server_start(&cluster, service, serve_connection, trouble);
 	before_kb = peak_memory_kb();
 	started_us = clock_monotonic_us();
 	answer = call_once(&cluster, 0, target, NULL);
@@ -201,7 +122,7 @@
 	ck_assert_int_eq(answer.status, status);
 	ck_assert(status != 200 || !answer.complete);
 	ck_assert_int_le(peak_memory_kb() - before_kb, MEMORY_KB);
-	ck_assert_int_eq(waitpid(server, &exit_status, WNOHANG), 0);
+	ck_assert_int_eq(waitpid(server.pid, &exit_status, WNOHANG), 0);
 }
 
 START_TEST(heads_without_end_are_closed)
@@ -246,8 +167,7 @@
 		"Content-Length: 5\r\n\r\nother",
 		8},
 	    502);
-	ck_assert_int_eq(kill(server, SIGKILL), 0);
-	waitpid(server, NULL, 0);
+	ck_assert_int_eq(kill(server.pid, 0), 0);
 }
 END_TEST
 
