Refusals without an id on a kept connection told callers a false 'not run'

Cause: a response that says that the server did not run a request was believed whatever it was the response to. On a connection that an earlier request has used, one without an id may be a late, further response to that earlier request, while the server runs the new one; the caller was told 'not run' and sent it again.

Ruled out: responses with an id (others are skipped), new connections (nothing else can be meant), and connections after a declined request (they are closed).

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -256,6 +256,16 @@
 		path_watch_handle_reached(gateway->path_watch);
 }
 
+/* A response without an id on a connection that an earlier request has used may
+ * be a further response to that one. It doesn't tell that this request has not
+ * run. */
+static void
+distrust_unnamed_refusal(struct forward *attempt, bool has_request_id)
+{
+	if (!has_request_id && h1_call_reuses_connection(attempt->call))
+		attempt->response.not_executed = false;
+}
+
 static void
 limit_declined_body(struct request *request)
 {
@@ -277,6 +287,7 @@
 	/* Skips a late response to an earlier request on this connection. */
 	if (has_request_id && !attempt->response.matches_request)
 		return H1_HEAD_SKIP;
+	distrust_unnamed_refusal(attempt, has_request_id);
 	attempt->head_received = true;
 	request->stated_limit = attempt->response.limit;
 	mark_server_if_leaving(request);
