A stop cut requests that had just been accepted

Cause: a gateway ended as soon as 2.5 s had passed, or no connection was open, and no request was in progress. That ignored what was not yet a request: new connections that the loop had not accepted or read, heads that were still arriving, and responses that the caller had not read. The last turn of the loop after uv_stop() even began new requests. With no connection open it ended within 0.1 s, while callers held its address for two seconds.

Ruled out: requests in progress (the old condition waited for them) and the end of the grace period (they got their 504 before the connections were closed).

When the grace period is nearly over, what is left is ended and what still comes is refused as not run.

--- a/gateway/request.c
+++ b/gateway/request.c
@@ -22,6 +22,8 @@
 	/* The other gateways know within a heartbeat that this one reaches no
 	 * server. */
 	RETRY_AFTER_UNREACHABLE_US = 150 * US_PER_MS,
+	/* Any other gateway serves the request. */
+	RETRY_AFTER_STOPPED_US = 10 * US_PER_MS,
 	DECLINED_MAX = 4, /* declines after which a request is refused */
 	RETRY_AFTER_TEXT_BYTES = 24,
 };
@@ -727,6 +729,11 @@
 		    EXECUTION_NOT_STARTED, 0, err.text);
 		return false;
 	}
+	if (gateway->blackboard.grace_ended) {
+		request_refuse(
+		    request, REFUSAL_DRAINING, RETRY_AFTER_STOPPED_US, NULL);
+		return false;
+	}
 	if (request->config == NULL) {
 		request_refuse(
 		    request, REFUSAL_NO_CONFIG, RETRY_AFTER_NO_CONFIG_US, NULL);
--- a/h1/server.c
+++ b/h1/server.c
@@ -1,8 +1,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "common/clock.h"
+#include "common/diag.h"
 #include "common/list.h"
 #include "common/memory.h"
 #include "h1/server_internal.h"
@@ -206,33 +209,72 @@
 	    sizeof(connection->peer));
 }
 
-static void
-handle_accept(uv_stream_t *listener, int status)
+static struct h1_connection *
+connection_create(struct h1_server *server)
 {
-	struct h1_server *server = listener->data;
-	struct h1_connection *connection;
+	struct h1_connection *connection = xcalloc(1, sizeof(*connection));
 
-	if (status != 0 || server->destroyed)
-		return;
-	connection = xcalloc(1, sizeof(*connection));
 	connection->server = server;
 	list_init(&connection->resume_link);
-	uv_tcp_init(listener->loop, &connection->tcp);
+	uv_tcp_init(server->listener.loop, &connection->tcp);
 	connection->tcp.data = connection;
 	http_parser_init(&connection->parser, HTTP_REQUEST);
 	connection->parser.data = connection;
 	list_append(&server->connections, &connection->link);
 	server->connection_count++;
 	h1_connection_set_phase(connection, PHASE_IDLE);
-	if (uv_accept(listener, (uv_stream_t *)&connection->tcp) != 0) {
-		h1_connection_close(connection);
-		return;
-	}
+	return connection;
+}
+
+static void
+connection_start(struct h1_connection *connection)
+{
 	h1_socket_tune(&connection->tcp, ACK_TIMEOUT_US);
 	copy_peer_address(connection);
 	h1_connection_start_reading(connection);
 }
 
+static void
+handle_accept(uv_stream_t *listener, int status)
+{
+	struct h1_server *server = listener->data;
+	struct h1_connection *connection;
+
+	if (status != 0 || server->destroyed)
+		return;
+	connection = connection_create(server);
+	if (uv_accept(listener, (uv_stream_t *)&connection->tcp) != 0)
+		h1_connection_close(connection);
+	else
+		connection_start(connection);
+}
+
+/* Accepts the connections that have been opened since the loop last looked.
+ * Closing the listener would reset them, with the requests that were sent on
+ * them. */
+static void
+accept_waiting(struct h1_server *server)
+{
+	uv_os_fd_t listener;
+	int fd;
+
+	if (uv_fileno((uv_handle_t *)&server->listener, &listener) != 0)
+		return;
+	while ((fd = accept4(
+		    listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		struct h1_connection *connection = connection_create(server);
+
+		if (uv_tcp_open(&connection->tcp, fd) != 0) {
+			diag(LOG_WARNING, NULL,
+			    "cannot serve an accepted connection");
+			close(fd);
+			h1_connection_close(connection);
+			return;
+		}
+		connection_start(connection);
+	}
+}
+
 static void
 check_timeout(struct h1_connection *connection, int64_t now_us)
 {
@@ -294,6 +336,24 @@
 	    options->address, options->port, uv_strerror(code));
 }
 
+static void
+handle_server_handle_closed(uv_handle_t *handle)
+{
+	struct h1_server *server = handle->data;
+
+	server->open_handles--;
+	server_free_if_closed(server);
+}
+
+void
+h1_server_stop_listening(struct h1_server *server)
+{
+	if (uv_is_closing((uv_handle_t *)&server->listener))
+		return;
+	accept_waiting(server);
+	uv_close((uv_handle_t *)&server->listener, handle_server_handle_closed);
+}
+
 struct h1_server *
 h1_server_create(
     uv_loop_t *loop, const struct h1_server_options *options, struct error *err)
@@ -319,15 +379,6 @@
 	return server;
 }
 
-static void
-handle_server_handle_closed(uv_handle_t *handle)
-{
-	struct h1_server *server = handle->data;
-
-	server->open_handles--;
-	server_free_if_closed(server);
-}
-
 void
 h1_server_destroy(struct h1_server *server)
 {
@@ -337,7 +388,9 @@
 	list_for_each_safe (
 	    connection, tmp, &server->connections, struct h1_connection, link)
 		h1_connection_close(connection);
-	uv_close((uv_handle_t *)&server->listener, handle_server_handle_closed);
+	if (!uv_is_closing((uv_handle_t *)&server->listener))
+		uv_close((uv_handle_t *)&server->listener,
+		    handle_server_handle_closed);
 	uv_close(
 	    (uv_handle_t *)&server->timeout_timer, handle_server_handle_closed);
 	uv_close(
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -47,6 +47,8 @@
 	uint64_t relayed_config_version;
 	bool backends_loaded; /**< the list of servers was read once */
 	bool stopping;
+	bool listeners_closed; /**< stopping, and takes no connections */
+	bool grace_ended;      /**< stopping, and serves no requests */
 	bool stopped;
 	int64_t stop_started_us;
 };
--- a/include/h1/server.h
+++ b/include/h1/server.h
@@ -61,6 +61,9 @@
 /** Starts draining: each further response closes its connection, and idle
  * connections are closed after idle_us at most. */
 void h1_server_drain(struct h1_server *server, int64_t idle_us);
+/** Stops listening. Connections that callers have opened before are kept, also
+ * those that were not accepted yet. */
+void h1_server_stop_listening(struct h1_server *server);
 /** Returns the number of requests whose response has not ended. */
 size_t h1_server_open_exchanges(const struct h1_server *server);
 size_t h1_server_connections(const struct h1_server *server);
