Streams that sent a byte now and then never ended at the daemon

Cause: each piece of a response started the time without progress anew, so an engine that sends bytes that never make a line, or only comments, kept a model call for ever. A call of a service, whose setting is the longest time of one call, lasted as long as bytes came.

Change: progress of a model call is an event; comments, by which an engine shows that a request waits, count for four times the longest silence. A call of a service ends when its time is over. Slow streams with events go on as before.

test-net (calls_end_in_time_though_bytes_arrive_now_and_then) and test-daemon (streams_that_send_bytes_but_no_events_end) did not end before; they pass now, as does slow_streams_are_not_cut.

--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -1,11 +1,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/memory.h"
 #include "daemon/attempt.h"
 
 enum {
 	MAX_LINE_BYTES = 1 << 20, /**< longest line of the event stream */
+	/* An engine whose request waits may send comments to show that it is
+	 * alive. They are taken for progress for this many times the longest
+	 * time without data, and events always are. */
+	EVENTLESS_TIMEOUTS = 4,
 	FINISH_REASON_BYTES = 32,
 };
 
@@ -13,6 +18,8 @@
 struct attempt {
 	struct attempt_callbacks callbacks;
 	struct http_call *http;
+	int64_t idle_timeout_us;
+	int64_t last_event_us;
 	char id[NAME_BYTES];
 	struct buf line; /**< received, but not yet a complete line */
 	bool done;       /**< the closing event "[DONE]" was received */
@@ -77,6 +84,7 @@
 	json_t *event;
 	json_t *usage;
 
+	attempt->last_event_us = clock_monotonic_us();
 	if (len == 6 && memcmp(data, "[DONE]", 6) == 0) {
 		attempt->done = true;
 		return;
@@ -106,6 +114,9 @@
 		len--;
 	if (len > 6 && memcmp(line, "data: ", 6) == 0)
 		handle_event(attempt, line + 6, len - 6);
+	if (clock_monotonic_us() - attempt->last_event_us <
+	    EVENTLESS_TIMEOUTS * attempt->idle_timeout_us)
+		http_call_progress(attempt->http);
 }
 
 static void
@@ -226,12 +237,15 @@
 	    .path = "/v1/chat/completions",
 	    .headers = headers,
 	    .timeout_us = params->idle_timeout_us,
+	    .reports_progress = true,
 	    .on_data = handle_data,
 	    .on_done = handle_done,
 	    .context = attempt,
 	};
 
 	attempt->callbacks = *callbacks;
+	attempt->idle_timeout_us = params->idle_timeout_us;
+	attempt->last_event_us = clock_monotonic_us();
 	attempt->line.max = MAX_LINE_BYTES;
 	snprintf(attempt->id, sizeof(attempt->id), "%s", params->id);
 	attempt_write_body(params, &body);
--- a/daemon/service_call.c
+++ b/daemon/service_call.c
@@ -225,6 +225,7 @@
 	    .body = service->body.data,
 	    .body_len = service->body.len,
 	    .timeout_us = service->timeout_us,
+	    .max_us = service->timeout_us,
 	    .max_response_bytes = MAX_RESPONSE_BYTES,
 	};
 
--- a/include/daemon/attempt.h
+++ b/include/daemon/attempt.h
@@ -46,8 +46,10 @@
 	/** Text of an earlier attempt to continue; NULL or "": none. */
 	const char *partial;
 	uint64_t max_tokens;
-	uint32_t priority;       /**< lower values run first */
-	int64_t idle_timeout_us; /**< longest time without data */
+	uint32_t priority; /**< lower values run first */
+	/** Longest time without an event. Comments of the stream prolong it, up
+	 * to four times; pieces of a line don't. */
+	int64_t idle_timeout_us;
 };
 
 /** Appends the JSON body of the request to the engine. */
--- a/include/net/http.h
+++ b/include/net/http.h
@@ -83,8 +83,9 @@
 	HTTP_RESULT_OK,              /**< whole response, of any status */
 	HTTP_RESULT_CONNECT_FAILED,  /**< no byte of the request was sent */
 	HTTP_RESULT_CONNECTION_LOST, /**< lost after sending began */
-	HTTP_RESULT_TIMEOUT,         /**< no progress within timeout_us; the
-					request may have been sent */
+	HTTP_RESULT_TIMEOUT,         /**< no progress within timeout_us, or
+					max_us passed; the request may have
+					been sent */
 	HTTP_RESULT_TOO_LARGE,       /**< response longer than the limit */
 	HTTP_RESULT_CANCELLED,       /**< by http_call_cancel() */
 };
@@ -102,6 +103,10 @@
 	const void *body;
 	size_t body_len;
 	int64_t timeout_us; /**< longest time without progress; 0: 30 s */
+	int64_t max_us;     /**< longest time of the whole call; 0: no limit */
+	/** Bytes of the response are no progress, only what the caller reports
+	 * with http_call_progress(). */
+	bool reports_progress;
 	size_t max_response_bytes; /**< http_fetch() only; 0: 16 MiB */
 	/** Receives a piece of the response's body. May be NULL. */
 	void (*on_data)(
@@ -117,6 +122,8 @@
  * reported to on_done. */
 struct http_call *
 http_call_start(struct net *net, const struct http_call_params *params);
+/** Starts the time without progress anew; for calls with reports_progress. */
+void http_call_progress(struct http_call *call);
 /** Cancels a call; on_done does not run. */
 void http_call_cancel(struct http_call *call);
 
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -30,8 +30,9 @@
 	struct h1_call *h1;
 	uv_timer_t *timer;
 	uint64_t timeout_ms;
-	int64_t due_us; /**< when the timer should fire */
-	bool late;      /**< the timer fired late once; see handle_timer() */
+	int64_t max_until_us; /**< when the call ends in any case */
+	int64_t due_us;       /**< when the timer should fire */
+	bool late; /**< the timer fired late once; see handle_timer() */
 	int status;
 	char location[2 * HTTP_PATH_BYTES]; /**< target of a redirect, or "" */
 	struct fetch *fetch;                /**< for http_fetch(); else NULL */
@@ -119,10 +120,23 @@
 static void
 restart_timer(struct http_call *call)
 {
+	int64_t now_us = clock_monotonic_us();
+	int64_t wait_us = (int64_t)call->timeout_ms * US_PER_MS;
+
+	if (call->max_until_us - now_us < wait_us)
+		wait_us = call->max_until_us - now_us;
+	if (wait_us < 0)
+		wait_us = 0;
 	call->late = false;
-	call->due_us =
-	    clock_monotonic_us() + (int64_t)call->timeout_ms * US_PER_MS;
-	uv_timer_start(call->timer, handle_timer, call->timeout_ms, 0);
+	call->due_us = now_us + wait_us;
+	uv_timer_start(
+	    call->timer, handle_timer, (uint64_t)(wait_us / US_PER_MS), 0);
+}
+
+void
+http_call_progress(struct http_call *call)
+{
+	restart_timer(call);
 }
 
 static enum h1_head_action
@@ -131,7 +145,8 @@
 	struct http_call *call = context;
 	const char *location = h1_headers_find(&head->headers, "location");
 
-	restart_timer(call);
+	if (!call->callbacks.reports_progress)
+		restart_timer(call);
 	call->status = head->status;
 	if (head->status / 100 == 3 && location != NULL)
 		snprintf(
@@ -145,7 +160,8 @@
 {
 	struct http_call *call = context;
 
-	restart_timer(call);
+	if (!call->callbacks.reports_progress)
+		restart_timer(call);
 	/* The body of a redirect is omitted. */
 	if (call->callbacks.on_data != NULL && call->location[0] == '\0')
 		call->callbacks.on_data(
@@ -196,6 +212,9 @@
 	    ? (uint64_t)(params->timeout_us / US_PER_MS) + 1
 	    : (uint64_t)CALL_TIMEOUT_S * MS_PER_S;
 	h1_params.connect_timeout_us = (int64_t)call->timeout_ms * US_PER_MS;
+	call->max_until_us = params->max_us > 0
+	    ? clock_monotonic_us() + params->max_us
+	    : INT64_MAX;
 	call->timer = xcalloc(1, sizeof(*call->timer));
 	uv_timer_init(net->loop, call->timer);
 	call->timer->data = call;
--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "daemon/attempt.h"
 #include "daemon/cache_events.h"
 #include "standins/engine_telemetry.h"
@@ -106,12 +107,167 @@
 }
 END_TEST
 
+/** An engine that streams pieces at a fixed pace, and an attempt at it. */
+struct stream {
+	uv_loop_t loop;
+	struct net *net;
+	struct http_exchange *exchange; /**< NULL: not open */
+	uv_timer_t timer;
+	const char *const *pieces; /**< ends with NULL; then [DONE] is sent */
+	bool repeats;              /**< sends the first piece without end */
+	bool ended;
+	enum sched_result result;
+};
+
+enum {
+	PIECE_MS = 20,
+	IDLE_MS = 60,        /* longest time without progress */
+	STREAM_END_MS = 600, /* by which a stalled stream must have ended */
+};
+
+#define EVENT "data: {\"id\":\"a-1\",\"choices\":[]}\n\n"
+
+static void
+handle_stream_closed(void *context)
+{
+	struct stream *stream = context;
+
+	stream->exchange = NULL;
+	uv_timer_stop(&stream->timer);
+}
+
+static void
+handle_piece_timer(uv_timer_t *timer)
+{
+	struct stream *stream = timer->data;
+	const char *piece = *stream->pieces;
+
+	if (piece == NULL) {
+		http_stream_write(stream->exchange, "data: [DONE]\n\n", 14);
+		http_stream_end(stream->exchange);
+		handle_stream_closed(stream);
+		return;
+	}
+	http_stream_write(stream->exchange, piece, strlen(piece));
+	if (!stream->repeats)
+		stream->pieces++;
+}
+
+static void
+handle_engine_request(void *context, struct http_exchange *exchange,
+    const struct http_request *request)
+{
+	struct stream *stream = context;
+
+	(void)request;
+	stream->exchange = exchange;
+	http_exchange_on_close(exchange, handle_stream_closed, stream);
+	http_stream_begin(exchange, 200, "text/event-stream", NULL);
+	uv_timer_start(&stream->timer, handle_piece_timer, PIECE_MS, PIECE_MS);
+}
+
+static void
+ignore_text(void *context, const char *text)
+{
+	(void)context;
+	(void)text;
+}
+
+static void
+handle_attempt_end(void *context, enum sched_result result, int status,
+    const char *finish_reason, const struct attempt_usage *usage)
+{
+	struct stream *stream = context;
+
+	(void)status;
+	(void)finish_reason;
+	(void)usage;
+	stream->ended = true;
+	stream->result = result;
+}
+
+/* Runs an attempt at an engine that sends the pieces, and returns its result.
+ */
+static enum sched_result
+run_stream(const char *const *pieces, bool repeats)
+{
+	struct stream stream = {.pieces = pieces, .repeats = repeats};
+	const struct net_options options = {
+	    .listen_address = "127.0.0.1",
+	    .max_body_bytes = 1 << 20,
+	    .handler = handle_engine_request,
+	    .handler_context = &stream,
+	};
+	const struct attempt_callbacks callbacks = {
+	    .on_text = ignore_text,
+	    .on_end = handle_attempt_end,
+	    .context = &stream,
+	};
+	struct config_server server = {.address = "127.0.0.1"};
+	struct buf prompt = {0};
+	const struct attempt_params params = {
+	    .server = &server,
+	    .id = "a-1",
+	    .program = "p-1",
+	    .model = "m",
+	    .adapter = "",
+	    .prompt = &prompt,
+	    .idle_timeout_us = (int64_t)IDLE_MS * US_PER_MS,
+	};
+	struct error err = {0};
+	int64_t started_us;
+
+	uv_loop_init(&stream.loop);
+	uv_timer_init(&stream.loop, &stream.timer);
+	stream.timer.data = &stream;
+	stream.net = net_create(&stream.loop, &options, &err);
+	ck_assert_msg(stream.net != NULL, "%s", err.text);
+	server.port = net_port(stream.net);
+	started_us = clock_monotonic_us();
+	attempt_start(stream.net, &params, &callbacks);
+	while (!stream.ended &&
+	    clock_monotonic_us() - started_us <
+		(int64_t)STREAM_END_MS * US_PER_MS)
+		uv_run(&stream.loop, UV_RUN_ONCE);
+	ck_assert_msg(stream.ended, "the attempt does not end");
+	uv_close((uv_handle_t *)&stream.timer, NULL);
+	net_destroy(stream.net);
+	uv_run(&stream.loop, UV_RUN_DEFAULT);
+	ck_assert_int_eq(uv_loop_close(&stream.loop), 0);
+	return stream.result;
+}
+
+START_TEST(slow_streams_are_not_cut)
+{
+	/* Longer than the longest time without progress in all. */
+	static const char *const events[] = {
+	    EVENT, EVENT, EVENT, EVENT, EVENT, EVENT, EVENT, EVENT, NULL};
+	static const char *const waiting[] = {
+	    ":\n\n", ":\n\n", ":\n\n", ":\n\n", ":\n\n", EVENT, NULL};
+
+	ck_assert_int_eq(run_stream(events, false), SCHED_DONE);
+	ck_assert_int_eq(run_stream(waiting, false), SCHED_DONE);
+}
+END_TEST
+
+START_TEST(streams_that_send_bytes_but_no_events_end)
+{
+	static const char *const bytes[] = {"x", NULL};
+	static const char *const comments[] = {":\n\n", NULL};
+
+	ck_assert_int_eq(run_stream(bytes, true), SCHED_TIMED_OUT);
+	ck_assert_int_eq(run_stream(comments, true), SCHED_TIMED_OUT);
+}
+END_TEST
+
 int
 main(void)
 {
 	const TTest *tests[] = {
 	    names_cannot_add_members_to_the_engines_request,
 	    each_cache_event_is_read_once,
+	    slow_streams_are_not_cut,
+	    streams_that_send_bytes_but_no_events_end,
 	};
 
 	return run_tests("daemon", tests, sizeof(tests) / sizeof(tests[0]));
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -13,6 +13,7 @@
 
 enum {
 	ABORT_MS = 10,
+	DRIP_MS = 10,
 	SERVER_ITERATIONS = 60, /**< of a millisecond; covers ABORT_MS */
 };
 
@@ -28,6 +29,7 @@
 	int closes;
 	struct http_exchange *held; /**< unfinished response to "/hold" */
 	uv_timer_t abort_timer;     /**< aborts the response to "/cut-stream" */
+	uv_timer_t drip_timer;      /**< sends the response to "/drip" */
 };
 
 static void
@@ -46,6 +48,32 @@
 	uv_close((uv_handle_t *)timer, NULL);
 }
 
+static void
+handle_drip_timer(uv_timer_t *timer)
+{
+	http_stream_write(timer->data, ".", 1);
+}
+
+static void
+handle_drip_closed(void *context)
+{
+	struct fixture *fixture = context;
+
+	fixture->closes++;
+	uv_close((uv_handle_t *)&fixture->drip_timer, NULL);
+}
+
+/* Sends a byte now and then, without end. */
+static void
+respond_with_drip(struct fixture *fixture, struct http_exchange *exchange)
+{
+	http_exchange_on_close(exchange, handle_drip_closed, fixture);
+	http_stream_begin(exchange, 200, "text/plain", NULL);
+	uv_timer_init(&fixture->loop, &fixture->drip_timer);
+	fixture->drip_timer.data = exchange;
+	uv_timer_start(&fixture->drip_timer, handle_drip_timer, 0, DRIP_MS);
+}
+
 static void
 respond_with_stream(struct http_exchange *exchange)
 {
@@ -71,6 +99,8 @@
 		    &fixture->abort_timer, handle_abort_timer, ABORT_MS, 0);
 		http_stream_begin(exchange, 200, "text/event-stream", NULL);
 		http_stream_write(exchange, "data: x\n\n", 9);
+	} else if (strcmp(request->path, "/drip") == 0) {
+		respond_with_drip(fixture, exchange);
 	} else if (strcmp(request->path, "/hold") == 0) {
 		http_exchange_on_close(exchange, handle_close, fixture);
 		http_stream_begin(exchange, 200, "text/plain", NULL);
@@ -143,8 +173,9 @@
 }
 
 static struct http_call *
-start(struct fixture *fixture, enum http_method method, const char *path,
-    const void *body, size_t len, int64_t timeout_us)
+start_limited(struct fixture *fixture, enum http_method method,
+    const char *path, const void *body, size_t len, int64_t timeout_us,
+    int64_t max_us)
 {
 	static const struct http_header headers[] = {
 	    {"x-test", "yes"},
@@ -159,12 +190,20 @@
 	    .body = body,
 	    .body_len = len,
 	    .timeout_us = timeout_us,
+	    .max_us = max_us,
 	};
 
 	fixture->done = false;
 	return http_fetch(fixture->net, &params, handle_response, fixture);
 }
 
+static struct http_call *
+start(struct fixture *fixture, enum http_method method, const char *path,
+    const void *body, size_t len, int64_t timeout_us)
+{
+	return start_limited(fixture, method, path, body, len, timeout_us, 0);
+}
+
 static void
 finish(struct fixture *fixture)
 {
@@ -412,6 +451,26 @@
 }
 END_TEST
 
+START_TEST(calls_end_in_time_though_bytes_arrive_now_and_then)
+{
+	const int64_t drip_us = (int64_t)DRIP_MS * US_PER_MS;
+	struct fixture fixture;
+	int64_t started_us = clock_monotonic_us();
+
+	setup(&fixture);
+	start_limited(
+	    &fixture, HTTP_GET, "/drip", NULL, 0, 10 * drip_us, 20 * drip_us);
+	finish(&fixture);
+	ck_assert_int_eq(fixture.result, HTTP_RESULT_TIMEOUT);
+	/* Not before: the call makes progress. */
+	ck_assert_int_ge(
+	    clock_monotonic_us() - started_us, 20 * drip_us - US_PER_MS);
+	while (fixture.closes == 0)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	teardown(&fixture);
+}
+END_TEST
+
 START_TEST(cancelled_calls_run_no_callback)
 {
 	struct fixture fixture;
@@ -444,6 +503,7 @@
 	    aborted_streams_are_incomplete,
 	    redirects_are_reported_and_not_followed,
 	    stalled_calls_time_out_and_close_their_exchange,
+	    calls_end_in_time_though_bytes_arrive_now_and_then,
 	    cancelled_calls_run_no_callback,
 	};
 
