--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -2,12 +2,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
-#include "standins/cluster.h"
+#include "common/clock.h"
+#include "tests/raw_server.h"
 #include "tests/runner.h"
 
 enum {
-	CALL_MS = 5000,
+	DEADLINE_MS = 3000, /**< of each request */
 	FIELDS_BYTES = 512,
 	EVENTS = 4, /**< events of a whole stream of the stand-in */
 };
@@ -42,10 +44,11 @@
 
 	snprintf(request, 32, "forward-%02d", ++next);
 	snprintf(fields, sizeof(fields),
-	    "Host: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\n"
+	    "Host: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n"
 	    "Program-Id: %s\r\nSession-Id: s\r\nToken-Budget: 1000\r\n"
 	    "Token-Usage: 100,50\r\n%s%s%s",
-	    request, request, previous_turn != NULL ? "Previous-Turn: " : "",
+	    request, DEADLINE_MS, request,
+	    previous_turn != NULL ? "Previous-Turn: " : "",
 	    previous_turn != NULL ? previous_turn : "",
 	    previous_turn != NULL ? "\r\n" : "");
 	http_call_once(cluster.gateways[0].process.port, "POST", target, fields,
@@ -138,6 +141,78 @@
 }
 END_TEST
 
+/** What a server sends after the head of a stream. */
+struct slow_stream {
+	const char *piece;
+	int pieces;
+	int pause_ms; /**< before each piece */
+};
+
+static void
+serve_slow_stream(int fd, const void *script)
+{
+	const struct slow_stream *stream = script;
+	char id[CALL_REQUEST_BYTES];
+	char head[FIELDS_BYTES];
+
+	raw_server_read_id(fd, id);
+	snprintf(head, sizeof(head),
+	    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+	    "Response-Signature: raw-0\r\n"
+	    "Content-Type: text/event-stream\r\n\r\n",
+	    id);
+	raw_server_send(fd, head, strlen(head));
+	for (int i = 0; i < stream->pieces; i++) {
+		usleep((useconds_t)(stream->pause_ms * US_PER_MS));
+		if (!raw_server_send(fd, stream->piece, strlen(stream->piece)))
+			return;
+	}
+}
+
+/* Calls the slow server alone; returns how long it took. */
+static int64_t
+call_slow_stream(const struct slow_stream *stream, struct http_reply *reply)
+{
+	struct raw_server server;
+	char request[32];
+	int64_t started_us;
+
+	cluster_signal(&cluster.servers[0], SIGKILL);
+	cluster_unregister_server(&cluster, "models-0");
+	server =
+	    raw_server_start(&cluster, "models", serve_slow_stream, stream);
+	started_us = clock_monotonic_us();
+	send_request("/stream/x", NULL, request, reply);
+	started_us = clock_monotonic_us() - started_us;
+	raw_server_stop(&server);
+	return started_us;
+}
+
+START_TEST(slow_streams_are_complete)
+{
+	struct http_reply reply;
+
+	call_slow_stream(
+	    &(struct slow_stream){"id: 1\ndata: x\n\n", 3, 800}, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert(reply.complete);
+	ck_assert_int_eq(count_events(&reply), 3);
+	http_reply_reset(&reply);
+}
+END_TEST
+
+START_TEST(stalled_streams_end_at_their_deadline)
+{
+	struct http_reply reply;
+	int64_t took_us =
+	    call_slow_stream(&(struct slow_stream){"x", 100, 100}, &reply);
+
+	ck_assert(!reply.complete);
+	ck_assert_int_le(took_us, (int64_t)(DEADLINE_MS + 500) * US_PER_MS);
+	http_reply_reset(&reply);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -148,6 +223,8 @@
 	    streams_that_are_reset_are_cut,
 	    turns_that_broke_off_are_not_retained,
 	    responses_without_a_length_are_complete_unless_reset,
+	    slow_streams_are_complete,
+	    stalled_streams_end_at_their_deadline,
 	};
 
 	build_dir = argc > 1 ? argv[1] : "build";
