--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include "common/clock.h"
-#include "tests/calls.h"
+#include "tests/raw_server.h"
 #include "tests/runner.h"
 
 /* A planned stop under load. Callers keep an address for a while after the
@@ -105,12 +105,55 @@
 }
 END_TEST
 
+static void
+never_respond(int fd, const void *script)
+{
+	char id[CALL_REQUEST_BYTES];
+
+	(void)script;
+	raw_server_read_id(fd, id);
+	pause();
+}
+
+/* Its caller would wait for longer than the gateway may take to stop. */
+START_TEST(requests_that_outlast_the_grace_period_are_answered)
+{
+	static const char request[] =
+	    "POST /long/a HTTP/1.1\r\nHost: h.example\r\n"
+	    "Request-Id: long-1\r\nDeadline-Ms: 20000\r\n"
+	    "Content-Length: 0\r\n\r\n";
+	struct http_caller caller;
+	struct http_reply reply;
+	struct raw_server server;
+
+	cluster_publish(&cluster,
+	    ",{\"name\":\"long\",\"host\":\"h.example\",\"pathPrefix\":"
+	    "\"/long/\",\"kind\":\"unsafe\",\"timeoutMs\":20000,"
+	    "\"targetLatencyMs\":100,\"service\":\"models\"}");
+	server = raw_server_start(&cluster, "models", never_respond, NULL);
+	ck_assert(http_caller_open(&caller, cluster.gateways[0].process.port));
+	ck_assert(http_caller_send(&caller, request, strlen(request)));
+	usleep(WORK_MS * US_PER_MS);
+	cluster_signal(&cluster.gateways[0].process, SIGTERM);
+	http_caller_read(&caller, EXIT_MS, &reply);
+	/* It may have run, so nothing says that it has not. */
+	ck_assert_int_eq(reply.status, 504);
+	ck_assert(reply.complete);
+	ck_assert_ptr_null(strstr(buf_text(&reply.body), "not run"));
+	http_reply_reset(&reply);
+	http_caller_close(&caller);
+	check_exit();
+	raw_server_stop(&server);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
 	const TTest *tests[] = {
 	    requests_accepted_at_the_end_of_a_stop_are_answered,
 	    requests_that_arrive_slowly_during_a_stop_are_answered,
+	    requests_that_outlast_the_grace_period_are_answered,
 	};
 
 	build_dir = argc > 1 ? argv[1] : "build";
