Quarantine: log what clears a request and what excuses its crashes

suspicion_cleared did not tell which response cleared a request, nor its status and how its body ended. A crash that is not counted, and runs that are dropped since their server seems to live, left no line.

suspicion_cleared_by, crash_not_counted and unfinished_runs_dropped tell them now, with two counters; the request line of a trial says that it is one. No change of behaviour: test-suspects 13 of 13.

--- a/dispatch/unfinished.c
+++ b/dispatch/unfinished.c
@@ -18,18 +18,24 @@
 	unfinished->runs[unfinished->next++ % UNFINISHED_MAX] = *run;
 }
 
-void
+size_t
 unfinished_server_alive(struct unfinished *unfinished,
     const struct server_start *start, int64_t since_us)
 {
+	size_t dropped = 0;
+
 	for (size_t i = 0; i < UNFINISHED_MAX; i++) {
 		struct unfinished_run *run = &unfinished->runs[i];
 
-		if (run->start.server == start->server &&
+		if (run->fingerprint != 0 &&
+		    run->start.server == start->server &&
 		    run->start.started_wall_ms == start->started_wall_ms &&
-		    run->ran_until_us <= since_us)
+		    run->ran_until_us <= since_us) {
 			run->fingerprint = 0;
+			dropped++;
+		}
 	}
+	return dropped;
 }
 
 static int
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -241,8 +241,8 @@
 	const struct server_start start = server_start_of(attempt);
 
 	if (response_is_from_server(&attempt->response))
-		quarantine_handle_response(
-		    request->gateway->quarantine, &start, attempt->started_us);
+		quarantine_handle_alive(request->gateway->quarantine, &start,
+		    attempt->started_us, "response");
 }
 
 /* Only a response on a new connection shows that servers can be reached: kept
@@ -403,6 +403,20 @@
 	    &gateway->blackboard.backends, attempt->backend, &stream);
 }
 
+static void
+note_completed(const struct request *request)
+{
+	const struct quarantine_response response = {
+	    .request = request->attributes.request_id,
+	    .server = request->last_backend,
+	    .status = request->attempt->response.status,
+	    .body_end = h1_body_end_name(request->body_end),
+	};
+
+	quarantine_handle_completed(
+	    request->gateway->quarantine, request->fingerprint, &response);
+}
+
 static void
 finish_response(struct request *request)
 {
@@ -411,8 +425,7 @@
 
 	update_backend_statistics(request);
 	urgency_handle_completed(request);
-	quarantine_handle_completed(
-	    request->gateway->quarantine, request->fingerprint);
+	note_completed(request);
 	if (is_stream(request)) {
 		/* Comments after the last event belong to the body. */
 		if (events->pending.len > 0)
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -151,8 +151,25 @@
 		quarantine_probe(quarantine, start);
 }
 
+/* Tells which response cleared a request. */
+static void
+trace_cleared_by(
+    uint64_t fingerprint, const struct quarantine_response *response)
+{
+	struct trace trace;
+
+	trace_begin(&trace, "suspicion_cleared_by");
+	trace_hash(&trace, "fingerprint", fingerprint);
+	trace_text(&trace, "request", response->request);
+	trace_text(&trace, "server", response->server);
+	trace_number(&trace, "status", response->status);
+	trace_text(&trace, "body_end", response->body_end);
+	trace_end(&trace);
+}
+
 void
-quarantine_handle_completed(struct quarantine *quarantine, uint64_t fingerprint)
+quarantine_handle_completed(struct quarantine *quarantine, uint64_t fingerprint,
+    const struct quarantine_response *response)
 {
 	const struct suspect *known =
 	    suspects_find(&quarantine->suspects, fingerprint);
@@ -165,6 +182,7 @@
 		clock_monotonic_us()))
 		return;
 	quarantine->gateway->counters.suspicions_cleared_total++;
+	trace_cleared_by(fingerprint, response);
 	trace_crash(
 	    quarantine, &cleared, NULL, quarantine->gateway->settings.vm_name);
 	send_crashes(quarantine, NULL, &cleared, 1);
@@ -174,10 +192,25 @@
 }
 
 void
-quarantine_handle_response(struct quarantine *quarantine,
-    const struct server_start *start, int64_t sent_us)
+quarantine_handle_alive(struct quarantine *quarantine,
+    const struct server_start *start, int64_t since_us, const char *sign)
 {
-	unfinished_server_alive(&quarantine->unfinished, start, sent_us);
+	const struct backend *backend = backends_find_hash(
+	    &quarantine->gateway->blackboard.backends, start->server);
+	size_t dropped =
+	    unfinished_server_alive(&quarantine->unfinished, start, since_us);
+	struct trace trace;
+
+	if (dropped == 0)
+		return;
+	quarantine->gateway->counters.suspect_runs_dropped_total += dropped;
+	trace_begin(&trace, "unfinished_runs_dropped");
+	trace_text(
+	    &trace, "server", backend != NULL ? backend->entry.id : NULL);
+	trace_number(&trace, "started_ms", start->started_wall_ms);
+	trace_text(&trace, "sign", sign);
+	trace_number(&trace, "runs", (int64_t)dropped);
+	trace_end(&trace);
 }
 
 static void
@@ -195,6 +228,24 @@
 	trace_end(&trace);
 }
 
+/* Tells of a crash that is known already, or that is excused. */
+static void
+trace_not_counted(struct quarantine *quarantine,
+    const struct unfinished_run *run, const char *server)
+{
+	const struct suspect *suspect =
+	    suspects_find(&quarantine->suspects, run->fingerprint);
+	struct trace trace;
+
+	quarantine->gateway->counters.suspect_crashes_excused_total++;
+	trace_begin(&trace, "crash_not_counted");
+	trace_hash(&trace, "fingerprint", run->fingerprint);
+	trace_text(&trace, "server", server);
+	trace_number(
+	    &trace, "crashes", suspect != NULL ? suspect->crash_count : 0);
+	trace_end(&trace);
+}
+
 void
 quarantine_handle_server_end(struct quarantine *quarantine,
     const struct server_start *start, const char *server, const char *sign)
@@ -209,8 +260,10 @@
 	for (size_t i = 0; i < count; i++) {
 		struct suspect_crash *crash = &added[added_count];
 
-		if (!suspects_add_run(&quarantine->suspects, &runs[i], crash))
+		if (!suspects_add_run(&quarantine->suspects, &runs[i], crash)) {
+			trace_not_counted(quarantine, &runs[i], server);
 			continue;
+		}
 		added_count++;
 		quarantine->gateway->counters.suspect_crashes_total++;
 		trace_crash(quarantine, crash, server,
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -135,8 +135,11 @@
 	trace_elapsed(&trace, "ended_ms", request, request->body_ended_us);
 	trace_body_end(&trace, request);
 	trace_stated_limit(&trace, request);
-	if (reason != NULL &&
-	    strcmp(reason, refusal_name(REFUSAL_CRASHES_SERVERS)) == 0)
+	if (request->is_trial)
+		trace_number(&trace, "trial", 1);
+	if (request->is_trial ||
+	    (reason != NULL &&
+		strcmp(reason, refusal_name(REFUSAL_CRASHES_SERVERS)) == 0))
 		trace_hash(&trace, "fingerprint", request->fingerprint);
 	trace_end(&trace);
 }
--- a/include/dispatch/unfinished.h
+++ b/include/dispatch/unfinished.h
@@ -40,8 +40,8 @@
 void
 unfinished_add(struct unfinished *unfinished, const struct unfinished_run *run);
 /** Drops the runs at a server that has responded to a request which was sent at
- * since_us, or accepted a connection then. */
-void unfinished_server_alive(struct unfinished *unfinished,
+ * since_us, or accepted a connection then. Returns their number. */
+size_t unfinished_server_alive(struct unfinished *unfinished,
     const struct server_start *start, int64_t since_us);
 /** Moves the runs at a server that has ended to runs, in the order of their
  * ends, and returns their number. An earlier start of the same server has ended
--- a/include/gateway/quarantine.h
+++ b/include/gateway/quarantine.h
@@ -29,12 +29,21 @@
 void
 quarantine_add_unfinished(struct quarantine *quarantine, uint64_t fingerprint,
     const struct server_start *start, int64_t sent_us, bool broken);
+/** A response that ended a request's run. */
+struct quarantine_response {
+	const char *request; /**< id of the request */
+	const char *server;  /**< id of the server */
+	int status;
+	const char *body_end; /**< what marked its end; for the log */
+};
+
 /** Notes that a request has run to its end. */
-void quarantine_handle_completed(
-    struct quarantine *quarantine, uint64_t fingerprint);
-/** Notes a response to a request that was sent at sent_us: the server lives. */
-void quarantine_handle_response(struct quarantine *quarantine,
-    const struct server_start *start, int64_t sent_us);
+void quarantine_handle_completed(struct quarantine *quarantine,
+    uint64_t fingerprint, const struct quarantine_response *response);
+/** Notes a sign that a server lives: a response to a request that was sent at
+ * since_us, or a connection that was begun then. */
+void quarantine_handle_alive(struct quarantine *quarantine,
+    const struct server_start *start, int64_t since_us, const char *sign);
 /** Notes that a server refused a connection, which shows its end unless this
  * gateway's own paths are in doubt. */
 void quarantine_handle_refused(
