--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -256,17 +256,19 @@
 }
 
 bool
-cluster_restart_server(struct cluster *cluster, int number)
+cluster_restart_server_with(
+    struct cluster *cluster, int number, const char *extra)
 {
 	struct cluster_process *server = &cluster->servers[number];
 	char program[PATH_BYTES];
-	char arguments[CLUSTER_ARGUMENTS_BYTES];
+	char arguments[2 * CLUSTER_ARGUMENTS_BYTES];
 	char log[LOG_BYTES];
 	char *argv[ARGUMENTS_MAX] = {program};
 
 	snprintf(program, sizeof(program), "%s/standins/standin-runner",
 	    cluster->build_directory);
-	memcpy(arguments, cluster->server_arguments[number], sizeof(arguments));
+	snprintf(arguments, sizeof(arguments), "%s %s",
+	    cluster->server_arguments[number], extra);
 	append_arguments(arguments, argv, 1);
 	format_server_log(number, cluster->server_starts[number]++, log);
 	server->pid = spawn(cluster, log, argv);
@@ -274,6 +276,12 @@
 	return server->port != 0;
 }
 
+bool
+cluster_restart_server(struct cluster *cluster, int number)
+{
+	return cluster_restart_server_with(cluster, number, "");
+}
+
 int
 cluster_add_server(
     struct cluster *cluster, const char *service, const char *extra)
@@ -654,19 +662,32 @@
 	return leaving;
 }
 
-void
-cluster_state_limit(
-    const struct cluster *cluster, int server, const char *value)
+static void
+set_at_server(const struct cluster *cluster, int server, const char *name,
+    const char *value)
 {
 	struct http_reply reply;
 	char target[PATH_BYTES];
 
-	snprintf(target, sizeof(target), "/stand-in/limit/%s", value);
+	snprintf(target, sizeof(target), "/stand-in/%s/%s", name, value);
 	http_call_once(cluster->servers[server].port, "GET", target,
 	    "Host: x\r\n", "", 0, CALL_TIMEOUT_MS, &reply);
 	http_reply_reset(&reply);
 }
 
+void
+cluster_state_limit(
+    const struct cluster *cluster, int server, const char *value)
+{
+	set_at_server(cluster, server, "limit", value);
+}
+
+void
+cluster_set_trouble(const struct cluster *cluster, int server, const char *name)
+{
+	set_at_server(cluster, server, "trouble", name);
+}
+
 void
 cluster_set_store_faults(struct cluster *cluster, const char *json)
 {
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -75,6 +75,9 @@
 /** Starts a server that has ended again, under its id and on another port.
  * Returns false on failure. */
 bool cluster_restart_server(struct cluster *cluster, int number);
+/** The same with further arguments, which go before those of the server. */
+bool cluster_restart_server_with(
+    struct cluster *cluster, int number, const char *extra);
 /** Starts a gateway on free ports. Returns its number, or -1 on failure. */
 int cluster_add_gateway(struct cluster *cluster);
 /** Starts a gateway whose paths to the servers can be cut. Returns its number,
@@ -125,6 +128,10 @@
  * value: its text; "": none. */
 void cluster_state_limit(
     const struct cluster *cluster, int server, const char *value);
+/** Makes a server fail all later requests by a trouble of standin-runner. name:
+ * of the trouble; "": none. */
+void cluster_set_trouble(
+    const struct cluster *cluster, int server, const char *name);
 /** Registers a server of "tools" or "models" at a port that the caller serves.
  */
 void cluster_register_port(
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -20,6 +20,12 @@
  *
  * GET /stand-in/limit/VALUE makes all later responses state that limit on the
  * rate of requests; without a VALUE they state none.
+ *
+ * GET /stand-in/trouble/NAME makes the server fail all later requests in its
+ * own way, before they could crash it: see enum trouble. Without a NAME it
+ * recovers. A request with /crash-midway in its path kills the process after
+ * the first part of a response without a length, and one with /crash-silent
+ * freezes it.
  */
 #include <argp.h>
 #include <inttypes.h>
@@ -47,10 +53,42 @@
 	IDLE_TIMEOUT_US = 10 * US_PER_S,
 	RUNS_MAX = 4096, /**< runs that GET /stand-in/runs can list */
 	SLOW_MS = 2000,
+	/* Until the first part of a response has been sent. */
+	MIDWAY_MS = 20,
 	ID_BYTES = 64,
 };
 
 static const char LIMIT_PATH[] = "/stand-in/limit/";
+static const char TROUBLE_PATH[] = "/stand-in/trouble/";
+
+/** How a server fails requests without ending. */
+enum trouble {
+	TROUBLE_NONE,
+	TROUBLE_ERROR,   /**< a whole 500 of its own */
+	TROUBLE_TIMEOUT, /**< a whole 504 of its own */
+	TROUBLE_BUSY,    /**< a whole 503 that doesn't say "not executed" */
+	TROUBLE_REJECT,  /**< a whole 400, before it begins */
+	/** A response without a length that ends in the middle, in order. */
+	TROUBLE_CUT,
+	TROUBLE_COUNT,
+};
+
+static const char *const trouble_names[TROUBLE_COUNT] = {
+    [TROUBLE_NONE] = "",
+    [TROUBLE_ERROR] = "error",
+    [TROUBLE_TIMEOUT] = "timeout",
+    [TROUBLE_BUSY] = "busy",
+    [TROUBLE_REJECT] = "reject",
+    [TROUBLE_CUT] = "cut",
+};
+
+static const int trouble_statuses[TROUBLE_COUNT] = {
+    [TROUBLE_ERROR] = 500,
+    [TROUBLE_TIMEOUT] = 504,
+    [TROUBLE_BUSY] = 503,
+    [TROUBLE_REJECT] = 400,
+    [TROUBLE_CUT] = 200,
+};
 
 /** Values of the command-line options. */
 static struct {
@@ -58,6 +96,7 @@
 	const char *service;
 	const char *domain;
 	int store_port;
+	int port; /**< to listen on; 0: any */
 	bool model;
 	int events;
 	int work_ms;   /**< duration of a response, or of each event */
@@ -107,6 +146,7 @@
 static int64_t started_ms;          /**< start of the process, wall clock */
 static int sequence;                /**< number of the last heartbeat */
 static char stated_limit[ID_BYTES]; /**< "": none */
+static enum trouble trouble;
 
 static enum h1_head_action
 ignore_head(void *context, const struct h1_head *head)
@@ -459,12 +499,75 @@
 }
 
 static void
-crash(const char *request_id)
+begin_unframed_response(struct h1_exchange *exchange, const char *request_id)
 {
-	record_run(request_id);
+	struct h1_headers headers = {0};
+
+	h1_headers_add(&headers, "Request-Id", request_id);
+	h1_headers_add(&headers, "Response-Signature", options.id);
+	h1_respond_begin(exchange, 200, &headers, H1_LENGTH_CONNECTION);
+	h1_respond_data(exchange, "par", 3);
+	h1_headers_reset(&headers);
+}
+
+static void
+handle_midway(uv_timer_t *timer)
+{
+	(void)timer;
 	raise(SIGKILL);
 }
 
+static void
+crash(struct h1_exchange *exchange, const char *path, const char *request_id)
+{
+	static uv_timer_t midway;
+
+	record_run(request_id);
+	if (strstr(path, "/crash-silent") != NULL) {
+		raise(SIGSTOP);
+	} else if (strstr(path, "/crash-midway") != NULL) {
+		begin_unframed_response(exchange, request_id);
+		uv_timer_init(loop, &midway);
+		uv_timer_start(&midway, handle_midway, MIDWAY_MS, 0);
+	} else {
+		raise(SIGKILL);
+	}
+}
+
+/* Counts a run of the request and responds as the server's trouble says. */
+static void
+respond_in_trouble(struct h1_exchange *exchange, const char *request_id)
+{
+	struct h1_headers headers = {0};
+	static const char text[] = "in trouble";
+
+	record_run(request_id);
+	if (trouble == TROUBLE_CUT) {
+		begin_unframed_response(exchange, request_id);
+		h1_respond_end(exchange);
+		return;
+	}
+	h1_headers_add(&headers, "Request-Id", request_id);
+	h1_headers_add(&headers, "Response-Signature", options.id);
+	h1_respond(
+	    exchange, trouble_statuses[trouble], &headers, text, strlen(text));
+	h1_headers_reset(&headers);
+}
+
+/* Handles GET /stand-in/trouble/NAME. */
+static void
+set_trouble(struct h1_exchange *exchange, const char *name)
+{
+	for (int i = 0; i < TROUBLE_COUNT; i++) {
+		if (strcmp(name, trouble_names[i]) != 0)
+			continue;
+		trouble = (enum trouble)i;
+		h1_respond(exchange, 200, NULL, "", 0);
+		return;
+	}
+	h1_respond(exchange, 404, NULL, "", 0);
+}
+
 static void
 handle(void *context, struct h1_exchange *exchange)
 {
@@ -483,6 +586,8 @@
 		reply_leaving(exchange);
 	else if (strncmp(path, LIMIT_PATH, strlen(LIMIT_PATH)) == 0)
 		set_limit(exchange, path + strlen(LIMIT_PATH));
+	else if (strncmp(path, TROUBLE_PATH, strlen(TROUBLE_PATH)) == 0)
+		set_trouble(exchange, path + strlen(TROUBLE_PATH));
 	else if (request_id == NULL)
 		reply_not_executed(exchange, 400, NULL);
 	else if (expected_id != NULL && strcmp(expected_id, options.id) != 0)
@@ -490,8 +595,10 @@
 	else if (list_length(&runs) >= (size_t)options.slots ||
 	    strstr(path, "/decline") != NULL)
 		reply_not_executed(exchange, 503, request_id);
+	else if (trouble != TROUBLE_NONE)
+		respond_in_trouble(exchange, request_id);
 	else if (strstr(path, "/crash") != NULL)
-		crash(request_id);
+		crash(exchange, path, request_id);
 	else if (strstr(path, "/lose") != NULL)
 		lose_response(exchange, request_id);
 	else
@@ -503,6 +610,7 @@
     {"service", 's', "NAME", 0, "Service that the server belongs to", 0},
     {"domain", 'd', "NAME", 0, "Failure domain", 0},
     {"store-port", 'p', "PORT", 0, "Port of standin-store", 0},
+    {"port", 'l', "PORT", 0, "Port to listen on", 0},
     {"model", 'm', NULL, 0, "Respond with streams of events", 0},
     {"events", 'e', "N", 0, "Events of a response", 0},
     {"work-ms", 'w', "MS", 0, "Duration of a response, or of each event", 0},
@@ -527,6 +635,9 @@
 	case 'p':
 		options.store_port = (int)strtol(arg, NULL, 10);
 		return 0;
+	case 'l':
+		options.port = (int)strtol(arg, NULL, 10);
+		return 0;
 	case 'm':
 		options.model = true;
 		return 0;
@@ -569,7 +680,7 @@
 	    .ack_timeout_us = STORE_TIMEOUT_US,
 	    .idle_timeout_us = IDLE_TIMEOUT_US,
 	};
-	const struct h1_server_options server_options = {
+	struct h1_server_options server_options = {
 	    .address = "127.0.0.1",
 	    .limits =
 		{
@@ -586,6 +697,7 @@
 	uv_signal_t stop;
 
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	server_options.port = options.port;
 	signal(SIGPIPE, SIG_IGN);
 	loop = uv_default_loop();
 	started_ms = clock_wall_us() / US_PER_MS;
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -9,24 +9,9 @@
 #include <unistd.h>
 
 #include "common/clock.h"
-#include "tests/calls.h"
-#include "tests/runner.h"
+#include "tests/crash_fixture.h"
 
 enum {
-	GATEWAYS = 3,
-	GATEWAYS_MAX = 6,
-	SERVERS = 4,
-	LISTED_MS = 1500, /* until the gateways use the servers */
-	/* Crashes from which on the request is not to be sent, and sends that
-	 * are permitted after that. */
-	CRASHES = 3,
-	SENDS_AFTER = 3,
-	/* A gateway that starts, wakes or is in contact again must know by then
-	 * what the others know. */
-	SETTLE_MS = 3000,
-	RESTART_MS = 600, /* until a crashed server runs again */
-	TRIES_MAX = 12,   /* of the request, while it may still crash servers */
-	AFTER_TRIES = 6,
 	STORE_AWAY_MS = 14000,
 	TRIAL_MS = 40000, /* in which a refused request is tried again */
 };
@@ -34,103 +19,6 @@
 /* A server that still runs a request when it is killed. */
 static const char SLOW_SERVER[] = "--work-ms 800";
 
-static struct cluster cluster;
-static const char *build_dir;
-static int crashes;
-
-static void
-start_cluster(bool with_paths, const char *server_arguments)
-{
-	crashes = 0;
-	ck_assert(cluster_start(&cluster, build_dir));
-	cluster_publish(&cluster, "");
-	for (int i = 0; i < SERVERS; i++)
-		ck_assert_int_eq(
-		    cluster_add_server(&cluster, "tools", server_arguments), i);
-	for (int i = 0; i < GATEWAYS; i++)
-		ck_assert_int_eq(with_paths
-			? cluster_add_gateway_with_paths(&cluster)
-			: cluster_add_gateway(&cluster),
-		    i);
-	for (int i = 0; i < GATEWAYS; i++)
-		ck_assert(cluster_wait_ready(&cluster, i));
-	usleep(LISTED_MS * US_PER_MS);
-}
-
-static void
-setup(void)
-{
-	start_cluster(false, "");
-}
-
-static void
-teardown(void)
-{
-	cluster_stop(&cluster);
-}
-
-/* Counts the servers that have crashed, and starts them again. */
-static void
-restart_crashed(void)
-{
-	for (int i = 0; i < cluster.server_count; i++) {
-		if (cluster.servers[i].pid == 0 ||
-		    cluster_wait(&cluster.servers[i], 1) == -1)
-			continue;
-		crashes++;
-		ck_assert(cluster_restart_server(&cluster, i));
-	}
-}
-
-/* Sends the request to a gateway, and counts the servers that it crashes. */
-static struct answer
-send_crashing(int gateway, const char *target)
-{
-	struct answer answer = call_once(&cluster, gateway, target, NULL);
-
-	ck_assert_int_ne(answer.status, 200);
-	if (answer.status != 503)
-		usleep(RESTART_MS * US_PER_MS);
-	restart_crashed();
-	return answer;
-}
-
-/* Sends the request to the gateways in turn until it is refused. */
-static void
-crash_until_refused(const char *target)
-{
-	for (int i = 0; i < TRIES_MAX; i++) {
-		if (send_crashing(i % GATEWAYS, target).status == 503 &&
-		    crashes >= CRASHES)
-			return;
-	}
-	ck_abort_msg("after %d tries the request was not refused", TRIES_MAX);
-}
-
-/* Sends the request to a gateway again. None of it may reach a server. */
-static void
-check_refused(int gateway, const char *target)
-{
-	int before = crashes;
-
-	for (int i = 0; i < AFTER_TRIES; i++) {
-		struct answer answer = send_crashing(gateway, target);
-
-		ck_assert_msg(answer.status == 503 && crashes == before,
-		    "gateway %d: status %d, %d servers crashed after the third",
-		    gateway, answer.status, crashes - before);
-		ck_assert_double_gt(answer.retry_after, 0);
-	}
-}
-
-static void
-check_bound(void)
-{
-	ck_assert_msg(crashes <= CRASHES + SENDS_AFTER,
-	    "the request crashed %d servers, at most %d are permitted", crashes,
-	    CRASHES + SENDS_AFTER);
-}
-
 START_TEST(request_is_refused_everywhere_after_three_crashes)
 {
 	crash_until_refused("/once/crash");
