Only the list shows that the start of a server lives on

Cause: a connection that opened and a response, both signs of the address, were taken for signs of the process. They erased what its predecessor had not finished, so that its end, once listed, told nothing. Both now end the search by connections only. A run is dropped when its server's entry, with the same start, is listed 8 s later, by a list that was read without a gap: it would have lapsed.

Three more ways to lose such a run, found by asking the same of the other steps: - a run that ended after the list had told its server's end was noted as if that were still to come: ends that the list tells are kept, and checked when a run is added; - 512 runs of a server in trouble pushed out all others: runs of one request at one start take one entry, and 1,024 are kept; - of the runs at one server more than 64 were left over: all are taken.

A run is kept for 60 s, longer than usual outages of the store, instead of 30 s.

--- a/dispatch/unfinished.c
+++ b/dispatch/unfinished.c
@@ -4,36 +4,116 @@
 #include "dispatch/unfinished.h"
 
 enum {
+	/* Longer than usual outages of the store, which delay what the list
+	 * tells. */
+	KEEP_US = 60 * US_PER_S,
 	/* An entry of the list lapses three heartbeats of a server after its
-	 * last one, and up to two seconds more after an outage of the store. */
-	KEEP_US = 30 * US_PER_S,
+	 * last one, with heartbeats of 1.2 seconds. */
+	LISTED_US = 8 * US_PER_S,
 	/* A server that has ended refuses connections at once, so later tries
 	 * to connect find out nothing new. */
 	BROKEN_LATELY_US = 5 * US_PER_S,
 };
 
-void
+static bool
+is_same_start(
+    const struct server_start *first, const struct server_start *second)
+{
+	return first->server == second->server &&
+	    first->started_wall_ms == second->started_wall_ms;
+}
+
+static bool
+has_ended_since(
+    const struct unfinished *unfinished, const struct unfinished_run *run)
+{
+	for (size_t i = 0; i < UNFINISHED_ENDS_KEPT; i++) {
+		const struct unfinished_server_end *end = &unfinished->ends[i];
+
+		if (end->ended_us >= run->sent_us && end->ended_us != 0 &&
+		    is_same_start(&end->start, &run->start))
+			return true;
+	}
+	return false;
+}
+
+/* Returns the entry of an earlier run of the request at the same server, whose
+ * end tells the same, or else the oldest entry. */
+static struct unfinished_run *
+find_slot(struct unfinished *unfinished, const struct unfinished_run *run)
+{
+	for (size_t i = 0; i < UNFINISHED_MAX; i++) {
+		struct unfinished_run *known = &unfinished->runs[i];
+
+		if (known->fingerprint == run->fingerprint &&
+		    is_same_start(&known->start, &run->start))
+			return known;
+	}
+	return &unfinished->runs[unfinished->next++ % UNFINISHED_MAX];
+}
+
+bool
 unfinished_add(struct unfinished *unfinished, const struct unfinished_run *run)
 {
-	unfinished->runs[unfinished->next++ % UNFINISHED_MAX] = *run;
+	struct unfinished_run *slot = find_slot(unfinished, run);
+
+	if (slot->fingerprint == 0)
+		unfinished->used++;
+	*slot = *run;
+	return has_ended_since(unfinished, run);
 }
 
-size_t
-unfinished_server_alive(struct unfinished *unfinished,
+void
+unfinished_server_responds(struct unfinished *unfinished,
     const struct server_start *start, int64_t since_us)
+{
+	if (unfinished->used == 0)
+		return;
+	for (size_t i = 0; i < UNFINISHED_MAX; i++) {
+		struct unfinished_run *run = &unfinished->runs[i];
+
+		if (is_same_start(&run->start, start) &&
+		    run->ran_until_us <= since_us)
+			run->broken = false;
+	}
+}
+
+static void
+drop(struct unfinished *unfinished, struct unfinished_run *run)
+{
+	run->fingerprint = 0;
+	unfinished->used--;
+}
+
+void
+unfinished_note_end(struct unfinished *unfinished,
+    const struct server_start *start, int64_t now_us)
+{
+	unfinished->ends[unfinished->next_end++ % UNFINISHED_ENDS_KEPT] =
+	    (struct unfinished_server_end){
+		.start = *start,
+		.ended_us = now_us,
+	    };
+}
+
+size_t
+unfinished_drop_listed(
+    struct unfinished *unfinished, int64_t listed_since_us, int64_t now_us)
 {
 	size_t dropped = 0;
 
+	if (unfinished->used == 0)
+		return 0;
 	for (size_t i = 0; i < UNFINISHED_MAX; i++) {
 		struct unfinished_run *run = &unfinished->runs[i];
+		int64_t since_us = run->ran_until_us > listed_since_us
+		    ? run->ran_until_us
+		    : listed_since_us;
 
-		if (run->fingerprint != 0 &&
-		    run->start.server == start->server &&
-		    run->start.started_wall_ms == start->started_wall_ms &&
-		    run->ran_until_us <= since_us) {
-			run->fingerprint = 0;
-			dropped++;
-		}
+		if (run->fingerprint == 0 || now_us - since_us < LISTED_US)
+			continue;
+		drop(unfinished, run);
+		dropped++;
 	}
 	return dropped;
 }
@@ -55,6 +135,8 @@
 {
 	size_t count = 0;
 
+	if (unfinished->used == 0)
+		return 0;
 	for (size_t i = 0; i < UNFINISHED_MAX && count < max; i++) {
 		struct unfinished_run *run = &unfinished->runs[i];
 
@@ -64,7 +146,7 @@
 			continue;
 		if (now_us - run->ended_us <= KEEP_US)
 			runs[count++] = *run;
-		run->fingerprint = 0;
+		drop(unfinished, run);
 	}
 	qsort(runs, count, sizeof(*runs), compare_ends);
 	return count;
@@ -74,6 +156,8 @@
 unfinished_next_broken(
     const struct unfinished *unfinished, int64_t now_us, size_t *cursor)
 {
+	if (unfinished->used == 0)
+		return NULL;
 	while (*cursor < UNFINISHED_MAX) {
 		const struct unfinished_run *run =
 		    &unfinished->runs[(*cursor)++];
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -242,8 +242,8 @@
 	const struct server_start start = server_start_of(attempt);
 
 	if (response_is_from_server(&attempt->response))
-		quarantine_handle_alive(request->gateway->quarantine, &start,
-		    attempt->started_us, "response");
+		quarantine_handle_response(
+		    request->gateway->quarantine, &start, attempt->started_us);
 }
 
 /* Only a response on a new connection shows that servers can be reached: kept
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -22,6 +22,7 @@
 
 	quarantine->gateway = gateway;
 	quarantine->suspects.started_us = clock_monotonic_us();
+	quarantine->listed_since_us = INT64_MAX;
 	list_init(&quarantine->probes);
 	quarantine->store = quarantine_store_create(quarantine);
 	return quarantine;
@@ -36,10 +37,36 @@
 	free(quarantine);
 }
 
+/* Drops the runs at servers that live on, as the list shows. */
+static void
+drop_listed(struct quarantine *quarantine)
+{
+	int64_t now_us = clock_monotonic_us();
+	struct trace trace;
+	size_t dropped;
+
+	if (!server_watch_is_current(quarantine->gateway->server_watch)) {
+		quarantine->listed_since_us = INT64_MAX;
+		return;
+	}
+	if (quarantine->listed_since_us == INT64_MAX)
+		quarantine->listed_since_us = now_us;
+	dropped = unfinished_drop_listed(
+	    &quarantine->unfinished, quarantine->listed_since_us, now_us);
+	if (dropped == 0)
+		return;
+	quarantine->gateway->counters.suspect_runs_dropped_total += dropped;
+	trace_begin(&trace, "unfinished_runs_dropped");
+	trace_number(&trace, "runs", (int64_t)dropped);
+	trace_ms(&trace, "listed_ms", now_us - quarantine->listed_since_us);
+	trace_end(&trace);
+}
+
 void
 quarantine_tick(struct quarantine *quarantine)
 {
 	quarantine_probe_all(quarantine);
+	drop_listed(quarantine);
 }
 
 bool
@@ -132,6 +159,79 @@
 	free(items);
 }
 
+static void
+trace_server_end(const struct server_start *start, const char *server,
+    const char *sign, size_t suspects)
+{
+	struct trace trace;
+
+	trace_begin(&trace, "server_ended");
+	trace_text(&trace, "server", server);
+	if (start->started_wall_ms != INT64_MAX)
+		trace_number(&trace, "started_ms", start->started_wall_ms);
+	trace_text(&trace, "sign", sign);
+	trace_number(&trace, "suspects", (int64_t)suspects);
+	trace_end(&trace);
+}
+
+/* Tells of a crash that is known already. */
+static void
+trace_known(struct quarantine *quarantine, const struct unfinished_run *run,
+    const char *server)
+{
+	const struct suspect *suspect =
+	    suspects_find(&quarantine->suspects, run->fingerprint);
+	struct trace trace;
+
+	quarantine->gateway->counters.suspect_crashes_known_total++;
+	trace_begin(&trace, "crash_known");
+	trace_hash(&trace, "fingerprint", run->fingerprint);
+	trace_text(&trace, "server", server);
+	trace_number(
+	    &trace, "crashes", suspect != NULL ? suspect->crash_count : 0);
+	trace_end(&trace);
+}
+
+/* Counts the end of a server against the requests that it had not finished. */
+static size_t
+add_crashes(struct quarantine *quarantine, const struct unfinished_run *runs,
+    size_t count, const char *server)
+{
+	struct suspect_crash added[RUNS_MAX];
+	size_t added_count = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		struct suspect_crash *crash = &added[added_count];
+
+		if (!suspects_add_run(&quarantine->suspects, &runs[i], crash)) {
+			trace_known(quarantine, &runs[i], server);
+			continue;
+		}
+		added_count++;
+		quarantine->gateway->counters.suspect_crashes_total++;
+		trace_crash(quarantine, crash, server,
+		    quarantine->gateway->settings.vm_name);
+		quarantine_store_add(quarantine->store, crash);
+	}
+	if (added_count > 0)
+		send_crashes(quarantine, NULL, added, added_count);
+	return count;
+}
+
+static void
+note_crashes(struct quarantine *quarantine, const struct server_start *start,
+    const char *server, const char *sign)
+{
+	struct unfinished_run runs[RUNS_MAX];
+	size_t total = 0;
+	size_t count;
+
+	while ((count = unfinished_server_ended(&quarantine->unfinished, start,
+		    clock_monotonic_us(), runs, RUNS_MAX)) > 0)
+		total += add_crashes(quarantine, runs, count, server);
+	trace_server_end(start, server, sign, total);
+}
+
 void
 quarantine_add_unfinished(struct quarantine *quarantine, uint64_t fingerprint,
     const struct server_start *start, int64_t sent_us, bool broken)
@@ -146,8 +246,10 @@
 	    .broken = broken,
 	};
 
-	unfinished_add(&quarantine->unfinished, &run);
-	if (broken)
+	if (unfinished_add(&quarantine->unfinished, &run))
+		note_crashes(quarantine, start, NULL,
+		    "removed from the list before the run ended");
+	else if (broken)
 		quarantine_probe(quarantine, start);
 }
 
@@ -192,86 +294,19 @@
 }
 
 void
-quarantine_handle_alive(struct quarantine *quarantine,
-    const struct server_start *start, int64_t since_us, const char *sign)
-{
-	const struct backend *backend = backends_find_hash(
-	    &quarantine->gateway->blackboard.backends, start->server);
-	size_t dropped =
-	    unfinished_server_alive(&quarantine->unfinished, start, since_us);
-	struct trace trace;
-
-	if (dropped == 0)
-		return;
-	quarantine->gateway->counters.suspect_runs_dropped_total += dropped;
-	trace_begin(&trace, "unfinished_runs_dropped");
-	trace_text(
-	    &trace, "server", backend != NULL ? backend->entry.id : NULL);
-	trace_number(&trace, "started_ms", start->started_wall_ms);
-	trace_text(&trace, "sign", sign);
-	trace_number(&trace, "runs", (int64_t)dropped);
-	trace_end(&trace);
-}
-
-static void
-trace_server_end(const struct server_start *start, const char *server,
-    const char *sign, size_t suspects)
+quarantine_handle_response(struct quarantine *quarantine,
+    const struct server_start *start, int64_t sent_us)
 {
-	struct trace trace;
-
-	trace_begin(&trace, "server_ended");
-	trace_text(&trace, "server", server);
-	if (start->started_wall_ms != INT64_MAX)
-		trace_number(&trace, "started_ms", start->started_wall_ms);
-	trace_text(&trace, "sign", sign);
-	trace_number(&trace, "suspects", (int64_t)suspects);
-	trace_end(&trace);
-}
-
-/* Tells of a crash that is known already, or that is excused. */
-static void
-trace_not_counted(struct quarantine *quarantine,
-    const struct unfinished_run *run, const char *server)
-{
-	const struct suspect *suspect =
-	    suspects_find(&quarantine->suspects, run->fingerprint);
-	struct trace trace;
-
-	quarantine->gateway->counters.suspect_crashes_excused_total++;
-	trace_begin(&trace, "crash_not_counted");
-	trace_hash(&trace, "fingerprint", run->fingerprint);
-	trace_text(&trace, "server", server);
-	trace_number(
-	    &trace, "crashes", suspect != NULL ? suspect->crash_count : 0);
-	trace_end(&trace);
+	unfinished_server_responds(&quarantine->unfinished, start, sent_us);
 }
 
 void
 quarantine_handle_server_end(struct quarantine *quarantine,
     const struct server_start *start, const char *server, const char *sign)
 {
-	struct unfinished_run runs[RUNS_MAX];
-	struct suspect_crash added[RUNS_MAX];
-	size_t added_count = 0;
-	size_t count = unfinished_server_ended(&quarantine->unfinished, start,
-	    clock_monotonic_us(), runs, RUNS_MAX);
-
-	trace_server_end(start, server, sign, count);
-	for (size_t i = 0; i < count; i++) {
-		struct suspect_crash *crash = &added[added_count];
-
-		if (!suspects_add_run(&quarantine->suspects, &runs[i], crash)) {
-			trace_not_counted(quarantine, &runs[i], server);
-			continue;
-		}
-		added_count++;
-		quarantine->gateway->counters.suspect_crashes_total++;
-		trace_crash(quarantine, crash, server,
-		    quarantine->gateway->settings.vm_name);
-		quarantine_store_add(quarantine->store, crash);
-	}
-	if (added_count > 0)
-		send_crashes(quarantine, NULL, added, added_count);
+	unfinished_note_end(
+	    &quarantine->unfinished, start, clock_monotonic_us());
+	note_crashes(quarantine, start, server, sign);
 }
 
 /* Several servers that fail at once may mean that this VM's paths are lost. */
@@ -294,7 +329,7 @@
 		path_watch_probe(quarantine->gateway->path_watch);
 		return;
 	}
-	quarantine_handle_server_end(quarantine, start,
+	note_crashes(quarantine, start,
 	    backend != NULL ? backend->entry.id : NULL, "connection refused");
 }
 
--- a/gateway/quarantine_probe.c
+++ b/gateway/quarantine_probe.c
@@ -33,8 +33,8 @@
 	free(probe);
 	switch (result) {
 	case H1_PROBE_OPEN:
-		quarantine_handle_alive(
-		    quarantine, &start, started_us, "connection opened");
+		unfinished_server_responds(
+		    &quarantine->unfinished, &start, started_us);
 		return;
 	case H1_PROBE_REFUSED:
 		quarantine_handle_refused(quarantine, &start);
--- a/gateway/server_watch.c
+++ b/gateway/server_watch.c
@@ -507,6 +507,23 @@
 		gateway->peer_gateways, 2 * poll_interval_us(watch), reader);
 }
 
+bool
+server_watch_is_current(const struct server_watch *watch)
+{
+	const struct gateway *gateway = watch->gateway;
+	int64_t read_us = gateway->blackboard.servers_read_us;
+	struct store_reader reader;
+
+	if (!gateway->blackboard.backends_loaded || watch->expired_count > 0)
+		return false;
+	if (watch->mirrored)
+		return find_reader(watch, &reader) &&
+		    reader.servers_digest ==
+		    gateway->blackboard.backends.digest;
+	return !watch->read_failed &&
+	    clock_monotonic_us() - read_us <= 2 * poll_interval_us(watch);
+}
+
 void
 server_watch_handle_heartbeat(struct server_watch *watch)
 {
--- a/include/common/counter.h
+++ b/include/common/counter.h
@@ -49,8 +49,8 @@
 	X(slow_callers_ended_total, "Callers ended to bound memory") \
 	X(suspect_crashes_total, "Crashes noted against the requests there") \
 	X(suspicions_cleared_total, "Requests cleared since they completed") \
-	X(suspect_crashes_excused_total, "Crashes that were not counted") \
-	X(suspect_runs_dropped_total, "Runs whose servers seem to live") \
+	X(suspect_crashes_known_total, "Crashes that were known already") \
+	X(suspect_runs_dropped_total, "Runs whose servers live on") \
 	X(suspect_records_dropped_total, "Crashes that were not stored") \
 	X(server_probes_total, "Connections that show if a server lives") \
 	X(peer_bytes_sent_total, "Bytes sent to other daemons") \
--- a/include/dispatch/unfinished.h
+++ b/include/dispatch/unfinished.h
@@ -1,7 +1,12 @@
 /** @file
- * Runs of requests that ended without a whole response, until it is known
- * whether the server that ran them has ended or lives on. No I/O; callers pass
- * the time.
+ * Runs of requests of which nothing shows that they came to their end, until it
+ * is known whether the server that ran them has ended or lives on. No I/O;
+ * callers pass the time.
+ *
+ * A connection or a response shows only that some process serves at the
+ * address: it may be a new one, which the list does not show yet. That the very
+ * start of a server lives on is shown by its entry in the list, which would
+ * have lapsed otherwise.
  */
 #ifndef DISPATCH_UNFINISHED_H
 #define DISPATCH_UNFINISHED_H
@@ -14,7 +19,8 @@
 
 enum {
 	/** More than a VM has open at once at several servers that end. */
-	UNFINISHED_MAX = 512,
+	UNFINISHED_MAX = 1024,
+	UNFINISHED_ENDS_KEPT = 128, /**< ends of servers */
 };
 
 /** A request that was sent to a server. */
@@ -27,7 +33,15 @@
 	/** Until when the server may have run it. Later than ended_us if the
 	 * server may not have noticed the close at once. */
 	int64_t ran_until_us;
-	bool broken; /**< not closed from this side */
+	/** Its connection was not closed from this side, so that it is worth
+	 * finding out by another one whether the server has ended. */
+	bool broken;
+};
+
+/** The end of a server as the list told it. */
+struct unfinished_server_end {
+	struct server_start start;
+	int64_t ended_us; /**< when the list told it; 0: unused entry */
 };
 
 /** Empty when zeroed. */
@@ -35,17 +49,32 @@
 	/** Ring buffer; the oldest entry is overwritten. */
 	struct unfinished_run runs[UNFINISHED_MAX];
 	size_t next; /**< count of entries ever written */
+	size_t used; /**< count of entries in use */
+	struct unfinished_server_end ends[UNFINISHED_ENDS_KEPT];
+	size_t next_end;
 };
 
-void
+/** Adds a run. Returns whether the list has told the end of its server while it
+ * was under way, so that unfinished_server_ended() has to be called again. */
+bool
 unfinished_add(struct unfinished *unfinished, const struct unfinished_run *run);
-/** Drops the runs at a server that has responded to a request which was sent at
- * since_us, or accepted a connection then. Returns their number. */
-size_t unfinished_server_alive(struct unfinished *unfinished,
+/** Notes that a server has accepted a connection that was begun at since_us, or
+ * has responded to a request that was sent then: connections find out nothing
+ * more. */
+void unfinished_server_responds(struct unfinished *unfinished,
     const struct server_start *start, int64_t since_us);
+/** Drops the runs at servers that were still listed long enough after them.
+ * listed_since_us: since when the list has been read without a gap. Returns
+ * their number. */
+size_t unfinished_drop_listed(
+    struct unfinished *unfinished, int64_t listed_since_us, int64_t now_us);
+/** Notes that the list tells the end of a server. */
+void unfinished_note_end(struct unfinished *unfinished,
+    const struct server_start *start, int64_t now_us);
 /** Moves the runs at a server that has ended to runs, in the order of their
  * ends, and returns their number. An earlier start of the same server has ended
- * too. Runs that ended too long ago are dropped. */
+ * too. Runs that ended too long ago are dropped. To be called until it returns
+ * 0. */
 size_t unfinished_server_ended(struct unfinished *unfinished,
     const struct server_start *start, int64_t now_us,
     struct unfinished_run *runs, size_t max);
--- a/include/gateway/quarantine.h
+++ b/include/gateway/quarantine.h
@@ -20,8 +20,8 @@
  * server. */
 bool
 quarantine_refuses(const struct quarantine *quarantine, uint64_t fingerprint);
-/** Returns whether such a request may be sent once all the same: one gateway
- * tries it again after a while, as it may be innocent. */
+/** Returns whether a request that is refused may be sent once all the same: one
+ * gateway tries it again after a while, as it may be innocent. */
 bool quarantine_take_trial(struct quarantine *quarantine, uint64_t fingerprint);
 
 /** Notes that a server has not finished a request that was sent to it at
@@ -40,10 +40,9 @@
 /** Notes that a request has run to its end. */
 void quarantine_handle_completed(struct quarantine *quarantine,
     uint64_t fingerprint, const struct quarantine_response *response);
-/** Notes a sign that a server lives: a response to a request that was sent at
- * since_us, or a connection that was begun then. */
-void quarantine_handle_alive(struct quarantine *quarantine,
-    const struct server_start *start, int64_t since_us, const char *sign);
+/** Notes a response to a request that was sent at sent_us. */
+void quarantine_handle_response(struct quarantine *quarantine,
+    const struct server_start *start, int64_t sent_us);
 /** Notes that a server refused a connection, which shows its end unless this
  * gateway's own paths are in doubt. */
 void quarantine_handle_refused(
--- a/include/gateway/quarantine_internal.h
+++ b/include/gateway/quarantine_internal.h
@@ -18,6 +18,9 @@
 	struct unfinished unfinished;
 	struct list probes; /**< of quarantine_probe.c */
 	int64_t next_probes_us;
+	/** Since when the list of servers has been known without a gap;
+	 * INT64_MAX: it isn't. */
+	int64_t listed_since_us;
 	struct quarantine_store *store;
 	bool loaded; /**< the store or another gateway told what it knows */
 	bool asked;  /**< another gateway was asked since the start */
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -16,7 +16,8 @@
 	STEP_US = 10 * US_PER_MS,
 	START_US = 10 * US_PER_S,
 	DAY_S = 40,
-	BEFORE_TRIAL_S = 30,     /* a day with no trial of a refused request */
+	BEFORE_TRIAL_S = 30, /* a day with no trial of a refused request */
+	LISTED_LONG_US = 10 * US_PER_S, /* an entry has lapsed by then */
 	LATE_US = 40 * US_PER_S, /* a refused request may be tried again */
 	NEW_VM_US = 100 * US_PER_S,
 	DOWN_MAX_US = 2 * US_PER_S,
@@ -568,21 +569,74 @@
 }
 END_TEST
 
+static size_t
+count_ended(struct unfinished *unfinished, const struct server_start *start,
+    int64_t now_us)
+{
+	struct unfinished_run ended[4];
+
+	return unfinished_server_ended(unfinished, start, now_us, ended, 4);
+}
+
 START_TEST(runs_at_a_server_that_lives_on_are_dropped)
 {
 	static struct unfinished unfinished;
-	struct unfinished_run run = run_at(1, 5, 100, 200);
-	struct unfinished_run ended[4];
+	struct unfinished_run run = run_at(1, 5, US_PER_S, 2 * US_PER_S);
+	int64_t late_us = run.ended_us + LISTED_LONG_US;
 
 	unfinished_add(&unfinished, &run);
-	/* Sent before the connection broke, so it proves nothing. */
-	unfinished_server_alive(&unfinished, &run.start, 150);
+	/* The entry may lapse still. */
 	ck_assert_uint_eq(
-	    unfinished_server_ended(&unfinished, &run.start, 300, ended, 4), 1);
-	unfinished_add(&unfinished, &run);
-	unfinished_server_alive(&unfinished, &run.start, 201);
+	    unfinished_drop_listed(&unfinished, 0, run.ended_us + SETTLE_US),
+	    0);
+	/* The list could not be read in between. */
 	ck_assert_uint_eq(
-	    unfinished_server_ended(&unfinished, &run.start, 300, ended, 4), 0);
+	    unfinished_drop_listed(&unfinished, late_us, late_us), 0);
+	ck_assert_uint_eq(unfinished_drop_listed(&unfinished, 0, late_us), 1);
+	ck_assert_uint_eq(count_ended(&unfinished, &run.start, late_us), 0);
+}
+END_TEST
+
+/* A new process may serve at its address before the list shows it. */
+START_TEST(response_from_the_address_of_a_server_excuses_no_run)
+{
+	static struct unfinished unfinished;
+	struct unfinished_run run = run_at(1, 5, 100, 200);
+	size_t cursor = 0;
+
+	unfinished_add(&unfinished, &run);
+	ck_assert_ptr_nonnull(
+	    unfinished_next_broken(&unfinished, 300, &cursor));
+	unfinished_server_responds(&unfinished, &run.start, 300);
+	cursor = 0;
+	ck_assert_ptr_null(unfinished_next_broken(&unfinished, 300, &cursor));
+	ck_assert_uint_eq(count_ended(&unfinished, &run.start, 400), 1);
+}
+END_TEST
+
+START_TEST(server_that_the_list_removed_during_a_run_has_crashed)
+{
+	static struct unfinished unfinished;
+	struct unfinished_run run = run_at(1, 5, 100, 300);
+	struct unfinished_run later = run_at(2, 5, 250, 300);
+
+	unfinished_note_end(&unfinished, &run.start, 200);
+	ck_assert(unfinished_add(&unfinished, &run));
+	ck_assert(!unfinished_add(&unfinished, &later));
+	ck_assert_uint_eq(count_ended(&unfinished, &run.start, 400), 2);
+}
+END_TEST
+
+START_TEST(many_runs_at_a_server_in_trouble_push_out_no_other_run)
+{
+	static struct unfinished unfinished;
+	struct unfinished_run crasher = run_at(1, 5, 100, 200);
+	struct unfinished_run run = run_at(2, 6, 100, 200);
+
+	unfinished_add(&unfinished, &crasher);
+	for (int i = 0; i < 2 * UNFINISHED_MAX; i++)
+		unfinished_add(&unfinished, &run);
+	ck_assert_uint_eq(count_ended(&unfinished, &crasher.start, 400), 1);
 }
 END_TEST
 
@@ -626,7 +680,6 @@
 	struct unfinished_run ended[4];
 
 	unfinished_add(&unfinished, &run);
-	unfinished_server_alive(&unfinished, &later, 300);
 	ck_assert_uint_eq(
 	    unfinished_server_ended(&unfinished, &earlier, 300, ended, 4), 0);
 	ck_assert_uint_eq(
@@ -650,6 +703,9 @@
 	    crashes_join_alike_in_any_order,
 	    memory_is_bounded_and_repeated_suspects_stay,
 	    runs_at_a_server_that_lives_on_are_dropped,
+	    response_from_the_address_of_a_server_excuses_no_run,
+	    server_that_the_list_removed_during_a_run_has_crashed,
+	    many_runs_at_a_server_in_trouble_push_out_no_other_run,
 	    only_a_whole_success_with_a_marked_end_completes_a_request,
 	    runs_at_another_start_of_a_server_are_kept,
 	};
