What one VM excuses or tries of a suspect is known to all VMs

The first crash after a completed run was excused at each gateway where the request had completed: a request that begins to crash servers after a release would have had one free crash at each of 12 or 300 VMs. And a refused request was tried again every 30 s without end when the trial ended in an error, and by each gateway that became its coordinator.

An excused crash is now part of the set, in round 0, and excuses one crash at all VMs together. A trial is part of the set as well, told to the others before it is sent, and kept in the store. Trials follow 30 s, 30 min and 24 h after the last crash or trial; a crash in a fourth round takes the place of a trial.

Requests that are refused are the last to be dropped when more than 1,024 are suspected, and the first to be told to another VM: 512 entries of others could have hidden them.

--- a/dispatch/suspects.c
+++ b/dispatch/suspects.c
@@ -13,8 +13,15 @@
 	/* Longer than a message takes to all VMs. */
 	SPREAD_US = 300 * US_PER_MS,
 	ASK_INTERVAL_US = 1 * US_PER_S,
-	/* Servers that all ended at once serve again by then. */
-	TRIAL_AFTER_US = 30 * US_PER_S,
+};
+
+/* Time without a crash or a trial before the next trial, by the number of sends
+ * that have followed the third crash. Servers that all ended at once serve
+ * again by the first one. No more than three sends fit into a day. */
+static const int64_t trial_after_us[] = {
+    (int64_t)30 * US_PER_S,
+    (int64_t)30 * 60 * US_PER_S,
+    (int64_t)24 * 3600 * US_PER_S,
 };
 
 static struct suspect *
@@ -51,17 +58,68 @@
 		suspect_free(suspects, suspect);
 }
 
-/* Drops the oldest request with a single crash or none; if there is no such,
- * the oldest one. */
+static uint32_t
+last_round(const struct suspect *suspect)
+{
+	uint32_t last = 0;
+
+	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+		if (suspect->crashes[i].round > last)
+			last = suspect->crashes[i].round;
+	}
+	return last;
+}
+
+/* Returns the number of crashes that are held against a request: all but one
+ * of those that are excused. */
+static uint32_t
+counted_crashes(const struct suspect *suspect)
+{
+	for (uint32_t i = 0; i < suspect->crash_count; i++) {
+		if (suspect->crashes[i].round == 0)
+			return suspect->crash_count - 1;
+	}
+	return suspect->crash_count;
+}
+
+static bool
+is_refused(const struct suspect *suspect)
+{
+	uint32_t rounds = last_round(suspect);
+
+	return rounds >= SUSPECT_ROUNDS_MAX ||
+	    (rounds > 1 && counted_crashes(suspect) >= SUSPECT_CRASHES_MAX);
+}
+
+static bool
+is_compared(const struct suspect *suspect)
+{
+	return suspect->crash_count >= COMPARED_CRASHES;
+}
+
+/* Returns how much would be lost with a request. */
+static int
+weight(const struct suspect *suspect)
+{
+	if (is_refused(suspect))
+		return 3;
+	if (is_compared(suspect))
+		return 2;
+	return suspect->crash_count > 0 ? 1 : 0;
+}
+
+/* Drops the oldest request of those with the least weight. */
 static void
 drop_one(struct suspects *suspects)
 {
-	struct suspect *suspect = suspects->by_fingerprint;
+	struct suspect *least = suspects->by_fingerprint;
 
-	while (suspect != NULL && suspect->crash_count >= COMPARED_CRASHES)
-		suspect = suspect->hh.next;
-	suspect_free(
-	    suspects, suspect != NULL ? suspect : suspects->by_fingerprint);
+	for (struct suspect *suspect = least; suspect != NULL;
+	     suspect = suspect->hh.next) {
+		if (weight(suspect) < weight(least))
+			least = suspect;
+	}
+	suspect_free(suspects, least);
 }
 
 static struct suspect *
@@ -81,18 +139,6 @@
 	return suspect;
 }
 
-static uint32_t
-last_round(const struct suspect *suspect)
-{
-	uint32_t last = 0;
-
-	for (uint32_t i = 0; i < suspect->crash_count; i++) {
-		if (suspect->crashes[i].round > last)
-			last = suspect->crashes[i].round;
-	}
-	return last;
-}
-
 /* Returns the last round of the crashes that had happened at a time. */
 static uint32_t
 round_at(const struct suspect *suspect, int64_t at_us)
@@ -166,6 +212,15 @@
 	return true;
 }
 
+static uint64_t
+digest_of(const struct suspect_crash *entry)
+{
+	const uint64_t parts[] = {
+	    entry->fingerprint, entry->epoch, entry->round, entry->crash};
+
+	return hash_bytes(parts, sizeof(parts), 0);
+}
+
 static void
 update_digest(struct suspects *suspects)
 {
@@ -174,55 +229,35 @@
 	/* Sums do not depend on the order. */
 	for (const struct suspect *suspect = suspects->by_fingerprint;
 	     suspect != NULL; suspect = suspect->hh.next) {
-		if (suspect->crash_count < COMPARED_CRASHES)
+		if (!is_compared(suspect))
 			continue;
-		for (uint32_t i = 0; i < suspect->crash_count; i++) {
-			const struct suspect_crash *crash =
-			    &suspect->crashes[i];
-			const uint64_t parts[] = {crash->fingerprint,
-			    crash->epoch, crash->round, crash->crash};
-
-			digest += hash_bytes(parts, sizeof(parts), 0);
-		}
+		for (uint32_t i = 0; i < suspect->crash_count; i++)
+			digest += digest_of(&suspect->crashes[i]);
+		if (suspect->trial.round > 0)
+			digest += digest_of(&suspect->trial);
 	}
 	suspects->digest = digest;
 }
 
-static struct suspect_completed *
+static uint64_t *
 completed_slot(struct suspects *suspects, uint64_t fingerprint)
 {
 	return &suspects->completed[fingerprint % SUSPECT_COMPLETED_KEPT];
 }
 
-/* Returns whether a request is not suspected of a crash, since it has completed
- * here. That holds for one crash until it completes again. */
-static bool
-is_excused(struct suspects *suspects, uint64_t fingerprint, uint64_t crash)
-{
-	struct suspect_completed *completed =
-	    completed_slot(suspects, fingerprint);
-
-	if (completed->fingerprint != fingerprint)
-		return false;
-	if (completed->excused_crash == 0)
-		completed->excused_crash = crash;
-	return completed->excused_crash == crash;
-}
-
 bool
 suspects_add_run(struct suspects *suspects, const struct unfinished_run *run,
     struct suspect_crash *added)
 {
 	uint64_t crash = hash_bytes(&run->start, sizeof(run->start), 0);
-	struct suspect *suspect;
+	struct suspect *suspect = find_or_add(suspects, run->fingerprint);
+	bool excused = suspect->crash_count == 0 &&
+	    *completed_slot(suspects, run->fingerprint) == run->fingerprint;
 
-	if (is_excused(suspects, run->fingerprint, crash))
-		return false;
-	suspect = find_or_add(suspects, run->fingerprint);
 	*added = (struct suspect_crash){
 	    .fingerprint = run->fingerprint,
 	    .epoch = suspect->epoch,
-	    .round = round_at(suspect, run->sent_us) + 1,
+	    .round = excused ? 0 : round_at(suspect, run->sent_us) + 1,
 	    .crash = crash,
 	    .crashed_us = run->ended_us,
 	};
@@ -235,24 +270,48 @@
 	return true;
 }
 
+/* Adds an entry of the request's present epoch. */
+static bool
+add_entry(struct suspect *suspect, const struct suspect_crash *entry)
+{
+	switch (entry->crash) {
+	case SUSPECT_EPOCH:
+		return false;
+	case SUSPECT_TRIAL:
+		if (entry->round <= suspect->trial.round)
+			return false;
+		suspect->trial = *entry;
+		return true;
+	default:
+		return add_crash(suspect, entry);
+	}
+}
+
+static void
+start_epoch(struct suspect *suspect, uint32_t epoch)
+{
+	suspect->epoch = epoch;
+	suspect->crash_count = 0;
+	suspect->trial = (struct suspect_crash){0};
+}
+
 bool
 suspects_join(struct suspects *suspects, const struct suspect_crash *crash)
 {
 	struct suspect *suspect = find(suspects, crash->fingerprint);
 	bool is_new = false;
 
-	if (crash->epoch == 0 && crash->crash == 0)
+	if (crash->epoch == 0 && crash->crash == SUSPECT_EPOCH)
 		return false;
 	if (suspect == NULL)
 		suspect = find_or_add(suspects, crash->fingerprint);
 	else if (crash->epoch < suspect->epoch)
 		return false;
 	if (crash->epoch > suspect->epoch) {
-		suspect->epoch = crash->epoch;
-		suspect->crash_count = 0;
+		start_epoch(suspect, crash->epoch);
 		is_new = true;
 	}
-	if (crash->crash != 0 && add_crash(suspect, crash))
+	if (add_entry(suspect, crash))
 		is_new = true;
 	if (is_new)
 		update_digest(suspects);
@@ -265,12 +324,10 @@
 {
 	struct suspect *suspect = find(suspects, fingerprint);
 
-	*completed_slot(suspects, fingerprint) =
-	    (struct suspect_completed){.fingerprint = fingerprint};
+	*completed_slot(suspects, fingerprint) = fingerprint;
 	if (suspect == NULL || suspect->crash_count == 0)
 		return false;
-	suspect->epoch++;
-	suspect->crash_count = 0;
+	start_epoch(suspect, suspect->epoch + 1);
 	suspects->changed_us = now_us;
 	update_digest(suspects);
 	*cleared = (struct suspect_crash){
@@ -285,16 +342,12 @@
 {
 	const struct suspect *suspect = find(suspects, fingerprint);
 
-	if (suspect == NULL)
-		return false;
-	return last_round(suspect) >= SUSPECT_ROUNDS_MAX ||
-	    (last_round(suspect) > 1 &&
-		suspect->crash_count >= SUSPECT_CRASHES_MAX);
+	return suspect != NULL && is_refused(suspect);
 }
 
-/* Returns the time of the last crash, as late as it may have been. */
+/* Returns the time of the last crash or trial, as late as it may have been. */
 static int64_t
-last_crash_us(const struct suspects *suspects, const struct suspect *suspect)
+last_event_us(const struct suspects *suspects, const struct suspect *suspect)
 {
 	int64_t last_us = suspects->started_us;
 
@@ -302,21 +355,51 @@
 		if (suspect->crashes[i].crashed_us > last_us)
 			last_us = suspect->crashes[i].crashed_us;
 	}
+	if (suspect->trial.round > 0 && suspect->trial.crashed_us > last_us)
+		last_us = suspect->trial.crashed_us;
 	return last_us;
 }
 
+/* Returns the number of rounds beyond those that a request is refused for. */
+static uint32_t
+extra_rounds(const struct suspect *suspect)
+{
+	uint32_t rounds = last_round(suspect);
+
+	if (counted_crashes(suspect) < suspect->crash_count)
+		rounds++;
+	return rounds > SUSPECT_ROUNDS_MAX ? rounds - SUSPECT_ROUNDS_MAX : 0;
+}
+
+static int64_t
+next_trial_us(const struct suspects *suspects, const struct suspect *suspect)
+{
+	static const uint32_t last =
+	    sizeof(trial_after_us) / sizeof(trial_after_us[0]) - 1;
+	uint32_t number = suspect->trial.round + extra_rounds(suspect);
+
+	return last_event_us(suspects, suspect) +
+	    trial_after_us[number < last ? number : last];
+}
+
 bool
-suspects_take_trial(
-    struct suspects *suspects, uint64_t fingerprint, int64_t now_us)
+suspects_take_trial(struct suspects *suspects, uint64_t fingerprint,
+    struct suspect_crash *trial, int64_t now_us)
 {
 	struct suspect *suspect = find(suspects, fingerprint);
 
-	if (suspect == NULL || last_round(suspect) >= SUSPECT_ROUNDS_GIVEN_UP ||
-	    last_crash_us(suspects, suspect) > now_us - TRIAL_AFTER_US ||
-	    (suspect->trial_us != 0 &&
-		now_us - suspect->trial_us < TRIAL_AFTER_US))
+	if (suspect == NULL || now_us < next_trial_us(suspects, suspect))
 		return false;
-	suspect->trial_us = now_us;
+	suspect->trial = (struct suspect_crash){
+	    .fingerprint = fingerprint,
+	    .epoch = suspect->epoch,
+	    .round = suspect->trial.round + 1,
+	    .crash = SUSPECT_TRIAL,
+	    .crashed_us = now_us,
+	};
+	*trial = suspect->trial;
+	suspects->changed_us = now_us;
+	update_digest(suspects);
 	return true;
 }
 
@@ -340,6 +423,8 @@
 
 	for (uint32_t i = 0; i < suspect->crash_count && count < max; i++)
 		list[count++] = suspect->crashes[i];
+	if (suspect->trial.round > 0 && count < max)
+		list[count++] = suspect->trial;
 	if (suspect->crash_count == 0 && suspect->epoch > 0 && max > 0)
 		list[count++] = (struct suspect_crash){
 		    .fingerprint = suspect->fingerprint,
@@ -348,9 +433,10 @@
 	return count;
 }
 
-size_t
-suspects_list(
-    const struct suspects *suspects, struct suspect_crash *list, size_t max)
+/* Lists the requests that are compared, or all others. */
+static size_t
+list_some(const struct suspects *suspects, bool compared,
+    struct suspect_crash *list, size_t max)
 {
 	const struct suspect *suspect = suspects->by_fingerprint;
 	size_t count = 0;
@@ -359,9 +445,18 @@
 		return 0;
 	suspect = ELMT_FROM_HH(
 	    suspects->by_fingerprint->hh.tbl, suspect->hh.tbl->tail);
-	while (suspect != NULL && count < max) {
-		count += list_one(suspect, list + count, max - count);
-		suspect = suspect->hh.prev;
+	for (; suspect != NULL && count < max; suspect = suspect->hh.prev) {
+		if (is_compared(suspect) == compared)
+			count += list_one(suspect, list + count, max - count);
 	}
 	return count;
 }
+
+size_t
+suspects_list(
+    const struct suspects *suspects, struct suspect_crash *list, size_t max)
+{
+	size_t count = list_some(suspects, true, list, max);
+
+	return count + list_some(suspects, false, list + count, max - count);
+}
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -75,30 +75,25 @@
 	return suspects_refuse(&quarantine->suspects, fingerprint);
 }
 
-bool
-quarantine_take_trial(struct quarantine *quarantine, uint64_t fingerprint)
-{
-	struct gateway *gateway = quarantine->gateway;
-	struct trace trace;
-
-	if (strcmp(peer_gateways_coordinator(
-		       gateway->peer_gateways, fingerprint, ""),
-		gateway->settings.vm_name) != 0 ||
-	    !suspects_take_trial(
-		&quarantine->suspects, fingerprint, clock_monotonic_us()))
-		return false;
-	trace_begin(&trace, "quarantine_trial");
-	trace_hash(&trace, "fingerprint", fingerprint);
-	trace_end(&trace);
-	return true;
-}
-
 uint64_t
 quarantine_digest(const struct quarantine *quarantine)
 {
 	return quarantine->suspects.digest;
 }
 
+static const char *
+event_name(const struct suspect_crash *crash)
+{
+	switch (crash->crash) {
+	case SUSPECT_EPOCH:
+		return "suspicion_cleared";
+	case SUSPECT_TRIAL:
+		return "quarantine_trial";
+	default:
+		return "request_crashed_server";
+	}
+}
+
 static void
 trace_crash(const struct quarantine *quarantine,
     const struct suspect_crash *crash, const char *server, const char *source)
@@ -107,8 +102,7 @@
 	    suspects_find(&quarantine->suspects, crash->fingerprint);
 	struct trace trace;
 
-	trace_begin(&trace,
-	    crash->crash != 0 ? "request_crashed_server" : "suspicion_cleared");
+	trace_begin(&trace, event_name(crash));
 	trace_hash(&trace, "fingerprint", crash->fingerprint);
 	trace_text(&trace, "server", server);
 	trace_text(&trace, "seen_by", source);
@@ -159,6 +153,24 @@
 	free(items);
 }
 
+bool
+quarantine_take_trial(struct quarantine *quarantine, uint64_t fingerprint)
+{
+	struct gateway *gateway = quarantine->gateway;
+	struct suspect_crash trial;
+
+	if (strcmp(peer_gateways_coordinator(
+		       gateway->peer_gateways, fingerprint, ""),
+		gateway->settings.vm_name) != 0 ||
+	    !suspects_take_trial(&quarantine->suspects, fingerprint, &trial,
+		clock_monotonic_us()))
+		return false;
+	trace_crash(quarantine, &trial, NULL, gateway->settings.vm_name);
+	send_crashes(quarantine, NULL, &trial, 1);
+	quarantine_store_add(quarantine->store, &trial);
+	return true;
+}
+
 static void
 trace_server_end(const struct server_start *start, const char *server,
     const char *sign, size_t suspects)
@@ -290,6 +302,8 @@
 	send_crashes(quarantine, NULL, &cleared, 1);
 	for (uint32_t i = 0; i < before.crash_count; i++)
 		quarantine_store_remove(quarantine->store, &before.crashes[i]);
+	if (before.trial.round > 0)
+		quarantine_store_remove(quarantine->store, &before.trial);
 	quarantine_store_add(quarantine->store, &cleared);
 }
 
--- a/include/dispatch/suspects.h
+++ b/include/dispatch/suspects.h
@@ -11,12 +11,13 @@
  * Many servers may end at once for another reason while they run the same
  * request of a caller. So a crash is in round N+1 if the request was sent there
  * after a crash of round N. Crashes of one round, whose runs overlapped, may
- * have one cause that has nothing to do with the request. For the same reason a
- * request that has completed before is not suspected at the next end of a
- * server.
+ * have one cause that has nothing to do with the request. For the same reason
+ * the first crash of a request that has completed before is in round 0, and is
+ * not held against it. That holds for one crash at all VMs together.
  *
  * A request that is refused may be innocent still. After a while one VM sends
- * it once more.
+ * it once more. Trials are known to all VMs as crashes are, as many of them end
+ * without a result.
  */
 #ifndef DISPATCH_SUSPECTS_H
 #define DISPATCH_SUSPECTS_H
@@ -36,18 +37,18 @@
 	SUSPECT_CRASHES_MAX = 3,
 	/** Crashes that are kept of one request. */
 	SUSPECT_CRASHES_KEPT = 8,
-	SUSPECTS_MAX = 1024, /**< beyond it, the oldest is dropped */
-	/** Crashes of different rounds after which there is no trial any more.
-	 * At most three sends follow the third crash. */
-	SUSPECT_ROUNDS_GIVEN_UP = 4,
+	SUSPECTS_MAX = 1024,           /**< beyond it, the oldest is dropped */
 	SUSPECT_COMPLETED_KEPT = 2048, /**< requests that have completed */
+	/** Values of suspect_crash.crash that are no hashes. */
+	SUSPECT_EPOCH = 0, /**< the start of an epoch without any crash */
+	SUSPECT_TRIAL = 1, /**< a trial; its round is its number, from 1 */
 };
 
-/** One crash, or with crash 0 the start of an epoch without any. */
+/** One crash, or an entry of another kind by the value of crash. */
 struct suspect_crash {
 	uint64_t fingerprint; /**< of the request */
 	uint32_t epoch;
-	uint32_t round;
+	uint32_t round;     /**< 0: excused */
 	uint64_t crash;     /**< hash of the server's start */
 	int64_t crashed_us; /**< INT64_MIN: before anything this VM has sent */
 };
@@ -59,14 +60,8 @@
 	uint32_t epoch;
 	uint32_t crash_count;
 	struct suspect_crash crashes[SUSPECT_CRASHES_KEPT];
-	int64_t trial_us; /**< of the latest trial here; 0: none */
-};
-
-/** A request that has completed at this VM. */
-struct suspect_completed {
-	uint64_t fingerprint;
-	/** Crash that it is not suspected of for that reason; 0: none yet. */
-	uint64_t excused_crash;
+	/** The latest trial; round 0: none. */
+	struct suspect_crash trial;
 };
 
 /** Empty when zeroed. */
@@ -81,14 +76,13 @@
 	int64_t changed_us; /**< when this VM added or cleared something */
 	/** Requests that completed here, by the remainder of the fingerprint.
 	 */
-	struct suspect_completed completed[SUSPECT_COMPLETED_KEPT];
+	uint64_t completed[SUSPECT_COMPLETED_KEPT];
 	int64_t asked_us; /**< last time at which suspects_should_ask() did */
 };
 
 void suspects_reset(struct suspects *suspects);
 /** Adds the crash of a server that had not finished this run. Fills added with
- * what other VMs should hear. Returns false if it was known, or if the request
- * had completed here since the last end of a server under it. */
+ * what other VMs should hear. Returns false if it was known. */
 bool suspects_add_run(struct suspects *suspects,
     const struct unfinished_run *run, struct suspect_crash *added);
 /** Joins what another VM or the store knows. Returns whether it was new. */
@@ -101,17 +95,17 @@
 /** Returns whether a request must not be sent to servers any more. */
 bool suspects_refuse(const struct suspects *suspects, uint64_t fingerprint);
 /** Returns whether a request that is refused may be sent once all the same, and
- * counts that as the trial. One VM is to ask. */
-bool suspects_take_trial(
-    struct suspects *suspects, uint64_t fingerprint, int64_t now_us);
+ * fills trial with what other VMs should hear before. One VM is to ask. */
+bool suspects_take_trial(struct suspects *suspects, uint64_t fingerprint,
+    struct suspect_crash *trial, int64_t now_us);
 const struct suspect *
 suspects_find(const struct suspects *suspects, uint64_t fingerprint);
 /** Returns whether to ask a VM with another digest for all that it knows. Not
  * while a change is still on its way to all, and not too often. */
 bool suspects_should_ask(
     struct suspects *suspects, uint64_t other_digest, int64_t now_us);
-/** Fills list with what is known, the newest requests first, and returns the
- * number of entries. */
+/** Fills list with what is known and returns the number of entries. Requests
+ * that VMs compare go first, then the newest. */
 size_t suspects_list(
     const struct suspects *suspects, struct suspect_crash *list, size_t max);
 
--- /dev/null
+++ b/tests/suspect_days.c
@@ -0,0 +1,499 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "common/clock.h"
+#include "common/memory.h"
+#include "common/rng.h"
+#include "dispatch/run_end.h"
+#include "tests/suspect_days.h"
+
+enum {
+	VMS_MAX = 300,
+	STEP_US = 10 * US_PER_MS,
+	START_US = 10 * US_PER_S,
+	DOWN_MAX_US = 2 * US_PER_S,
+	TROUBLE_MAX_US = 5 * US_PER_S,
+	/* A request that crashes servers comes again after this time. */
+	RETURN_US = 1900 * US_PER_MS,
+	/* Time until a VM knows that a server has ended: by a connection of its
+	 * own, or, in one of LISTED_EVERY cases, only by the list. */
+	NOTICE_US = 20 * US_PER_MS,
+	NOTICE_LISTED_US = 4100 * US_PER_MS,
+	LISTED_EVERY = 8,
+	HEARTBEAT_EVERY = 10, /* steps */
+	DELAY_MAX_STEPS = 3,  /* of a message */
+	LOSS_PERCENT = 10,
+	MESSAGES_MAX = 1 << 16,
+	RECORDS_MAX = 4096,
+	LIST_MAX = 512,
+	/* Of the servers, in a day with servers in trouble. */
+	ENDS_MAX = 16, /* of servers that a VM has not noticed yet */
+	IN_TROUBLE_PERCENT = 35,
+	/* Of the crashes, those after which a new process serves at the address
+	 * before the list shows it. */
+	REBORN_PERCENT = 30,
+};
+
+/** The end of a server that a VM will notice. */
+struct server_end {
+	struct server_start start;
+	int64_t notice_us; /**< 0: unused entry */
+	int64_t reborn_us; /**< when a new process responds; 0: it doesn't */
+};
+
+/** A VM and its troubles; times until which they last. */
+struct vm {
+	struct suspects suspects;
+	struct unfinished unfinished;
+	int64_t down_until_us;
+	int64_t frozen_until_us;
+	int64_t cut_until_us;       /* from the other VMs */
+	int64_t store_cut_until_us; /* from the store */
+	int64_t troubled_us;        /* last moment of any trouble */
+	size_t read;                /* records of the store */
+	struct suspect_crash unwritten[64];
+	size_t unwritten_count;
+	struct server_end ends[ENDS_MAX];
+	int64_t listed_since_us;
+};
+
+struct delivery {
+	int64_t due_us;
+	int to; /* -1: delivered */
+	struct suspect_crash crash;
+};
+
+static struct world {
+	struct rng rng;
+	int64_t now_us;
+	int vm_count;
+	struct vm vms[VMS_MAX];
+	struct delivery messages[MESSAGES_MAX];
+	size_t message_count;
+	struct suspect_crash records[RECORDS_MAX];
+	size_t record_count;
+	int64_t store_away_until_us;
+	uint64_t last_server;
+	int crashes;
+	int64_t third_crash_us;
+	int sends_after; /* by VMs that had no trouble for SUSPECT_SETTLE_US */
+} world;
+
+static const uint64_t CRASHER = 7;
+
+struct unfinished_run
+suspect_run(
+    uint64_t fingerprint, uint64_t server, int64_t sent_us, int64_t ended_us)
+{
+	return (struct unfinished_run){
+	    .fingerprint = fingerprint,
+	    .start = {.server = server, .started_wall_ms = 1},
+	    .sent_us = sent_us,
+	    .ended_us = ended_us,
+	    .ran_until_us = ended_us,
+	    .broken = true,
+	};
+}
+
+static bool
+runs(const struct vm *vm)
+{
+	return world.now_us >= vm->down_until_us &&
+	    world.now_us >= vm->frozen_until_us;
+}
+
+static bool
+reaches_vms(const struct vm *vm)
+{
+	return runs(vm) && world.now_us >= vm->cut_until_us;
+}
+
+static bool
+reaches_store(const struct vm *vm)
+{
+	return runs(vm) && world.now_us >= vm->store_cut_until_us &&
+	    world.now_us >= world.store_away_until_us;
+}
+
+static void
+send(int to, const struct suspect_crash *crash)
+{
+	if (rng_below(&world.rng, 100) < LOSS_PERCENT)
+		return;
+	ck_assert_uint_lt(world.message_count, MESSAGES_MAX);
+	world.messages[world.message_count++] = (struct delivery){
+	    .due_us = world.now_us +
+		(int64_t)(1 + rng_below(&world.rng, DELAY_MAX_STEPS)) * STEP_US,
+	    .to = to,
+	    .crash = *crash,
+	};
+}
+
+static void
+deliver(void)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < world.message_count; i++) {
+		struct delivery *message = &world.messages[i];
+		struct vm *vm = &world.vms[message->to];
+
+		if (message->due_us > world.now_us ||
+		    (world.now_us < vm->frozen_until_us &&
+			world.now_us >= vm->cut_until_us)) {
+			world.messages[kept++] = *message;
+			continue;
+		}
+		if (reaches_vms(vm))
+			suspects_join(&vm->suspects, &message->crash);
+	}
+	world.message_count = kept;
+}
+
+static void
+write_and_read(struct vm *vm)
+{
+	if (!reaches_store(vm))
+		return;
+	for (size_t i = 0; i < vm->unwritten_count; i++) {
+		ck_assert_uint_lt(world.record_count, RECORDS_MAX);
+		world.records[world.record_count] = vm->unwritten[i];
+		world.records[world.record_count++].crashed_us = INT64_MIN;
+	}
+	vm->unwritten_count = 0;
+	while (vm->read < world.record_count)
+		suspects_join(&vm->suspects, &world.records[vm->read++]);
+}
+
+/* Tells all other VMs, and the store as soon as it is there. */
+static void
+tell(struct vm *vm, const struct suspect_crash *crash)
+{
+	vm->unwritten[vm->unwritten_count++] = *crash;
+	for (int to = 0; to < world.vm_count; to++) {
+		if (&world.vms[to] != vm && reaches_vms(vm))
+			send(to, crash);
+	}
+}
+
+static void
+add_crashes(struct vm *vm, const struct server_start *start)
+{
+	struct unfinished_run ended[8];
+	size_t count = unfinished_server_ended(
+	    &vm->unfinished, start, world.now_us, ended, 8);
+
+	for (size_t i = 0; i < count; i++) {
+		struct suspect_crash crash;
+
+		if (suspects_add_run(&vm->suspects, &ended[i], &crash))
+			tell(vm, &crash);
+	}
+}
+
+/* Lets a VM hear of servers what the list and their responses tell. */
+static void
+watch_servers(struct vm *vm)
+{
+	if (!reaches_store(vm))
+		vm->listed_since_us = world.now_us;
+	for (int i = 0; i < ENDS_MAX; i++) {
+		struct server_end *end = &vm->ends[i];
+
+		if (end->notice_us == 0)
+			continue;
+		if (end->reborn_us != 0 && world.now_us >= end->reborn_us)
+			unfinished_server_responds(
+			    &vm->unfinished, &end->start, world.now_us);
+		if (world.now_us < end->notice_us)
+			continue;
+		add_crashes(vm, &end->start);
+		end->notice_us = 0;
+	}
+	unfinished_drop_listed(
+	    &vm->unfinished, vm->listed_since_us, world.now_us);
+}
+
+/* Compares digests with another VM, as a heartbeat of it does. */
+static void
+compare(struct vm *vm)
+{
+	const struct vm *other =
+	    &world.vms[rng_below(&world.rng, (uint64_t)world.vm_count)];
+	struct suspect_crash list[LIST_MAX];
+	size_t count;
+
+	if (!reaches_vms(vm) || !reaches_vms(other) || other == vm ||
+	    !suspects_should_ask(
+		&vm->suspects, other->suspects.digest, world.now_us))
+		return;
+	count = suspects_list(&other->suspects, list, LIST_MAX);
+	for (size_t i = 0; i < count; i++)
+		suspects_join(&vm->suspects, &list[i]);
+}
+
+/* Returns the VM that tries the request again: the first that runs, as the
+ * others see it. */
+static const struct vm *
+coordinator(void)
+{
+	for (int i = 0; i < world.vm_count; i++) {
+		if (reaches_vms(&world.vms[i]))
+			return &world.vms[i];
+	}
+	return NULL;
+}
+
+static bool
+happens(uint64_t percent)
+{
+	return rng_below(&world.rng, 100) < percent;
+}
+
+/* A response of a server that fails without ending. */
+static struct run_outcome
+troubled_outcome(void)
+{
+	static const struct run_outcome outcomes[] = {
+	    {.whole = true,
+		.delimited = true,
+		.from_server = true,
+		.status = 500},
+	    {.whole = true,
+		.delimited = true,
+		.from_server = true,
+		.status = 504},
+	    {.whole = true,
+		.delimited = true,
+		.from_server = true,
+		.status = 503},
+	    {.whole = true,
+		.delimited = true,
+		.from_server = true,
+		.status = 429},
+	    {.whole = true,
+		.delimited = true,
+		.from_server = true,
+		.status = 400},
+	    {.whole = true, .from_server = true, .status = 200},
+	    {.whole = true, .delimited = true, .status = 200},
+	    {.whole = true,
+		.delimited = true,
+		.not_executed = true,
+		.status = 503},
+	    {.status = 200},
+	};
+
+	return outcomes[rng_below(
+	    &world.rng, sizeof(outcomes) / sizeof(outcomes[0]))];
+}
+
+/* Ends a run at a server that goes on living. */
+static void
+end_in_trouble(struct vm *vm, const struct unfinished_run *run)
+{
+	const struct run_outcome outcome = troubled_outcome();
+	struct suspect_crash cleared;
+
+	switch (run_end_of(&outcome)) {
+	case RUN_END_NOT_RUN:
+	case RUN_END_REJECTED:
+		return;
+	case RUN_END_UNFINISHED:
+		unfinished_add(&vm->unfinished, run);
+		return;
+	case RUN_END_COMPLETED:
+		if (suspects_clear(
+			&vm->suspects, CRASHER, &cleared, world.now_us))
+			tell(vm, &cleared);
+		return;
+	}
+}
+
+static bool
+may_send(struct vm *vm)
+{
+	struct suspect_crash trial;
+
+	if (!suspects_refuse(&vm->suspects, CRASHER))
+		return true;
+	if (vm != coordinator() ||
+	    !suspects_take_trial(&vm->suspects, CRASHER, &trial, world.now_us))
+		return false;
+	tell(vm, &trial);
+	return true;
+}
+
+static void
+crash_server(struct vm *vm, const struct unfinished_run *run,
+    const struct troubles *troubles)
+{
+	bool reborn = troubles->reborn && happens(REBORN_PERCENT);
+	bool listed_only = rng_below(&world.rng, LISTED_EVERY) == 0 || reborn;
+	int i = 0;
+
+	world.crashes++;
+	if (world.crashes == SUSPECT_CRASHES)
+		world.third_crash_us = world.now_us;
+	unfinished_add(&vm->unfinished, run);
+	while (vm->ends[i].notice_us != 0)
+		ck_assert_int_lt(++i, ENDS_MAX);
+	vm->ends[i] = (struct server_end){
+	    .start = run->start,
+	    .notice_us =
+		world.now_us + (listed_only ? NOTICE_LISTED_US : NOTICE_US),
+	    .reborn_us = reborn ? world.now_us + NOTICE_US : 0,
+	};
+}
+
+/* Sends the request to a VM, which sends it to a server unless it refuses. */
+static void
+crash_at(struct vm *vm, const struct troubles *troubles)
+{
+	struct unfinished_run run;
+
+	if (!runs(vm) || !may_send(vm))
+		return;
+	if (world.crashes >= SUSPECT_CRASHES &&
+	    world.now_us > world.third_crash_us + SUSPECT_SETTLE_US &&
+	    world.now_us > vm->troubled_us + SUSPECT_SETTLE_US)
+		world.sends_after++;
+	run = suspect_run(
+	    CRASHER, ++world.last_server, world.now_us - STEP_US, world.now_us);
+	if (troubles->servers && happens(IN_TROUBLE_PERCENT))
+		end_in_trouble(vm, &run);
+	else
+		crash_server(vm, &run, troubles);
+}
+
+/* Ends a VM's process; a new one starts later. Only what is in the store or at
+ * other VMs survives. */
+static void
+kill_vm(struct vm *vm)
+{
+	suspects_reset(&vm->suspects);
+	*vm = (struct vm){
+	    .down_until_us =
+		world.now_us + (int64_t)rng_below(&world.rng, DOWN_MAX_US),
+	};
+	vm->suspects.started_us = vm->down_until_us;
+}
+
+static void
+trouble(void)
+{
+	struct vm *vm =
+	    &world.vms[rng_below(&world.rng, (uint64_t)world.vm_count)];
+	int64_t until_us =
+	    world.now_us + (int64_t)rng_below(&world.rng, TROUBLE_MAX_US);
+
+	switch (rng_below(&world.rng, 6)) {
+	case 0:
+		kill_vm(vm);
+		return;
+	case 1:
+		vm->frozen_until_us = until_us;
+		return;
+	case 2:
+		vm->cut_until_us = until_us;
+		return;
+	case 3:
+		vm->store_cut_until_us = until_us;
+		return;
+	case 4:
+		world.store_away_until_us = until_us;
+		return;
+	case 5:
+		for (int i = 0; i < world.vm_count; i++)
+			kill_vm(&world.vms[i]);
+		return;
+	}
+}
+
+static void
+note_troubles(void)
+{
+	for (int i = 0; i < world.vm_count; i++) {
+		struct vm *vm = &world.vms[i];
+
+		if (!reaches_vms(vm) || !reaches_store(vm))
+			vm->troubled_us = world.now_us;
+	}
+}
+
+/* The request has completed at all VMs before it began to crash servers. */
+static void
+complete_everywhere(void)
+{
+	struct suspect_crash cleared;
+
+	for (int i = 0; i < world.vm_count; i++)
+		suspects_clear(
+		    &world.vms[i].suspects, CRASHER, &cleared, world.now_us);
+}
+
+struct suspect_day
+suspect_day_play(int vm_count, uint64_t seed, int64_t seconds,
+    const struct troubles *troubles)
+{
+	int64_t return_us = 0;
+	int step = 0;
+
+	memset(&world, 0, sizeof(world));
+	rng_init(&world.rng, seed);
+	world.vm_count = vm_count;
+	world.now_us = START_US;
+	return_us = world.now_us;
+	if (troubles->completed_before)
+		complete_everywhere();
+	for (; world.now_us < START_US + seconds * US_PER_S;
+	     world.now_us += STEP_US, step++) {
+		if (troubles->vms && rng_below(&world.rng, 150) == 0)
+			trouble();
+		note_troubles();
+		deliver();
+		for (int i = 0; i < vm_count; i++) {
+			struct vm *vm = &world.vms[i];
+
+			if (!runs(vm))
+				continue;
+			watch_servers(vm);
+			write_and_read(vm);
+			if ((step + i) % HEARTBEAT_EVERY == 0)
+				compare(vm);
+		}
+		if (world.now_us < return_us)
+			continue;
+		return_us = world.now_us + RETURN_US;
+		crash_at(&world.vms[rng_below(&world.rng, (uint64_t)vm_count)],
+		    troubles);
+	}
+	for (int i = 0; i < vm_count; i++)
+		suspects_reset(&world.vms[i].suspects);
+	return (struct suspect_day){
+	    .crashes = world.crashes,
+	    .sends_after = world.sends_after,
+	};
+}
+
+void
+suspect_days_check(int64_t seconds, const struct troubles *troubles)
+{
+	static const struct {
+		int vm_count;
+		uint64_t seeds;
+	} days[] = {{12, 200}, {79, 40}, {300, 8}};
+
+	for (int i = 0; i < 3; i++) {
+		for (uint64_t seed = 1; seed <= days[i].seeds; seed++) {
+			const struct suspect_day day = suspect_day_play(
+			    days[i].vm_count, seed, seconds, troubles);
+
+			ck_assert_msg(day.sends_after <= SUSPECT_SENDS_AFTER,
+			    "%d VMs, seed %d: %d sends after the third crash",
+			    days[i].vm_count, (int)seed, day.sends_after);
+		}
+	}
+}
