A request that ended two servers or more runs at one at a time

Ends of servers whose runs overlapped count as one crash, as they may have one cause, so that the request is not refused and is sent again. Several of its calls at once then ended as many servers again: four after four, more than the three sends that may follow the third crash.

A gateway now sends such a request only while no other run of it is under way there, and refuses it with a Retry-After of half a second otherwise; once it has completed it is under no suspicion. Over gateways that bound is one each.

--- a/dispatch/suspects.c
+++ b/dispatch/suspects.c
@@ -345,6 +345,15 @@
 	return suspect != NULL && is_refused(suspect);
 }
 
+bool
+suspects_one_at_a_time(const struct suspects *suspects, uint64_t fingerprint)
+{
+	const struct suspect *suspect = find(suspects, fingerprint);
+
+	return suspect != NULL &&
+	    counted_crashes(suspect) >= SUSPECT_CRASHES_MAX - 1;
+}
+
 /* Returns the time of the last crash or trial, as late as it may have been. */
 static int64_t
 last_event_us(const struct suspects *suspects, const struct suspect *suspect)
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -75,6 +75,13 @@
 	return suspects_refuse(&quarantine->suspects, fingerprint);
 }
 
+bool
+quarantine_one_at_a_time(
+    const struct quarantine *quarantine, uint64_t fingerprint)
+{
+	return suspects_one_at_a_time(&quarantine->suspects, fingerprint);
+}
+
 uint64_t
 quarantine_digest(const struct quarantine *quarantine)
 {
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -23,6 +23,7 @@
 	RETRY_AFTER_NO_SERVER_US = 500 * US_PER_MS,
 	RETRY_AFTER_DECLINED_US = 200 * US_PER_MS,
 	RETRY_AFTER_CRASHES_US = 60 * US_PER_S,
+	RETRY_AFTER_RUNNING_US = 500 * US_PER_MS,
 	/* The other gateways know within a heartbeat that this one reaches no
 	 * server. */
 	RETRY_AFTER_UNREACHABLE_US = 150 * US_PER_MS,
@@ -450,6 +451,19 @@
 	    "it has crashed several servers");
 }
 
+/* Returns whether another run of the same request is under way. */
+static bool
+is_running_already(const struct request *request)
+{
+	list_for_each (
+	    other, &request->gateway->requests, struct request, link) {
+		if (other != request && other->attempt != NULL &&
+		    other->fingerprint == request->fingerprint)
+			return true;
+	}
+	return false;
+}
+
 void
 request_send(struct request *request, struct backend *backend)
 {
@@ -462,6 +476,14 @@
 		refuse_in_quarantine(request);
 		return;
 	}
+	if (quarantine_one_at_a_time(
+		request->gateway->quarantine, request->fingerprint) &&
+	    is_running_already(request)) {
+		request_refuse(request, REFUSAL_CRASHES_SERVERS,
+		    RETRY_AFTER_RUNNING_US,
+		    "it may have crashed servers, and runs already");
+		return;
+	}
 	memcpy(request->tried[request->tried_count++], backend->entry.id,
 	    NAME_BYTES);
 	memcpy(request->last_backend, backend->entry.id, NAME_BYTES);
--- a/include/dispatch/suspects.h
+++ b/include/dispatch/suspects.h
@@ -94,6 +94,10 @@
     struct suspect_crash *cleared, int64_t now_us);
 /** Returns whether a request must not be sent to servers any more. */
 bool suspects_refuse(const struct suspects *suspects, uint64_t fingerprint);
+/** Returns whether a request may be sent to one server at a time only: so many
+ * servers have ended under it at once that it may end as many again. */
+bool
+suspects_one_at_a_time(const struct suspects *suspects, uint64_t fingerprint);
 /** Returns whether a request that is refused may be sent once all the same, and
  * fills trial with what other VMs should hear before. One VM is to ask. */
 bool suspects_take_trial(struct suspects *suspects, uint64_t fingerprint,
--- a/include/gateway/quarantine.h
+++ b/include/gateway/quarantine.h
@@ -20,6 +20,10 @@
  * server. */
 bool
 quarantine_refuses(const struct quarantine *quarantine, uint64_t fingerprint);
+/** Returns whether it must not be sent to a server while another run of it is
+ * under way. */
+bool quarantine_one_at_a_time(
+    const struct quarantine *quarantine, uint64_t fingerprint);
 /** Returns whether a request that is refused may be sent once all the same: one
  * gateway tries it again after a while, as it may be innocent. */
 bool quarantine_take_trial(struct quarantine *quarantine, uint64_t fingerprint);
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -55,6 +55,7 @@
 	SLOW_MS = 2000,
 	/* Until the first part of a response has been sent. */
 	MIDWAY_MS = 20,
+	CRASH_LATER_MS = 300,
 	ID_BYTES = 64,
 };
 
@@ -511,24 +512,34 @@
 }
 
 static void
-handle_midway(uv_timer_t *timer)
+handle_crash_timer(uv_timer_t *timer)
 {
 	(void)timer;
 	raise(SIGKILL);
 }
 
 static void
-crash(struct h1_exchange *exchange, const char *path, const char *request_id)
+crash_after(uint64_t ms)
 {
-	static uv_timer_t midway;
+	static uv_timer_t timer;
+
+	if (timer.loop != NULL) /* the first such request ends the process */
+		return;
+	uv_timer_init(loop, &timer);
+	uv_timer_start(&timer, handle_crash_timer, ms, 0);
+}
 
+static void
+crash(struct h1_exchange *exchange, const char *path, const char *request_id)
+{
 	record_run(request_id);
 	if (strstr(path, "/crash-silent") != NULL) {
 		raise(SIGSTOP);
+	} else if (strstr(path, "/crash-later") != NULL) {
+		crash_after(CRASH_LATER_MS);
 	} else if (strstr(path, "/crash-midway") != NULL) {
 		begin_unframed_response(exchange, request_id);
-		uv_timer_init(loop, &midway);
-		uv_timer_start(&midway, handle_midway, MIDWAY_MS, 0);
+		crash_after(MIDWAY_MS);
 	} else {
 		raise(SIGKILL);
 	}
--- a/tests/crash_fixture.c
+++ b/tests/crash_fixture.c
@@ -4,7 +4,6 @@
 #include "tests/crash_fixture.h"
 
 enum {
-	RESTART_MS = 600, /* until a crashed server runs again */
 	AFTER_TRIES = 6,
 };
 
--- a/tests/crash_fixture.h
+++ b/tests/crash_fixture.h
@@ -19,6 +19,7 @@
 	/** A gateway that starts, wakes or is in contact again must know by
 	 * then what the others know. */
 	SETTLE_MS = 3000,
+	RESTART_MS = 600, /**< until a crashed server runs again */
 	TRIES_MAX = 12, /**< of the request, while it may still crash servers */
 };
 
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -168,6 +168,37 @@
 }
 END_TEST
 
+/* Sends a request that crashes servers to one gateway several times at once. */
+static void
+crash_at_once(void)
+{
+	struct http_caller callers[SERVERS];
+	char request[CALL_REQUEST_BYTES];
+
+	for (int i = 0; i < SERVERS; i++)
+		callers[i] =
+		    call_start(&cluster, 0, "/once/crash-later", NULL, request);
+	for (int i = 0; i < SERVERS; i++)
+		ck_assert_int_ne(call_finish(&callers[i]).status, 200);
+	usleep(RESTART_MS * US_PER_MS);
+	restart_crashed();
+	usleep(LISTED_MS * US_PER_MS);
+}
+
+/* Ends of servers that it runs on at once are one crash, so it is not refused.
+ */
+START_TEST(request_that_ended_several_servers_is_sent_to_one_at_a_time)
+{
+	int before;
+
+	crash_at_once();
+	before = crashes;
+	ck_assert_int_ge(before, CRASHES - 1);
+	crash_at_once();
+	ck_assert_int_le(crashes - before, 1);
+}
+END_TEST
+
 /* Kills all servers while each runs the same request of one caller, and starts
  * them again. */
 static void
@@ -285,6 +316,7 @@
 	    request_is_refused_while_the_store_is_away,
 	    gateway_that_starts_without_the_store_asks_the_others,
 	    relayed_request_counts_and_is_refused,
+	    request_that_ended_several_servers_is_sent_to_one_at_a_time,
 	    requests_at_servers_that_all_die_are_served_again,
 	    request_that_has_run_whole_is_no_suspect,
 	    request_that_is_refused_without_cause_is_served_again,
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -117,6 +117,7 @@
 		ck_assert(
 		    add(&suspects, 1, server, 100, 200 + (int64_t)server));
 	ck_assert(!suspects_refuse(&suspects, 1));
+	ck_assert(suspects_one_at_a_time(&suspects, 1));
 	/* It is sent once more. If it crashes that server too, it is refused.
 	 */
 	ck_assert(add(&suspects, 1, 7, 300, 400));
