Errors of a server in need do not end its limit

Only a whole success without the field ends a limit now; a response that states one counts whatever its status. The same at gateways that hear it over the hop.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -230,8 +230,8 @@
 	const struct server_start start = server_start_of(attempt);
 
 	if (response_is_from_server(&attempt->response))
-		server_limits_handle_stated(request->gateway->server_limits,
-		    &start, &attempt->response.limit, attempt->started_us,
+		server_limits_handle_response(request->gateway->server_limits,
+		    &start, &attempt->response, attempt->started_us,
 		    request->attributes.request_id);
 }
 
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -43,9 +43,8 @@
 	if (response.server_leaving)
 		backends_mark_leaving(&gateway->blackboard.backends, server,
 		    start.started_wall_ms);
-	server_limits_handle_stated(gateway->server_limits, &start,
-	    &response.limit, request->relay.started_us,
-	    request->attributes.request_id);
+	server_limits_handle_response(gateway->server_limits, &start, &response,
+	    request->relay.started_us, request->attributes.request_id);
 }
 
 static void
--- a/gateway/server_limits.c
+++ b/gateway/server_limits.c
@@ -112,11 +112,27 @@
 	return start;
 }
 
+/* A server in trouble may leave out of its errors that it is in need still. */
+static bool
+tells_of_limit(const struct backend_response *response)
+{
+	switch (response->limit.kind) {
+	case LIMIT_STATED:
+		return true;
+	case LIMIT_ABSENT:
+		return response->status / 100 == 2;
+	case LIMIT_MALFORMED:
+		return false;
+	}
+	return false;
+}
+
 void
-server_limits_handle_stated(struct server_limits *server_limits,
-    const struct server_start *start, const struct stated_limit *stated,
+server_limits_handle_response(struct server_limits *server_limits,
+    const struct server_start *start, const struct backend_response *response,
     int64_t sent_us, const char *request_id)
 {
+	const struct stated_limit *stated = &response->limit;
 	int64_t now_us = clock_monotonic_us();
 	const struct limit_statement statement = {
 	    .limited = stated->kind == LIMIT_STATED,
@@ -125,7 +141,7 @@
 	};
 	struct message message = {.type = MESSAGE_SERVER_LIMIT};
 
-	if (stated->kind == LIMIT_MALFORMED ||
+	if (!tells_of_limit(response) ||
 	    !limits_apply(limits_of(server_limits), start, &statement))
 		return;
 	trace_limit(
--- a/include/gateway/server_limits.h
+++ b/include/gateway/server_limits.h
@@ -12,7 +12,7 @@
 #include <uthash.h>
 
 #include "dispatch/backends.h"
-#include "dispatch/stated_limit.h"
+#include "platform/request.h"
 
 struct forward;
 struct gateway;
@@ -42,8 +42,8 @@
 void server_limits_destroy(struct server_limits *server_limits);
 /** Applies what a server's response states. sent_us: when the request was sent;
  * request_id: of the request. */
-void server_limits_handle_stated(struct server_limits *server_limits,
-    const struct server_start *start, const struct stated_limit *stated,
+void server_limits_handle_response(struct server_limits *server_limits,
+    const struct server_start *start, const struct backend_response *response,
     int64_t sent_us, const char *request_id);
 /** Returns a server of the request's service that this gateway coordinates and
  * that has not stated its limit for a while, or NULL. Servers with a limit may
