--- a/dispatch/backends.c
+++ b/dispatch/backends.c
@@ -690,7 +690,7 @@
 }
 
 void
-backend_connection_failed(struct backend *backend, int64_t now_us)
+backend_failed(struct backend *backend, int64_t now_us)
 {
 	int64_t avoid_us = AVOID_MIN_US;
 
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -34,6 +34,7 @@
 	EVENT_MAX_BYTES = 256 << 10,
 	/* Data of a retained turn, many times what a turn generates. */
 	TURN_DATA_MAX_BYTES = 1 << 20,
+	STATUS_TIMEOUT = 504,
 };
 
 static void
@@ -355,6 +356,17 @@
 	    stream_break(request, outcome) != NULL;
 }
 
+/* Returns whether the server failed. A 504 may come from the request's own
+ * deadline. */
+static bool
+is_own_error(const struct request *request, const struct h1_outcome *outcome)
+{
+	const struct backend_response *response = &request->attempt->response;
+
+	return outcome->result == H1_COMPLETE && !response->not_executed &&
+	    response->status >= 500 && response->status != STATUS_TIMEOUT;
+}
+
 static bool
 should_retry_server_error(const struct request *request)
 {
@@ -388,9 +400,11 @@
 	    .ended_us = now_us,
 	};
 
-	if (is_success(attempt))
-		affinity_learn(&gateway->blackboard.backends.affinity,
-		    &attempt->affinity, now_us - attempt->started_us);
+	/* Errors tell nothing of how fast a server works. */
+	if (!is_success(attempt))
+		return;
+	affinity_learn(&gateway->blackboard.backends.affinity,
+	    &attempt->affinity, now_us - attempt->started_us);
 	if (!is_stream(request)) {
 		backend_response_completed(
 		    &gateway->blackboard.backends, attempt->backend, &response);
@@ -482,7 +496,7 @@
 	request->kept_connection = outcome->reused;
 	request->unfinished_event_bytes = request->events.pending.len;
 	if (outcome->result == H1_CONNECT_FAILED) {
-		backend_connection_failed(attempt->backend, now_us);
+		backend_failed(attempt->backend, now_us);
 		path_watch_handle_failure(
 		    gateway->path_watch, attempt->backend);
 		if (outcome->refused) {
@@ -498,6 +512,8 @@
 		return;
 	}
 	note_run_end(request, outcome);
+	if (is_own_error(request, outcome))
+		backend_failed(attempt->backend, now_us);
 	if (outcome->result == H1_COMPLETE && attempt->head_received) {
 		if (attempt->response.not_executed) {
 			forward_free(request);
@@ -513,7 +529,7 @@
 		}
 	}
 	if (response_broke_off(request, outcome)) {
-		backend_connection_failed(attempt->backend, now_us);
+		backend_failed(attempt->backend, now_us);
 		path_watch_handle_failure(
 		    gateway->path_watch, attempt->backend);
 	}
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -351,8 +351,7 @@
 	enum attempt_result result = silent_attempt_result(attempt);
 
 	if (result != ATTEMPT_DECLINED)
-		backend_connection_failed(
-		    attempt->backend, clock_monotonic_us());
+		backend_failed(attempt->backend, clock_monotonic_us());
 	if (result == ATTEMPT_UNREACHABLE)
 		path_watch_handle_failure(
 		    request->gateway->path_watch, attempt->backend);
--- a/include/dispatch/backends.h
+++ b/include/dispatch/backends.h
@@ -212,9 +212,10 @@
 /** Records that a request has ended on a server. Frees the server if the list
  * no longer has it and this was its last request. */
 void backend_request_ended(struct backends *backends, struct backend *backend);
-/** Records that connecting to a server failed or that a connection broke, and
- * avoids the server for some time. */
-void backend_connection_failed(struct backend *backend, int64_t now_us);
+/** Records that connecting to a server failed, that a connection broke, or that
+ * the server responded with an error of its own, and avoids the server for some
+ * time. */
+void backend_failed(struct backend *backend, int64_t now_us);
 /** Records a complete non-streamed response. */
 void backend_response_completed(struct backends *backends,
     struct backend *backend, const struct backend_response_time *response);
--- a/tests/test_affinity.c
+++ b/tests/test_affinity.c
@@ -921,7 +921,7 @@
 	home->remote_running = 2 * SLOTS;
 	ck_assert_str_ne(home_of(7, 0), home->entry.id);
 	home->remote_running = 0;
-	backend_connection_failed(home, 0);
+	backend_failed(home, 0);
 	ck_assert_str_ne(home_of(7, 0), home->entry.id);
 	for (int i = 0; i < 50; i++)
 		complete_all(home, ms(250));
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -157,13 +157,13 @@
 
 	add("far", "s", "d2", "r2");
 	ck_assert_str_eq(choose(&request, 0), "near");
-	backend_connection_failed(near, 0);
+	backend_failed(near, 0);
 	ck_assert_str_eq(choose(&request, 0), "far");
 	ck_assert_str_eq(choose(&request, 300L * US_PER_MS), "near");
-	backend_connection_failed(near, 300L * US_PER_MS);
+	backend_failed(near, 300L * US_PER_MS);
 	ck_assert_str_eq(choose(&request, 600L * US_PER_MS), "far");
 	/* If all servers have failed, one of them is chosen nevertheless. */
-	backend_connection_failed(
+	backend_failed(
 	    backends_find(&backends, "far"), 600L * US_PER_MS);
 	ck_assert_str_ne(choose(&request, 600L * US_PER_MS), "none");
 }
@@ -247,7 +247,7 @@
 	struct backend_entry entry = a->entry;
 
 	backend_request_started(&backends, a, &request, 0);
-	backend_connection_failed(a, 0);
+	backend_failed(a, 0);
 	entry.started_wall_ms = 2;
 	ck_assert(backends_update(&backends, &entry, "r1"));
 	ck_assert_uint_eq(
