--- a/gateway/request.c
+++ b/gateway/request.c
@@ -659,12 +659,10 @@
 request_handle_lost_response(struct request *request)
 {
 	request->state = REQUEST_WAITING;
-	request->possible_executions++;
-	if (!request->response_started && may_run_again(request))
-		request_dispatch(request);
-	else
-		request_fail(request, REFUSAL_SERVER_FAILED,
-		    "response of another gateway lost");
+	/* The other gateway may have used all attempts of the route. */
+	request->possible_executions += request->route->max_attempts;
+	request_fail(request, REFUSAL_SERVER_FAILED,
+	    "response of another gateway lost");
 }
 
 static struct request *
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -160,8 +160,8 @@
 /** Returns the priority of the request's workspace, or else of its route; 0 is
  * the most urgent. */
 uint32_t request_priority(const struct request *request);
-/** Handles the loss of a response of another gateway: repeats or fails the
- * request. */
+/** Fails the request, since the response of another gateway is lost, which may
+ * have used all attempts of its route. */
 void request_handle_lost_response(struct request *request);
 /** Sends the request to a backend server. Refuses it if there is none to
  * choose, or fails it if it may have run already. */
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -15,7 +15,8 @@
 	IN_FLIGHT = 64,
 	DETECTED_MS = 3000, /**< after which the calls count */
 	COUNTED_MS = 3000,
-	DRAIN_MS = 2500, /**< of the gateways' settings */
+	DRAIN_MS = 2500,   /**< of the gateways' settings */
+	SAFE_ATTEMPTS = 3, /**< of the route /safe/ */
 	REFUSED_WITHIN_US = 1000 * US_PER_MS,
 };
 
@@ -199,6 +200,28 @@
 }
 END_TEST
 
+/* The other gateway may have used all attempts of the route. */
+START_TEST(lost_gateway_leaves_no_further_attempts)
+{
+	char request[CALL_REQUEST_BYTES];
+	struct http_caller caller;
+	long attempts;
+	int running;
+
+	for (int i = 0; i < GATEWAYS; i++)
+		play(i, 300);
+	cut(0);
+	attempts = cluster_counter(&cluster, 1, "attempts_total");
+	caller = call_start(&cluster, 0, "/safe/slow", NULL, request);
+	usleep(500 * US_PER_MS);
+	running =
+	    cluster_counter(&cluster, 1, "attempts_total") > attempts ? 1 : 2;
+	cluster_signal(&cluster.gateways[running].process, SIGKILL);
+	call_finish(&caller);
+	ck_assert_int_le(run_count(request), SAFE_ATTEMPTS);
+}
+END_TEST
+
 START_TEST(callers_that_leave_are_noticed_over_the_hop)
 {
 	struct http_caller callers[4];
@@ -416,6 +439,7 @@
 	    requests_run_once_over_the_hop,
 	    lost_responses_are_not_said_not_to_have_run,
 	    gateway_that_dies_over_the_hop_leaves_no_false_promise,
+	    lost_gateway_leaves_no_further_attempts,
 	    callers_that_leave_are_noticed_over_the_hop,
 	    programs_go_on_over_the_hop,
 	    gateways_that_are_cut_off_too_are_passed_over,
