A refusal that doesn't say that the request has not run is no promise

A server's own 429, 503, 408 or 421 without Not-Executed was passed on, so that the caller of a request that had run was told that it never will.

Such a response now ends the attempt as one that may have run: the request is repeated where its route allows, and the caller gets a 502 otherwise.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -34,6 +34,10 @@
 	EVENT_MAX_BYTES = 256 << 10,
 	/* Data of a retained turn, many times what a turn generates. */
 	TURN_DATA_MAX_BYTES = 1 << 20,
+	STATUS_REQUEST_TIMEOUT = 408,
+	STATUS_MISDIRECTED = 421,
+	STATUS_TOO_MANY = 429,
+	STATUS_UNAVAILABLE = 503,
 	STATUS_TIMEOUT = 504,
 };
 
@@ -135,13 +139,21 @@
 	buf_reset(&out);
 }
 
+/* A status that promises callers that the request has not run. */
+static bool
+promises_no_run(int status)
+{
+	return status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE ||
+	    status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED;
+}
+
 static bool
 response_is_acceptable(const struct request *request)
 {
 	const struct backend_response *response = &request->attempt->response;
 
 	return response->matches_request && response->has_signature &&
-	    !response->not_executed;
+	    !response->not_executed && !promises_no_run(response->status);
 }
 
 /* Ends an attempt whose response is not passed on and has no end in sight. */
@@ -344,6 +356,8 @@
 	case H1_CONNECT_FAILED:
 		break;
 	}
+	if (promises_no_run(request->attempt->response.status))
+		return "refusal that does not say not executed";
 	return "answer of no server";
 }
 
--- a/tests/test_server_errors.c
+++ b/tests/test_server_errors.c
@@ -66,12 +66,27 @@
 }
 END_TEST
 
+/* To callers, 503 is a promise that the request has not run. */
+START_TEST(refusal_that_does_not_say_not_executed_is_no_promise)
+{
+	struct answer answer;
+
+	for (int i = 0; i < SERVERS; i++)
+		cluster_set_trouble(&cluster, i, "busy");
+	answer = call_once(&cluster, 0, "/once/x", NULL);
+	ck_assert_int_eq(answer.status, 502);
+	ck_assert_int_eq(
+	    cluster_request_run_count(&cluster, answer.request), 1);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
 	const TTest *tests[] = {
 	    server_that_fails_fast_gets_no_more_than_its_share,
 	    server_that_fails_fast_is_not_tried_first_by_each_call,
+	    refusal_that_does_not_say_not_executed_is_no_promise,
 	};
 
 	build_dir = argc > 1 ? argv[1] : "build";
