Soak: servers that fail requests without ending

A server of "tools" responds for up to 3 s to all its requests with an own 500 or 504, an early 400, or a refusal that does not say 'not executed', among servers that requests crash. What reaches servers is counted as before: a run that only failed is no crash, but counts as a send after the third crash.

--- a/standins/runner.c
+++ b/standins/runner.c
@@ -553,6 +553,8 @@
 	static const char text[] = "in trouble";
 
 	record_run(request_id);
+	printf("failed %s\n", request_id);
+	fflush(stdout);
 	if (trouble == TROUBLE_CUT) {
 		begin_unframed_response(exchange, request_id);
 		h1_respond_end(exchange);
--- a/tests/soak/crashers.c
+++ b/tests/soak/crashers.c
@@ -195,12 +195,14 @@
 	return true;
 }
 
+/* Returns whether a server has noted the request: "ran", and also "failed" if
+ * it did not crash. */
 static bool
-has_run(struct buf *runs, const char *request)
+is_noted(struct buf *runs, const char *note, const char *request)
 {
-	char line[NAME_MAX_BYTES + 8];
+	char line[NAME_MAX_BYTES + 16];
 
-	snprintf(line, sizeof(line), "ran %s\n", request);
+	snprintf(line, sizeof(line), "%s %s\n", note, request);
 	return strstr(buf_text(runs), line) != NULL;
 }
 
@@ -215,13 +217,15 @@
 	for (size_t i = 0; i < crashers->send_count; i++) {
 		const struct send *send = &crashers->sends[i];
 
-		if (send->crasher != number || !has_run(runs, send->request))
+		if (send->crasher != number ||
+		    !is_noted(runs, "ran", send->request))
 			continue;
-		if (++crashes == CRASHES)
-			third_us = send->sent_us;
-		if (crashes > CRASHES && send->settled &&
+		if (crashes >= CRASHES && send->settled &&
 		    send->sent_us - third_us > (int64_t)SETTLE_US)
 			after++;
+		if (!is_noted(runs, "failed", send->request) &&
+		    ++crashes == CRASHES)
+			third_us = send->sent_us;
 	}
 	soak_log(crashers->soak, "crasher %d: %d crashes, %d after", number,
 	    crashes, after);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -39,8 +39,9 @@
 	FAULT_SERVER_LEAVE,
 	FAULT_SERVER_LEAVE_UNLISTED,
 	FAULT_SERVER_KILL,
-	FAULT_SERVER_PATHS, /* a gateway loses all servers */
-	FAULT_SERVER_LIMIT, /* a server limits its requests */
+	FAULT_SERVER_PATHS,   /* a gateway loses all servers */
+	FAULT_SERVER_LIMIT,   /* a server limits its requests */
+	FAULT_SERVER_TROUBLE, /* a server fails its requests */
 	FAULT_KIND_COUNT,
 };
 
@@ -312,6 +313,9 @@
 	case FAULT_SERVER_LIMIT:
 		servers_limit(faults->soak->servers, choose_server(faults));
 		break;
+	case FAULT_SERVER_TROUBLE:
+		servers_trouble(faults->soak->servers, choose_server(faults));
+		break;
 	case FAULT_CONFIG:
 	case FAULT_KIND_COUNT:
 		cluster_publish(&faults->soak->cluster, "");
--- a/tests/soak/servers.c
+++ b/tests/soak/servers.c
@@ -18,6 +18,8 @@
 	 * caller sends later than this must not reach the server: drain of the
 	 * gateways' settings. */
 	DRAIN_US = 2500 * US_PER_MS,
+	TROUBLE_MIN_MS = 500,
+	TROUBLE_MAX_MS = 3000,
 	LIMIT_MIN_MS = 4000,
 	LIMIT_MAX_MS = 8000,
 	/* After a server has stated a limit, it is not checked for this time,
@@ -42,7 +44,8 @@
 	int64_t started_us;
 	int limit_per_s; /* 0: none */
 	int64_t limited_us;
-	int64_t limit_due_us; /* end of the limit */
+	int64_t limit_due_us;   /* end of the limit */
+	int64_t trouble_due_us; /* end of its trouble; 0: none */
 	/* Requests from gateways that know of the limit, a ring. */
 	int64_t arrivals_us[ARRIVALS_MAX];
 	size_t arrival_count;
@@ -74,14 +77,20 @@
 	    US_PER_MS;
 }
 
-/* Returns whether another server of the same service is up. Services alternate
- * in pairs, as start_run() adds them. */
+/* Services alternate in pairs, as start_run() adds them. */
+static bool
+is_model_server(int number)
+{
+	return number % 4 < 2;
+}
+
+/* Returns whether another server of the same service is up. */
 static bool
 has_substitute(const struct servers *servers, int number)
 {
 	for (int i = 0; i < servers->soak->cluster.server_count; i++) {
 		if (i != number && servers->servers[i].state == SERVER_UP &&
-		    (i % 4 < 2) == (number % 4 < 2))
+		    is_model_server(i) == is_model_server(number))
 			return true;
 	}
 	return false;
@@ -145,6 +154,23 @@
 	cluster_state_limit(&servers->soak->cluster, number, value);
 }
 
+void
+servers_trouble(struct servers *servers, int number)
+{
+	static const char *const troubles[] = {
+	    "error", "timeout", "busy", "reject"};
+	struct server *server = &servers->servers[number];
+	const char *trouble = troubles[rng_below(
+	    &servers->soak->rng, sizeof(troubles) / sizeof(troubles[0]))];
+
+	if (server->state != SERVER_UP || is_model_server(number))
+		return;
+	server->trouble_due_us =
+	    random_time_us(servers, TROUBLE_MIN_MS, TROUBLE_MAX_MS);
+	soak_log(servers->soak, "server %d: %s", number, trouble);
+	cluster_set_trouble(&servers->soak->cluster, number, trouble);
+}
+
 static void
 restart(struct servers *servers, int number)
 {
@@ -155,6 +181,7 @@
 		    servers->soak, "server %d does not start again", number);
 	server->state = SERVER_UP;
 	server->started_us = clock_monotonic_us();
+	server->trouble_due_us = 0;
 	end_limit(servers, number);
 	for (int i = 0; i < CLUSTER_MAX_GATEWAYS; i++)
 		servers->leaving_since_us[i][number] = 0;
@@ -193,6 +220,11 @@
 		}
 		if (server->state == SERVER_DOWN && server->due_us <= now_us)
 			restart(servers, i);
+		if (server->state == SERVER_UP && server->trouble_due_us != 0 &&
+		    server->trouble_due_us <= now_us) {
+			cluster_set_trouble(&servers->soak->cluster, i, "");
+			server->trouble_due_us = 0;
+		}
 		if (server->state == SERVER_UP && server->limit_per_s != 0 &&
 		    server->limit_due_us <= now_us) {
 			cluster_state_limit(&servers->soak->cluster, i, "");
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -101,6 +101,9 @@
 void servers_kill(struct servers *servers, int number);
 /** Makes a server limit the rate of its requests for some seconds. */
 void servers_limit(struct servers *servers, int number);
+/** Makes a server of "tools" fail all its requests in a way of its own for a
+ * while, without ending. */
+void servers_trouble(struct servers *servers, int number);
 /** Takes the steps that are due; with all set, every one. */
 void servers_step(struct servers *servers, bool all);
 /** Notes that a gateway was frozen or starts anew, and need not know which
