--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -91,7 +91,10 @@
 START_TEST(trials_that_end_in_errors_stay_few)
 {
 	static struct suspects suspects;
+	static struct suspects other;
+	struct suspect_crash list[LIST_MAX];
 	struct suspect_crash trial;
+	size_t count;
 	int trials = 0;
 
 	for (int64_t i = 0; i < 3; i++)
@@ -100,6 +103,14 @@
 		trials +=
 		    suspects_take_trial(&suspects, 1, &trial, s * US_PER_S);
 	ck_assert_int_le(trials, SUSPECT_SENDS_AFTER - 1);
+	/* Another VM that coordinates it from now on knows of them. */
+	count = suspects_list(&suspects, list, LIST_MAX);
+	for (size_t i = 0; i < count; i++)
+		suspects_join(&other, &list[i]);
+	ck_assert(suspects_refuse(&other, 1));
+	ck_assert(!suspects_take_trial(
+	    &other, 1, &trial, (int64_t)REAL_DAY_S * US_PER_S));
+	suspects_reset(&other);
 	/* It is not refused for good. */
 	for (int64_t s = REAL_DAY_S; s < 3 * REAL_DAY_S; s++)
 		trials +=
