--- a/gateway/request.c
+++ b/gateway/request.c
@@ -661,8 +661,8 @@
 	request->state = REQUEST_WAITING;
 	/* The other gateway may have used all attempts of the route. */
 	request->possible_executions += request->route->max_attempts;
-	request_fail(request, REFUSAL_SERVER_FAILED,
-	    "response of another gateway lost");
+	request_fail(
+	    request, REFUSAL_SERVER_FAILED, "response of another gateway lost");
 }
 
 static struct request *
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -163,8 +163,7 @@
 	backend_failed(near, 300L * US_PER_MS);
 	ck_assert_str_eq(choose(&request, 600L * US_PER_MS), "far");
 	/* If all servers have failed, one of them is chosen nevertheless. */
-	backend_failed(
-	    backends_find(&backends, "far"), 600L * US_PER_MS);
+	backend_failed(backends_find(&backends, "far"), 600L * US_PER_MS);
 	ck_assert_str_ne(choose(&request, 600L * US_PER_MS), "none");
 }
 END_TEST
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -112,7 +112,7 @@
 	    &other, 1, &trial, (int64_t)REAL_DAY_S * US_PER_S));
 	suspects_reset(&other);
 	/* It is not refused for good. */
-	for (int64_t s = REAL_DAY_S; s < 3 * REAL_DAY_S; s++)
+	for (int64_t s = REAL_DAY_S; s < (int64_t)3 * REAL_DAY_S; s++)
 		trials +=
 		    suspects_take_trial(&suspects, 1, &trial, s * US_PER_S);
 	ck_assert_int_ge(trials, SUSPECT_SENDS_AFTER);
@@ -331,7 +331,8 @@
 START_TEST(runs_at_a_server_that_lives_on_are_dropped)
 {
 	static struct unfinished unfinished;
-	struct unfinished_run run = suspect_run(1, 5, US_PER_S, 2 * US_PER_S);
+	struct unfinished_run run =
+	    suspect_run(1, 5, US_PER_S, (int64_t)2 * US_PER_S);
 	int64_t late_us = run.ended_us + LISTED_LONG_US;
 
 	unfinished_add(&unfinished, &run);
