A completed request drops its unfinished runs; mirrored lists have no gaps

A request whose caller left, and which completed afterwards, kept the broken run as evidence for 8 s: it is dropped now, as a completed request crashes not every server. A gateway that mirrors the list of another one counted each moment in which it was behind as a gap, and so kept runs for 60 s while the list changed all the time; it is current as long as that gateway reads the list.

--- a/dispatch/unfinished.c
+++ b/dispatch/unfinished.c
@@ -7,8 +7,8 @@
 	/* Longer than usual outages of the store, which delay what the list
 	 * tells. */
 	KEEP_US = 60 * US_PER_S,
-	/* An entry of the list lapses three heartbeats of a server after its
-	 * last one, with heartbeats of 1.2 seconds. */
+	/* More than twice the time after which an entry lapses: three
+	 * heartbeats of 1.2 seconds. */
 	LISTED_US = 8 * US_PER_S,
 	/* A server that has ended refuses connections at once, so later tries
 	 * to connect find out nothing new. */
@@ -96,6 +96,18 @@
 	    };
 }
 
+void
+unfinished_request_completed(
+    struct unfinished *unfinished, uint64_t fingerprint)
+{
+	if (unfinished->used == 0)
+		return;
+	for (size_t i = 0; i < UNFINISHED_MAX; i++) {
+		if (unfinished->runs[i].fingerprint == fingerprint)
+			drop(unfinished, &unfinished->runs[i]);
+	}
+}
+
 size_t
 unfinished_drop_listed(
     struct unfinished *unfinished, int64_t listed_since_us, int64_t now_us)
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -299,6 +299,7 @@
 
 	if (known != NULL)
 		before = *known;
+	unfinished_request_completed(&quarantine->unfinished, fingerprint);
 	if (!suspects_clear(&quarantine->suspects, fingerprint, &cleared,
 		clock_monotonic_us()))
 		return;
--- a/gateway/server_watch.c
+++ b/gateway/server_watch.c
@@ -517,9 +517,7 @@
 	if (!gateway->blackboard.backends_loaded || watch->expired_count > 0)
 		return false;
 	if (watch->mirrored)
-		return find_reader(watch, &reader) &&
-		    reader.servers_digest ==
-		    gateway->blackboard.backends.digest;
+		return find_reader(watch, &reader);
 	return !watch->read_failed &&
 	    clock_monotonic_us() - read_us <= 2 * poll_interval_us(watch);
 }
--- a/include/dispatch/unfinished.h
+++ b/include/dispatch/unfinished.h
@@ -63,6 +63,9 @@
  * more. */
 void unfinished_server_responds(struct unfinished *unfinished,
     const struct server_start *start, int64_t since_us);
+/** Drops the runs of a request that has completed. */
+void unfinished_request_completed(
+    struct unfinished *unfinished, uint64_t fingerprint);
 /** Drops the runs at servers that were still listed long enough after them.
  * listed_since_us: since when the list has been read without a gap. Returns
  * their number. */
--- a/include/gateway/gateway.h
+++ b/include/gateway/gateway.h
@@ -133,7 +133,7 @@
 struct server_watch *server_watch_create(struct gateway *gateway);
 void server_watch_destroy(struct server_watch *watch);
 /** Sends the list to another gateway, unless it can't be read at present. */
-/** Returns whether the list of servers is known as of a moment ago. */
+/** Returns whether the list of servers is known as of a second ago or less. */
 bool server_watch_is_current(const struct server_watch *watch);
 void server_watch_send_list(struct server_watch *watch, const char *vm);
 /** Asks the gateway that reads the list for this failure domain for its list if
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -348,6 +348,19 @@
 }
 END_TEST
 
+START_TEST(runs_of_a_request_that_has_completed_are_dropped)
+{
+	static struct unfinished unfinished;
+	struct unfinished_run run = suspect_run(1, 5, 100, 200);
+	struct unfinished_run other = suspect_run(2, 5, 100, 200);
+
+	unfinished_add(&unfinished, &run);
+	unfinished_add(&unfinished, &other);
+	unfinished_request_completed(&unfinished, 1);
+	ck_assert_uint_eq(count_ended(&unfinished, &run.start, 400), 1);
+}
+END_TEST
+
 /* A new process may serve at its address before the list shows it. */
 START_TEST(response_from_the_address_of_a_server_excuses_no_run)
 {
@@ -458,6 +471,7 @@
 	    crashes_join_alike_in_any_order,
 	    memory_is_bounded_and_repeated_suspects_stay,
 	    runs_at_a_server_that_lives_on_are_dropped,
+	    runs_of_a_request_that_has_completed_are_dropped,
 	    response_from_the_address_of_a_server_excuses_no_run,
 	    server_that_the_list_removed_during_a_run_has_crashed,
 	    many_runs_at_a_server_in_trouble_push_out_no_other_run,
