Tests: one count of a server's runs; a comment in its place

Two test programs counted the runs of a server by the same code; the cluster of stand-ins has it now.

--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -329,6 +329,22 @@
 	}
 }
 
+int
+cluster_run_count(const struct cluster *cluster, int server)
+{
+	struct http_reply reply;
+	const char *line;
+	int runs = 0;
+
+	http_call_once(cluster->servers[server].port, "GET", "/stand-in/runs",
+	    "Host: x\r\n", "", 0, CALL_TIMEOUT_MS, &reply);
+	for (line = buf_text(&reply.body); (line = strchr(line, '\n')) != NULL;
+	     line++)
+		runs++;
+	http_reply_reset(&reply);
+	return runs;
+}
+
 int
 cluster_request_run_count(const struct cluster *cluster, const char *request)
 {
--- a/standins/cluster.h
+++ b/standins/cluster.h
@@ -141,6 +141,8 @@
 /** Reads which requests the servers have run since the start of the cluster,
  * those of servers that have ended included: a line "ran ID" for each run. */
 void cluster_read_runs(const struct cluster *cluster, struct buf *runs);
+/** Returns how often requests have run on a server since its start. */
+int cluster_run_count(const struct cluster *cluster, int server);
 /** Returns how often the request with an id has run, summed over all running
  * servers. */
 int
--- a/tests/suspect_days.c
+++ b/tests/suspect_days.c
@@ -28,8 +28,8 @@
 	MESSAGES_MAX = 1 << 16,
 	RECORDS_MAX = 4096,
 	LIST_MAX = 512,
-	/* Of the servers, in a day with servers in trouble. */
 	ENDS_MAX = 16, /* of servers that a VM has not noticed yet */
+	/* Of the servers, in a day with servers in trouble. */
 	IN_TROUBLE_PERCENT = 35,
 	/* Of the crashes, those after which a new process serves at the address
 	 * before the list shows it. */
--- a/tests/test_crash_signals.c
+++ b/tests/test_crash_signals.c
@@ -86,7 +86,7 @@
 }
 END_TEST
 
-START_TEST(unsaid_refusals_of_servers_do_not_clear_a_request)
+START_TEST(unmarked_refusals_of_servers_do_not_clear_a_request)
 {
 	check_trouble("/once/crash", "busy");
 }
@@ -170,7 +170,7 @@
 	    own_errors_of_servers_do_not_clear_a_request,
 	    own_errors_of_servers_do_not_clear_a_repeatable_request,
 	    own_timeouts_of_servers_do_not_clear_a_request,
-	    unsaid_refusals_of_servers_do_not_clear_a_request,
+	    unmarked_refusals_of_servers_do_not_clear_a_request,
 	    early_rejections_of_servers_do_not_clear_a_request,
 	    responses_that_end_with_their_connection_do_not_clear_a_request,
 	    server_that_ends_within_a_response_without_a_length_has_crashed,
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -1,6 +1,5 @@
 #include <signal.h>
 #include <stdlib.h>
-#include <string.h>
 #include <unistd.h>
 
 #include "common/clock.h"
@@ -200,23 +199,6 @@
 }
 END_TEST
 
-/* Returns how often requests have run on a server. */
-static int
-count_runs(int server)
-{
-	struct http_reply reply;
-	const char *line;
-	int count = 0;
-
-	http_call_once(cluster.servers[server].port, "GET", "/stand-in/runs",
-	    "Host: x\r\n", "", 0, CALL_MS, &reply);
-	for (line = buf_text(&reply.body); (line = strchr(line, '\n')) != NULL;
-	     line++)
-		count++;
-	http_reply_reset(&reply);
-	return count;
-}
-
 /* Its errors do not say that it is in need still. */
 START_TEST(errors_of_a_server_in_need_do_not_end_its_limit)
 {
@@ -225,10 +207,10 @@
 	cluster_state_limit(&cluster, 0, "1");
 	play_load(3000);
 	cluster_set_trouble(&cluster, 0, "error");
-	before = count_runs(0);
+	before = cluster_run_count(&cluster, 0);
 	play_load(WINDOW_US / US_PER_MS);
-	ck_assert_int_le(
-	    count_runs(0) - before, (int)(1.5 * WINDOW_US / US_PER_S) + 5);
+	ck_assert_int_le(cluster_run_count(&cluster, 0) - before,
+	    (int)(1.5 * WINDOW_US / US_PER_S) + 5);
 }
 END_TEST
 
--- a/tests/test_server_errors.c
+++ b/tests/test_server_errors.c
@@ -2,7 +2,6 @@
  * and the fewest requests under way. It must not attract the others' requests.
  */
 #include <signal.h>
-#include <string.h>
 
 #include "tests/crash_fixture.h"
 
@@ -13,23 +12,6 @@
 
 static const char WORKING_SERVER[] = "--work-ms 50 --slots 20";
 
-/* Returns how many of the calls a server has run. */
-static int
-count_runs(int server)
-{
-	struct http_reply reply;
-	const char *line;
-	int count = 0;
-
-	http_call_once(cluster.servers[server].port, "GET", "/stand-in/runs",
-	    "Host: x\r\n", "", 0, CALL_MS, &reply);
-	for (line = buf_text(&reply.body); (line = strchr(line, '\n')) != NULL;
-	     line++)
-		count++;
-	http_reply_reset(&reply);
-	return count;
-}
-
 /* Lets one server respond with errors and checks that it gets no more than its
  * share of calls. Returns the number of calls that were answered with 200. */
 static int
@@ -50,7 +32,7 @@
 			callers[i % IN_FLIGHT] = call_start(
 			    &cluster, i % GATEWAYS, target, NULL, request);
 	}
-	ck_assert_int_le(count_runs(0), CALLS / SERVERS);
+	ck_assert_int_le(cluster_run_count(&cluster, 0), CALLS / SERVERS);
 	return served;
 }
 
