test-suspects: two checks that the change of the signs of life had dropped

Before the cases of unfinished runs asserted that a response to a request sent before the connection broke, and one of a later start, tell nothing of a run. Responses drop no run any more, but they end the search by connections, and neither was checked for that. Both are asserted again.

--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -369,6 +369,11 @@
 	size_t cursor = 0;
 
 	unfinished_add(&unfinished, &run);
+	ck_assert_ptr_nonnull(
+	    unfinished_next_broken(&unfinished, 300, &cursor));
+	/* Sent before the connection broke, so it tells nothing. */
+	unfinished_server_responds(&unfinished, &run.start, 150);
+	cursor = 0;
 	ck_assert_ptr_nonnull(
 	    unfinished_next_broken(&unfinished, 300, &cursor));
 	unfinished_server_responds(&unfinished, &run.start, 300);
@@ -442,8 +447,12 @@
 	struct server_start earlier = {.server = 5, .started_wall_ms = 0};
 	struct server_start later = {.server = 5, .started_wall_ms = 2};
 	struct unfinished_run ended[4];
+	size_t cursor = 0;
 
 	unfinished_add(&unfinished, &run);
+	unfinished_server_responds(&unfinished, &later, 300);
+	ck_assert_ptr_nonnull(
+	    unfinished_next_broken(&unfinished, 300, &cursor));
 	ck_assert_uint_eq(
 	    unfinished_server_ended(&unfinished, &earlier, 300, ended, 4), 0);
 	ck_assert_uint_eq(
