test-workspace-keys: wait until the killed server has been met

Cause: two servers, one killed; each call meets it with probability 1/2, and the gateway writes its log every 100 ms, while ten calls take some 200 ms. If the first six calls or so meet the other server, "attempt_failed" is not in the file yet when the test looks. The log of the red run: calls 0 to 5 at the other server, the last four not written yet.

--- a/tests/test_workspace_keys.c
+++ b/tests/test_workspace_keys.c
@@ -12,6 +12,8 @@
 	/* The last third of the gateways, whose path to the store is cut. */
 	FIRST_WITHOUT_STORE = 4,
 	CALL_MS = 5000,
+	CALLS_MIN = 10, /* at a server that is killed, or at another one */
+	CALLS_MAX = 50, /* until one of them has met the killed server */
 	FIELDS_BYTES = 512,
 	ID_BYTES = 32,
 	NAME_FIELD_BYTES = 64,
@@ -214,7 +216,10 @@
 
 	usleep(LISTED_MS * US_PER_MS);
 	cluster_signal(&cluster.servers[server], SIGKILL);
-	for (int i = 0; i < 10; i++) {
+	for (int i = 0; i < CALLS_MAX &&
+	     (i < CALLS_MIN ||
+		 !cluster_has_logged(&cluster, 0, "attempt_failed"));
+	     i++) {
 		struct result result = call(0, "/safe/x", "key-a", "");
 
 		ck_assert_int_eq(result.status, 200);
