Suspects: unfinished runs outlive their gateways in the store

Cause: while it is not clear whether a server has ended, only the gateway that sent the request knows of the run, for up to eight seconds when only the list can tell (a server that fell silent; a new process at its address). If all VMs die in these seconds, the evidence is gone, as often as they do.

A run of a request under suspicion is now written to the topic keyed.runs at once, one of another request when its connection broke and 100 ms have not shown the server's end. Gateways that start read the topic once and adopt the runs; the list shows them whether the server lives on. The record goes when the crash is written, the request completes, or the server lives.

The queue of writes to a keyed topic is code of its own now (keyed_writer), for both topics.

--- a/dispatch/suspects.c
+++ b/dispatch/suspects.c
@@ -13,6 +13,8 @@
 	/* Longer than a message takes to all VMs. */
 	SPREAD_US = 300 * US_PER_MS,
 	ASK_INTERVAL_US = 1 * US_PER_S,
+	/* Time to find out by a connection that a server has ended. */
+	FIND_OUT_US = 100 * US_PER_MS,
 };
 
 /* Time without a crash or a trial before the next trial, by the number of sends
@@ -239,31 +241,80 @@
 	suspects->digest = digest;
 }
 
-static uint64_t *
-completed_slot(struct suspects *suspects, uint64_t fingerprint)
+static bool
+has_completed(const struct suspects *suspects, uint64_t fingerprint)
+{
+	return suspects->completed[fingerprint % SUSPECT_COMPLETED_KEPT] ==
+	    fingerprint;
+}
+
+/* Returns what a run counts as if its server ends. suspect: NULL if there is no
+ * suspicion yet. */
+static struct suspect_crash
+crash_of(const struct suspects *suspects, const struct suspect *suspect,
+    const struct unfinished_run *run)
 {
-	return &suspects->completed[fingerprint % SUSPECT_COMPLETED_KEPT];
+	struct suspect_crash crash = {
+	    .fingerprint = run->fingerprint,
+	    .epoch = suspect != NULL ? suspect->epoch : 0,
+	    .round = 1,
+	    .crash = unfinished_crash(&run->start),
+	    .crashed_us = run->ended_us,
+	};
+
+	if (suspect != NULL && suspect->crash_count > 0)
+		crash.round = round_at(suspect, run->sent_us) + 1;
+	else if (has_completed(suspects, run->fingerprint))
+		crash.round = 0;
+	return crash;
 }
 
 bool
-suspects_add_run(struct suspects *suspects, const struct unfinished_run *run,
-    struct suspect_crash *added)
+suspects_foresee_crash(const struct suspects *suspects,
+    const struct unfinished_run *run, struct suspect_crash *crash,
+    int64_t now_us)
 {
-	uint64_t crash = hash_bytes(&run->start, sizeof(run->start), 0);
-	struct suspect *suspect = find_or_add(suspects, run->fingerprint);
-	bool excused = suspect->crash_count == 0 &&
-	    *completed_slot(suspects, run->fingerprint) == run->fingerprint;
+	struct suspect *suspect = find(suspects, run->fingerprint);
 
+	if ((suspect == NULL || suspect->crash_count == 0) &&
+	    (!run->broken || now_us - run->ended_us < FIND_OUT_US))
+		return false;
+	*crash = crash_of(suspects, suspect, run);
+	return suspect == NULL || find_crash(suspect, crash->crash) == NULL;
+}
+
+/* Adds the crash of a server under a run that the store had. */
+static bool
+add_adopted_run(struct suspects *suspects, const struct unfinished_run *run,
+    struct suspect_crash *added)
+{
 	*added = (struct suspect_crash){
 	    .fingerprint = run->fingerprint,
-	    .epoch = suspect->epoch,
-	    .round = excused ? 0 : round_at(suspect, run->sent_us) + 1,
-	    .crash = crash,
+	    .epoch = run->epoch,
+	    .round = run->round,
+	    .crash = unfinished_crash(&run->start),
 	    .crashed_us = run->ended_us,
 	};
+	if (!suspects_join(suspects, added))
+		return false;
+	suspects->changed_us = run->ended_us;
+	return true;
+}
+
+bool
+suspects_add_run(struct suspects *suspects, const struct unfinished_run *run,
+    struct suspect_crash *added)
+{
+	struct suspect *suspect;
+
+	if (run->adopted)
+		return add_adopted_run(suspects, run, added);
+	suspect = find_or_add(suspects, run->fingerprint);
+	*added = crash_of(suspects, suspect, run);
 	/* What accepts connections for a server that has ended, and closes
 	 * them, does not make it end again. */
-	if (find_crash(suspect, crash) != NULL || !add_crash(suspect, added))
+	if (find_crash(suspect, added->crash) != NULL ||
+	    !add_crash(suspect, added))
 		return false;
 	suspects->changed_us = run->ended_us;
 	update_digest(suspects);
@@ -324,7 +375,7 @@
 {
 	struct suspect *suspect = find(suspects, fingerprint);
 
-	*completed_slot(suspects, fingerprint) = fingerprint;
+	suspects->completed[fingerprint % SUSPECT_COMPLETED_KEPT] = fingerprint;
 	if (suspect == NULL || suspect->crash_count == 0)
 		return false;
 	start_epoch(suspect, suspect->epoch + 1);
--- a/dispatch/unfinished.c
+++ b/dispatch/unfinished.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "common/clock.h"
+#include "common/hash.h"
 #include "dispatch/unfinished.h"
 
 enum {
@@ -15,6 +16,20 @@
 	BROKEN_LATELY_US = 5 * US_PER_S,
 };
 
+uint64_t
+unfinished_crash(const struct server_start *start)
+{
+	return hash_bytes(start, sizeof(*start), 0);
+}
+
+/* Returns the number of entries that have been in use. */
+static size_t
+entry_count(const struct unfinished *unfinished)
+{
+	return unfinished->next < UNFINISHED_MAX ? unfinished->next
+						 : UNFINISHED_MAX;
+}
+
 static bool
 is_same_start(
     const struct server_start *first, const struct server_start *second)
@@ -37,47 +52,102 @@
 	return false;
 }
 
+static struct unfinished_run *
+find_run(struct unfinished *unfinished, uint64_t fingerprint,
+    const struct server_start *start)
+{
+	for (size_t i = 0; i < entry_count(unfinished); i++) {
+		struct unfinished_run *run = &unfinished->runs[i];
+
+		if (run->fingerprint == fingerprint &&
+		    is_same_start(&run->start, start))
+			return run;
+	}
+	return NULL;
+}
+
 /* Returns the entry of an earlier run of the request at the same server, whose
  * end tells the same, or else the oldest entry. */
 static struct unfinished_run *
 find_slot(struct unfinished *unfinished, const struct unfinished_run *run)
 {
-	for (size_t i = 0; i < UNFINISHED_MAX; i++) {
-		struct unfinished_run *known = &unfinished->runs[i];
+	struct unfinished_run *known =
+	    find_run(unfinished, run->fingerprint, &run->start);
 
-		if (known->fingerprint == run->fingerprint &&
-		    is_same_start(&known->start, &run->start))
-			return known;
-	}
-	return &unfinished->runs[unfinished->next++ % UNFINISHED_MAX];
+	return known != NULL
+	    ? known
+	    : &unfinished->runs[unfinished->next++ % UNFINISHED_MAX];
 }
 
 bool
 unfinished_add(struct unfinished *unfinished, const struct unfinished_run *run)
 {
 	struct unfinished_run *slot = find_slot(unfinished, run);
+	struct unfinished_run added = *run;
 
 	if (slot->fingerprint == 0)
 		unfinished->used++;
-	*slot = *run;
+	if (slot->fingerprint == run->fingerprint && slot->recorded) {
+		added.recorded = true;
+		added.epoch = slot->epoch;
+		added.round = slot->round;
+	}
+	*slot = added;
 	return has_ended_since(unfinished, run);
 }
 
+void
+unfinished_adopt(
+    struct unfinished *unfinished, const struct unfinished_run *run)
+{
+	if (find_run(unfinished, run->fingerprint, &run->start) == NULL)
+		unfinished_add(unfinished, run);
+}
+
+const struct server_start *
+unfinished_next_adopted(const struct unfinished *unfinished, size_t *cursor)
+{
+	if (unfinished->used == 0)
+		return NULL;
+	while (*cursor < entry_count(unfinished)) {
+		const struct unfinished_run *run =
+		    &unfinished->runs[(*cursor)++];
+
+		if (run->fingerprint != 0 && run->adopted)
+			return &run->start;
+	}
+	return NULL;
+}
+
 void
 unfinished_server_responds(struct unfinished *unfinished,
     const struct server_start *start, int64_t since_us)
 {
 	if (unfinished->used == 0)
 		return;
-	for (size_t i = 0; i < UNFINISHED_MAX; i++) {
+	for (size_t i = 0; i < entry_count(unfinished); i++) {
 		struct unfinished_run *run = &unfinished->runs[i];
 
 		if (is_same_start(&run->start, start) &&
 		    run->ran_until_us <= since_us)
-			run->broken = false;
+			run->address_serves = true;
 	}
 }
 
+struct unfinished_run *
+unfinished_next_unrecorded(struct unfinished *unfinished, size_t *cursor)
+{
+	if (unfinished->used == 0)
+		return NULL;
+	while (*cursor < entry_count(unfinished)) {
+		struct unfinished_run *run = &unfinished->runs[(*cursor)++];
+
+		if (run->fingerprint != 0 && !run->recorded)
+			return run;
+	}
+	return NULL;
+}
+
 static void
 drop(struct unfinished *unfinished, struct unfinished_run *run)
 {
@@ -85,6 +155,26 @@
 	unfinished->used--;
 }
 
+/* Drops a run. If the store has it, unfinished_take_released() tells of it. */
+static void
+release(struct unfinished *unfinished, struct unfinished_run *run)
+{
+	if (run->recorded &&
+	    unfinished->released_count < UNFINISHED_RELEASED_KEPT)
+		unfinished->released[unfinished->released_count++] = *run;
+	drop(unfinished, run);
+}
+
+bool
+unfinished_take_released(
+    struct unfinished *unfinished, struct unfinished_run *run)
+{
+	if (unfinished->released_count == 0)
+		return false;
+	*run = unfinished->released[--unfinished->released_count];
+	return true;
+}
+
 void
 unfinished_note_end(struct unfinished *unfinished,
     const struct server_start *start, int64_t now_us)
@@ -102,9 +192,9 @@
 {
 	if (unfinished->used == 0)
 		return;
-	for (size_t i = 0; i < UNFINISHED_MAX; i++) {
+	for (size_t i = 0; i < entry_count(unfinished); i++) {
 		if (unfinished->runs[i].fingerprint == fingerprint)
-			drop(unfinished, &unfinished->runs[i]);
+			release(unfinished, &unfinished->runs[i]);
 	}
 }
 
@@ -116,7 +206,7 @@
 
 	if (unfinished->used == 0)
 		return 0;
-	for (size_t i = 0; i < UNFINISHED_MAX; i++) {
+	for (size_t i = 0; i < entry_count(unfinished); i++) {
 		struct unfinished_run *run = &unfinished->runs[i];
 		int64_t since_us = run->ran_until_us > listed_since_us
 		    ? run->ran_until_us
@@ -124,7 +214,7 @@
 
 		if (run->fingerprint == 0 || now_us - since_us < LISTED_US)
 			continue;
-		drop(unfinished, run);
+		release(unfinished, run);
 		dropped++;
 	}
 	return dropped;
@@ -149,15 +239,18 @@
 
 	if (unfinished->used == 0)
 		return 0;
-	for (size_t i = 0; i < UNFINISHED_MAX && count < max; i++) {
+	for (size_t i = 0; i < entry_count(unfinished) && count < max; i++) {
 		struct unfinished_run *run = &unfinished->runs[i];
 
 		if (run->fingerprint == 0 ||
 		    run->start.server != start->server ||
 		    run->start.started_wall_ms > start->started_wall_ms)
 			continue;
-		if (now_us - run->ended_us <= KEEP_US)
-			runs[count++] = *run;
+		if (now_us - run->ended_us > KEEP_US) {
+			release(unfinished, run);
+			continue;
+		}
+		runs[count++] = *run;
 		drop(unfinished, run);
 	}
 	qsort(runs, count, sizeof(*runs), compare_ends);
@@ -170,11 +263,12 @@
 {
 	if (unfinished->used == 0)
 		return NULL;
-	while (*cursor < UNFINISHED_MAX) {
+	while (*cursor < entry_count(unfinished)) {
 		const struct unfinished_run *run =
 		    &unfinished->runs[(*cursor)++];
 
 		if (run->fingerprint != 0 && run->broken &&
+		    !run->address_serves &&
 		    now_us - run->ended_us <= BROKEN_LATELY_US)
 			return &run->start;
 	}
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -25,6 +25,7 @@
 	quarantine->listed_since_us = INT64_MAX;
 	list_init(&quarantine->probes);
 	quarantine->store = quarantine_store_create(quarantine);
+	quarantine->runs = quarantine_runs_create(quarantine);
 	return quarantine;
 }
 
@@ -32,6 +33,7 @@
 quarantine_destroy(struct quarantine *quarantine)
 {
 	quarantine_probe_cancel_all(quarantine);
+	quarantine_runs_destroy(quarantine->runs);
 	quarantine_store_destroy(quarantine->store);
 	suspects_reset(&quarantine->suspects);
 	free(quarantine);
@@ -67,6 +69,7 @@
 {
 	quarantine_probe_all(quarantine);
 	drop_listed(quarantine);
+	quarantine_runs_tick(quarantine->runs);
 }
 
 bool
@@ -160,15 +163,29 @@
 	free(items);
 }
 
+static bool
+is_coordinator(const struct gateway *gateway, uint64_t fingerprint)
+{
+	return strcmp(peer_gateways_coordinator(
+			  gateway->peer_gateways, fingerprint, ""),
+		   gateway->settings.vm_name) == 0;
+}
+
+bool
+quarantine_counts(
+    const struct quarantine *quarantine, const struct unfinished_run *run)
+{
+	return !run->shared ||
+	    is_coordinator(quarantine->gateway, run->fingerprint);
+}
+
 bool
 quarantine_take_trial(struct quarantine *quarantine, uint64_t fingerprint)
 {
 	struct gateway *gateway = quarantine->gateway;
 	struct suspect_crash trial;
 
-	if (strcmp(peer_gateways_coordinator(
-		       gateway->peer_gateways, fingerprint, ""),
-		gateway->settings.vm_name) != 0 ||
+	if (!is_coordinator(gateway, fingerprint) ||
 	    !suspects_take_trial(&quarantine->suspects, fingerprint, &trial,
 		clock_monotonic_us()))
 		return false;
@@ -211,7 +228,25 @@
 	trace_end(&trace);
 }
 
-/* Counts the end of a server against the requests that it had not finished. */
+/* Counts the end of a server against a request that it had not finished.
+ * Returns false if that is known already. */
+static bool
+add_crash(struct quarantine *quarantine, const struct unfinished_run *run,
+    const char *server, struct suspect_crash *crash)
+{
+	if (run->recorded)
+		quarantine_runs_remove(quarantine->runs, run);
+	if (!suspects_add_run(&quarantine->suspects, run, crash)) {
+		trace_known(quarantine, run, server);
+		return false;
+	}
+	quarantine->gateway->counters.suspect_crashes_total++;
+	trace_crash(
+	    quarantine, crash, server, quarantine->gateway->settings.vm_name);
+	quarantine_store_add(quarantine->store, crash);
+	return true;
+}
+
 static size_t
 add_crashes(struct quarantine *quarantine, const struct unfinished_run *runs,
     size_t count, const char *server)
@@ -220,26 +255,19 @@
 	size_t added_count = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		struct suspect_crash *crash = &added[added_count];
-
-		if (!suspects_add_run(&quarantine->suspects, &runs[i], crash)) {
-			trace_known(quarantine, &runs[i], server);
-			continue;
-		}
-		added_count++;
-		quarantine->gateway->counters.suspect_crashes_total++;
-		trace_crash(quarantine, crash, server,
-		    quarantine->gateway->settings.vm_name);
-		quarantine_store_add(quarantine->store, crash);
+		if (quarantine_counts(quarantine, &runs[i]) &&
+		    add_crash(
+			quarantine, &runs[i], server, &added[added_count]))
+			added_count++;
 	}
 	if (added_count > 0)
 		send_crashes(quarantine, NULL, added, added_count);
 	return count;
 }
 
-static void
-note_crashes(struct quarantine *quarantine, const struct server_start *start,
-    const char *server, const char *sign)
+void
+quarantine_note_crashes(struct quarantine *quarantine,
+    const struct server_start *start, const char *server, const char *sign)
 {
 	struct unfinished_run runs[RUNS_MAX];
 	size_t total = 0;
@@ -266,7 +294,7 @@
 	};
 
 	if (unfinished_add(&quarantine->unfinished, &run))
-		note_crashes(quarantine, start, NULL,
+		quarantine_note_crashes(quarantine, start, NULL,
 		    "removed from the list before the run ended");
 	else if (broken)
 		quarantine_probe(quarantine, start);
@@ -328,7 +356,7 @@
 {
 	unfinished_note_end(
 	    &quarantine->unfinished, start, clock_monotonic_us());
-	note_crashes(quarantine, start, server, sign);
+	quarantine_note_crashes(quarantine, start, server, sign);
 }
 
 /* Several servers that fail at once may mean that this VM's paths are lost. */
@@ -351,7 +379,7 @@
 		path_watch_probe(quarantine->gateway->path_watch);
 		return;
 	}
-	note_crashes(quarantine, start,
+	quarantine_note_crashes(quarantine, start,
 	    backend != NULL ? backend->entry.id : NULL, "connection refused");
 }
 
--- a/gateway/quarantine_store.c
+++ b/gateway/quarantine_store.c
@@ -7,6 +7,7 @@
 #include "common/diag.h"
 #include "common/memory.h"
 #include "gateway/dependency.h"
+#include "gateway/keyed_writer.h"
 #include "gateway/quarantine_internal.h"
 #include "platform/store.h"
 
@@ -16,13 +17,9 @@
 	READ_MARGIN_US = 1 * US_PER_S,
 	READ_MAX_BYTES = 256 << 10,
 	NEWEST_TIMEOUT_US = 1 * US_PER_S,
-	APPEND_TIMEOUT_US = 1 * US_PER_S,
 	/* Requests that were at one server's end come one after the other. */
 	GATHER_MS = 20,
 	RETRY_MS = 300,
-	RETRY_JITTER_MS = 200,
-	WRITES_MAX = 1024, /* that wait for the store */
-	BATCH_MAX = 128,   /* records of an append */
 	VALUE_BYTES = 32 + NAME_BYTES,
 };
 
@@ -31,12 +28,6 @@
  * their request is cleared. */
 static const char TOPIC_CRASHES[] = "keyed.crashes";
 
-/** A record to be written. */
-struct write {
-	struct suspect_crash crash;
-	bool removes;
-};
-
 struct quarantine_store {
 	struct quarantine *quarantine;
 	struct store_call *read_call;
@@ -46,11 +37,7 @@
 	bool read_failed;
 	int64_t failed_since_us;
 	char last_key[NAME_BYTES];
-	struct store_call *append_call;
-	uv_timer_t *append_timer;
-	struct write writes[WRITES_MAX];
-	size_t write_count;
-	size_t batch_count; /**< of the append in progress */
+	struct keyed_writer *writer;
 };
 
 static void read_start(struct quarantine_store *store);
@@ -178,122 +165,34 @@
 }
 
 static void
-encode_write(const struct quarantine_store *store, const struct write *write,
-    struct buf *out)
+write_record(struct quarantine_store *store, const struct suspect_crash *crash,
+    const char *value)
 {
-	const struct suspect_crash *crash = &write->crash;
 	char key[NAME_BYTES];
-	char value[VALUE_BYTES];
-	int len = 0;
 
 	snprintf(key, sizeof(key), "%016" PRIx64 ".%" PRIu32 ".%016" PRIx64,
 	    crash->fingerprint, crash->epoch, crash->crash);
-	if (!write->removes)
-		len = snprintf(value, sizeof(value), "%" PRIu32 " %.63s",
-		    crash->round, store->quarantine->gateway->settings.vm_name);
-	store_keyed_encode(out, key, value, (size_t)len);
-}
-
-static void handle_append_timer(uv_timer_t *timer);
-
-static void
-append_later(struct quarantine_store *store, uint64_t ms)
-{
-	if (!uv_is_active((uv_handle_t *)store->append_timer))
-		uv_timer_start(store->append_timer, handle_append_timer, ms, 0);
-}
-
-static void
-drop_batch(struct quarantine_store *store)
-{
-	store->write_count -= store->batch_count;
-	memmove(store->writes, store->writes + store->batch_count,
-	    store->write_count * sizeof(store->writes[0]));
-}
-
-static void
-handle_appended(void *context, const struct store_appended *appended)
-{
-	struct quarantine_store *store = context;
-	struct rng *rng = &store->quarantine->gateway->rng;
-
-	store->append_call = NULL;
-	switch (appended->status) {
-	case STORE_OK:
-		drop_batch(store);
-		if (store->write_count > 0)
-			append_later(store, GATHER_MS);
-		return;
-	case STORE_INVALID:
-	case STORE_FULL:
-		diag(LOG_WARNING, NULL,
-		    "store: %s: %zu records were not accepted: %s",
-		    TOPIC_CRASHES, store->batch_count,
-		    store_status_name(appended->status));
-		drop_batch(store);
-		return;
-	case STORE_REFUSED:
-	case STORE_UNKNOWN: /* the same records again do no harm */
-	case STORE_CONFLICT:
-	case STORE_EXPIRED:
-		append_later(store, RETRY_MS + rng_below(rng, RETRY_JITTER_MS));
-		return;
-	}
-}
-
-static void
-handle_append_timer(uv_timer_t *timer)
-{
-	struct quarantine_store *store = timer->data;
-	struct buf encoded[BATCH_MAX] = {0};
-	struct wire_bytes records[BATCH_MAX];
-
-	if (store->append_call != NULL || store->write_count == 0)
-		return;
-	store->batch_count =
-	    store->write_count < BATCH_MAX ? store->write_count : BATCH_MAX;
-	for (size_t i = 0; i < store->batch_count; i++) {
-		encode_write(store, &store->writes[i], &encoded[i]);
-		records[i] = (struct wire_bytes){
-		    .data = encoded[i].data, .len = encoded[i].len};
-	}
-	store->append_call = store_append(store->quarantine->gateway->store,
-	    TOPIC_CRASHES, 0, records, store->batch_count, APPEND_TIMEOUT_US,
-	    handle_appended, store);
-	for (size_t i = 0; i < store->batch_count; i++)
-		buf_reset(&encoded[i]);
-}
-
-static void
-add_write(struct quarantine_store *store, const struct suspect_crash *crash,
-    bool removes)
-{
-	if (store->write_count == WRITES_MAX) {
+	if (!keyed_writer_put(store->writer, key, value, GATHER_MS))
 		store->quarantine->gateway->counters
 		    .suspect_records_dropped_total++;
-		diag(LOG_WARNING, NULL,
-		    "store: %s: a record is dropped, %d wait already",
-		    TOPIC_CRASHES, WRITES_MAX);
-		return;
-	}
-	store->writes[store->write_count++] =
-	    (struct write){.crash = *crash, .removes = removes};
-	if (store->append_call == NULL)
-		append_later(store, GATHER_MS);
 }
 
 void
 quarantine_store_add(
     struct quarantine_store *store, const struct suspect_crash *crash)
 {
-	add_write(store, crash, false);
+	char value[VALUE_BYTES];
+
+	snprintf(value, sizeof(value), "%" PRIu32 " %.63s", crash->round,
+	    store->quarantine->gateway->settings.vm_name);
+	write_record(store, crash, value);
 }
 
 void
 quarantine_store_remove(
     struct quarantine_store *store, const struct suspect_crash *crash)
 {
-	add_write(store, crash, true);
+	write_record(store, crash, "");
 }
 
 struct quarantine_store *
@@ -305,9 +204,7 @@
 	store->read_timer = xcalloc(1, sizeof(*store->read_timer));
 	uv_timer_init(&quarantine->gateway->loop, store->read_timer);
 	store->read_timer->data = store;
-	store->append_timer = xcalloc(1, sizeof(*store->append_timer));
-	uv_timer_init(&quarantine->gateway->loop, store->append_timer);
-	store->append_timer->data = store;
+	store->writer = keyed_writer_create(quarantine->gateway, TOPIC_CRASHES);
 	read_start(store);
 	return store;
 }
@@ -323,9 +220,7 @@
 {
 	if (store->read_call != NULL)
 		store_cancel(store->read_call);
-	if (store->append_call != NULL)
-		store_cancel(store->append_call);
 	uv_close((uv_handle_t *)store->read_timer, handle_timer_closed);
-	uv_close((uv_handle_t *)store->append_timer, handle_timer_closed);
+	keyed_writer_destroy(store->writer);
 	free(store);
 }
--- a/include/common/counter.h
+++ b/include/common/counter.h
@@ -51,6 +51,7 @@
 	X(suspicions_cleared_total, "Requests cleared since they completed") \
 	X(suspect_crashes_known_total, "Crashes that were known already") \
 	X(suspect_runs_dropped_total, "Runs whose servers live on") \
+	X(suspect_runs_recorded_total, "Unfinished runs written to the store") \
 	X(suspect_records_dropped_total, "Crashes that were not stored") \
 	X(server_probes_total, "Connections that show if a server lives") \
 	X(peer_bytes_sent_total, "Bytes sent to other daemons") \
--- a/include/dispatch/unfinished.h
+++ b/include/dispatch/unfinished.h
@@ -20,7 +20,8 @@
 enum {
 	/** More than a VM has open at once at several servers that end. */
 	UNFINISHED_MAX = 1024,
-	UNFINISHED_ENDS_KEPT = 128, /**< ends of servers */
+	UNFINISHED_ENDS_KEPT = 128,     /**< ends of servers */
+	UNFINISHED_RELEASED_KEPT = 128, /**< runs whose records are removed */
 };
 
 /** A request that was sent to a server. */
@@ -36,6 +37,16 @@
 	/** Its connection was not closed from this side, so that it is worth
 	 * finding out by another one whether the server has ended. */
 	bool broken;
+	/** Some process serves at the server's address: connections find out
+	 * nothing more. */
+	bool address_serves;
+	bool recorded; /**< the store has it, or will */
+	/** What the record says that the end of its server counts as. */
+	uint32_t epoch;
+	uint32_t round;
+	/** Read from the store; a process that is gone has sent it. */
+	bool adopted;
+	bool shared; /**< adopted by other VMs as well */
 };
 
 /** The end of a server as the list told it. */
@@ -52,12 +63,33 @@
 	size_t used; /**< count of entries in use */
 	struct unfinished_server_end ends[UNFINISHED_ENDS_KEPT];
 	size_t next_end;
+	/** Runs that were dropped while the store had them. */
+	struct unfinished_run released[UNFINISHED_RELEASED_KEPT];
+	size_t released_count;
 };
 
+/** Identifies a start of a server, and so the crash that ends it. */
+uint64_t unfinished_crash(const struct server_start *start);
+
 /** Adds a run. Returns whether the list has told the end of its server while it
  * was under way, so that unfinished_server_ended() has to be called again. */
 bool
 unfinished_add(struct unfinished *unfinished, const struct unfinished_run *run);
+/** Adds a run that the store has, unless it is known. */
+void unfinished_adopt(
+    struct unfinished *unfinished, const struct unfinished_run *run);
+/** Returns the server of an adopted run, or NULL. cursor: 0 at first, then as
+ * returned. */
+const struct server_start *
+unfinished_next_adopted(const struct unfinished *unfinished, size_t *cursor);
+/** Returns a run that the store does not have, or NULL. cursor: 0 at first,
+ * then as returned. */
+struct unfinished_run *
+unfinished_next_unrecorded(struct unfinished *unfinished, size_t *cursor);
+/** Takes a run that was dropped, as its server lives or its request has
+ * completed, while the store had it. Returns false if there is none. */
+bool unfinished_take_released(
+    struct unfinished *unfinished, struct unfinished_run *run);
 /** Notes that a server has accepted a connection that was begun at since_us, or
  * has responded to a request that was sent then: connections find out nothing
  * more. */
--- a/include/gateway/quarantine_internal.h
+++ b/include/gateway/quarantine_internal.h
@@ -1,6 +1,6 @@
 /** @file
- * Declarations shared by quarantine.c, quarantine_probe.c and
- * quarantine_store.c; gateway/quarantine.h is the public interface.
+ * Declarations shared by quarantine.c, quarantine_probe.c, quarantine_runs.c
+ * and quarantine_store.c; gateway/quarantine.h is the public interface.
  */
 #ifndef GATEWAY_QUARANTINE_INTERNAL_H
 #define GATEWAY_QUARANTINE_INTERNAL_H
@@ -10,6 +10,7 @@
 #include "dispatch/unfinished.h"
 #include "gateway/quarantine.h"
 
+struct quarantine_runs;
 struct quarantine_store;
 
 struct quarantine {
@@ -22,6 +23,7 @@
 	 * INT64_MAX: it isn't. */
 	int64_t listed_since_us;
 	struct quarantine_store *store;
+	struct quarantine_runs *runs;
 	bool loaded; /**< the store or another gateway told what it knows */
 	bool asked;  /**< another gateway was asked since the start */
 };
@@ -32,6 +34,15 @@
 void quarantine_join(struct quarantine *quarantine,
     const struct suspect_crash *crash, const char *source);
 
+/** Counts the end of a server against the requests that it had not finished.
+ * server: its id or NULL. sign: for the log. */
+void quarantine_note_crashes(struct quarantine *quarantine,
+    const struct server_start *start, const char *server, const char *sign);
+/** Returns whether this gateway counts the end of a run's server, and removes
+ * its record: of the gateways that have adopted a run, one does. */
+bool quarantine_counts(
+    const struct quarantine *quarantine, const struct unfinished_run *run);
+
 /* quarantine_probe.c */
 /** Finds out whether a server lives, by a connection, unless that is under way.
  */
@@ -41,6 +52,17 @@
 void quarantine_probe_all(struct quarantine *quarantine);
 void quarantine_probe_cancel_all(struct quarantine *quarantine);
 
+/* quarantine_runs.c */
+/** Keeps unfinished runs in the store while it is not known whether their
+ * servers have ended, so that they outlive this gateway, and adopts those of
+ * gateways that are gone. */
+struct quarantine_runs *quarantine_runs_create(struct quarantine *quarantine);
+void quarantine_runs_destroy(struct quarantine_runs *runs);
+void quarantine_runs_tick(struct quarantine_runs *runs);
+/** Removes the record of a run. */
+void quarantine_runs_remove(
+    struct quarantine_runs *runs, const struct unfinished_run *run);
+
 /* quarantine_store.c */
 struct quarantine_store *quarantine_store_create(struct quarantine *quarantine);
 void quarantine_store_destroy(struct quarantine_store *store);
--- a/tests/suspect_days.c
+++ b/tests/suspect_days.c
@@ -27,7 +27,9 @@
 	LOSS_PERCENT = 10,
 	MESSAGES_MAX = 1 << 16,
 	RECORDS_MAX = 4096,
+	UNWRITTEN_MAX = 64,
 	LIST_MAX = 512,
+	ENDS_LISTED_MAX = 1024,
 	ENDS_MAX = 16, /* of servers that a VM has not noticed yet */
 	/* Of the servers, in a day with servers in trouble. */
 	IN_TROUBLE_PERCENT = 35,
@@ -43,6 +45,20 @@
 	int64_t reborn_us; /**< when a new process responds; 0: it doesn't */
 };
 
+enum record_kind {
+	RECORD_CRASH,
+	RECORD_RUN, /* whose outcome is not known yet */
+	RECORD_RUN_REMOVED,
+};
+
+/** A record of the store. */
+struct record {
+	enum record_kind kind;
+	struct suspect_crash crash;
+	struct server_start start; /* of a run */
+	const struct vm *writer;
+};
+
 /** A VM and its troubles; times until which they last. */
 struct vm {
 	struct suspects suspects;
@@ -53,7 +69,8 @@
 	int64_t store_cut_until_us; /* from the store */
 	int64_t troubled_us;        /* last moment of any trouble */
 	size_t read;                /* records of the store */
-	struct suspect_crash unwritten[64];
+	bool runs_loaded;           /* from the store since the start */
+	struct record unwritten[UNWRITTEN_MAX];
 	size_t unwritten_count;
 	struct server_end ends[ENDS_MAX];
 	int64_t listed_since_us;
@@ -72,9 +89,11 @@
 	struct vm vms[VMS_MAX];
 	struct delivery messages[MESSAGES_MAX];
 	size_t message_count;
-	struct suspect_crash records[RECORDS_MAX];
+	struct record records[RECORDS_MAX];
 	size_t record_count;
 	int64_t store_away_until_us;
+	struct server_end ends_listed[ENDS_LISTED_MAX]; /* by the list */
+	size_t ends_listed_count;
 	uint64_t last_server;
 	int crashes;
 	int64_t third_crash_us;
@@ -152,6 +171,56 @@
 	world.message_count = kept;
 }
 
+/* Returns the VM that tries the request again, and that counts the runs which
+ * the store has of others: the first that runs, as the others see it. */
+static const struct vm *
+coordinator(void)
+{
+	for (int i = 0; i < world.vm_count; i++) {
+		if (reaches_vms(&world.vms[i]))
+			return &world.vms[i];
+	}
+	return NULL;
+}
+
+/* Returns whether a run is in the store: it was written, and not removed. */
+static bool
+is_in_store(const struct record *run)
+{
+	for (const struct record *later = run + 1;
+	     later < world.records + world.record_count; later++) {
+		if (later->kind == RECORD_RUN_REMOVED &&
+		    later->crash.crash == run->crash.crash)
+			return false;
+	}
+	return true;
+}
+
+/* Lets a VM that has started read the runs of those that are gone. */
+static void
+load_runs(struct vm *vm)
+{
+	for (size_t i = 0; i < world.record_count; i++) {
+		const struct record *record = &world.records[i];
+		const struct unfinished_run run = {
+		    .fingerprint = record->crash.fingerprint,
+		    .start = record->start,
+		    .sent_us = INT64_MIN,
+		    .ended_us = world.now_us,
+		    .ran_until_us = world.now_us,
+		    .recorded = true,
+		    .adopted = true,
+		    .shared = record->writer != vm,
+		    .epoch = record->crash.epoch,
+		    .round = record->crash.round,
+		};
+
+		if (record->kind == RECORD_RUN && is_in_store(record))
+			unfinished_adopt(&vm->unfinished, &run);
+	}
+	vm->runs_loaded = true;
+}
+
 static void
 write_and_read(struct vm *vm)
 {
@@ -160,18 +229,68 @@
 	for (size_t i = 0; i < vm->unwritten_count; i++) {
 		ck_assert_uint_lt(world.record_count, RECORDS_MAX);
 		world.records[world.record_count] = vm->unwritten[i];
-		world.records[world.record_count++].crashed_us = INT64_MIN;
+		world.records[world.record_count++].crash.crashed_us =
+		    INT64_MIN;
 	}
 	vm->unwritten_count = 0;
-	while (vm->read < world.record_count)
-		suspects_join(&vm->suspects, &world.records[vm->read++]);
+	while (vm->read < world.record_count) {
+		const struct record *record = &world.records[vm->read++];
+
+		if (record->kind == RECORD_CRASH)
+			suspects_join(&vm->suspects, &record->crash);
+	}
+	if (!vm->runs_loaded)
+		load_runs(vm);
 }
 
-/* Tells all other VMs, and the store as soon as it is there. */
+/* Writes to the store as soon as it is there. */
+static void
+add_record(struct vm *vm, enum record_kind kind,
+    const struct suspect_crash *crash, const struct server_start *start)
+{
+	ck_assert_uint_lt(vm->unwritten_count, UNWRITTEN_MAX);
+	vm->unwritten[vm->unwritten_count++] = (struct record){
+	    .kind = kind,
+	    .crash = *crash,
+	    .start = *start,
+	    .writer = vm,
+	};
+}
+
+static void
+remove_record(struct vm *vm, const struct unfinished_run *run)
+{
+	const struct suspect_crash crash = {
+	    .crash = unfinished_crash(&run->start)};
+
+	if (run->recorded)
+		add_record(vm, RECORD_RUN_REMOVED, &crash, &run->start);
+}
+
+/* Writes the runs that have to outlive this VM. */
+static void
+record_runs(struct vm *vm)
+{
+	struct unfinished_run *run;
+	size_t cursor = 0;
+
+	while ((run = unfinished_next_unrecorded(&vm->unfinished, &cursor)) !=
+	    NULL) {
+		struct suspect_crash crash;
+
+		if (!suspects_foresee_crash(
+			&vm->suspects, run, &crash, world.now_us))
+			continue;
+		add_record(vm, RECORD_RUN, &crash, &run->start);
+		run->recorded = true;
+	}
+}
+
+/* Tells all other VMs, and the store. */
 static void
 tell(struct vm *vm, const struct suspect_crash *crash)
 {
-	vm->unwritten[vm->unwritten_count++] = *crash;
+	add_record(vm, RECORD_CRASH, crash, &(struct server_start){0});
 	for (int to = 0; to < world.vm_count; to++) {
 		if (&world.vms[to] != vm && reaches_vms(vm))
 			send(to, crash);
@@ -188,8 +307,32 @@
 	for (size_t i = 0; i < count; i++) {
 		struct suspect_crash crash;
 
+		if (ended[i].shared && vm != coordinator())
+			continue;
 		if (suspects_add_run(&vm->suspects, &ended[i], &crash))
 			tell(vm, &crash);
+		remove_record(vm, &ended[i]);
+	}
+}
+
+/* Lets a VM hear of the servers of adopted runs what the list tells. */
+static void
+watch_adopted(struct vm *vm)
+{
+	const struct server_start *start;
+	size_t cursor = 0;
+
+	while ((start = unfinished_next_adopted(&vm->unfinished, &cursor)) !=
+	    NULL) {
+		for (size_t i = 0; i < world.ends_listed_count; i++) {
+			const struct server_end *end = &world.ends_listed[i];
+
+			if (end->start.server == start->server &&
+			    world.now_us >= end->notice_us) {
+				add_crashes(vm, &end->start);
+				break;
+			}
+		}
 	}
 }
 
@@ -197,8 +340,12 @@
 static void
 watch_servers(struct vm *vm)
 {
+	struct unfinished_run run;
+
 	if (!reaches_store(vm))
 		vm->listed_since_us = world.now_us;
+	else
+		watch_adopted(vm);
 	for (int i = 0; i < ENDS_MAX; i++) {
 		struct server_end *end = &vm->ends[i];
 
@@ -214,6 +361,11 @@
 	}
 	unfinished_drop_listed(
 	    &vm->unfinished, vm->listed_since_us, world.now_us);
+	record_runs(vm);
+	while (unfinished_take_released(&vm->unfinished, &run)) {
+		if (!run.shared || vm == coordinator())
+			remove_record(vm, &run);
+	}
 }
 
 /* Compares digests with another VM, as a heartbeat of it does. */
@@ -234,18 +386,6 @@
 		suspects_join(&vm->suspects, &list[i]);
 }
 
-/* Returns the VM that tries the request again: the first that runs, as the
- * others see it. */
-static const struct vm *
-coordinator(void)
-{
-	for (int i = 0; i < world.vm_count; i++) {
-		if (reaches_vms(&world.vms[i]))
-			return &world.vms[i];
-	}
-	return NULL;
-}
-
 static bool
 happens(uint64_t percent)
 {
@@ -338,6 +478,11 @@
 	if (world.crashes == SUSPECT_CRASHES)
 		world.third_crash_us = world.now_us;
 	unfinished_add(&vm->unfinished, run);
+	ck_assert_uint_lt(world.ends_listed_count, ENDS_LISTED_MAX);
+	world.ends_listed[world.ends_listed_count++] = (struct server_end){
+	    .start = run->start,
+	    .notice_us = world.now_us + NOTICE_LISTED_US,
+	};
 	while (vm->ends[i].notice_us != 0)
 		ck_assert_int_lt(++i, ENDS_MAX);
 	vm->ends[i] = (struct server_end){
--- a/tests/test_crash_signals.c
+++ b/tests/test_crash_signals.c
@@ -17,6 +17,7 @@
 	TROUBLE_TRIES = 16,
 	TROUBLE_EVERY = 3, /* of these tries, servers are in trouble */
 	UNLISTED_MS = 500, /* that a new process is not in the list */
+	RECORDED_MS = 400, /* until the store has an unfinished run */
 	OTHER_CALLS = 2 * GATEWAYS * SERVERS,
 };
 
@@ -163,6 +164,42 @@
 }
 END_TEST
 
+/* Ends a frozen server and all gateways, and starts them again. */
+static void
+restart_all(int number)
+{
+	usleep(RECORDED_MS * US_PER_MS);
+	for (int i = 0; i < GATEWAYS; i++)
+		cluster_signal(&cluster.gateways[i].process, SIGKILL);
+	cluster_signal(&cluster.servers[number], SIGKILL);
+	ck_assert(cluster_restart_server(&cluster, number));
+	crashes++;
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert(cluster_restart_gateway(&cluster, i));
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert(cluster_wait_ready(&cluster, i));
+	usleep(LISTED_MS * US_PER_MS);
+}
+
+START_TEST(crash_that_nobody_knows_yet_outlives_all_gateways)
+{
+	for (int i = 0; i < TRIES_MAX; i++) {
+		int frozen;
+
+		call_once(&cluster, i % GATEWAYS, "/once/crash-silent", NULL);
+		frozen = find_frozen();
+		if (frozen == NO_SERVER)
+			continue;
+		if (crashes == 0)
+			replace_server(frozen);
+		else
+			restart_all(frozen);
+	}
+	ck_assert_int_ge(crashes, CRASHES);
+	check_bound();
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -175,6 +212,7 @@
 	    responses_that_end_with_their_connection_do_not_clear_a_request,
 	    server_that_ends_within_a_response_without_a_length_has_crashed,
 	    new_process_at_the_address_of_a_server_does_not_excuse_a_request,
+	    crash_that_nobody_knows_yet_outlives_all_gateways,
 	};
 
 	build_dir = argc > 1 ? argv[1] : "build";
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -460,6 +460,95 @@
 }
 END_TEST
 
+/* Callers that leave are many, and a refused connection shows an end at once.
+ */
+START_TEST(only_runs_that_have_to_outlive_their_vm_are_recorded)
+{
+	static struct suspects suspects;
+	struct unfinished_run run =
+	    suspect_run(1, 5, US_PER_S, (int64_t)2 * US_PER_S);
+	struct unfinished_run next =
+	    suspect_run(1, 6, (int64_t)3 * US_PER_S, (int64_t)4 * US_PER_S);
+	struct suspect_crash crash;
+
+	ck_assert(
+	    !suspects_foresee_crash(&suspects, &run, &crash, run.ended_us));
+	ck_assert(suspects_foresee_crash(
+	    &suspects, &run, &crash, run.ended_us + US_PER_S));
+	ck_assert_uint_eq(crash.round, 1);
+	run.broken = false;
+	ck_assert(!suspects_foresee_crash(
+	    &suspects, &run, &crash, run.ended_us + US_PER_S));
+	ck_assert(suspects_add_run(&suspects, &run, &crash));
+	ck_assert(!suspects_foresee_crash(
+	    &suspects, &run, &crash, run.ended_us + US_PER_S));
+	next.broken = false;
+	ck_assert(
+	    suspects_foresee_crash(&suspects, &next, &crash, next.ended_us));
+	ck_assert_uint_eq(crash.round, 2);
+	suspects_reset(&suspects);
+}
+END_TEST
+
+/* Returns a run as a VM reads it from the store. */
+static struct unfinished_run
+adopted_run(uint64_t server, uint32_t epoch, uint32_t round)
+{
+	struct unfinished_run run = suspect_run(1, server, INT64_MIN, US_PER_S);
+
+	run.recorded = true;
+	run.adopted = true;
+	run.epoch = epoch;
+	run.round = round;
+	return run;
+}
+
+START_TEST(adopted_runs_count_as_their_records_say)
+{
+	struct suspects suspects = {0};
+	struct unfinished_run first = adopted_run(5, 0, 1);
+	struct unfinished_run third = adopted_run(6, 0, 3);
+	struct suspect_crash crash;
+
+	ck_assert(suspects_add_run(&suspects, &first, &crash));
+	ck_assert(!suspects_add_run(&suspects, &first, &crash));
+	ck_assert(!suspects_refuse(&suspects, 1));
+	ck_assert(suspects_add_run(&suspects, &third, &crash));
+	ck_assert_uint_eq(crash.round, 3);
+	ck_assert(suspects_refuse(&suspects, 1));
+	ck_assert(suspects_clear(&suspects, 1, &crash, (int64_t)3 * US_PER_S));
+	first = adopted_run(7, 0, 1);
+	ck_assert(!suspects_add_run(&suspects, &first, &crash));
+	suspects_reset(&suspects);
+}
+END_TEST
+
+START_TEST(records_of_runs_that_are_dropped_are_to_be_removed)
+{
+	static struct unfinished unfinished;
+	struct unfinished_run run = adopted_run(5, 0, 1);
+	struct unfinished_run own = suspect_run(1, 6, US_PER_S, US_PER_S);
+	struct unfinished_run released;
+	int64_t late_us = US_PER_S + LISTED_LONG_US;
+
+	unfinished_adopt(&unfinished, &run);
+	unfinished_add(&unfinished, &own);
+	ck_assert_uint_eq(unfinished_drop_listed(&unfinished, 0, late_us), 2);
+	ck_assert(unfinished_take_released(&unfinished, &released));
+	ck_assert_uint_eq(released.start.server, 5);
+	ck_assert(!unfinished_take_released(&unfinished, &released));
+	unfinished_adopt(&unfinished, &run);
+	unfinished_request_completed(&unfinished, 1);
+	ck_assert(unfinished_take_released(&unfinished, &released));
+	/* A further run there does not hide that the store has one. */
+	unfinished_adopt(&unfinished, &run);
+	own.start = run.start;
+	unfinished_add(&unfinished, &own);
+	unfinished_request_completed(&unfinished, 1);
+	ck_assert(unfinished_take_released(&unfinished, &released));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -486,6 +575,9 @@
 	    many_runs_at_a_server_in_trouble_push_out_no_other_run,
 	    only_a_whole_success_with_a_marked_end_completes_a_request,
 	    runs_at_another_start_of_a_server_are_kept,
+	    only_runs_that_have_to_outlive_their_vm_are_recorded,
+	    adopted_runs_count_as_their_records_say,
+	    records_of_runs_that_are_dropped_are_to_be_removed,
 	};
 
 	return run_tests("suspects", tests, sizeof(tests) / sizeof(tests[0]));
