--- a/dispatch/suspects.c
+++ b/dispatch/suspects.c
@@ -270,7 +270,7 @@
 }
 
 bool
-suspects_foresee_crash(const struct suspects *suspects,
+suspects_must_record(const struct suspects *suspects,
     const struct unfinished_run *run, struct suspect_crash *crash,
     int64_t now_us)
 {
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -172,7 +172,7 @@
 }
 
 bool
-quarantine_counts(
+quarantine_counts_here(
     const struct quarantine *quarantine, const struct unfinished_run *run)
 {
 	return !run->shared ||
@@ -255,7 +255,7 @@
 	size_t added_count = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		if (quarantine_counts(quarantine, &runs[i]) &&
+		if (quarantine_counts_here(quarantine, &runs[i]) &&
 		    add_crash(
 			quarantine, &runs[i], server, &added[added_count]))
 			added_count++;
--- a/gateway/quarantine_runs.c
+++ b/gateway/quarantine_runs.c
@@ -90,7 +90,7 @@
 		    &quarantine->unfinished, &cursor)) != NULL) {
 		struct suspect_crash crash;
 
-		if (!suspects_foresee_crash(
+		if (!suspects_must_record(
 			&quarantine->suspects, run, &crash, now_us))
 			continue;
 		run->recorded = true;
@@ -144,7 +144,7 @@
 	record_new(runs);
 	check_adopted(runs);
 	while (unfinished_take_released(&runs->quarantine->unfinished, &run)) {
-		if (quarantine_counts(runs->quarantine, &run))
+		if (quarantine_counts_here(runs->quarantine, &run))
 			quarantine_runs_remove(runs, &run);
 	}
 }
--- a/include/dispatch/suspects.h
+++ b/include/dispatch/suspects.h
@@ -85,11 +85,11 @@
  * what other VMs should hear. Returns false if it was known. */
 bool suspects_add_run(struct suspects *suspects,
     const struct unfinished_run *run, struct suspect_crash *added);
-/** Fills crash with what a run counts as if its server ends. Returns false if
- * the store need not have it, or not yet: without any suspicion, callers that
- * leave and whole responses are no reason to, nor is a connection that broke
- * just now. */
-bool suspects_foresee_crash(const struct suspects *suspects,
+/** Returns whether the store must have a run, so that it outlives this VM, and
+ * fills crash with what it counts as if its server ends. Without any suspicion,
+ * callers that leave and whole responses are no reason to record it, nor is a
+ * connection that broke just now. */
+bool suspects_must_record(const struct suspects *suspects,
     const struct unfinished_run *run, struct suspect_crash *crash,
     int64_t now_us);
 /** Joins what another VM or the store knows. Returns whether it was new. */
--- a/include/gateway/quarantine_internal.h
+++ b/include/gateway/quarantine_internal.h
@@ -40,7 +40,7 @@
     const struct server_start *start, const char *server, const char *sign);
 /** Returns whether this gateway counts the end of a run's server, and removes
  * its record: of the gateways that have adopted a run, one does. */
-bool quarantine_counts(
+bool quarantine_counts_here(
     const struct quarantine *quarantine, const struct unfinished_run *run);
 
 /* quarantine_probe.c */
--- a/tests/suspect_days.c
+++ b/tests/suspect_days.c
@@ -278,7 +278,7 @@
 	    NULL) {
 		struct suspect_crash crash;
 
-		if (!suspects_foresee_crash(
+		if (!suspects_must_record(
 			&vm->suspects, run, &crash, world.now_us))
 			continue;
 		add_record(vm, RECORD_RUN, &crash, &run->start);
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -471,20 +471,19 @@
 	    suspect_run(1, 6, (int64_t)3 * US_PER_S, (int64_t)4 * US_PER_S);
 	struct suspect_crash crash;
 
-	ck_assert(
-	    !suspects_foresee_crash(&suspects, &run, &crash, run.ended_us));
-	ck_assert(suspects_foresee_crash(
+	ck_assert(!suspects_must_record(&suspects, &run, &crash, run.ended_us));
+	ck_assert(suspects_must_record(
 	    &suspects, &run, &crash, run.ended_us + US_PER_S));
 	ck_assert_uint_eq(crash.round, 1);
 	run.broken = false;
-	ck_assert(!suspects_foresee_crash(
+	ck_assert(!suspects_must_record(
 	    &suspects, &run, &crash, run.ended_us + US_PER_S));
 	ck_assert(suspects_add_run(&suspects, &run, &crash));
-	ck_assert(!suspects_foresee_crash(
+	ck_assert(!suspects_must_record(
 	    &suspects, &run, &crash, run.ended_us + US_PER_S));
 	next.broken = false;
 	ck_assert(
-	    suspects_foresee_crash(&suspects, &next, &crash, next.ended_us));
+	    suspects_must_record(&suspects, &next, &crash, next.ended_us));
 	ck_assert_uint_eq(crash.round, 2);
 	suspects_reset(&suspects);
 }
