Suspects: a further run at a server gets a record of its own

A run whose request came to the same server again kept the first run's record, and with it the round of its crash; a crash that happened in between would have been counted one round too low by who adopts it. An entry that is pushed out by others keeps its record, as nothing is known of its server.

--- a/dispatch/unfinished.c
+++ b/dispatch/unfinished.c
@@ -66,33 +66,43 @@
 	return NULL;
 }
 
-/* Returns the entry of an earlier run of the request at the same server, whose
- * end tells the same, or else the oldest entry. */
-static struct unfinished_run *
-find_slot(struct unfinished *unfinished, const struct unfinished_run *run)
+static void
+drop(struct unfinished *unfinished, struct unfinished_run *run)
 {
-	struct unfinished_run *known =
-	    find_run(unfinished, run->fingerprint, &run->start);
+	run->fingerprint = 0;
+	unfinished->used--;
+}
 
-	return known != NULL
-	    ? known
-	    : &unfinished->runs[unfinished->next++ % UNFINISHED_MAX];
+/* Drops a run. If the store has it, unfinished_take_released() tells of it. */
+static void
+release(struct unfinished *unfinished, struct unfinished_run *run)
+{
+	if (run->recorded &&
+	    unfinished->released_count < UNFINISHED_RELEASED_KEPT)
+		unfinished->released[unfinished->released_count++] = *run;
+	drop(unfinished, run);
 }
 
+/* Replaces an earlier run of the request at the same server, whose end tells
+ * the same, or else the oldest entry. */
 bool
 unfinished_add(struct unfinished *unfinished, const struct unfinished_run *run)
 {
-	struct unfinished_run *slot = find_slot(unfinished, run);
-	struct unfinished_run added = *run;
-
-	if (slot->fingerprint == 0)
-		unfinished->used++;
-	if (slot->fingerprint == run->fingerprint && slot->recorded) {
-		added.recorded = true;
-		added.epoch = slot->epoch;
-		added.round = slot->round;
+	struct unfinished_run *slot =
+	    find_run(unfinished, run->fingerprint, &run->start);
+	bool was_broken = false;
+
+	if (slot != NULL) {
+		was_broken = slot->broken;
+		release(unfinished, slot);
+	} else {
+		slot = &unfinished->runs[unfinished->next++ % UNFINISHED_MAX];
+		if (slot->fingerprint != 0)
+			drop(unfinished, slot);
 	}
-	*slot = added;
+	unfinished->used++;
+	*slot = *run;
+	slot->broken |= was_broken;
 	return has_ended_since(unfinished, run);
 }
 
@@ -148,23 +158,6 @@
 	return NULL;
 }
 
-static void
-drop(struct unfinished *unfinished, struct unfinished_run *run)
-{
-	run->fingerprint = 0;
-	unfinished->used--;
-}
-
-/* Drops a run. If the store has it, unfinished_take_released() tells of it. */
-static void
-release(struct unfinished *unfinished, struct unfinished_run *run)
-{
-	if (run->recorded &&
-	    unfinished->released_count < UNFINISHED_RELEASED_KEPT)
-		unfinished->released[unfinished->released_count++] = *run;
-	drop(unfinished, run);
-}
-
 bool
 unfinished_take_released(
     struct unfinished *unfinished, struct unfinished_run *run)
--- a/gateway/keyed_writer.c
+++ b/gateway/keyed_writer.c
@@ -29,6 +29,7 @@
 	struct keyed_write *writes; /**< that wait, in their order */
 	size_t write_count;
 	size_t batch_count; /**< of the append in progress */
+	bool retrying;      /**< the last append failed */
 };
 
 static void handle_timer(uv_timer_t *timer);
@@ -62,6 +63,7 @@
 	struct keyed_writer *writer = context;
 
 	writer->call = NULL;
+	writer->retrying = false;
 	switch (appended->status) {
 	case STORE_OK:
 		drop_batch(writer);
@@ -78,6 +80,7 @@
 	case STORE_UNKNOWN: /* the same records again do no harm */
 	case STORE_CONFLICT:
 	case STORE_EXPIRED:
+		writer->retrying = true;
 		append_later(writer,
 		    RETRY_MS +
 			rng_below(&writer->gateway->rng, RETRY_JITTER_MS));
@@ -128,7 +131,7 @@
 	write = &writer->writes[writer->write_count++];
 	snprintf(write->key, sizeof(write->key), "%s", key);
 	snprintf(write->value, sizeof(write->value), "%s", value);
-	if (writer->call == NULL)
+	if (writer->call == NULL && !writer->retrying)
 		append_later(writer, gather_ms);
 	return true;
 }
--- a/gateway/quarantine_runs.c
+++ b/gateway/quarantine_runs.c
@@ -141,12 +141,14 @@
 {
 	struct unfinished_run run;
 
-	record_new(runs);
 	check_adopted(runs);
+	/* A further run of a request at a server has a record of its own, which
+	 * may have the same key. */
 	while (unfinished_take_released(&runs->quarantine->unfinished, &run)) {
 		if (quarantine_counts_here(runs->quarantine, &run))
 			quarantine_runs_remove(runs, &run);
 	}
+	record_new(runs);
 }
 
 static void
--- a/tests/suspect_days.c
+++ b/tests/suspect_days.c
@@ -361,11 +361,11 @@
 	}
 	unfinished_drop_listed(
 	    &vm->unfinished, vm->listed_since_us, world.now_us);
-	record_runs(vm);
 	while (unfinished_take_released(&vm->unfinished, &run)) {
 		if (!run.shared || vm == coordinator())
 			remove_record(vm, &run);
 	}
+	record_runs(vm);
 }
 
 /* Compares digests with another VM, as a heartbeat of it does. */
