Suspects: an accepted connection right after a crash shows no living server

The connection that the gateway opens right after the break had been accepted, here by the path's proxy, which learned late that the server was gone; an ending process accepts connections as well until its listener is closed. After that no further connection was tried.

Cause: a weak sign again. An accepted connection ended the probing at once.

--- a/dispatch/unfinished.c
+++ b/dispatch/unfinished.c
@@ -14,6 +14,8 @@
 	/* A server that has ended refuses connections at once, so later tries
 	 * to connect find out nothing new. */
 	BROKEN_LATELY_US = 5 * US_PER_S,
+	/* Connections may still be accepted for a process that is ending. */
+	ENDING_US = 200 * US_PER_MS,
 };
 
 uint64_t
@@ -139,7 +141,7 @@
 		struct unfinished_run *run = &unfinished->runs[i];
 
 		if (is_same_start(&run->start, start) &&
-		    run->ran_until_us <= since_us)
+		    run->ran_until_us + ENDING_US <= since_us)
 			run->address_serves = true;
 	}
 }
--- a/include/dispatch/unfinished.h
+++ b/include/dispatch/unfinished.h
@@ -91,8 +91,8 @@
 bool unfinished_take_released(
     struct unfinished *unfinished, struct unfinished_run *run);
 /** Notes that a server has accepted a connection that was begun at since_us, or
- * has responded to a request that was sent then: connections find out nothing
- * more. */
+ * has responded to a request that was sent then: unless that was right after
+ * the run, connections find out nothing more. */
 void unfinished_server_responds(struct unfinished *unfinished,
     const struct server_start *start, int64_t since_us);
 /** Drops the runs of a request that has completed. */
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -376,9 +376,15 @@
 	cursor = 0;
 	ck_assert_ptr_nonnull(
 	    unfinished_next_broken(&unfinished, 300, &cursor));
+	/* The process may be ending still. */
 	unfinished_server_responds(&unfinished, &run.start, 300);
 	cursor = 0;
-	ck_assert_ptr_null(unfinished_next_broken(&unfinished, 300, &cursor));
+	ck_assert_ptr_nonnull(
+	    unfinished_next_broken(&unfinished, 300, &cursor));
+	unfinished_server_responds(&unfinished, &run.start, US_PER_S);
+	cursor = 0;
+	ck_assert_ptr_null(
+	    unfinished_next_broken(&unfinished, US_PER_S, &cursor));
 	ck_assert_uint_eq(count_ended(&unfinished, &run.start, 400), 1);
 }
 END_TEST
