--- a/gateway/quarantine_runs.c
+++ b/gateway/quarantine_runs.c
@@ -17,7 +17,7 @@
 	RETRY_MS = 300,
 	RETRY_JITTER_MS = 200,
 	ADD_GATHER_MS = 20,
-	/* A run's record is removed once the crash has been written. */
+	/* Time for the crash to be written before. */
 	REMOVE_GATHER_MS = 500,
 	/* A record that is older tells nothing any more. */
 	KEEP_WALL_US = 600 * US_PER_S,
