--- a/review/2/budget.c
+++ b/review/2/budget.c
@@ -146,6 +146,7 @@
 	}
 	for (int i = 0; i < TURNS_MAX && status != 402; i++)
 		status = run_turn(i % GATEWAYS);
+	review_note_runs(&cluster);
 	review_note("%d tokens handed out; the budget is %d, a turn's most %d",
 	    tokens_handed, BUDGET, TURN_TOKENS);
 	review_end(&cluster,
--- a/review/3/crashes.c
+++ b/review/3/crashes.c
@@ -131,6 +131,7 @@
 	wait_ready();
 	for (int i = 0; i < TRIES; i++)
 		play_try(i);
+	review_note_runs(&cluster);
 	review_note("%d crashes; after the third the request reached servers "
 		    "%d times, %d are allowed",
 	    crashes, runs_after_third, RETRIES_MAX);
--- a/review/common/review.c
+++ b/review/common/review.c
@@ -80,6 +80,19 @@
 	review_end(cluster, VERDICT_NOT_RUN);
 }
 
+void
+review_note_runs(const struct cluster *cluster)
+{
+	struct buf runs = {0};
+	const char *line;
+
+	cluster_read_runs(cluster, &runs);
+	for (line = buf_text(&runs); (line = strstr(line, "ran ")) != NULL;
+	     line++)
+		review_note("servers: %.*s", (int)strcspn(line, "\n"), line);
+	buf_reset(&runs);
+}
+
 int
 review_count_events(const char *text)
 {
--- a/review/common/review.h
+++ b/review/common/review.h
@@ -33,6 +33,9 @@
 void review_give_up(struct cluster *cluster, const char *why)
     __attribute__((noreturn));
 
+/** Adds to the record which requests the servers have run. */
+void review_note_runs(const struct cluster *cluster);
+
 /** Returns how many whole events of a stream a text has. */
 int review_count_events(const char *text);
 
