Log runs of which nothing shows that they came to their end

No line told that the outcome of a run was open, at which server and for which request: a request whose caller left has no fingerprint in the log. run_unresolved and guavakeel_suspect_runs_unresolved_total tell it, so that runs that nobody resolves can be told from runs that were dropped.

--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -279,6 +279,25 @@
 	trace_server_end(start, server, sign, total);
 }
 
+/* Tells that it is not known yet what became of a run. */
+static void
+trace_unresolved(
+    const struct quarantine *quarantine, const struct unfinished_run *run)
+{
+	const struct backend *backend = backends_find_hash(
+	    &quarantine->gateway->blackboard.backends, run->start.server);
+	struct trace trace;
+
+	trace_begin(&trace, "run_unresolved");
+	trace_hash(&trace, "fingerprint", run->fingerprint);
+	trace_text(
+	    &trace, "server", backend != NULL ? backend->entry.id : NULL);
+	trace_text(&trace, "why",
+	    run->broken ? "connection broke" : "closed from this side");
+	trace_ms(&trace, "ran_ms", run->ended_us - run->sent_us);
+	trace_end(&trace);
+}
+
 void
 quarantine_add_unfinished(struct quarantine *quarantine, uint64_t fingerprint,
     const struct server_start *start, int64_t sent_us, bool broken)
@@ -293,6 +312,8 @@
 	    .broken = broken,
 	};
 
+	quarantine->gateway->counters.suspect_runs_unresolved_total++;
+	trace_unresolved(quarantine, &run);
 	if (unfinished_add(&quarantine->unfinished, &run))
 		quarantine_note_crashes(quarantine, start, NULL,
 		    "removed from the list before the run ended");
--- a/include/common/counter.h
+++ b/include/common/counter.h
@@ -50,6 +50,7 @@
 	X(suspect_crashes_total, "Crashes noted against the requests there") \
 	X(suspicions_cleared_total, "Requests cleared since they completed") \
 	X(suspect_crashes_known_total, "Crashes that were known already") \
+	X(suspect_runs_unresolved_total, "Runs whose outcome was not known") \
 	X(suspect_runs_dropped_total, "Runs whose servers live on") \
 	X(suspect_runs_recorded_total, "Unfinished runs written to the store") \
 	X(suspect_records_dropped_total, "Crashes that were not stored") \
