--- a/tests/soak/crashers.c
+++ b/tests/soak/crashers.c
@@ -7,7 +7,7 @@
 #include "soak.h"
 
 enum {
-	CRASHERS = 2,
+	CRASHERS = 4,
 	STEP_MS = 20,
 	RETURN_MIN_MS = 100, /* between two sends of a crasher */
 	RETURN_MAX_MS = 700,
@@ -21,6 +21,15 @@
 	NAME_MAX_BYTES = 32,
 };
 
+/* Two crash a server at once, one freezes it, and one crashes it after a while.
+ */
+static const char *const targets[CRASHERS] = {
+    "/once/crash",
+    "/once/crash",
+    "/once/crash-silent",
+    "/once/crash-later",
+};
+
 /** A request that crashes the server which runs it. */
 struct crasher {
 	struct crashers *crashers;
@@ -86,7 +95,7 @@
 	struct h1_call_params params = {
 	    .address = address,
 	    .method = "POST",
-	    .target = "/once/crash",
+	    .target = targets[crasher->number],
 	    .headers = &headers,
 	    .body = body,
 	    .connect_timeout_us = (int64_t)DEADLINE_MS * US_PER_MS,
--- a/tests/soak/servers.c
+++ b/tests/soak/servers.c
@@ -14,6 +14,10 @@
 	LEAVE_MIN_MS = 3000,
 	LEAVE_MAX_MS = 5000,
 	DOWN_MAX_MS = 1500,
+	/* Until a server that has fallen silent ends: longer than its entry in
+	 * the list lasts, or not. */
+	SILENT_MIN_MS = 300,
+	SILENT_MAX_MS = 3000,
 	/* After a gateway has passed on that a server leaves, a request that a
 	 * caller sends later than this must not reach the server: drain of the
 	 * gateways' settings. */
@@ -34,6 +38,7 @@
 	SERVER_UP,
 	SERVER_LEAVING,  /* says in its responses that it leaves */
 	SERVER_STOPPING, /* SIGTERM was sent */
+	SERVER_SILENT,   /* a request has frozen it */
 	SERVER_DOWN,
 };
 
@@ -187,6 +192,25 @@
 		servers->leaving_since_us[i][number] = 0;
 }
 
+/* Notes that a request has crashed or frozen a server. */
+static void
+note_crash(struct servers *servers, int number, int status)
+{
+	struct server *server = &servers->servers[number];
+
+	if (WIFSTOPPED(status)) {
+		soak_log(servers->soak, "server %d: fell silent", number);
+		server->state = SERVER_SILENT;
+		server->due_us =
+		    random_time_us(servers, SILENT_MIN_MS, SILENT_MAX_MS);
+		return;
+	}
+	soak_log(servers->soak, "server %d: crashed", number);
+	server_process(servers, number)->pid = 0;
+	server->state = SERVER_DOWN;
+	server->due_us = random_time_us(servers, 1, DOWN_MAX_MS);
+}
+
 void
 servers_step(struct servers *servers, bool all)
 {
@@ -195,19 +219,22 @@
 	for (int i = 0; i < servers->soak->cluster.server_count; i++) {
 		struct server *server = &servers->servers[i];
 		struct cluster_process *process = server_process(servers, i);
+		int status;
 
 		if (server->state == SERVER_LEAVING &&
 		    server->due_us <= now_us) {
 			cluster_signal(process, SIGTERM);
 			server->state = SERVER_STOPPING;
 		}
-		/* A request has crashed it. */
 		if ((server->state == SERVER_UP ||
 			server->state == SERVER_LEAVING) &&
 		    process->pid != 0 &&
-		    waitpid(process->pid, NULL, WNOHANG) == process->pid) {
-			soak_log(servers->soak, "server %d: crashed", i);
-			process->pid = 0;
+		    waitpid(process->pid, &status, WNOHANG | WUNTRACED) ==
+			process->pid)
+			note_crash(servers, i, status);
+		if (server->state == SERVER_SILENT &&
+		    server->due_us <= now_us) {
+			cluster_signal(process, SIGKILL);
 			server->state = SERVER_DOWN;
 			server->due_us =
 			    random_time_us(servers, 1, DOWN_MAX_MS);
