--- a/dispatch/suspects.c
+++ b/dispatch/suspects.c
@@ -13,6 +13,12 @@
 	/* Longer than a message takes to all VMs. */
 	SPREAD_US = 300 * US_PER_MS,
 	ASK_INTERVAL_US = 1 * US_PER_S,
+	/* Crashes and open runs from which on all VMs know of the latter. */
+	SPREAD_RUNS = 2,
+	OPEN_ROUNDS_MAX = 32, /* open runs of a request that are looked at */
+	/* In which a VM finds out that its paths are lost, and not its servers,
+	 * while it tries one after the other. */
+	ONE_CAUSE_US = 1 * US_PER_S,
 	/* Time to find out by a connection that a server has ended. */
 	FIND_OUT_US = 100 * US_PER_MS,
 };
@@ -248,11 +254,55 @@
 	    fingerprint;
 }
 
+bool
+suspects_completed_since(
+    const struct suspects *suspects, uint64_t fingerprint, int64_t since_us)
+{
+	return has_completed(suspects, fingerprint) &&
+	    suspects->completed_us[fingerprint % SUSPECT_COMPLETED_KEPT] >
+	    since_us;
+}
+
+/* Returns whether two runs may have been broken off by one cause, such as a
+ * lost path: they overlapped, or one VM's connections broke shortly after each
+ * other. first was sent before second. */
+static bool
+have_one_cause(
+    const struct unfinished_run *first, const struct unfinished_run *second)
+{
+	int64_t latest_us = first->ended_us;
+
+	if (first->sender == second->sender)
+		latest_us += ONE_CAUSE_US;
+	return first->broken && second->broken && second->sent_us < latest_us;
+}
+
+/* Returns whether an open run of the request was sent before a run, and has not
+ * ended by one cause with it. If both turn out to be crashes, the latter is not
+ * in the first round, whichever becomes known first. */
+static bool
+follows_open_run(
+    struct unfinished *unfinished, const struct unfinished_run *run)
+{
+	const struct unfinished_run *open;
+	size_t cursor = 0;
+
+	while ((open = unfinished_next_open(unfinished, run->fingerprint,
+		    INT64_MAX, &cursor)) != NULL) {
+		if (open->sent_us < run->sent_us &&
+		    unfinished_crash(&open->start) !=
+			unfinished_crash(&run->start) &&
+		    !have_one_cause(open, run))
+			return true;
+	}
+	return false;
+}
+
 /* Returns what a run counts as if its server ends. suspect: NULL if there is no
  * suspicion yet. */
 static struct suspect_crash
 crash_of(const struct suspects *suspects, const struct suspect *suspect,
-    const struct unfinished_run *run)
+    struct unfinished *unfinished, const struct unfinished_run *run)
 {
 	struct suspect_crash crash = {
 	    .fingerprint = run->fingerprint,
@@ -266,20 +316,22 @@
 		crash.round = round_at(suspect, run->sent_us) + 1;
 	else if (has_completed(suspects, run->fingerprint))
 		crash.round = 0;
+	if (crash.round == 1 && follows_open_run(unfinished, run))
+		crash.round = 2;
 	return crash;
 }
 
 bool
 suspects_must_record(const struct suspects *suspects,
-    const struct unfinished_run *run, struct suspect_crash *crash,
-    int64_t now_us)
+    struct unfinished *unfinished, const struct unfinished_run *run,
+    struct suspect_crash *crash, int64_t now_us)
 {
 	struct suspect *suspect = find(suspects, run->fingerprint);
 
-	if ((suspect == NULL || suspect->crash_count == 0) &&
-	    (!run->broken || now_us - run->ended_us < FIND_OUT_US))
+	if ((suspect == NULL || suspect->crash_count == 0) && !run->spread &&
+	    (run->named_server_serves || now_us - run->ended_us < FIND_OUT_US))
 		return false;
-	*crash = crash_of(suspects, suspect, run);
+	*crash = crash_of(suspects, suspect, unfinished, run);
 	return suspect == NULL || find_crash(suspect, crash->crash) == NULL;
 }
 
@@ -302,15 +354,15 @@
 }
 
 bool
-suspects_add_run(struct suspects *suspects, const struct unfinished_run *run,
-    struct suspect_crash *added)
+suspects_add_run(struct suspects *suspects, struct unfinished *unfinished,
+    const struct unfinished_run *run, struct suspect_crash *added)
 {
 	struct suspect *suspect;
 
 	if (run->adopted)
 		return add_adopted_run(suspects, run, added);
 	suspect = find_or_add(suspects, run->fingerprint);
-	*added = crash_of(suspects, suspect, run);
+	*added = crash_of(suspects, suspect, unfinished, run);
 	/* What accepts connections for a server that has ended, and closes
 	 * them, does not make it end again. */
 	if (find_crash(suspect, added->crash) != NULL ||
@@ -370,14 +422,16 @@
 }
 
 bool
-suspects_clear(struct suspects *suspects, uint64_t fingerprint,
+suspects_clear(struct suspects *suspects, uint64_t fingerprint, bool spread,
     struct suspect_crash *cleared, int64_t now_us)
 {
 	struct suspect *suspect = find(suspects, fingerprint);
 
 	suspects->completed[fingerprint % SUSPECT_COMPLETED_KEPT] = fingerprint;
-	if (suspect == NULL || suspect->crash_count == 0)
+	suspects->completed_us[fingerprint % SUSPECT_COMPLETED_KEPT] = now_us;
+	if ((suspect == NULL || suspect->crash_count == 0) && !spread)
 		return false;
+	suspect = find_or_add(suspects, fingerprint);
 	start_epoch(suspect, suspect->epoch + 1);
 	suspects->changed_us = now_us;
 	update_digest(suspects);
@@ -396,13 +450,107 @@
 	return suspect != NULL && is_refused(suspect);
 }
 
+/* An open run, and the round of the crash that it may turn out to be. */
+struct open_round {
+	const struct unfinished_run *run;
+	uint32_t round;
+};
+
+static int
+compare_sends(const void *a, const void *b)
+{
+	const struct open_round *first = a;
+	const struct open_round *second = b;
+
+	return (first->run->sent_us > second->run->sent_us) -
+	    (first->run->sent_us < second->run->sent_us);
+}
+
+/* Returns the round of an open run, those that were sent before it having
+ * theirs. */
+static uint32_t
+round_of_open(
+    const struct suspect *suspect, const struct open_round *open, size_t at)
+{
+	const struct unfinished_run *run = open[at].run;
+	int64_t after_us = run->sent_us - (run->broken ? ONE_CAUSE_US : 0);
+	uint32_t last = suspect != NULL ? round_at(suspect, after_us) : 0;
+
+	for (size_t i = 0; i < at; i++) {
+		if (!have_one_cause(open[i].run, run) && open[i].round > last)
+			last = open[i].round;
+	}
+	return last + 1;
+}
+
+struct suspicion
+suspects_count(const struct suspects *suspects, struct unfinished *unfinished,
+    uint64_t fingerprint, int64_t now_us)
+{
+	struct suspect *suspect = find(suspects, fingerprint);
+	struct suspicion suspicion = {
+	    .completed = has_completed(suspects, fingerprint)};
+	struct open_round open[OPEN_ROUNDS_MAX];
+	struct unfinished_run *run;
+	size_t cursor = 0;
+	size_t count = 0;
+
+	if (suspect != NULL) {
+		suspicion.crashes = counted_crashes(suspect);
+		suspicion.rounds = last_round(suspect);
+	}
+	while (count < OPEN_ROUNDS_MAX &&
+	    (run = unfinished_next_open(
+		 unfinished, fingerprint, now_us, &cursor)) != NULL) {
+		if (suspect == NULL ||
+		    find_crash(suspect, unfinished_crash(&run->start)) == NULL)
+			open[count++].run = run;
+	}
+	suspicion.open_runs = (uint32_t)count;
+	qsort(open, count, sizeof(open[0]), compare_sends);
+	for (size_t i = 0; i < count; i++) {
+		open[i].round = round_of_open(suspect, open, i);
+		if (open[i].round > suspicion.rounds)
+			suspicion.rounds = open[i].round;
+	}
+	return suspicion;
+}
+
 bool
-suspects_one_at_a_time(const struct suspects *suspects, uint64_t fingerprint)
+suspects_hold(const struct suspicion *suspicion)
 {
-	const struct suspect *suspect = find(suspects, fingerprint);
+	return suspicion->open_runs > 0 && suspicion->rounds > 1 &&
+	    suspicion->crashes + suspicion->open_runs >= SUSPECT_CRASHES_MAX;
+}
+
+bool
+suspects_one_at_a_time(const struct suspicion *suspicion)
+{
+	uint32_t runs = suspicion->crashes;
+
+	/* Of a request that completes again and again, some runs are always
+	 * ended by callers that leave. */
+	if (!suspicion->completed && suspicion->rounds > 1)
+		runs += suspicion->open_runs;
+	return runs >= SUSPECT_CRASHES_MAX - 1;
+}
+
+bool
+suspects_must_spread(const struct suspicion *suspicion)
+{
+	return suspicion->open_runs > 0 &&
+	    suspicion->crashes + suspicion->open_runs >= SPREAD_RUNS;
+}
+
+bool
+suspects_is_open(const struct suspects *suspects,
+    const struct unfinished_run *run, uint32_t epoch)
+{
+	struct suspect *suspect = find(suspects, run->fingerprint);
 
-	return suspect != NULL &&
-	    counted_crashes(suspect) >= SUSPECT_CRASHES_MAX - 1;
+	return suspect == NULL ||
+	    (epoch >= suspect->epoch &&
+		find_crash(suspect, unfinished_crash(&run->start)) == NULL);
 }
 
 /* Returns the time of the last crash or trial, as late as it may have been. */
@@ -448,7 +596,8 @@
 {
 	struct suspect *suspect = find(suspects, fingerprint);
 
-	if (suspect == NULL || now_us < next_trial_us(suspects, suspect))
+	if (suspect == NULL || !is_refused(suspect) ||
+	    now_us < next_trial_us(suspects, suspect))
 		return false;
 	suspect->trial = (struct suspect_crash){
 	    .fingerprint = fingerprint,
--- a/dispatch/unfinished.c
+++ b/dispatch/unfinished.c
@@ -16,6 +16,9 @@
 	BROKEN_LATELY_US = 5 * US_PER_S,
 	/* Connections may still be accepted for a process that is ending. */
 	ENDING_US = 200 * US_PER_MS,
+	/* Time to find out by a connection whether a server that has answered
+	 * is still there. */
+	ANSWERED_US = 500 * US_PER_MS,
 };
 
 uint64_t
@@ -54,10 +57,24 @@
 	return false;
 }
 
+static uint16_t *
+request_bucket(struct unfinished *unfinished, uint64_t fingerprint)
+{
+	return &unfinished->by_request[fingerprint % UNFINISHED_BUCKETS];
+}
+
+static uint16_t *
+server_bucket(struct unfinished *unfinished, uint64_t server)
+{
+	return &unfinished->by_server[server % UNFINISHED_BUCKETS];
+}
+
 static struct unfinished_run *
 find_run(struct unfinished *unfinished, uint64_t fingerprint,
     const struct server_start *start)
 {
+	if (*request_bucket(unfinished, fingerprint) == 0)
+		return NULL;
 	for (size_t i = 0; i < entry_count(unfinished); i++) {
 		struct unfinished_run *run = &unfinished->runs[i];
 
@@ -71,10 +88,22 @@
 static void
 drop(struct unfinished *unfinished, struct unfinished_run *run)
 {
+	--*request_bucket(unfinished, run->fingerprint);
+	--*server_bucket(unfinished, run->start.server);
 	run->fingerprint = 0;
 	unfinished->used--;
 }
 
+static void
+put(struct unfinished *unfinished, struct unfinished_run *slot,
+    const struct unfinished_run *run)
+{
+	*slot = *run;
+	++*request_bucket(unfinished, run->fingerprint);
+	++*server_bucket(unfinished, run->start.server);
+	unfinished->used++;
+}
+
 /* Drops a run. If the store has it, unfinished_take_released() tells of it. */
 static void
 release(struct unfinished *unfinished, struct unfinished_run *run)
@@ -93,27 +122,143 @@
 	struct unfinished_run *slot =
 	    find_run(unfinished, run->fingerprint, &run->start);
 	bool was_broken = false;
+	bool was_spread = false;
 
 	if (slot != NULL) {
 		was_broken = slot->broken;
+		was_spread = slot->spread;
 		release(unfinished, slot);
 	} else {
 		slot = &unfinished->runs[unfinished->next++ % UNFINISHED_MAX];
 		if (slot->fingerprint != 0)
 			drop(unfinished, slot);
 	}
-	unfinished->used++;
-	*slot = *run;
+	put(unfinished, slot, run);
 	slot->broken |= was_broken;
+	slot->spread |= was_spread;
 	return has_ended_since(unfinished, run);
 }
 
-void
+bool
 unfinished_adopt(
     struct unfinished *unfinished, const struct unfinished_run *run)
 {
-	if (find_run(unfinished, run->fingerprint, &run->start) == NULL)
+	struct unfinished_run *known =
+	    find_run(unfinished, run->fingerprint, &run->start);
+
+	if (known == NULL) {
 		unfinished_add(unfinished, run);
+		return true;
+	}
+	if (run->ran_until_us > known->ran_until_us) {
+		known->ran_until_us = run->ran_until_us;
+		known->ended_us = run->ended_us;
+		known->named_server_serves = false;
+	}
+	known->spread |= run->spread;
+	return false;
+}
+
+bool
+unfinished_is_open(const struct unfinished_run *run, int64_t now_us)
+{
+	if (run->answered)
+		return !run->address_serves &&
+		    now_us - run->ended_us >= ANSWERED_US;
+	return !run->named_server_serves;
+}
+
+struct unfinished_run *
+unfinished_next_open(struct unfinished *unfinished, uint64_t fingerprint,
+    int64_t now_us, size_t *cursor)
+{
+	if (*request_bucket(unfinished, fingerprint) == 0)
+		return NULL;
+	while (*cursor < entry_count(unfinished)) {
+		struct unfinished_run *run = &unfinished->runs[(*cursor)++];
+
+		if (run->fingerprint == fingerprint &&
+		    unfinished_is_open(run, now_us))
+			return run;
+	}
+	return NULL;
+}
+
+struct unfinished_run *
+unfinished_next_own(struct unfinished *unfinished, size_t *cursor)
+{
+	if (unfinished->used == 0)
+		return NULL;
+	while (*cursor < entry_count(unfinished)) {
+		struct unfinished_run *run = &unfinished->runs[(*cursor)++];
+
+		if (run->fingerprint != 0 && run->sender == 0 && !run->adopted)
+			return run;
+	}
+	return NULL;
+}
+
+bool
+unfinished_drop_run(struct unfinished *unfinished, uint64_t fingerprint,
+    const struct server_start *start, uint64_t sender)
+{
+	struct unfinished_run *run = find_run(unfinished, fingerprint, start);
+	bool was_spread;
+
+	if (run == NULL || run->sender != sender)
+		return false;
+	was_spread = run->spread;
+	release(unfinished, run);
+	return was_spread;
+}
+
+void
+unfinished_take_over(struct unfinished *unfinished, uint64_t sender)
+{
+	for (size_t i = 0; i < entry_count(unfinished); i++) {
+		if (unfinished->runs[i].sender == sender)
+			unfinished->runs[i].shared = false;
+	}
+}
+
+static uint64_t
+digest_of(const struct unfinished_run *run)
+{
+	const uint64_t parts[] = {
+	    run->fingerprint, unfinished_crash(&run->start)};
+
+	return hash_bytes(parts, sizeof(parts), 0);
+}
+
+uint64_t
+unfinished_digest(const struct unfinished *unfinished)
+{
+	uint64_t digest = 0;
+
+	if (unfinished->used == 0)
+		return 0;
+	/* Sums do not depend on the order. */
+	for (size_t i = 0; i < entry_count(unfinished); i++) {
+		const struct unfinished_run *run = &unfinished->runs[i];
+
+		if (run->fingerprint != 0 && run->spread)
+			digest += digest_of(run);
+	}
+	return digest;
+}
+
+size_t
+unfinished_list_spread(const struct unfinished *unfinished,
+    struct unfinished_run *runs, size_t max)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < entry_count(unfinished) && count < max; i++) {
+		if (unfinished->runs[i].fingerprint != 0 &&
+		    unfinished->runs[i].spread)
+			runs[count++] = unfinished->runs[i];
+	}
+	return count;
 }
 
 const struct server_start *
@@ -125,7 +270,7 @@
 		const struct unfinished_run *run =
 		    &unfinished->runs[(*cursor)++];
 
-		if (run->fingerprint != 0 && run->adopted)
+		if (run->fingerprint != 0 && (run->adopted || run->sender != 0))
 			return &run->start;
 	}
 	return NULL;
@@ -133,16 +278,19 @@
 
 void
 unfinished_server_responds(struct unfinished *unfinished,
-    const struct server_start *start, int64_t since_us)
+    const struct server_start *start, int64_t since_us, bool named)
 {
-	if (unfinished->used == 0)
+	if (*server_bucket(unfinished, start->server) == 0)
 		return;
 	for (size_t i = 0; i < entry_count(unfinished); i++) {
 		struct unfinished_run *run = &unfinished->runs[i];
 
-		if (is_same_start(&run->start, start) &&
-		    run->ran_until_us + ENDING_US <= since_us)
-			run->address_serves = true;
+		if (run->fingerprint == 0 ||
+		    !is_same_start(&run->start, start) ||
+		    run->ran_until_us + ENDING_US > since_us)
+			continue;
+		run->address_serves = true;
+		run->named_server_serves |= named;
 	}
 }
 
@@ -154,7 +302,8 @@
 	while (*cursor < entry_count(unfinished)) {
 		struct unfinished_run *run = &unfinished->runs[(*cursor)++];
 
-		if (run->fingerprint != 0 && !run->recorded)
+		/* Another VM answers for a shared run. */
+		if (run->fingerprint != 0 && !run->recorded && !run->shared)
 			return run;
 	}
 	return NULL;
@@ -181,16 +330,23 @@
 	    };
 }
 
-void
+bool
 unfinished_request_completed(
     struct unfinished *unfinished, uint64_t fingerprint)
 {
-	if (unfinished->used == 0)
-		return;
+	bool spread = false;
+
+	if (*request_bucket(unfinished, fingerprint) == 0)
+		return false;
 	for (size_t i = 0; i < entry_count(unfinished); i++) {
-		if (unfinished->runs[i].fingerprint == fingerprint)
-			release(unfinished, &unfinished->runs[i]);
+		struct unfinished_run *run = &unfinished->runs[i];
+
+		if (run->fingerprint != fingerprint)
+			continue;
+		spread |= run->spread;
+		release(unfinished, run);
 	}
+	return spread;
 }
 
 size_t
@@ -207,7 +363,8 @@
 		    ? run->ran_until_us
 		    : listed_since_us;
 
-		if (run->fingerprint == 0 || now_us - since_us < LISTED_US)
+		if (run->fingerprint == 0 || now_us - since_us < LISTED_US ||
+		    (run->under_way && run->sender == 0))
 			continue;
 		release(unfinished, run);
 		dropped++;
@@ -232,7 +389,7 @@
 {
 	size_t count = 0;
 
-	if (unfinished->used == 0)
+	if (*server_bucket(unfinished, start->server) == 0)
 		return 0;
 	for (size_t i = 0; i < entry_count(unfinished) && count < max; i++) {
 		struct unfinished_run *run = &unfinished->runs[i];
@@ -262,7 +419,7 @@
 		const struct unfinished_run *run =
 		    &unfinished->runs[(*cursor)++];
 
-		if (run->fingerprint != 0 && run->broken &&
+		if (run->fingerprint != 0 && run->broken && !run->shared &&
 		    !run->address_serves &&
 		    now_us - run->ended_us <= BROKEN_LATELY_US)
 			return &run->start;
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -47,6 +47,7 @@
 	struct forward *attempt = request->attempt;
 
 	request->attempt = NULL;
+	quarantine_run_ended(request->gateway->quarantine, &attempt->run);
 	backend_request_ended(
 	    &request->gateway->blackboard.backends, attempt->backend);
 	h1_headers_reset(&attempt->headers);
@@ -63,25 +64,16 @@
 	};
 }
 
-/* Notes that the server may have run the request, and has not finished it. */
-static void
-add_unfinished(const struct request *request, bool broken)
-{
-	const struct forward *attempt = request->attempt;
-	const struct server_start start = server_start_of(attempt);
-
-	quarantine_add_unfinished(request->gateway->quarantine,
-	    request->fingerprint, &start, attempt->started_us, broken);
-}
-
 void
 forward_cancel(struct request *request)
 {
+	static const struct run_break closed_here;
 	const struct forward *attempt = request->attempt;
 
 	if (attempt->call != NULL && h1_call_sent(attempt->call) &&
 	    !attempt->response.not_executed)
-		add_unfinished(request, false);
+		quarantine_run_unfinished(request->gateway->quarantine,
+		    &request->attempt->run, &closed_here);
 	if (attempt->call != NULL)
 		h1_call_cancel(attempt->call);
 	forward_free(request);
@@ -304,6 +296,7 @@
 		return H1_HEAD_SKIP;
 	distrust_unnamed_refusal(attempt, has_request_id);
 	attempt->head_received = true;
+	quarantine_run_responded(&attempt->run);
 	request->stated_limit = attempt->response.limit;
 	mark_server_if_leaving(request);
 	learn_limit(request);
@@ -472,7 +465,7 @@
 static void
 note_run_end(const struct request *request, const struct h1_outcome *outcome)
 {
-	const struct forward *attempt = request->attempt;
+	struct forward *attempt = request->attempt;
 	const struct backend_response *response = &attempt->response;
 	const struct run_outcome run = {
 	    .whole = outcome->result == H1_COMPLETE && attempt->head_received &&
@@ -483,6 +476,11 @@
 	    .status = response->status,
 	};
 
+	const struct run_break how = {
+	    .broken = !run.whole || !run.delimited,
+	    .answered = run.whole,
+	};
+
 	switch (run_end_of(&run)) {
 	case RUN_END_NOT_RUN:
 	case RUN_END_REJECTED:
@@ -491,7 +489,8 @@
 		note_completed(request);
 		return;
 	case RUN_END_UNFINISHED:
-		add_unfinished(request, !run.whole || !run.delimited);
+		quarantine_run_unfinished(
+		    request->gateway->quarantine, &attempt->run, &how);
 		return;
 	}
 }
@@ -577,6 +576,7 @@
 	    .workspace =
 		request->workspace != NULL ? request->workspace->name : NULL,
 	};
+	struct server_start start;
 	struct h1_headers headers = {0};
 	struct h1_call_params params = {
 	    .address = backend->entry.address,
@@ -606,6 +606,9 @@
 	attempt->prior_event_count = request->events.event_count;
 	backend_request_started(backends, backend, criteria, now_us);
 	request->gateway->counters.attempts_total++;
+	start = server_start_of(attempt);
+	quarantine_run_began(request->gateway->quarantine, &attempt->run,
+	    request->fingerprint, &start, now_us);
 	platform_request_forward(&head->headers, &fields, &headers);
 	attempt->call = h1_call_start(request->gateway->http_client, &params);
 	h1_headers_reset(&headers);
--- a/gateway/peer_choice.c
+++ b/gateway/peer_choice.c
@@ -63,6 +63,28 @@
 	return choice.vm != NULL ? choice.vm : gateway->settings.vm_name;
 }
 
+const char *
+peer_gateways_watcher(const struct peer_gateways *peer_gateways)
+{
+	const struct settings *settings = &peer_gateways->gateway->settings;
+	uint64_t self_hash = hash_text(settings->vm_name, 0);
+	int64_t now_us = clock_monotonic_us();
+	struct choice choice = {0};
+
+	for (size_t i = 0; i < peer_gateways->members.count; i++) {
+		const struct member *member = &peer_gateways->members.items[i];
+
+		if (member->last_heartbeat_us == 0 ||
+		    member_state(member, now_us) != MEMBER_LIVE)
+			continue;
+		consider(&choice, member->vm,
+		    strcmp(member->region, settings->region) == 0 &&
+			!peer_gateway_in_own_domain(peer_gateways, member),
+		    self_hash);
+	}
+	return choice.vm;
+}
+
 /* A gateway of a failure domain with its hash. */
 struct hub {
 	const char *failure_domain;
--- a/gateway/peer_gateways.c
+++ b/gateway/peer_gateways.c
@@ -155,6 +155,32 @@
 		     .items[peer_gateway - peer_gateways->gateways]);
 }
 
+uint64_t
+peer_gateways_incarnation(
+    const struct peer_gateways *peer_gateways, const char *vm)
+{
+	const struct peer_gateway *peer_gateway =
+	    find_peer_gateway(peer_gateways, vm);
+
+	const struct member *member;
+
+	if (peer_gateway == NULL)
+		return 0;
+	member = &peer_gateways->members
+		      .items[peer_gateway - peer_gateways->gateways];
+	/* One that was silent before and is damped runs all the same. */
+	return clock_monotonic_us() - member->last_heartbeat_us <=
+		member->timeout_us
+	    ? peer_gateway->incarnation
+	    : 0;
+}
+
+uint64_t
+peer_gateways_own_incarnation(const struct peer_gateways *peer_gateways)
+{
+	return peer_gateways->incarnation;
+}
+
 bool
 peer_gateway_in_own_domain(
     const struct peer_gateways *peer_gateways, const struct member *member)
@@ -347,6 +373,7 @@
 		return;
 	case MESSAGE_SUSPECTS:
 	case MESSAGE_SUSPECTS_GET:
+	case MESSAGE_RUNS:
 		quarantine_handle_message(gateway->quarantine, message);
 		return;
 	case MESSAGE_STORE_APPEND:
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -26,6 +26,7 @@
 	list_init(&quarantine->probes);
 	quarantine->store = quarantine_store_create(quarantine);
 	quarantine->runs = quarantine_runs_create(quarantine);
+	quarantine->watch = quarantine_watch_create(quarantine);
 	return quarantine;
 }
 
@@ -33,6 +34,7 @@
 quarantine_destroy(struct quarantine *quarantine)
 {
 	quarantine_probe_cancel_all(quarantine);
+	quarantine_watch_destroy(quarantine->watch);
 	quarantine_runs_destroy(quarantine->runs);
 	quarantine_store_destroy(quarantine->store);
 	suspects_reset(&quarantine->suspects);
@@ -68,27 +70,32 @@
 quarantine_tick(struct quarantine *quarantine)
 {
 	quarantine_probe_all(quarantine);
+	quarantine_watch_tick(quarantine->watch);
 	drop_listed(quarantine);
 	quarantine_runs_tick(quarantine->runs);
 }
 
-bool
-quarantine_refuses(const struct quarantine *quarantine, uint64_t fingerprint)
-{
-	return suspects_refuse(&quarantine->suspects, fingerprint);
-}
-
-bool
-quarantine_one_at_a_time(
-    const struct quarantine *quarantine, uint64_t fingerprint)
+enum quarantine_verdict
+quarantine_judge(struct quarantine *quarantine, uint64_t fingerprint)
 {
-	return suspects_one_at_a_time(&quarantine->suspects, fingerprint);
+	const struct suspicion suspicion = suspects_count(&quarantine->suspects,
+	    &quarantine->unfinished, fingerprint, clock_monotonic_us());
+
+	if (suspects_refuse(&quarantine->suspects, fingerprint))
+		return QUARANTINE_REFUSE;
+	if (suspects_hold(&suspicion)) {
+		quarantine->gateway->counters.suspect_held_total++;
+		return QUARANTINE_HOLD;
+	}
+	return suspects_one_at_a_time(&suspicion) ? QUARANTINE_ONE_AT_A_TIME
+						  : QUARANTINE_SEND;
 }
 
 uint64_t
 quarantine_digest(const struct quarantine *quarantine)
 {
-	return quarantine->suspects.digest;
+	return quarantine->suspects.digest +
+	    unfinished_digest(&quarantine->unfinished);
 }
 
 static const char *
@@ -120,8 +127,8 @@
 	trace_number(&trace, "round", crash->round);
 	trace_number(
 	    &trace, "crashes", suspect != NULL ? suspect->crash_count : 0);
-	trace_number(
-	    &trace, "held", quarantine_refuses(quarantine, crash->fingerprint));
+	trace_number(&trace, "held",
+	    suspects_refuse(&quarantine->suspects, crash->fingerprint));
 	trace_end(&trace);
 }
 
@@ -183,9 +190,12 @@
 quarantine_take_trial(struct quarantine *quarantine, uint64_t fingerprint)
 {
 	struct gateway *gateway = quarantine->gateway;
+	const struct suspicion suspicion = suspects_count(&quarantine->suspects,
+	    &quarantine->unfinished, fingerprint, clock_monotonic_us());
 	struct suspect_crash trial;
 
 	if (!is_coordinator(gateway, fingerprint) ||
+	    suspects_hold(&suspicion) ||
 	    !suspects_take_trial(&quarantine->suspects, fingerprint, &trial,
 		clock_monotonic_us()))
 		return false;
@@ -229,14 +239,20 @@
 }
 
 /* Counts the end of a server against a request that it had not finished.
- * Returns false if that is known already. */
+ * Returns false if others need not be told. */
 static bool
 add_crash(struct quarantine *quarantine, const struct unfinished_run *run,
     const char *server, struct suspect_crash *crash)
 {
+	if (!quarantine_counts_here(quarantine, run)) {
+		suspects_add_run(
+		    &quarantine->suspects, &quarantine->unfinished, run, crash);
+		return false;
+	}
 	if (run->recorded)
 		quarantine_runs_remove(quarantine->runs, run);
-	if (!suspects_add_run(&quarantine->suspects, run, crash)) {
+	if (!suspects_add_run(
+		&quarantine->suspects, &quarantine->unfinished, run, crash)) {
 		trace_known(quarantine, run, server);
 		return false;
 	}
@@ -255,13 +271,14 @@
 	size_t added_count = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		if (quarantine_counts_here(quarantine, &runs[i]) &&
-		    add_crash(
+		if (add_crash(
 			quarantine, &runs[i], server, &added[added_count]))
 			added_count++;
 	}
 	if (added_count > 0)
 		send_crashes(quarantine, NULL, added, added_count);
+	for (size_t i = 0; i < added_count; i++)
+		quarantine_spread(quarantine, added[i].fingerprint);
 	return count;
 }
 
@@ -293,32 +310,59 @@
 	trace_text(
 	    &trace, "server", backend != NULL ? backend->entry.id : NULL);
 	trace_text(&trace, "why",
-	    run->broken ? "connection broke" : "closed from this side");
+	    run->under_way      ? "the server is silent"
+		: run->answered ? "the response does not show its end"
+		: run->broken   ? "connection broke"
+				: "closed from this side");
 	trace_ms(&trace, "ran_ms", run->ended_us - run->sent_us);
 	trace_end(&trace);
 }
 
 void
-quarantine_add_unfinished(struct quarantine *quarantine, uint64_t fingerprint,
-    const struct server_start *start, int64_t sent_us, bool broken)
+quarantine_add_open(
+    struct quarantine *quarantine, const struct unfinished_run *run)
+{
+	bool ended;
+
+	if (suspects_completed_since(
+		&quarantine->suspects, run->fingerprint, run->sent_us))
+		return;
+	ended = unfinished_add(&quarantine->unfinished, run);
+	quarantine->gateway->counters.suspect_runs_unresolved_total++;
+	trace_unresolved(quarantine, run);
+	if (!run->untold)
+		quarantine_tell_open(quarantine, run);
+	if (ended)
+		quarantine_note_crashes(quarantine, &run->start, NULL,
+		    "removed from the list before the run ended");
+}
+
+void
+quarantine_run_unfinished(struct quarantine *quarantine, struct sent_run *sent,
+    const struct run_break *how)
 {
 	int64_t now_us = clock_monotonic_us();
 	const struct unfinished_run run = {
-	    .fingerprint = fingerprint,
-	    .start = *start,
-	    .sent_us = sent_us,
+	    .fingerprint = sent->fingerprint,
+	    .start = sent->start,
+	    .number = sent->number,
+	    .sent_us = sent->sent_us,
 	    .ended_us = now_us,
-	    .ran_until_us = broken ? now_us : now_us + CLOSE_NOTICED_US,
-	    .broken = broken,
+	    .ran_until_us = how->broken ? now_us : now_us + CLOSE_NOTICED_US,
+	    .broken = how->broken,
+	    .answered = how->answered,
+	    .untold = how->answered,
 	};
 
-	quarantine->gateway->counters.suspect_runs_unresolved_total++;
-	trace_unresolved(quarantine, &run);
-	if (unfinished_add(&quarantine->unfinished, &run))
-		quarantine_note_crashes(quarantine, start, NULL,
-		    "removed from the list before the run ended");
-	else if (broken)
-		quarantine_probe(quarantine, start);
+	if (how->answered) {
+		quarantine_run_ended(quarantine, sent);
+	} else {
+		list_remove(&sent->link);
+		list_init(&sent->link);
+	}
+	quarantine_add_open(quarantine, &run);
+	if (how->broken)
+		quarantine_probe(quarantine, &run.start);
 }
 
 /* Tells which response cleared a request. */
@@ -345,12 +389,14 @@
 	    suspects_find(&quarantine->suspects, fingerprint);
 	struct suspect before = {0};
 	struct suspect_crash cleared;
+	bool spread;
 
 	if (known != NULL)
 		before = *known;
-	unfinished_request_completed(&quarantine->unfinished, fingerprint);
-	if (!suspects_clear(&quarantine->suspects, fingerprint, &cleared,
-		clock_monotonic_us()))
+	spread =
+	    unfinished_request_completed(&quarantine->unfinished, fingerprint);
+	if (!suspects_clear(&quarantine->suspects, fingerprint, spread,
+		&cleared, clock_monotonic_us()))
 		return;
 	quarantine->gateway->counters.suspicions_cleared_total++;
 	trace_cleared_by(fingerprint, response);
@@ -361,14 +407,16 @@
 		quarantine_store_remove(quarantine->store, &before.crashes[i]);
 	if (before.trial.round > 0)
 		quarantine_store_remove(quarantine->store, &before.trial);
-	quarantine_store_add(quarantine->store, &cleared);
+	if (before.crash_count > 0)
+		quarantine_store_add(quarantine->store, &cleared);
 }
 
 void
 quarantine_handle_response(struct quarantine *quarantine,
     const struct server_start *start, int64_t sent_us)
 {
-	unfinished_server_responds(&quarantine->unfinished, start, sent_us);
+	unfinished_server_responds(
+	    &quarantine->unfinished, start, sent_us, true);
 }
 
 void
@@ -408,8 +456,14 @@
 quarantine_join(struct quarantine *quarantine,
     const struct suspect_crash *crash, const char *source)
 {
-	if (suspects_join(&quarantine->suspects, crash))
-		trace_crash(quarantine, crash, NULL, source);
+	if (!suspects_join(&quarantine->suspects, crash))
+		return;
+	trace_crash(quarantine, crash, NULL, source);
+	if (crash->crash == SUSPECT_EPOCH)
+		unfinished_request_completed(
+		    &quarantine->unfinished, crash->fingerprint);
+	else
+		quarantine_spread(quarantine, crash->fingerprint);
 }
 
 void
@@ -418,6 +472,7 @@
 {
 	struct message message = {.type = MESSAGE_SUSPECTS_GET};
 
+	digest -= unfinished_digest(&quarantine->unfinished);
 	if (!suspects_should_ask(
 		&quarantine->suspects, digest, clock_monotonic_us()) &&
 	    (quarantine->loaded || quarantine->asked))
@@ -462,6 +517,10 @@
 	case MESSAGE_SUSPECTS_GET:
 		send_crashes(quarantine, message->sender, list,
 		    suspects_list(&quarantine->suspects, list, LISTED_MAX));
+		quarantine_send_spread(quarantine, message->sender);
+		return;
+	case MESSAGE_RUNS:
+		quarantine_handle_runs(quarantine, message);
 		return;
 	default:
 		return;
--- a/gateway/quarantine_probe.c
+++ b/gateway/quarantine_probe.c
@@ -34,7 +34,7 @@
 	switch (result) {
 	case H1_PROBE_OPEN:
 		unfinished_server_responds(
-		    &quarantine->unfinished, &start, started_us);
+		    &quarantine->unfinished, &start, started_us, false);
 		return;
 	case H1_PROBE_REFUSED:
 		quarantine_handle_refused(quarantine, &start);
--- a/gateway/quarantine_runs.c
+++ b/gateway/quarantine_runs.c
@@ -9,6 +9,7 @@
 #include "common/trace.h"
 #include "gateway/dependency.h"
 #include "gateway/keyed_writer.h"
+#include "gateway/peer_gateways.h"
 #include "gateway/quarantine_internal.h"
 #include "platform/store.h"
 
@@ -17,6 +18,10 @@
 	RETRY_MS = 300,
 	RETRY_JITTER_MS = 200,
 	ADD_GATHER_MS = 20,
+	/* For each gateway, before a run of a request that is under no
+	 * suspicion is written: all of them together make a quarter of the
+	 * appends that the store takes, however many callers leave. */
+	FIRST_GATHER_MS = 5,
 	/* Time for the crash to be written before. */
 	REMOVE_GATHER_MS = 500,
 	/* A record that is older tells nothing any more. */
@@ -64,6 +69,21 @@
 	write_record(runs, run, "", REMOVE_GATHER_MS);
 }
 
+static uint64_t
+gather_ms(const struct quarantine_runs *runs, const struct unfinished_run *run)
+{
+	const struct suspect *suspect =
+	    suspects_find(&runs->quarantine->suspects, run->fingerprint);
+	size_t known;
+	size_t live;
+
+	if (run->spread || (suspect != NULL && suspect->crash_count > 0))
+		return ADD_GATHER_MS;
+	peer_gateways_count(
+	    runs->quarantine->gateway->peer_gateways, &known, &live);
+	return ADD_GATHER_MS + live * FIRST_GATHER_MS;
+}
+
 static void
 add_record(struct quarantine_runs *runs, const struct unfinished_run *run)
 {
@@ -74,7 +94,7 @@
 	    "%" PRIu32 " %016" PRIx64 " %" PRId64 " %" PRId64 " %.63s",
 	    run->round, run->start.server, run->start.started_wall_ms,
 	    clock_wall_us() / US_PER_MS, gateway->settings.vm_name);
-	write_record(runs, run, value, ADD_GATHER_MS);
+	write_record(runs, run, value, gather_ms(runs, run));
 	gateway->counters.suspect_runs_recorded_total++;
 }
 
@@ -90,8 +110,8 @@
 		    &quarantine->unfinished, &cursor)) != NULL) {
 		struct suspect_crash crash;
 
-		if (!suspects_must_record(
-			&quarantine->suspects, run, &crash, now_us))
+		if (!suspects_must_record(&quarantine->suspects,
+			&quarantine->unfinished, run, &crash, now_us))
 			continue;
 		run->recorded = true;
 		run->epoch = crash.epoch;
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -24,6 +24,9 @@
 	RETRY_AFTER_DECLINED_US = 200 * US_PER_MS,
 	RETRY_AFTER_CRASHES_US = 60 * US_PER_S,
 	RETRY_AFTER_RUNNING_US = 500 * US_PER_MS,
+	/* About half of the time in which the entry of a server that has ended
+	 * lapses. */
+	RETRY_AFTER_HELD_US = 2 * US_PER_S,
 	/* The other gateways know within a heartbeat that this one reaches no
 	 * server. */
 	RETRY_AFTER_UNREACHABLE_US = 150 * US_PER_MS,
@@ -443,6 +446,13 @@
 	    : attempt->started_us + timeout_us;
 }
 
+static void
+hold_in_quarantine(struct request *request)
+{
+	request_refuse(request, REFUSAL_CRASHES_SERVERS, RETRY_AFTER_HELD_US,
+	    "it is not known whether several of its runs crashed servers");
+}
+
 static void
 refuse_in_quarantine(struct request *request)
 {
@@ -467,21 +477,28 @@
 request_send(struct request *request, struct backend *backend)
 {
 	const struct backend_request criteria = backend_request_of(request);
+	bool is_first_trial = request->is_trial && request->tried_count == 0;
 
 	/* It may have crashed servers while it waited, or in this very call. */
-	if (quarantine_refuses(
-		request->gateway->quarantine, request->fingerprint) &&
-	    !(request->is_trial && request->tried_count == 0)) {
+	switch (quarantine_judge(
+	    request->gateway->quarantine, request->fingerprint)) {
+	case QUARANTINE_REFUSE:
+		if (is_first_trial)
+			break;
 		refuse_in_quarantine(request);
 		return;
-	}
-	if (quarantine_one_at_a_time(
-		request->gateway->quarantine, request->fingerprint) &&
-	    is_running_already(request)) {
+	case QUARANTINE_HOLD:
+		hold_in_quarantine(request);
+		return;
+	case QUARANTINE_ONE_AT_A_TIME:
+		if (!is_running_already(request))
+			break;
 		request_refuse(request, REFUSAL_CRASHES_SERVERS,
 		    RETRY_AFTER_RUNNING_US,
 		    "it may have crashed servers, and runs already");
 		return;
+	case QUARANTINE_SEND:
+		break;
 	}
 	memcpy(request->tried[request->tried_count++], backend->entry.id,
 	    NAME_BYTES);
@@ -817,8 +834,16 @@
 	request->events.collect_data = request->route->retained;
 	request->body = h1_exchange_take_body(request->exchange);
 	request->fingerprint = fingerprint_of(request, caller);
-	if (!quarantine_refuses(gateway->quarantine, request->fingerprint))
+	switch (quarantine_judge(gateway->quarantine, request->fingerprint)) {
+	case QUARANTINE_SEND:
+	case QUARANTINE_ONE_AT_A_TIME:
 		return true;
+	case QUARANTINE_HOLD:
+		hold_in_quarantine(request);
+		return false;
+	case QUARANTINE_REFUSE:
+		break;
+	}
 	request->is_trial =
 	    quarantine_take_trial(gateway->quarantine, request->fingerprint);
 	if (request->is_trial)
--- a/include/common/counter.h
+++ b/include/common/counter.h
@@ -51,6 +51,8 @@
 	X(suspicions_cleared_total, "Requests cleared since they completed") \
 	X(suspect_crashes_known_total, "Crashes that were known already") \
 	X(suspect_runs_unresolved_total, "Runs whose outcome was not known") \
+	X(suspect_runs_taken_over_total, "Runs of gateways that are gone") \
+	X(suspect_held_total, "Requests held back for runs with no outcome") \
 	X(suspect_runs_dropped_total, "Runs whose servers live on") \
 	X(suspect_runs_recorded_total, "Unfinished runs written to the store") \
 	X(suspect_records_dropped_total, "Crashes that were not stored") \
--- a/include/dispatch/suspects.h
+++ b/include/dispatch/suspects.h
@@ -15,6 +15,14 @@
  * the first crash of a request that has completed before is in round 0, and is
  * not held against it. That holds for one crash at all VMs together.
  *
+ * A run whose outcome is open may turn out to be a crash. So a request is held
+ * back while it would be refused if all its open runs were crashes. Connections
+ * that break while their runs overlap, or one after the other at one VM, may
+ * have one cause, such as a lost path, and are in one round; each other open
+ * run is in a round of its own, as a silent server does not show when it ended.
+ * A run is no reason to hold it back if the request has completed elsewhere
+ * since it was sent.
+ *
  * A request that is refused may be innocent still. After a while one VM sends
  * it once more. Trials are known to all VMs as crashes are, as many of them end
  * without a result.
@@ -77,34 +85,61 @@
 	/** Requests that completed here, by the remainder of the fingerprint.
 	 */
 	uint64_t completed[SUSPECT_COMPLETED_KEPT];
+	int64_t completed_us[SUSPECT_COMPLETED_KEPT];
 	int64_t asked_us; /**< last time at which suspects_should_ask() did */
 };
 
 void suspects_reset(struct suspects *suspects);
 /** Adds the crash of a server that had not finished this run. Fills added with
  * what other VMs should hear. Returns false if it was known. */
-bool suspects_add_run(struct suspects *suspects,
+bool suspects_add_run(struct suspects *suspects, struct unfinished *unfinished,
     const struct unfinished_run *run, struct suspect_crash *added);
 /** Returns whether the store must have a run, so that it outlives this VM, and
  * fills crash with what it counts as if its server ends. Without any suspicion,
- * callers that leave and whole responses are no reason to record it, nor is a
- * connection that broke just now. */
+ * a run that ended just now is not recorded, nor is one that is no reason to
+ * hold its request back. */
 bool suspects_must_record(const struct suspects *suspects,
-    const struct unfinished_run *run, struct suspect_crash *crash,
-    int64_t now_us);
+    struct unfinished *unfinished, const struct unfinished_run *run,
+    struct suspect_crash *crash, int64_t now_us);
 /** Joins what another VM or the store knows. Returns whether it was new. */
 bool
 suspects_join(struct suspects *suspects, const struct suspect_crash *crash);
 /** Notes that a request has completed, and clears it. Fills cleared with what
- * other VMs should hear. Returns false if it was under no suspicion. */
+ * other VMs should hear. spread: they have been told of open runs of it.
+ * Returns false if it was under no suspicion. */
 bool suspects_clear(struct suspects *suspects, uint64_t fingerprint,
-    struct suspect_crash *cleared, int64_t now_us);
+    bool spread, struct suspect_crash *cleared, int64_t now_us);
 /** Returns whether a request must not be sent to servers any more. */
 bool suspects_refuse(const struct suspects *suspects, uint64_t fingerprint);
+/** What is held against a request. */
+struct suspicion {
+	uint32_t crashes;
+	uint32_t open_runs; /**< runs whose outcome is open */
+	uint32_t rounds;    /**< of both */
+	bool completed;     /**< the request has completed here before */
+};
+
+struct suspicion suspects_count(const struct suspects *suspects,
+    struct unfinished *unfinished, uint64_t fingerprint, int64_t now_us);
+/** Returns whether a request must wait until the outcome of its open runs is
+ * known. */
+bool suspects_hold(const struct suspicion *suspicion);
 /** Returns whether a request may be sent to one server at a time only: so many
- * servers have ended under it at once that it may end as many again. */
-bool
-suspects_one_at_a_time(const struct suspects *suspects, uint64_t fingerprint);
+ * servers have ended under it, or may have one after the other, that it may end
+ * as many again. */
+bool suspects_one_at_a_time(const struct suspicion *suspicion);
+/** Returns whether all VMs must know of the open runs of a request: together
+ * with what else is known of it, they may be its last ones. */
+bool suspects_must_spread(const struct suspicion *suspicion);
+/** Returns whether a request has completed here after a time, so that a run
+ * that was sent then can't have been one that crashes each server. */
+bool suspects_completed_since(
+    const struct suspects *suspects, uint64_t fingerprint, int64_t since_us);
+/** Returns whether what is told of an open run is new: its crash is not known,
+ * and the request has not completed since. epoch: of the request when it was
+ * told. */
+bool suspects_is_open(const struct suspects *suspects,
+    const struct unfinished_run *run, uint32_t epoch);
 /** Returns whether a request that is refused may be sent once all the same, and
  * fills trial with what other VMs should hear before. One VM is to ask. */
 bool suspects_take_trial(struct suspects *suspects, uint64_t fingerprint,
--- a/include/gateway/peer_gateways.h
+++ b/include/gateway/peer_gateways.h
@@ -55,6 +55,16 @@
 void peer_gateways_announce_state(struct peer_gateways *peer_gateways);
 bool peer_gateways_is_live(
     const struct peer_gateways *peer_gateways, const char *vm);
+/** Returns the random number of a gateway's process, or 0 if its heartbeats do
+ * not arrive. */
+uint64_t peer_gateways_incarnation(
+    const struct peer_gateways *peer_gateways, const char *vm);
+uint64_t
+peer_gateways_own_incarnation(const struct peer_gateways *peer_gateways);
+/** Returns the gateway that is told of this one's runs, or NULL: the same one
+ * for as long as it is live, in another failure domain of the region if there
+ * is one. */
+const char *peer_gateways_watcher(const struct peer_gateways *peer_gateways);
 /** Returns a live gateway that reaches the store, in round-robin order and
  * preferably of this failure domain, or NULL. */
 const char *peer_gateways_next_relay(struct peer_gateways *peer_gateways);
--- a/include/gateway/quarantine_internal.h
+++ b/include/gateway/quarantine_internal.h
@@ -6,12 +6,14 @@
 #define GATEWAY_QUARANTINE_INTERNAL_H
 
 #include "common/list.h"
+#include "dispatch/run_watch.h"
 #include "dispatch/suspects.h"
 #include "dispatch/unfinished.h"
 #include "gateway/quarantine.h"
 
 struct quarantine_runs;
 struct quarantine_store;
+struct quarantine_watch;
 
 struct quarantine {
 	struct gateway *gateway;
@@ -24,6 +26,7 @@
 	int64_t listed_since_us;
 	struct quarantine_store *store;
 	struct quarantine_runs *runs;
+	struct quarantine_watch *watch;
 	bool loaded; /**< the store or another gateway told what it knows */
 	bool asked;  /**< another gateway was asked since the start */
 };
@@ -38,11 +41,32 @@
  * server: its id or NULL. sign: for the log. */
 void quarantine_note_crashes(struct quarantine *quarantine,
     const struct server_start *start, const char *server, const char *sign);
-/** Returns whether this gateway counts the end of a run's server, and removes
- * its record: of the gateways that have adopted a run, one does. */
+/** Returns whether this gateway tells of the end of a run's server, and removes
+ * its record: of the gateways that know of a run, one or two do. */
 bool quarantine_counts_here(
     const struct quarantine *quarantine, const struct unfinished_run *run);
 
+/** Adds a run of which nothing shows that it came to its end, and tells other
+ * gateways. */
+void quarantine_add_open(
+    struct quarantine *quarantine, const struct unfinished_run *run);
+
+/* quarantine_watch.c */
+/** Tells other gateways of the runs of this one before they can end, so that
+ * they are known if this process ends first; holds what others tell. */
+struct quarantine_watch *quarantine_watch_create(struct quarantine *quarantine);
+void quarantine_watch_destroy(struct quarantine_watch *watch);
+void quarantine_watch_tick(struct quarantine_watch *watch);
+void quarantine_handle_runs(
+    struct quarantine *quarantine, const struct message *message);
+/** Tells the gateways that answer for an open run if this one is gone. */
+void quarantine_tell_open(
+    struct quarantine *quarantine, const struct unfinished_run *run);
+/** Tells all gateways of the open runs of a request if they must know. */
+void quarantine_spread(struct quarantine *quarantine, uint64_t fingerprint);
+/** Tells a gateway of the open runs that all should know. */
+void quarantine_send_spread(struct quarantine *quarantine, const char *vm);
+
 /* quarantine_probe.c */
 /** Finds out whether a server lives, by a connection, unless that is under way.
  */
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -13,6 +13,7 @@
 #include "gateway/attributes.h"
 #include "gateway/event_stream.h"
 #include "gateway/gateway.h"
+#include "gateway/quarantine.h"
 #include "gateway/relay.h"
 #include "gateway/server_limits.h"
 #include "gateway/stage.h"
@@ -43,6 +44,7 @@
 	double server_load; /**< load of the server at the time of sending */
 	uint64_t prior_event_count; /**< events received by earlier attempts */
 	int64_t started_us;
+	struct sent_run run;
 	int64_t response_deadline_us; /**< time limit until the response is sent
 					 to the caller; INT64_MAX: none */
 	int64_t first_event_us; /**< time of the first event of a stream; 0:
--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -68,6 +68,8 @@
 	MESSAGE_CAP = 32, /**< reply to MESSAGE_CAP_GET */
 	/** Requests of the sender's failure domain by backend server. */
 	MESSAGE_DOMAIN_LOADS = 33,
+	/** Runs of requests at backend servers, and how they end. */
+	MESSAGE_RUNS = 34,
 };
 
 /** Description of a daemon, given by itself or by a relay. */
@@ -361,6 +363,38 @@
 	bool is_reply; /**< to MESSAGE_SUSPECTS_GET */
 };
 
+/** What a gateway tells of a run. */
+enum message_run_state {
+	MESSAGE_RUN_BEGUN = 1, /**< it is under way */
+	MESSAGE_RUN_ENDED = 2, /**< its gateway knows how it ended */
+	/** It may have ended with a crash of the server. */
+	MESSAGE_RUN_UNRESOLVED = 3,
+	/** The same, told to all gateways. */
+	MESSAGE_RUN_SPREAD = 4,
+	/** It has not crashed the server; told to all gateways. */
+	MESSAGE_RUN_HARMLESS = 5,
+};
+
+struct message_run {
+	uint32_t state;          /**< enum message_run_state */
+	uint64_t number;         /**< of the gateway that sent it */
+	uint64_t vm_hash;        /**< of that gateway's VM */
+	uint64_t fingerprint;    /**< of the request */
+	uint32_t epoch;          /**< of the request, as struct suspect_crash */
+	uint64_t server;         /**< hash of its id */
+	int64_t started_wall_ms; /**< start of the server */
+	int64_t sent_age_us;     /**< time since it was sent */
+	/** Time since the server may have run it last; may be negative. */
+	int64_t ended_age_us;
+	bool broken; /**< its connection broke */
+};
+
+struct message_runs {
+	uint64_t incarnation; /**< of the sender's process */
+	struct message_run *runs;
+	size_t run_count;
+};
+
 /** Asks for a configuration that is newer than the sender's, and since when it
  * has been known to be the newest. */
 struct message_gateway_config_get {
@@ -507,6 +541,7 @@
 		struct message_cap_get cap_get;
 		struct message_cap cap;
 		struct message_suspects suspects;
+		struct message_runs runs;
 		struct message_domain_loads domain_loads;
 	};
 };
--- a/peer/message.c
+++ b/peer/message.c
@@ -40,6 +40,7 @@
 LIST_IS_ADJACENT(store_append.records, store_append.record_count);
 LIST_IS_ADJACENT(servers.servers, servers.server_count);
 LIST_IS_ADJACENT(suspects.crashes, suspects.crash_count);
+LIST_IS_ADJACENT(runs.runs, runs.run_count);
 
 #define FIELD(key, kind, member) WIRE_FIELD(struct message, key, kind, member)
 /* Layout of a map that leaves out zero values. */
@@ -402,6 +403,26 @@
     FIELD(2, WIRE_BOOL, suspects.is_reply),
 };
 
+#define RUN(key, kind, member) WIRE_FIELD(struct message_run, key, kind, member)
+static const struct wire_field run_fields[] = {
+    RUN(1, WIRE_UNSIGNED, state),
+    RUN(2, WIRE_UNSIGNED, number),
+    RUN(3, WIRE_UNSIGNED, vm_hash),
+    RUN(4, WIRE_UNSIGNED, fingerprint),
+    RUN(5, WIRE_UNSIGNED, epoch),
+    RUN(6, WIRE_UNSIGNED, server),
+    RUN(7, WIRE_SIGNED, started_wall_ms),
+    RUN(8, WIRE_SIGNED, sent_age_us),
+    RUN(9, WIRE_SIGNED, ended_age_us),
+    RUN(10, WIRE_BOOL, broken),
+};
+static const struct wire_layout run_layout = SPARSE("run", run_fields);
+
+static const struct wire_field runs_fields[] = {
+    FIELD(1, WIRE_UNSIGNED, runs.incarnation),
+    LIST(2, runs.runs, &run_layout),
+};
+
 /* The names appear in error texts and through message_type_name(). They must
  * not change, even where they differ from the names of the types. */
 static const struct wire_layout layouts[] = {
@@ -440,6 +461,7 @@
     [MESSAGE_CAP_GET] = SPARSE("cap_get", cap_get_fields),
     [MESSAGE_CAP] = SPARSE("cap", cap_fields),
     [MESSAGE_DOMAIN_LOADS] = SPARSE("domain_loads", domain_loads_fields),
+    [MESSAGE_RUNS] = SPARSE("runs", runs_fields),
 };
 
 static const struct wire_layout *
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -297,6 +297,7 @@
 	case MESSAGE_CAP_GET:
 	case MESSAGE_CAP:
 	case MESSAGE_DOMAIN_LOADS:
+	case MESSAGE_RUNS:
 		break;
 	}
 }
--- a/tests/suspect_days.c
+++ b/tests/suspect_days.c
@@ -7,100 +7,9 @@
 #include "common/memory.h"
 #include "common/rng.h"
 #include "dispatch/run_end.h"
-#include "tests/suspect_days.h"
-
-enum {
-	VMS_MAX = 300,
-	STEP_US = 10 * US_PER_MS,
-	START_US = 10 * US_PER_S,
-	DOWN_MAX_US = 2 * US_PER_S,
-	TROUBLE_MAX_US = 5 * US_PER_S,
-	/* A request that crashes servers comes again after this time. */
-	RETURN_US = 1900 * US_PER_MS,
-	/* Time until a VM knows that a server has ended: by a connection of its
-	 * own, or, in one of LISTED_EVERY cases, only by the list. */
-	NOTICE_US = 20 * US_PER_MS,
-	NOTICE_LISTED_US = 4100 * US_PER_MS,
-	LISTED_EVERY = 8,
-	HEARTBEAT_EVERY = 10, /* steps */
-	DELAY_MAX_STEPS = 3,  /* of a message */
-	LOSS_PERCENT = 10,
-	MESSAGES_MAX = 1 << 16,
-	RECORDS_MAX = 4096,
-	UNWRITTEN_MAX = 64,
-	LIST_MAX = 512,
-	ENDS_LISTED_MAX = 1024,
-	ENDS_MAX = 16, /* of servers that a VM has not noticed yet */
-	/* Of the servers, in a day with servers in trouble. */
-	IN_TROUBLE_PERCENT = 35,
-	/* Of the crashes, those after which a new process serves at the address
-	 * before the list shows it. */
-	REBORN_PERCENT = 30,
-};
-
-/** The end of a server that a VM will notice. */
-struct server_end {
-	struct server_start start;
-	int64_t notice_us; /**< 0: unused entry */
-	int64_t reborn_us; /**< when a new process responds; 0: it doesn't */
-};
-
-enum record_kind {
-	RECORD_CRASH,
-	RECORD_RUN, /* whose outcome is not known yet */
-	RECORD_RUN_REMOVED,
-};
-
-/** A record of the store. */
-struct record {
-	enum record_kind kind;
-	struct suspect_crash crash;
-	struct server_start start; /* of a run */
-	const struct vm *writer;
-};
-
-/** A VM and its troubles; times until which they last. */
-struct vm {
-	struct suspects suspects;
-	struct unfinished unfinished;
-	int64_t down_until_us;
-	int64_t frozen_until_us;
-	int64_t cut_until_us;       /* from the other VMs */
-	int64_t store_cut_until_us; /* from the store */
-	int64_t troubled_us;        /* last moment of any trouble */
-	size_t read;                /* records of the store */
-	bool runs_loaded;           /* from the store since the start */
-	struct record unwritten[UNWRITTEN_MAX];
-	size_t unwritten_count;
-	struct server_end ends[ENDS_MAX];
-	int64_t listed_since_us;
-};
-
-struct delivery {
-	int64_t due_us;
-	int to; /* -1: delivered */
-	struct suspect_crash crash;
-};
-
-static struct world {
-	struct rng rng;
-	int64_t now_us;
-	int vm_count;
-	struct vm vms[VMS_MAX];
-	struct delivery messages[MESSAGES_MAX];
-	size_t message_count;
-	struct record records[RECORDS_MAX];
-	size_t record_count;
-	int64_t store_away_until_us;
-	struct server_end ends_listed[ENDS_LISTED_MAX]; /* by the list */
-	size_t ends_listed_count;
-	uint64_t last_server;
-	int crashes;
-	int64_t third_crash_us;
-	int sends_after; /* by VMs that had no trouble for SUSPECT_SETTLE_US */
-} world;
-
-static const uint64_t CRASHER = 7;
+#include "tests/suspect_world.h"
+
+struct world world;
 
 struct unfinished_run
 suspect_run(
@@ -116,43 +25,66 @@
 	};
 }
 
-static bool
-runs(const struct vm *vm)
+bool
+vm_runs(const struct vm *vm)
 {
 	return world.now_us >= vm->down_until_us &&
 	    world.now_us >= vm->frozen_until_us;
 }
 
-static bool
-reaches_vms(const struct vm *vm)
+bool
+vm_reaches_vms(const struct vm *vm)
 {
-	return runs(vm) && world.now_us >= vm->cut_until_us;
+	return vm_runs(vm) && world.now_us >= vm->cut_until_us;
 }
 
 static bool
 reaches_store(const struct vm *vm)
 {
-	return runs(vm) && world.now_us >= vm->store_cut_until_us &&
+	return vm_runs(vm) && world.now_us >= vm->store_cut_until_us &&
 	    world.now_us >= world.store_away_until_us;
 }
 
-static void
-send(int to, const struct suspect_crash *crash)
+void
+world_send(const struct delivery *message)
 {
+	struct delivery *added;
+
 	if (rng_below(&world.rng, 100) < LOSS_PERCENT)
 		return;
 	ck_assert_uint_lt(world.message_count, MESSAGES_MAX);
-	world.messages[world.message_count++] = (struct delivery){
-	    .due_us = world.now_us +
-		(int64_t)(1 + rng_below(&world.rng, DELAY_MAX_STEPS)) * STEP_US,
-	    .to = to,
-	    .crash = *crash,
-	};
+	added = &world.messages[world.message_count++];
+	*added = *message;
+	added->due_us = world.now_us +
+	    (int64_t)(1 + rng_below(&world.rng, DELAY_MAX_STEPS)) * STEP_US;
+}
+
+static void
+send_crash(int to, const struct suspect_crash *crash)
+{
+	const struct delivery message = {
+	    .kind = DELIVER_CRASH, .to = to, .crash = *crash};
+
+	world_send(&message);
+}
+
+/* Lets a VM learn what another one or the store knows. */
+static void
+join(struct vm *vm, const struct suspect_crash *crash)
+{
+	if (!suspects_join(&vm->suspects, crash))
+		return;
+	if (crash->crash == SUSPECT_EPOCH)
+		unfinished_request_completed(&vm->unfinished, CRASHER);
+	else
+		open_runs_spread(vm);
 }
 
 static void
 deliver(void)
 {
+	static struct delivery due[MESSAGES_MAX];
+	size_t due_count = 0;
 	size_t kept = 0;
 
 	for (size_t i = 0; i < world.message_count; i++) {
@@ -165,19 +97,27 @@
 			world.messages[kept++] = *message;
 			continue;
 		}
-		if (reaches_vms(vm))
-			suspects_join(&vm->suspects, &message->crash);
+		if (!vm_reaches_vms(vm))
+			continue;
+		due[due_count++] = *message;
 	}
 	world.message_count = kept;
+	/* These may lead to further messages. */
+	for (size_t i = 0; i < due_count; i++) {
+		struct vm *vm = &world.vms[due[i].to];
+
+		if (due[i].kind == DELIVER_CRASH)
+			join(vm, &due[i].crash);
+		else
+			open_run_deliver(vm, &due[i]);
+	}
 }
 
-/* Returns the VM that tries the request again, and that counts the runs which
- * the store has of others: the first that runs, as the others see it. */
-static const struct vm *
-coordinator(void)
+struct vm *
+world_coordinator(void)
 {
 	for (int i = 0; i < world.vm_count; i++) {
-		if (reaches_vms(&world.vms[i]))
+		if (vm_reaches_vms(&world.vms[i]))
 			return &world.vms[i];
 	}
 	return NULL;
@@ -185,11 +125,11 @@
 
 /* Returns whether a run is in the store: it was written, and not removed. */
 static bool
-is_in_store(const struct record *run)
+is_in_store(const struct stored *run)
 {
-	for (const struct record *later = run + 1;
+	for (const struct stored *later = run + 1;
 	     later < world.records + world.record_count; later++) {
-		if (later->kind == RECORD_RUN_REMOVED &&
+		if (later->kind == STORED_RUN_REMOVED &&
 		    later->crash.crash == run->crash.crash)
 			return false;
 	}
@@ -201,7 +141,7 @@
 load_runs(struct vm *vm)
 {
 	for (size_t i = 0; i < world.record_count; i++) {
-		const struct record *record = &world.records[i];
+		const struct stored *record = &world.records[i];
 		const struct unfinished_run run = {
 		    .fingerprint = record->crash.fingerprint,
 		    .start = record->start,
@@ -215,7 +155,7 @@
 		    .round = record->crash.round,
 		};
 
-		if (record->kind == RECORD_RUN && is_in_store(record))
+		if (record->kind == STORED_RUN && is_in_store(record))
 			unfinished_adopt(&vm->unfinished, &run);
 	}
 	vm->runs_loaded = true;
@@ -234,10 +174,10 @@
 	}
 	vm->unwritten_count = 0;
 	while (vm->read < world.record_count) {
-		const struct record *record = &world.records[vm->read++];
+		const struct stored *record = &world.records[vm->read++];
 
-		if (record->kind == RECORD_CRASH)
-			suspects_join(&vm->suspects, &record->crash);
+		if (record->kind == STORED_CRASH)
+			join(vm, &record->crash);
 	}
 	if (!vm->runs_loaded)
 		load_runs(vm);
@@ -245,11 +185,11 @@
 
 /* Writes to the store as soon as it is there. */
 static void
-add_record(struct vm *vm, enum record_kind kind,
+add_record(struct vm *vm, enum stored_kind kind,
     const struct suspect_crash *crash, const struct server_start *start)
 {
 	ck_assert_uint_lt(vm->unwritten_count, UNWRITTEN_MAX);
-	vm->unwritten[vm->unwritten_count++] = (struct record){
+	vm->unwritten[vm->unwritten_count++] = (struct stored){
 	    .kind = kind,
 	    .crash = *crash,
 	    .start = *start,
@@ -264,7 +204,7 @@
 	    .crash = unfinished_crash(&run->start)};
 
 	if (run->recorded)
-		add_record(vm, RECORD_RUN_REMOVED, &crash, &run->start);
+		add_record(vm, STORED_RUN_REMOVED, &crash, &run->start);
 }
 
 /* Writes the runs that have to outlive this VM. */
@@ -278,10 +218,10 @@
 	    NULL) {
 		struct suspect_crash crash;
 
-		if (!suspects_must_record(
-			&vm->suspects, run, &crash, world.now_us))
+		if (!suspects_must_record(&vm->suspects, &vm->unfinished, run,
+			&crash, world.now_us))
 			continue;
-		add_record(vm, RECORD_RUN, &crash, &run->start);
+		add_record(vm, STORED_RUN, &crash, &run->start);
 		run->recorded = true;
 	}
 }
@@ -290,10 +230,10 @@
 static void
 tell(struct vm *vm, const struct suspect_crash *crash)
 {
-	add_record(vm, RECORD_CRASH, crash, &(struct server_start){0});
+	add_record(vm, STORED_CRASH, crash, &(struct server_start){0});
 	for (int to = 0; to < world.vm_count; to++) {
-		if (&world.vms[to] != vm && reaches_vms(vm))
-			send(to, crash);
+		if (&world.vms[to] != vm && vm_reaches_vms(vm))
+			send_crash(to, crash);
 	}
 }
 
@@ -307,9 +247,13 @@
 	for (size_t i = 0; i < count; i++) {
 		struct suspect_crash crash;
 
-		if (ended[i].shared && vm != coordinator())
+		if (ended[i].shared && vm != world_coordinator()) {
+			suspects_add_run(
+			    &vm->suspects, &vm->unfinished, &ended[i], &crash);
 			continue;
-		if (suspects_add_run(&vm->suspects, &ended[i], &crash))
+		}
+		if (suspects_add_run(
+			&vm->suspects, &vm->unfinished, &ended[i], &crash))
 			tell(vm, &crash);
 		remove_record(vm, &ended[i]);
 	}
@@ -336,6 +280,21 @@
 	}
 }
 
+/* Lets a VM hear of the ends that the list tells. */
+static void
+watch_list(struct vm *vm)
+{
+	while (vm->ends_read < world.ends_listed_count &&
+	    world.now_us >= world.ends_listed[vm->ends_read].notice_us) {
+		const struct server_end *end =
+		    &world.ends_listed[vm->ends_read++];
+
+		unfinished_note_end(&vm->unfinished, &end->start, world.now_us);
+		add_crashes(vm, &end->start);
+	}
+	watch_adopted(vm);
+}
+
 /* Lets a VM hear of servers what the list and their responses tell. */
 static void
 watch_servers(struct vm *vm)
@@ -345,7 +304,7 @@
 	if (!reaches_store(vm))
 		vm->listed_since_us = world.now_us;
 	else
-		watch_adopted(vm);
+		watch_list(vm);
 	for (int i = 0; i < ENDS_MAX; i++) {
 		struct server_end *end = &vm->ends[i];
 
@@ -353,7 +312,7 @@
 			continue;
 		if (end->reborn_us != 0 && world.now_us >= end->reborn_us)
 			unfinished_server_responds(
-			    &vm->unfinished, &end->start, world.now_us);
+			    &vm->unfinished, &end->start, world.now_us, true);
 		if (world.now_us < end->notice_us)
 			continue;
 		add_crashes(vm, &end->start);
@@ -362,10 +321,11 @@
 	unfinished_drop_listed(
 	    &vm->unfinished, vm->listed_since_us, world.now_us);
 	while (unfinished_take_released(&vm->unfinished, &run)) {
-		if (!run.shared || vm == coordinator())
+		if (!run.shared || vm == world_coordinator())
 			remove_record(vm, &run);
 	}
 	record_runs(vm);
+	open_runs_watch(vm);
 }
 
 /* Compares digests with another VM, as a heartbeat of it does. */
@@ -377,17 +337,20 @@
 	struct suspect_crash list[LIST_MAX];
 	size_t count;
 
-	if (!reaches_vms(vm) || !reaches_vms(other) || other == vm ||
-	    !suspects_should_ask(
-		&vm->suspects, other->suspects.digest, world.now_us))
+	if (!vm_reaches_vms(vm) || !vm_reaches_vms(other) || other == vm ||
+	    !suspects_should_ask(&vm->suspects,
+		other->suspects.digest + unfinished_digest(&other->unfinished) -
+		    unfinished_digest(&vm->unfinished),
+		world.now_us))
 		return;
 	count = suspects_list(&other->suspects, list, LIST_MAX);
 	for (size_t i = 0; i < count; i++)
-		suspects_join(&vm->suspects, &list[i]);
+		join(vm, &list[i]);
+	open_runs_compare(vm, other);
 }
 
-static bool
-happens(uint64_t percent)
+bool
+world_happens(uint64_t percent)
 {
 	return rng_below(&world.rng, 100) < percent;
 }
@@ -442,11 +405,11 @@
 	case RUN_END_REJECTED:
 		return;
 	case RUN_END_UNFINISHED:
-		unfinished_add(&vm->unfinished, run);
+		open_run_add(vm, run);
 		return;
 	case RUN_END_COMPLETED:
 		if (suspects_clear(
-			&vm->suspects, CRASHER, &cleared, world.now_us))
+			&vm->suspects, CRASHER, false, &cleared, world.now_us))
 			tell(vm, &cleared);
 		return;
 	}
@@ -455,42 +418,71 @@
 static bool
 may_send(struct vm *vm)
 {
+	const struct suspicion suspicion = suspects_count(
+	    &vm->suspects, &vm->unfinished, CRASHER, world.now_us);
 	struct suspect_crash trial;
 
+	if (suspects_hold(&suspicion))
+		return false;
 	if (!suspects_refuse(&vm->suspects, CRASHER))
 		return true;
-	if (vm != coordinator() ||
+	if (vm != world_coordinator() ||
 	    !suspects_take_trial(&vm->suspects, CRASHER, &trial, world.now_us))
 		return false;
 	tell(vm, &trial);
 	return true;
 }
 
-static void
-crash_server(struct vm *vm, const struct unfinished_run *run,
-    const struct troubles *troubles)
+void
+world_note_crash(const struct server_start *start, int64_t notice_us)
 {
-	bool reborn = troubles->reborn && happens(REBORN_PERCENT);
-	bool listed_only = rng_below(&world.rng, LISTED_EVERY) == 0 || reborn;
-	int i = 0;
-
-	world.crashes++;
-	if (world.crashes == SUSPECT_CRASHES)
+	if (++world.crashes == SUSPECT_CRASHES)
 		world.third_crash_us = world.now_us;
-	unfinished_add(&vm->unfinished, run);
 	ck_assert_uint_lt(world.ends_listed_count, ENDS_LISTED_MAX);
 	world.ends_listed[world.ends_listed_count++] = (struct server_end){
-	    .start = run->start,
-	    .notice_us = world.now_us + NOTICE_LISTED_US,
+	    .start = *start,
+	    .notice_us = world.now_us + notice_us,
 	};
+}
+
+static void
+add_end(struct vm *vm, const struct server_end *end)
+{
+	int i = 0;
+
 	while (vm->ends[i].notice_us != 0)
 		ck_assert_int_lt(++i, ENDS_MAX);
-	vm->ends[i] = (struct server_end){
+	vm->ends[i] = *end;
+}
+
+void
+vm_note_end(struct vm *vm, const struct server_start *start)
+{
+	const struct server_end end = {
+	    .start = *start,
+	    .notice_us = world.now_us + NOTICE_US,
+	};
+
+	if (rng_below(&world.rng, LISTED_EVERY) != 0)
+		add_end(vm, &end);
+}
+
+static void
+crash_server(struct vm *vm, const struct unfinished_run *run,
+    const struct troubles *troubles)
+{
+	bool reborn = troubles->reborn && world_happens(REBORN_PERCENT);
+	bool listed_only = rng_below(&world.rng, LISTED_EVERY) == 0 || reborn;
+	const struct server_end end = {
 	    .start = run->start,
 	    .notice_us =
 		world.now_us + (listed_only ? NOTICE_LISTED_US : NOTICE_US),
 	    .reborn_us = reborn ? world.now_us + NOTICE_US : 0,
 	};
+
+	world_note_crash(&run->start, NOTICE_LISTED_US);
+	open_run_add(vm, run);
+	add_end(vm, &end);
 }
 
 /* Sends the request to a VM, which sends it to a server unless it refuses. */
@@ -499,15 +491,19 @@
 {
 	struct unfinished_run run;
 
-	if (!runs(vm) || !may_send(vm))
+	if (!vm_runs(vm) || !may_send(vm))
 		return;
 	if (world.crashes >= SUSPECT_CRASHES &&
 	    world.now_us > world.third_crash_us + SUSPECT_SETTLE_US &&
 	    world.now_us > vm->troubled_us + SUSPECT_SETTLE_US)
 		world.sends_after++;
+	if (troubles->silent) {
+		open_run_begin(vm, troubles);
+		return;
+	}
 	run = suspect_run(
 	    CRASHER, ++world.last_server, world.now_us - STEP_US, world.now_us);
-	if (troubles->servers && happens(IN_TROUBLE_PERCENT))
+	if (troubles->servers && world_happens(IN_TROUBLE_PERCENT))
 		end_in_trouble(vm, &run);
 	else
 		crash_server(vm, &run, troubles);
@@ -515,15 +511,20 @@
 
 /* Ends a VM's process; a new one starts later. Only what is in the store or at
  * other VMs survives. */
-static void
-kill_vm(struct vm *vm)
+void
+vm_kill(struct vm *vm)
 {
+	uint64_t incarnation = vm->incarnation + 1;
+
 	suspects_reset(&vm->suspects);
+	run_watch_reset(&vm->watch);
 	*vm = (struct vm){
+	    .incarnation = incarnation,
 	    .down_until_us =
 		world.now_us + (int64_t)rng_below(&world.rng, DOWN_MAX_US),
 	};
 	vm->suspects.started_us = vm->down_until_us;
+	run_watch_init(&vm->watch);
 }
 
 static void
@@ -536,7 +537,7 @@
 
 	switch (rng_below(&world.rng, 6)) {
 	case 0:
-		kill_vm(vm);
+		vm_kill(vm);
 		return;
 	case 1:
 		vm->frozen_until_us = until_us;
@@ -552,7 +553,7 @@
 		return;
 	case 5:
 		for (int i = 0; i < world.vm_count; i++)
-			kill_vm(&world.vms[i]);
+			vm_kill(&world.vms[i]);
 		return;
 	}
 }
@@ -563,8 +564,10 @@
 	for (int i = 0; i < world.vm_count; i++) {
 		struct vm *vm = &world.vms[i];
 
-		if (!reaches_vms(vm) || !reaches_store(vm))
+		if (!vm_reaches_vms(vm) || !reaches_store(vm))
 			vm->troubled_us = world.now_us;
+		if (vm_reaches_vms(vm))
+			vm->reached_us = world.now_us;
 	}
 }
 
@@ -575,8 +578,17 @@
 	struct suspect_crash cleared;
 
 	for (int i = 0; i < world.vm_count; i++)
-		suspects_clear(
-		    &world.vms[i].suspects, CRASHER, &cleared, world.now_us);
+		suspects_clear(&world.vms[i].suspects, CRASHER, false, &cleared,
+		    world.now_us);
+}
+
+static int64_t
+return_after_us(const struct troubles *troubles)
+{
+	return troubles->silent ? RETURN_SOON_MIN_US +
+		(int64_t)rng_below(
+		    &world.rng, RETURN_SOON_MAX_US - RETURN_SOON_MIN_US)
+				: RETURN_US;
 }
 
 struct suspect_day
@@ -590,6 +602,8 @@
 	rng_init(&world.rng, seed);
 	world.vm_count = vm_count;
 	world.now_us = START_US;
+	for (int i = 0; i < vm_count; i++)
+		run_watch_init(&world.vms[i].watch);
 	return_us = world.now_us;
 	if (troubles->completed_before)
 		complete_everywhere();
@@ -599,10 +613,11 @@
 			trouble();
 		note_troubles();
 		deliver();
+		open_runs_step();
 		for (int i = 0; i < vm_count; i++) {
 			struct vm *vm = &world.vms[i];
 
-			if (!runs(vm))
+			if (!vm_runs(vm))
 				continue;
 			watch_servers(vm);
 			write_and_read(vm);
@@ -611,12 +626,14 @@
 		}
 		if (world.now_us < return_us)
 			continue;
-		return_us = world.now_us + RETURN_US;
+		return_us = world.now_us + return_after_us(troubles);
 		crash_at(&world.vms[rng_below(&world.rng, (uint64_t)vm_count)],
 		    troubles);
 	}
-	for (int i = 0; i < vm_count; i++)
+	for (int i = 0; i < vm_count; i++) {
 		suspects_reset(&world.vms[i].suspects);
+		run_watch_reset(&world.vms[i].watch);
+	}
 	return (struct suspect_day){
 	    .crashes = world.crashes,
 	    .sends_after = world.sends_after,
--- a/tests/suspect_days.h
+++ b/tests/suspect_days.h
@@ -29,6 +29,10 @@
 	 * list shows it. */
 	bool reborn;
 	bool completed_before; /**< the request crashes servers since lately */
+	/** Servers fall silent, or end some time after the request came. */
+	bool silent;
+	bool
+	    senders; /**< with silent: VMs die while their runs are under way */
 };
 
 /** What reached servers. */
--- a/tests/test_crash_signals.c
+++ b/tests/test_crash_signals.c
@@ -15,7 +15,13 @@
 
 enum {
 	TROUBLE_TRIES = 16,
+	TRIES_AFTER = 12, /* of these, after the third crash at least */
+	/* A request is held back for some seconds while it is open whether a
+	 * server in trouble has ended. */
+	TROUBLE_TRIES_MAX = 60,
 	TROUBLE_EVERY = 3, /* of these tries, servers are in trouble */
+	HARMLESS_CALLS = 30,
+	HARMLESS_PAUSE_MS = 100,
 	UNLISTED_MS = 500, /* that a new process is not in the list */
 	RECORDED_MS = 400, /* until the store has an unfinished run */
 	OTHER_CALLS = 2 * GATEWAYS * SERVERS,
@@ -50,15 +56,23 @@
 check_trouble(const char *target, const char *trouble)
 {
 	int runs_at_third = 0;
+	int after = 0;
+	int sends = 0;
 
-	for (int i = 0; i < TROUBLE_TRIES; i++) {
-		bool in_trouble = i % TROUBLE_EVERY == TROUBLE_EVERY - 1;
+	for (int i = 0; i < TROUBLE_TRIES ||
+	     (after < TRIES_AFTER && i < TROUBLE_TRIES_MAX);
+	     i++) {
+		bool in_trouble = sends % TROUBLE_EVERY == TROUBLE_EVERY - 1;
 
 		if (in_trouble)
 			set_trouble(trouble);
-		send_and_restart(i % GATEWAYS, target);
+		if (send_and_restart(i % GATEWAYS, target).status == 503)
+			usleep(RESTART_MS * US_PER_MS);
+		else
+			sends++;
 		if (in_trouble)
 			set_trouble("");
+		after += crashes >= CRASHES;
 		if (crashes >= CRASHES && runs_at_third == 0)
 			runs_at_third = count_runs();
 	}
@@ -105,6 +119,18 @@
 }
 END_TEST
 
+START_TEST(request_whose_responses_end_with_their_connection_is_served_on)
+{
+	set_trouble("cut");
+	for (int i = 0; i < HARMLESS_CALLS; i++) {
+		ck_assert_int_eq(
+		    call_once(&cluster, i % GATEWAYS, "/once/x", NULL).status,
+		    200);
+		usleep(HARMLESS_PAUSE_MS * US_PER_MS);
+	}
+}
+END_TEST
+
 START_TEST(server_that_ends_within_a_response_without_a_length_has_crashed)
 {
 	for (int i = 0; i < TROUBLE_TRIES; i++)
@@ -210,6 +236,7 @@
 	    unmarked_refusals_of_servers_do_not_clear_a_request,
 	    early_rejections_of_servers_do_not_clear_a_request,
 	    responses_that_end_with_their_connection_do_not_clear_a_request,
+	    request_whose_responses_end_with_their_connection_is_served_on,
 	    server_that_ends_within_a_response_without_a_length_has_crashed,
 	    new_process_at_the_address_of_a_server_does_not_excuse_a_request,
 	    crash_that_nobody_knows_yet_outlives_all_gateways,
--- a/tests/test_crash_unresolved.c
+++ b/tests/test_crash_unresolved.c
@@ -38,6 +38,12 @@
 static int64_t third_crash_us;
 static int late_crashes; /* of runs that began after all must know */
 
+static int64_t
+ms_to_us(int ms)
+{
+	return (int64_t)ms * US_PER_MS;
+}
+
 static void
 note_crash(int server, int64_t began_us)
 {
@@ -45,7 +51,7 @@
 	if (++crashes == CRASHES)
 		third_crash_us = crashed_us[server];
 	else if (third_crash_us != 0 &&
-	    began_us > third_crash_us + SETTLE_MS * US_PER_MS)
+	    began_us > third_crash_us + ms_to_us(SETTLE_MS))
 		late_crashes++;
 	printf("%lld ms: server %d ends, crash %d, %d late\n",
 	    (long long)(clock_monotonic_us() / US_PER_MS), server, crashes,
@@ -76,7 +82,7 @@
 
 	for (int i = 0; i < cluster.server_count; i++) {
 		if (crashed_us[i] == 0 ||
-		    now_us - crashed_us[i] < BACK_MS * US_PER_MS)
+		    now_us - crashed_us[i] < ms_to_us(BACK_MS))
 			continue;
 		if (cluster.servers[i].pid != 0)
 			cluster_signal(&cluster.servers[i], SIGKILL);
@@ -100,8 +106,7 @@
 {
 	for (int i = first; i < first + count; i++)
 		cluster_signal(&cluster.gateways[i].process, SIGKILL);
-	wait_until(
-	    clock_monotonic_us() + GATEWAY_DOWN_MS * US_PER_MS, began_us);
+	wait_until(clock_monotonic_us() + ms_to_us(GATEWAY_DOWN_MS), began_us);
 	for (int i = first; i < first + count; i++)
 		ck_assert(cluster_restart_gateway(&cluster, i));
 }
@@ -115,7 +120,7 @@
 	struct http_caller caller =
 	    call_start(&cluster, gateway, play->target, NULL, request);
 
-	wait_until(began_us + play->wait_ms * US_PER_MS, began_us);
+	wait_until(began_us + ms_to_us(play->wait_ms), began_us);
 	if (play->kill_sender)
 		cluster_signal(&cluster.gateways[gateway].process, SIGKILL);
 	http_caller_close(&caller);
@@ -123,7 +128,7 @@
 		restart_gateways(gateway, 1, began_us);
 	if (play->kill_all)
 		restart_gateways(0, GATEWAYS, began_us);
-	wait_until(began_us + play->pace_ms * US_PER_MS, began_us);
+	wait_until(began_us + ms_to_us(play->pace_ms), began_us);
 }
 
 static void
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -173,7 +173,11 @@
 
 	cut(0);
 	for (int i = 0; i < 5; i++) {
-		answer = call_once(&cluster, 0, "/once/lose", NULL);
+		char target[32];
+
+		/* Three such runs of one request would hold it back. */
+		snprintf(target, sizeof(target), "/once/lose/%d", i);
+		answer = call_once(&cluster, 0, target, NULL);
 		ck_assert_int_eq(answer.status, 502);
 		ck_assert_int_eq(run_count(answer.request), 1);
 	}
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -3,7 +3,9 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/memory.h"
 #include "dispatch/run_end.h"
+#include "dispatch/run_watch.h"
 #include "dispatch/suspects.h"
 #include "tests/runner.h"
 #include "tests/suspect_days.h"
@@ -83,9 +85,12 @@
 {
 	const struct unfinished_run run =
 	    suspect_run(fingerprint, server, sent_us, ended_us);
+	struct unfinished *unfinished = xcalloc(1, sizeof(*unfinished));
 	struct suspect_crash crash;
+	bool added = suspects_add_run(suspects, unfinished, &run, &crash);
 
-	return suspects_add_run(suspects, &run, &crash);
+	free(unfinished);
+	return added;
 }
 
 START_TEST(trials_that_end_in_errors_stay_few)
@@ -123,12 +128,16 @@
 START_TEST(servers_that_all_end_at_once_count_as_one_crash)
 {
 	static struct suspects suspects;
+	static struct unfinished unfinished;
+	struct suspicion suspicion;
 
 	for (uint64_t server = 1; server <= 6; server++)
 		ck_assert(
 		    add(&suspects, 1, server, 100, 200 + (int64_t)server));
 	ck_assert(!suspects_refuse(&suspects, 1));
-	ck_assert(suspects_one_at_a_time(&suspects, 1));
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(suspects_one_at_a_time(&suspicion));
+	ck_assert(!suspects_hold(&suspicion));
 	/* It is sent once more. If it crashes that server too, it is refused.
 	 */
 	ck_assert(add(&suspects, 1, 7, 300, 400));
@@ -149,7 +158,7 @@
 		/* Only request 1 crashes servers. */
 		for (uint64_t request = 2; request <= 20; request++)
 			ck_assert(suspects_clear(
-			    &suspects, request, &cleared, 10 * i + 10));
+			    &suspects, request, false, &cleared, 10 * i + 10));
 	}
 	ck_assert(suspects_refuse(&suspects, 1));
 	for (uint64_t request = 2; request <= 20; request++)
@@ -189,7 +198,7 @@
 	ck_assert(add(&suspects, 1, 4, late_us, late_us + 5));
 	ck_assert(!suspects_take_trial(&suspects, 1, &trial, 2 * late_us + 10));
 	ck_assert(suspects_refuse(&suspects, 1));
-	ck_assert(suspects_clear(&suspects, 1, &cleared, 3 * late_us));
+	ck_assert(suspects_clear(&suspects, 1, false, &cleared, 3 * late_us));
 	ck_assert(!suspects_refuse(&suspects, 1));
 	suspects_reset(&suspects);
 }
@@ -228,8 +237,8 @@
 	struct suspect_crash list[LIST_MAX];
 	size_t count;
 
-	ck_assert(!suspects_clear(&first, 1, &cleared, 5));
-	ck_assert(!suspects_clear(&second, 1, &cleared, 5));
+	ck_assert(!suspects_clear(&first, 1, false, &cleared, 5));
+	ck_assert(!suspects_clear(&second, 1, false, &cleared, 5));
 	/* Several runs of it were at the same server. */
 	ck_assert(add(&first, 1, 1, 10, 19));
 	ck_assert(!add(&first, 1, 1, 11, 19));
@@ -263,7 +272,7 @@
 		ck_assert(suspects_join(&other, &list[i]));
 	ck_assert(suspects_refuse(&other, 1));
 	ck_assert_uint_eq(other.digest, suspects.digest);
-	ck_assert(suspects_clear(&other, 1, &cleared, 100));
+	ck_assert(suspects_clear(&other, 1, false, &cleared, 100));
 	ck_assert_uint_ne(other.digest, suspects.digest);
 	for (size_t i = 0; i < count; i++)
 		ck_assert(!suspects_join(&other, &list[i]));
@@ -372,16 +381,16 @@
 	ck_assert_ptr_nonnull(
 	    unfinished_next_broken(&unfinished, 300, &cursor));
 	/* Sent before the connection broke, so it tells nothing. */
-	unfinished_server_responds(&unfinished, &run.start, 150);
+	unfinished_server_responds(&unfinished, &run.start, 150, true);
 	cursor = 0;
 	ck_assert_ptr_nonnull(
 	    unfinished_next_broken(&unfinished, 300, &cursor));
 	/* The process may be ending still. */
-	unfinished_server_responds(&unfinished, &run.start, 300);
+	unfinished_server_responds(&unfinished, &run.start, 300, true);
 	cursor = 0;
 	ck_assert_ptr_nonnull(
 	    unfinished_next_broken(&unfinished, 300, &cursor));
-	unfinished_server_responds(&unfinished, &run.start, US_PER_S);
+	unfinished_server_responds(&unfinished, &run.start, US_PER_S, true);
 	cursor = 0;
 	ck_assert_ptr_null(
 	    unfinished_next_broken(&unfinished, US_PER_S, &cursor));
@@ -456,7 +465,7 @@
 	size_t cursor = 0;
 
 	unfinished_add(&unfinished, &run);
-	unfinished_server_responds(&unfinished, &later, 300);
+	unfinished_server_responds(&unfinished, &later, 300, true);
 	ck_assert_ptr_nonnull(
 	    unfinished_next_broken(&unfinished, 300, &cursor));
 	ck_assert_uint_eq(
@@ -466,30 +475,40 @@
 }
 END_TEST
 
-/* Callers that leave are many, and a refused connection shows an end at once.
- */
+/* A refused connection shows an end at once, and a server that responds to
+ * later requests has probably not ended. */
 START_TEST(only_runs_that_have_to_outlive_their_vm_are_recorded)
 {
 	static struct suspects suspects;
+	static struct unfinished unfinished;
 	struct unfinished_run run =
 	    suspect_run(1, 5, US_PER_S, (int64_t)2 * US_PER_S);
 	struct unfinished_run next =
 	    suspect_run(1, 6, (int64_t)3 * US_PER_S, (int64_t)4 * US_PER_S);
 	struct suspect_crash crash;
 
-	ck_assert(!suspects_must_record(&suspects, &run, &crash, run.ended_us));
+	ck_assert(!suspects_must_record(
+	    &suspects, &unfinished, &run, &crash, run.ended_us));
 	ck_assert(suspects_must_record(
-	    &suspects, &run, &crash, run.ended_us + US_PER_S));
+	    &suspects, &unfinished, &run, &crash, run.ended_us + US_PER_S));
 	ck_assert_uint_eq(crash.round, 1);
 	run.broken = false;
 	ck_assert(!suspects_must_record(
-	    &suspects, &run, &crash, run.ended_us + US_PER_S));
-	ck_assert(suspects_add_run(&suspects, &run, &crash));
+	    &suspects, &unfinished, &run, &crash, run.ended_us));
+	ck_assert(suspects_must_record(
+	    &suspects, &unfinished, &run, &crash, run.ended_us + US_PER_S));
+	run.named_server_serves = true;
+	ck_assert(!suspects_must_record(
+	    &suspects, &unfinished, &run, &crash, run.ended_us + US_PER_S));
+	run.spread = true;
+	ck_assert(suspects_must_record(
+	    &suspects, &unfinished, &run, &crash, run.ended_us));
+	ck_assert(suspects_add_run(&suspects, &unfinished, &run, &crash));
 	ck_assert(!suspects_must_record(
-	    &suspects, &run, &crash, run.ended_us + US_PER_S));
+	    &suspects, &unfinished, &run, &crash, run.ended_us + US_PER_S));
 	next.broken = false;
-	ck_assert(
-	    suspects_must_record(&suspects, &next, &crash, next.ended_us));
+	ck_assert(suspects_must_record(
+	    &suspects, &unfinished, &next, &crash, next.ended_us));
 	ck_assert_uint_eq(crash.round, 2);
 	suspects_reset(&suspects);
 }
@@ -510,20 +529,22 @@
 
 START_TEST(adopted_runs_count_as_their_records_say)
 {
+	static struct unfinished unfinished;
 	struct suspects suspects = {0};
 	struct unfinished_run first = adopted_run(5, 0, 1);
 	struct unfinished_run third = adopted_run(6, 0, 3);
 	struct suspect_crash crash;
 
-	ck_assert(suspects_add_run(&suspects, &first, &crash));
-	ck_assert(!suspects_add_run(&suspects, &first, &crash));
+	ck_assert(suspects_add_run(&suspects, &unfinished, &first, &crash));
+	ck_assert(!suspects_add_run(&suspects, &unfinished, &first, &crash));
 	ck_assert(!suspects_refuse(&suspects, 1));
-	ck_assert(suspects_add_run(&suspects, &third, &crash));
+	ck_assert(suspects_add_run(&suspects, &unfinished, &third, &crash));
 	ck_assert_uint_eq(crash.round, 3);
 	ck_assert(suspects_refuse(&suspects, 1));
-	ck_assert(suspects_clear(&suspects, 1, &crash, (int64_t)3 * US_PER_S));
+	ck_assert(
+	    suspects_clear(&suspects, 1, false, &crash, (int64_t)3 * US_PER_S));
 	first = adopted_run(7, 0, 1);
-	ck_assert(!suspects_add_run(&suspects, &first, &crash));
+	ck_assert(!suspects_add_run(&suspects, &unfinished, &first, &crash));
 	suspects_reset(&suspects);
 }
 END_TEST
@@ -571,10 +592,231 @@
 }
 END_TEST
 
+/* Adds a run of which nothing shows that it came to its end. */
+static void
+add_open(struct unfinished *unfinished, uint64_t server, int64_t sent_us,
+    int64_t ended_us, bool broken)
+{
+	struct unfinished_run run = suspect_run(1, server, sent_us, ended_us);
+
+	run.broken = broken;
+	unfinished_add(unfinished, &run);
+}
+
+START_TEST(request_waits_while_the_outcome_of_three_runs_is_open)
+{
+	static struct suspects suspects;
+	static struct unfinished unfinished;
+	const struct server_start second = {.server = 6, .started_wall_ms = 1};
+	struct suspicion suspicion;
+
+	add_open(&unfinished, 5, 100, 200, false);
+	add_open(&unfinished, 6, 150, 250, false);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(!suspects_hold(&suspicion));
+	ck_assert(suspects_must_spread(&suspicion));
+	add_open(&unfinished, 7, 300, 400, false);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(suspects_hold(&suspicion));
+	unfinished_drop_run(&unfinished, 1, &second, 0);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(!suspects_hold(&suspicion));
+}
+END_TEST
+
+START_TEST(open_runs_and_crashes_add_up)
+{
+	static struct suspects suspects;
+	static struct unfinished unfinished;
+	struct suspicion suspicion;
+
+	ck_assert(add(&suspects, 1, 5, 100, 200));
+	ck_assert(add(&suspects, 1, 6, 300, 400));
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(!suspects_hold(&suspicion));
+	/* One whose crash is known already is no further one. */
+	add_open(&unfinished, 6, 300, 400, true);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(!suspects_hold(&suspicion));
+	add_open(&unfinished, 7, 500, 600, false);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(suspects_hold(&suspicion));
+	suspects_reset(&suspects);
+}
+END_TEST
+
+/* As the runs of a VM whose paths to all servers break. */
+START_TEST(connections_that_break_at_once_hold_no_request_back)
+{
+	static struct suspects suspects;
+	static struct unfinished unfinished;
+	struct suspicion suspicion;
+
+	for (uint64_t server = 1; server <= 6; server++)
+		add_open(&unfinished, server, 100, 200 + (int64_t)server, true);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(!suspects_hold(&suspicion));
+	ck_assert(!suspects_one_at_a_time(&suspicion));
+	/* They break one after the other as the VM tries again. */
+	add_open(&unfinished, 7, 300, 400, true);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(!suspects_hold(&suspicion));
+	add_open(
+	    &unfinished, 8, (int64_t)2 * US_PER_S, (int64_t)3 * US_PER_S, true);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(suspects_hold(&suspicion));
+}
+END_TEST
+
+START_TEST(server_that_serves_again_is_no_reason_to_hold_a_request_back)
+{
+	static struct suspects suspects;
+	static struct unfinished unfinished;
+	const struct server_start start = {.server = 5, .started_wall_ms = 1};
+	struct suspicion suspicion;
+
+	add_open(&unfinished, 5, 100, 200, false);
+	add_open(&unfinished, 6, 300, 400, false);
+	add_open(&unfinished, 7, 500, 600, false);
+	/* A connection may be to another process at the address. */
+	unfinished_server_responds(&unfinished, &start, US_PER_S, false);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(suspects_hold(&suspicion));
+	unfinished_server_responds(&unfinished, &start, US_PER_S, true);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(!suspects_hold(&suspicion));
+	/* The list decides whether it has crashed. */
+	ck_assert_uint_eq(count_ended(&unfinished, &start, US_PER_S), 1);
+}
+END_TEST
+
+/* It ended with its connection, or was an error. */
+START_TEST(whole_response_holds_no_request_back_while_its_server_can_be_found)
+{
+	static struct suspects suspects;
+	static struct unfinished unfinished;
+	const struct server_start start = {.server = 5, .started_wall_ms = 1};
+	struct suspicion suspicion;
+
+	for (int64_t i = 0; i < 3; i++) {
+		struct unfinished_run run = suspect_run(
+		    1, 5 + (uint64_t)i, 100 + 100 * i, 200 + 100 * i);
+
+		run.broken = false;
+		run.answered = true;
+		unfinished_add(&unfinished, &run);
+	}
+	suspicion = suspects_count(&suspects, &unfinished, 1, 500);
+	ck_assert(!suspects_hold(&suspicion));
+	suspicion = suspects_count(&suspects, &unfinished, 1, US_PER_S);
+	ck_assert(suspects_hold(&suspicion));
+	unfinished_server_responds(&unfinished, &start, US_PER_S, false);
+	suspicion = suspects_count(&suspects, &unfinished, 1, US_PER_S);
+	ck_assert(!suspects_hold(&suspicion));
+}
+END_TEST
+
+START_TEST(popular_request_with_open_runs_runs_side_by_side)
+{
+	static struct suspects suspects;
+	static struct unfinished unfinished;
+	struct suspect_crash cleared;
+	struct suspicion suspicion;
+
+	ck_assert(!suspects_clear(&suspects, 1, false, &cleared, 50));
+	add_open(&unfinished, 5, 100, 200, false);
+	add_open(&unfinished, 6, 300, 400, false);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(!suspects_one_at_a_time(&suspicion));
+	suspicion.completed = false;
+	ck_assert(suspects_one_at_a_time(&suspicion));
+	add_open(&unfinished, 7, 500, 600, false);
+	suspicion = suspects_count(&suspects, &unfinished, 1, 0);
+	ck_assert(suspects_hold(&suspicion));
+}
+END_TEST
+
+/* The list may tell the end of the second server first. */
+START_TEST(crash_after_an_open_run_is_in_a_later_round)
+{
+	static struct suspects suspects;
+	static struct unfinished unfinished;
+	const struct unfinished_run second = suspect_run(1, 6, 300, 400);
+	struct suspect_crash crash;
+
+	add_open(&unfinished, 5, 100, 200, false);
+	ck_assert(suspects_add_run(&suspects, &unfinished, &second, &crash));
+	ck_assert_uint_eq(crash.round, 2);
+	suspects_reset(&suspects);
+}
+END_TEST
+
+START_TEST(run_that_was_told_before_the_request_completed_is_not_open)
+{
+	static struct suspects suspects;
+	struct unfinished_run run = suspect_run(1, 5, 100, 200);
+	struct suspect_crash cleared;
+
+	ck_assert(suspects_is_open(&suspects, &run, 0));
+	ck_assert(suspects_clear(&suspects, 1, true, &cleared, 300));
+	ck_assert(!suspects_is_open(&suspects, &run, 0));
+	ck_assert(suspects_is_open(&suspects, &run, 1));
+	ck_assert(add(&suspects, 1, 5, 400, 500));
+	ck_assert(!suspects_is_open(&suspects, &run, 1));
+	suspects_reset(&suspects);
+}
+END_TEST
+
+START_TEST(request_that_completed_after_a_run_was_sent_is_known)
+{
+	static struct suspects suspects;
+	struct suspect_crash cleared;
+
+	ck_assert(!suspects_completed_since(&suspects, 1, 0));
+	ck_assert(!suspects_clear(&suspects, 1, false, &cleared, 50));
+	ck_assert(suspects_completed_since(&suspects, 1, 40));
+	ck_assert(!suspects_completed_since(&suspects, 1, 50));
+	ck_assert(!suspects_completed_since(&suspects, 2, 40));
+}
+END_TEST
+
+START_TEST(runs_of_a_process_that_is_gone_are_taken_over)
+{
+	struct run_watch watch;
+	struct watched_run run = {.number = 1, .fingerprint = 7};
+	struct watched_sender *sender;
+
+	run_watch_init(&watch);
+	run_watch_begin(&watch, "vm", 1, &run);
+	run_watch_begin(&watch, "vm", 1, &run); /* told again */
+	run.number = 2;
+	run_watch_begin(&watch, "vm", 1, &run);
+	run_watch_end(&watch, "vm", 2, 2); /* of another process */
+	run_watch_end(&watch, "vm", 1, 1);
+	sender = list_entry(watch.senders.next, struct watched_sender, link);
+	ck_assert(run_watch_take(&watch, sender, &run));
+	ck_assert_uint_eq(run.number, 2);
+	ck_assert(!run_watch_take(&watch, sender, &run));
+	ck_assert(list_empty(&watch.senders));
+	ck_assert_uint_eq(watch.run_count, 0);
+	run_watch_reset(&watch);
+}
+END_TEST
+
 int
 main(void)
 {
 	const TTest *tests[] = {
+	    request_waits_while_the_outcome_of_three_runs_is_open,
+	    open_runs_and_crashes_add_up,
+	    connections_that_break_at_once_hold_no_request_back,
+	    server_that_serves_again_is_no_reason_to_hold_a_request_back,
+	    whole_response_holds_no_request_back_while_its_server_can_be_found,
+	    popular_request_with_open_runs_runs_side_by_side,
+	    crash_after_an_open_run_is_in_a_later_round,
+	    run_that_was_told_before_the_request_completed_is_not_open,
+	    request_that_completed_after_a_run_was_sent_is_known,
+	    runs_of_a_process_that_is_gone_are_taken_over,
 	    request_is_refused_by_all_vms_after_its_third_crash,
 	    crashes_stay_bounded_while_vms_and_the_store_are_in_trouble,
 	    errors_of_servers_do_not_clear_a_request_that_crashes_others,
