One coordinator among gateways that hear each other

A gateway that returns after a silence counts as gone for a while, doubled with each return, to the others; it does not know, counts itself, and coordinated beside the one that they had chosen.

coordinator_choose() is the one function that chooses, over the VMs that are heard; damping stays for what moves back and forth. The same holds for the coordinators of workspaces and the gateway that watches runs.

--- a/gateway/peer_choice.c
+++ b/gateway/peer_choice.c
@@ -7,6 +7,7 @@
 #include "common/memory.h"
 #include "dispatch/reach.h"
 #include "gateway/peer_gateways_internal.h"
+#include "member/coordinator.h"
 
 enum {
 	/* One more than needed, so that most workspaces keep their coordinator
@@ -42,25 +43,14 @@
     uint64_t server, const char *failure_domain)
 {
 	const struct gateway *gateway = peer_gateways->gateway;
-	int64_t now_us = clock_monotonic_us();
-	struct choice choice = {0};
-
-	if (!gateway->blackboard.stopping)
-		consider(&choice, gateway->settings.vm_name,
-		    strcmp(gateway->settings.failure_domain, failure_domain) ==
-			0,
-		    server);
-	for (size_t i = 0; i < peer_gateways->members.count; i++) {
-		const struct member *member = &peer_gateways->members.items[i];
+	const struct coordinator_self self = {
+	    .vm = gateway->settings.vm_name,
+	    .failure_domain = gateway->settings.failure_domain,
+	    .leaving = gateway->blackboard.stopping,
+	};
 
-		if (member->last_heartbeat_us == 0 ||
-		    member_state(member, now_us) != MEMBER_LIVE)
-			continue;
-		consider(&choice, member->vm,
-		    strcmp(member->failure_domain, failure_domain) == 0,
-		    server);
-	}
-	return choice.vm != NULL ? choice.vm : gateway->settings.vm_name;
+	return coordinator_choose(&peer_gateways->members, &self, server,
+	    failure_domain, clock_monotonic_us());
 }
 
 const char *
@@ -74,8 +64,7 @@
 	for (size_t i = 0; i < peer_gateways->members.count; i++) {
 		const struct member *member = &peer_gateways->members.items[i];
 
-		if (member->last_heartbeat_us == 0 ||
-		    member_state(member, now_us) != MEMBER_LIVE)
+		if (!member_may_coordinate(member, now_us))
 			continue;
 		consider(&choice, member->vm,
 		    strcmp(member->region, settings->region) == 0 &&
@@ -137,6 +126,7 @@
 	uint64_t own_hash = hash_text(gateway->settings.vm_name, 0);
 	size_t members = peer_gateways->members.count;
 	struct hub *hubs = xcalloc(members + 1, sizeof(*hubs));
+	int64_t now_us = clock_monotonic_us();
 	size_t count = 0;
 
 	if (!gateway->blackboard.stopping)
@@ -144,8 +134,7 @@
 	for (size_t i = 0; i < members; i++) {
 		const struct member *member = &peer_gateways->members.items[i];
 
-		if (member->last_heartbeat_us != 0 &&
-		    peer_gateway_is_live(member))
+		if (member_may_coordinate(member, now_us))
 			add_hub(
 			    ensure_domain(hubs, &count, member->failure_domain),
 			    peer_gateways->gateways[i].vm_hash);
@@ -192,6 +181,7 @@
     const struct peer_gateways *peer_gateways, uint64_t workspace_hash)
 {
 	const char *self_vm = peer_gateways->gateway->settings.vm_name;
+	int64_t now_us = clock_monotonic_us();
 	struct choice choice = {0};
 
 	if (peer_gateways->self_is_hub &&
@@ -201,7 +191,7 @@
 		const struct member *member = &peer_gateways->members.items[i];
 
 		if (peer_gateways->gateways[i].is_hub &&
-		    peer_gateway_is_live(member))
+		    member_may_coordinate(member, now_us))
 			consider(&choice, member->vm, false, workspace_hash);
 	}
 	return choice.vm != NULL ? choice.vm : self_vm;
--- a/gateway/peer_gateways.c
+++ b/gateway/peer_gateways.c
@@ -168,9 +168,7 @@
 		return 0;
 	member = &peer_gateways->members
 		      .items[peer_gateway - peer_gateways->gateways];
-	/* One that was silent before and is damped runs all the same. */
-	return clock_monotonic_us() - member->last_heartbeat_us <=
-		member->timeout_us
+	return member_is_heard(member, clock_monotonic_us())
 	    ? peer_gateway->incarnation
 	    : 0;
 }
--- a/include/member/member.h
+++ b/include/member/member.h
@@ -52,6 +52,12 @@
 /** Returns a member's state at a time. Heartbeats take precedence over the
  * platform's list. */
 enum member_state member_state(const struct member *member, int64_t now_us);
+/** Returns whether a member's heartbeats arrive, also while it is damped. */
+bool member_is_heard(const struct member *member, int64_t now_us);
+/** Returns whether a member that is heard takes over matters. Damping does not
+ * count: the member itself does not know of it, and would go on beside another
+ * one. */
+bool member_may_coordinate(const struct member *member, int64_t now_us);
 /** Handles a heartbeat from a member itself. A member that comes back after a
  * timeout counts as gone for a delay, which doubles each time, so that its
  * shards do not move back and forth. */
--- a/member/member.c
+++ b/member/member.c
@@ -63,6 +63,19 @@
 	return MEMBER_LIVE;
 }
 
+bool
+member_is_heard(const struct member *member, int64_t now_us)
+{
+	return member->last_heartbeat_us != 0 && !is_silent(member, now_us);
+}
+
+bool
+member_may_coordinate(const struct member *member, int64_t now_us)
+{
+	return member_is_heard(member, now_us) && !member->draining &&
+	    member->listed_state != MEMBER_LEAVING;
+}
+
 void
 member_heartbeat_relayed(struct member *member, int64_t now_us)
 {
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -2,14 +2,18 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "common/rng.h"
+#include "member/coordinator.h"
 #include "member/member.h"
 #include "tests/runner.h"
 
 #define SECOND ((int64_t)1000000)
+#define NOW    (60 * SECOND)
 
 enum {
 	VMS = 12,
 	SHARDS = 1200,
+	MATTERS = 40,
 };
 
 static void
@@ -210,6 +214,94 @@
 }
 END_TEST
 
+/* Fills what one VM knows of the others: all are heard, and some have returned
+ * so often that they are damped. */
+static void
+fill_view(struct members *members, struct rng *rng, int self, int vms)
+{
+	char name[NAME_BYTES];
+
+	memset(members, 0, sizeof(*members));
+	for (int i = 0; i < vms; i++) {
+		uint64_t returns = rng_below(rng, 6);
+		struct member *member;
+
+		if (i == self)
+			continue;
+		snprintf(name, sizeof(name), "entry-%d", i);
+		member = members_add(members, name);
+		member->timeout_us = SECOND;
+		snprintf(member->failure_domain, NAME_BYTES, "%d", i % 3);
+		for (uint64_t k = 0; k <= returns; k++)
+			member_heartbeat_received(
+			    member, (int64_t)(k + 1) * 3 * SECOND);
+		member_heartbeat_received(member, NOW);
+	}
+}
+
+START_TEST(vms_that_hear_each_other_choose_the_same_coordinator)
+{
+	static const int sizes[] = {12, 79, 300};
+	struct rng rng;
+
+	rng_init(&rng, 1);
+	for (int s = 0; s < 3; s++) {
+		const char *chosen[MATTERS] = {NULL};
+		char names[MATTERS][NAME_BYTES];
+
+		for (int vm = 0; vm < sizes[s]; vm++) {
+			char name[NAME_BYTES];
+			char domain[NAME_BYTES];
+			const struct coordinator_self self = {
+			    .vm = name, .failure_domain = domain};
+			struct members members;
+
+			snprintf(name, sizeof(name), "entry-%d", vm);
+			snprintf(domain, sizeof(domain), "%d", vm % 3);
+			fill_view(&members, &rng, vm, sizes[s]);
+			for (int m = 0; m < MATTERS; m++) {
+				const char *choice = coordinator_choose(
+				    &members, &self, (uint64_t)m + 1,
+				    m % 2 == 0 ? "" : "1", NOW);
+
+				if (chosen[m] != NULL) {
+					ck_assert_str_eq(choice, chosen[m]);
+					continue;
+				}
+				snprintf(names[m], NAME_BYTES, "%s", choice);
+				chosen[m] = names[m];
+			}
+			members_reset(&members);
+		}
+	}
+}
+END_TEST
+
+START_TEST(vms_that_leave_or_are_not_heard_coordinate_nothing)
+{
+	const struct coordinator_self self = {
+	    .vm = "entry-99", .failure_domain = "a", .leaving = true};
+	struct members members;
+
+	fill(&members);
+	for (int i = 0; i < VMS; i++) {
+		members.items[i].draining = i % 2 == 0;
+		if (i % 3 == 0)
+			members.items[i].last_heartbeat_us = -NOW;
+	}
+	for (uint64_t matter = 1; matter <= MATTERS; matter++) {
+		const char *choice =
+		    coordinator_choose(&members, &self, matter, "", 2 * SECOND);
+		const struct member *member = members_find(&members, choice);
+
+		ck_assert_ptr_nonnull(member);
+		ck_assert(!member->draining);
+		ck_assert_int_eq(member->last_heartbeat_us, SECOND);
+	}
+	members_reset(&members);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -218,6 +310,8 @@
 	    a_listed_member_without_heartbeats_times_out,
 	    the_timeout_applies_to_the_first_heartbeat_too,
 	    flapping_is_damped,
+	    vms_that_hear_each_other_choose_the_same_coordinator,
+	    vms_that_leave_or_are_not_heard_coordinate_nothing,
 	    only_shards_of_the_member_that_left_move,
 	    shard_choices_are_a_permutation_of_live_members,
 	    callers_get_their_region_first_and_alternating_domains,
