A process does not inherit the epoch of the one before it

A gateway that starts again within its lease is still a member of its group, and the store gave it its partitions under the same generation, which is the epoch of what it grants. Placeholders for turns without a record are told apart by epoch, so those of the second to fourth process were taken for the first one's.

A process ends the membership of its name before it joins, so that its first join starts a generation. Ruled out: the incarnation in the member's name, with which the partitions wait for the old lease to end at each restart.

A leave whose answer is lost may be done seconds later and end the membership of this process as well; the next join, a quarter of a lease later, takes part in the new distribution, as after any other one that the store makes by itself.

--- a/gateway/ownership.c
+++ b/gateway/ownership.c
@@ -43,7 +43,11 @@
 	int64_t lease_until_us;
 	struct join joins[JOINS_IN_FLIGHT_MAX];
 	struct store_call *leave_call; /**< NULL: none in progress */
-	int64_t last_expiry_us;        /**< last expiry of old ledger entries */
+	/** The membership of the process before this one has ended, so that
+	 * the first join starts a generation, which is the epoch of what this
+	 * process owns. */
+	bool predecessor_left;
+	int64_t last_expiry_us; /**< last expiry of old ledger entries */
 	bool leaving;
 	bool join_failed;
 	bool suspended; /**< the lease has expired */
@@ -181,6 +185,36 @@
 	return NULL;
 }
 
+static void handle_join_timer(uv_timer_t *timer);
+
+static void
+handle_predecessor_left(void *context, enum store_status status)
+{
+	struct ownership *ownership = context;
+
+	ownership->leave_call = NULL;
+	trace_store_state(ownership, status);
+	ownership->store_is_away = status != STORE_OK;
+	if (status != STORE_OK) /* the join timer tries again */
+		return;
+	ownership->predecessor_left = true;
+	handle_join_timer(ownership->join_timer);
+}
+
+/* A process that starts again within its lease would be given the partitions
+ * under the generation of its predecessor, whose grants it does not know. */
+static void
+end_predecessor(struct ownership *ownership)
+{
+	char name[PEER_GATEWAY_NAME_BYTES];
+
+	if (ownership->leave_call != NULL)
+		return;
+	peer_gateways_self_name(ownership->gateway->peer_gateways, name);
+	ownership->leave_call = store_leave(ownership->gateway->store, GROUP,
+	    name, JOIN_TIMEOUT_US, handle_predecessor_left, ownership);
+}
+
 static void
 handle_join_timer(uv_timer_t *timer)
 {
@@ -191,6 +225,10 @@
 
 	if (join == NULL || ownership->leaving)
 		return;
+	if (!ownership->predecessor_left) {
+		end_predecessor(ownership);
+		return;
+	}
 	peer_gateways_self_name(gateway->peer_gateways, name);
 	join->sent_us = clock_monotonic_us();
 	join->call = store_join(gateway->store, GROUP, name, TOPIC_TURNS,
@@ -268,6 +306,8 @@
 		return;
 	ownership->leaving = true;
 	cancel_joins(ownership);
+	if (ownership->leave_call != NULL)
+		store_cancel(ownership->leave_call);
 	for (uint32_t i = 0; i < ownership->partition_count; i++)
 		partition_release(&ownership->partitions[i]);
 	peer_gateways_self_name(gateway->peer_gateways, name);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -787,12 +787,63 @@
 }
 END_TEST
 
+/* Returns the lowest or highest epoch of the partitions that a gateway has
+ * taken since a place in its log, which is moved to its end. */
+static long
+taken_epoch(int gateway, long *place, bool highest)
+{
+	char path[WORK_DIR_BYTES + 32];
+	char line[2048];
+	long found = -1;
+	FILE *log;
+
+	snprintf(
+	    path, sizeof(path), "%s/entry-%d.log", cluster.work_dir, gateway);
+	log = fopen(path, "r");
+	ck_assert_ptr_nonnull(log);
+	fseek(log, *place, SEEK_SET);
+	while (fgets(line, sizeof(line), log) != NULL) {
+		const char *field = strstr(line, "\"epoch\":");
+		long epoch;
+
+		if (strstr(line, "\"partition_taken\"") == NULL ||
+		    field == NULL)
+			continue;
+		epoch = strtol(field + strlen("\"epoch\":"), NULL, 10);
+		if (found == -1 || (highest ? epoch > found : epoch < found))
+			found = epoch;
+	}
+	*place = ftell(log);
+	fclose(log);
+	return found;
+}
+
+/* What its predecessor granted is counted by epoch. */
+START_TEST(owner_that_starts_again_within_its_lease_has_a_new_epoch)
+{
+	long place = 0;
+	long before;
+	long after;
+
+	usleep(500 * US_PER_MS);
+	before = taken_epoch(0, &place, true);
+	ck_assert_int_ge(before, 0);
+	cluster_signal(&cluster.gateways[0].process, SIGKILL);
+	ck_assert(cluster_restart_gateway(&cluster, 0));
+	ck_assert(cluster_wait_ready(&cluster, 0));
+	usleep(500 * US_PER_MS);
+	after = taken_epoch(0, &place, false);
+	ck_assert_msg(after > before, "epoch %ld after %ld", after, before);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
 	const TTest *tests[] = {
 	    history_is_available_at_any_gateway,
 	    history_survives_gateway_crashes,
+	    owner_that_starts_again_within_its_lease_has_a_new_epoch,
 	    another_program_may_continue_a_turn,
 	    unknown_turn_is_not_found,
 	    turns_beyond_the_budget_are_refused,
