Postmortem: what was verified; tests that also fail beside load

Two variants were missed beside load: a restart took longer than the lease, so the case restarts the gateway four times; and without messages between gateways nine servers crashed within the bound on late sends, so crash-unresolved also asks for the bound on all of them, as test-crash does.

--- a/tests/test_crash_unresolved.c
+++ b/tests/test_crash_unresolved.c
@@ -152,6 +152,7 @@
 	ck_assert_msg(late_crashes <= SENDS_AFTER,
 	    "%d crashes, %d of runs that began over %d ms after the third",
 	    crashes, late_crashes, SETTLE_MS);
+	check_bound();
 }
 
 START_TEST(silent_crash_outlives_the_gateway_that_sent_the_request)
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -18,6 +18,8 @@
 enum {
 	CALL_MS = 5000,
 	TEXT_BYTES = 512,
+	TAKEN_TRIES = 50,
+	RESTARTS = 4,    /* of a gateway */
 	PARTITIONS = 12, /* of the gateways that cluster.c starts */
 };
 
@@ -828,12 +830,19 @@
 	usleep(500 * US_PER_MS);
 	before = taken_epoch(0, &place, true);
 	ck_assert_int_ge(before, 0);
-	cluster_signal(&cluster.gateways[0].process, SIGKILL);
-	ck_assert(cluster_restart_gateway(&cluster, 0));
-	ck_assert(cluster_wait_ready(&cluster, 0));
-	usleep(500 * US_PER_MS);
-	after = taken_epoch(0, &place, false);
-	ck_assert_msg(after > before, "epoch %ld after %ld", after, before);
+	for (int i = 0; i < RESTARTS; i++) {
+		cluster_signal(&cluster.gateways[0].process, SIGKILL);
+		ck_assert(cluster_restart_gateway(&cluster, 0));
+		ck_assert(cluster_wait_ready(&cluster, 0));
+		after = -1;
+		for (int k = 0; k < TAKEN_TRIES && after == -1; k++) {
+			usleep(100 * US_PER_MS);
+			after = taken_epoch(0, &place, false);
+		}
+		ck_assert_msg(
+		    after > before, "epoch %ld after %ld", after, before);
+		before = after;
+	}
 }
 END_TEST
 
