Tell the watcher of runs that are no reason for suspicion

A run that ended without a proof, of a request that had completed since, was dropped here, but its watcher was never told that it had ended, and would have kept up to 4,096 of them until this process ended. Found by reading.

--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -354,7 +354,9 @@
 	    .untold = how->answered,
 	};
 
-	if (how->answered) {
+	if (how->answered ||
+	    suspects_completed_since(
+		&quarantine->suspects, sent->fingerprint, sent->sent_us)) {
 		quarantine_run_ended(quarantine, sent);
 	} else {
 		list_remove(&sent->link);
--- a/include/gateway/peer_gateways.h
+++ b/include/gateway/peer_gateways.h
@@ -61,9 +61,8 @@
     const struct peer_gateways *peer_gateways, const char *vm);
 uint64_t
 peer_gateways_own_incarnation(const struct peer_gateways *peer_gateways);
-/** Returns the gateway that is told of this one's runs, or NULL: the same one
- * for as long as it is live, in another failure domain of the region if there
- * is one. */
+/** Returns the gateway that is told of this one's runs, or NULL: mostly the
+ * same one, in another failure domain of the region if there is one. */
 const char *peer_gateways_watcher(const struct peer_gateways *peer_gateways);
 /** Returns a live gateway that reaches the store, in round-robin order and
  * preferably of this failure domain, or NULL. */
