--- a/review/8/case-8.c
+++ b/review/8/case-8.c
@@ -19,6 +19,7 @@
 	PROGRAMS = 4, /* at a time */
 	TURNS = 4,    /* of a program, in parallel */
 	MEMORY_MB = 130,
+	RETENTION_S = 60,
 	USUAL_BYTES = 17000,
 	LONG_BYTES = 300000, /* under maxBodyBytes, over recordBytes */
 	EVENTS = 7,
@@ -33,10 +34,6 @@
 	LIMIT_S = 60,
 };
 
-struct server {
-	char id[CASE_ID_BYTES];
-};
-
 /* A line of turns of a program, which runs one turn. */
 struct turn {
 	char program[CASE_ID_BYTES];
@@ -52,36 +49,19 @@
 static bool
 serve(void *context, struct case_request *request)
 {
-	const struct server *server = context;
+	const struct case_server *server = context;
 	char id[CASE_ID_BYTES];
-	char out[512];
 
 	case_field(request, "request-id", id, sizeof(id));
-	if (!case_read_body(request, 0))
+	if (!case_read_body(request))
 		return false;
 	ran++;
 	case_log(
 	    "server %s: runs %s, %zu bytes", server->id, id, request->body.len);
-	snprintf(out, sizeof(out),
-	    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s.%s\r\n"
-	    "Content-Type: text/event-stream\r\n"
-	    "Transfer-Encoding: chunked\r\n\r\n",
-	    id, id);
-	if (!case_send(request->fd, out, strlen(out)))
+	if (!case_send_stream(request, EVENTS, EVENT_MS))
 		return false;
-	for (int i = 1; i <= EVENTS; i++) {
-		char event[64];
-
-		usleep(EVENT_MS * 1000);
-		snprintf(
-		    event, sizeof(event), "id: %d\ndata: event %d\n\n", i, i);
-		snprintf(
-		    out, sizeof(out), "%zx\r\n%s\r\n", strlen(event), event);
-		if (!case_send(request->fd, out, strlen(out)))
-			return false;
-	}
 	case_log("server %s: ran %s whole", server->id, id);
-	return case_send(request->fd, "0\r\n\r\n", 5);
+	return true;
 }
 
 /* Whether a request that was sent and cut at these times counts: around a
@@ -184,38 +164,10 @@
 	return NULL;
 }
 
-static void
-publish(struct case_store *store)
-{
-	static struct server servers[SERVERS];
-	char value[512];
-
-	case_store_put(store, "keyed.op", "config",
-	    "{\"version\":1,\"routes\":[{\"name\":\"turn\",\"host\":"
-	    "\"h.example\",\"pathPrefix\":\"/turn/\",\"kind\":\"streaming\","
-	    "\"timeoutMs\":3000,\"targetLatencyMs\":300,\"priority\":1,"
-	    "\"service\":\"models\",\"maxAttempts\":1,\"retained\":true,"
-	    "\"retentionS\":60.0,\"sessionAffinity\":true,\"resumable\":false,"
-	    "\"gapAimMs\":250}],\"services\":[{\"name\":\"models\","
-	    "\"healthPath\":\"/healthz\",\"maxConnections\":180,\"engine\":{"
-	    "\"maxBatch\":16,\"kvCapacity\":444000,\"tokensPerEvent\":35}}],"
-	    "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
-	    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
-	for (int i = 0; i < SERVERS; i++) {
-		snprintf(servers[i].id, sizeof(servers[i].id), "i-%d", i);
-		snprintf(value, sizeof(value),
-		    "{\"service\":\"models\",\"address\":\"127.0.0.1:%d\","
-		    "\"zone\":\"zone-0\",\"version\":\"v1\",\"maxBatch\":16,"
-		    "\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1,"
-		    "\"born\":1}",
-		    case_serve(serve, &servers[i], 0));
-		case_store_put(store, "keyed.servers", servers[i].id, value);
-	}
-}
-
 int
 main(int argc, char **argv)
 {
+	static struct case_server servers[SERVERS];
 	const struct case_store_options options = {0};
 	struct case_store *store;
 
@@ -226,11 +178,9 @@
 	memset(input, 'x', LONG_BYTES);
 	store = case_store_start(&options);
 	case_gateways_init(case_store_port(store), MEMORY_MB, 1);
-	publish(store);
-	for (int i = 0; i < GATEWAYS; i++) {
-		if (!case_gateway_start(i) || !case_gateway_wait_ready(i, 5000))
-			case_end(CASE_NOT_RUN);
-	}
+	case_publish(store, RETENTION_S);
+	case_start_servers(store, serve, servers, SERVERS);
+	case_gateways_start(GATEWAYS);
 	case_sleep_until(START_MS);
 	for (int i = 0; i < PROGRAMS; i++)
 		case_start_thread(run_programs, NULL);
--- a/review/common-2/case.c
+++ b/review/common-2/case.c
@@ -20,7 +20,6 @@
 	BACKLOG = 512,
 	HEAD_MAX_BYTES = 64 << 10,
 	READ_BYTES = 64 << 10,
-	SLICE_MS = 20, /* of a body that is read slowly */
 	MS_PER_S = 1000,
 	US_PER_MS_ = 1000,
 	NS_PER_MS = 1000000,
@@ -208,31 +207,18 @@
 }
 
 bool
-case_read_body(struct case_request *request, size_t per_s)
+case_read_body(struct case_request *request)
 {
 	char *data = xcalloc(1, READ_BYTES);
-	size_t slice = per_s * SLICE_MS / MS_PER_S;
-	int64_t next = case_ms();
-	size_t in_slice = 0;
 	ssize_t got = 1;
 
-	while (request->body.len < request->body_length) {
-		size_t want = request->body_length - request->body.len;
+	while (got > 0 && request->body.len < request->body_length) {
+		size_t left = request->body_length - request->body.len;
 
-		if (want > READ_BYTES)
-			want = READ_BYTES;
-		if (per_s > 0 && in_slice >= slice) {
-			next += SLICE_MS;
-			in_slice = 0;
-			case_sleep_until(next);
-		}
-		if (per_s > 0 && want > slice)
-			want = slice;
-		got = recv(request->fd, data, want, 0);
-		if (got <= 0)
-			break;
-		in_slice += (size_t)got;
-		buf_append(&request->body, data, (size_t)got);
+		got = recv(request->fd, data,
+		    left < READ_BYTES ? left : READ_BYTES, 0);
+		if (got > 0)
+			buf_append(&request->body, data, (size_t)got);
 	}
 	free(data);
 	return got > 0;
@@ -281,7 +267,7 @@
 }
 
 int
-case_serve(case_handler handle, void *context, int receive_bytes)
+case_serve(case_handler handle, void *context)
 {
 	struct server *server = xcalloc(1, sizeof(*server));
 	struct sockaddr_in address = {
@@ -293,9 +279,6 @@
 	server->handle = handle;
 	server->context = context;
 	server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (receive_bytes > 0)
-		setsockopt(server->listener, SOL_SOCKET, SO_RCVBUF,
-		    &receive_bytes, sizeof(receive_bytes));
 	if (bind(server->listener, (struct sockaddr *)&address, len) != 0 ||
 	    listen(server->listener, BACKLOG) != 0 ||
 	    getsockname(server->listener, (struct sockaddr *)&address, &len) !=
--- a/review/common-2/case.h
+++ b/review/common-2/case.h
@@ -60,11 +60,9 @@
  * is to be closed. */
 typedef bool (*case_handler)(void *context, struct case_request *request);
 
-/** Listens on a free port, which is returned; 0 on failure. receive_bytes:
- * size of the receive buffer of each connection; 0: the default. */
-int case_serve(case_handler handle, void *context, int receive_bytes);
-/** Reads the body. per_s: bytes read a second at most; 0: no limit. */
-bool case_read_body(struct case_request *request, size_t per_s);
+/** Listens on a free port, which is returned; 0 on failure. */
+int case_serve(case_handler handle, void *context);
+bool case_read_body(struct case_request *request);
 /** Returns the value of a field of the head in `value`, "" if absent. */
 void case_field(const struct case_request *request, const char *name,
     char *value, size_t size);
@@ -107,10 +105,6 @@
 
 struct case_store *case_store_start(const struct case_store_options *options);
 int case_store_port(const struct case_store *store);
-/** Answers are given this much later than usual. */
-void case_store_set_delay(struct case_store *store, int ms);
-/** Deals all partitions of all groups anew, at once. */
-void case_store_rebalance(struct case_store *store);
 /** Writes a record as the operator or a server does. */
 void case_store_put(struct case_store *store, const char *topic,
     const char *key, const char *value);
@@ -118,18 +112,39 @@
 /** Returns how many appends have received 507. */
 unsigned case_store_full_count(const struct case_store *store);
 
+/* Model servers of one service, at 127.0.0.1. */
+
+struct case_server {
+	char id[CASE_ID_BYTES];
+	int port;
+};
+
+/** Publishes a configuration with the routes /turn/, where turns are retained,
+ * and /stream/, where they are not. */
+void case_publish(struct case_store *store, int retention_s);
+/** Writes a server's entry. born_ms: start of its lifetime. */
+void case_put_server(
+    struct case_store *store, const char *id, int port, long born_ms);
+/** Starts servers whose requests are handled with a struct case_server as
+ * context, and writes their entries. */
+void case_start_servers(struct case_store *store, case_handler handle,
+    struct case_server *servers, int count);
+/** Answers with a stream of events, the first one after event_ms. */
+bool
+case_send_stream(const struct case_request *request, int events, int event_ms);
+bool case_begin_stream(const struct case_request *request);
+bool case_send_event(const struct case_request *request, int number);
+bool case_end_stream(const struct case_request *request);
+
 /* Gateways. */
 
 /** Starts gateways with a store. domains: number of zones. */
 void case_gateways_init(int store_port, int memory_mb, int domains);
+/** Starts the first gateways and waits until they are ready. */
+void case_gateways_start(int count);
 /** Starts a gateway; false on failure. Also after it has ended. */
 bool case_gateway_start(int number);
 void case_gateway_signal(int number, int signal);
-/** Waits until a gateway answers its readiness probe with 200. */
-bool case_gateway_wait_ready(int number, int ms);
 int case_gateway_port(int number);
-pid_t case_gateway_pid(int number);
-/** Returns a field of /proc/PID/status in kB, or -1. */
-long case_gateway_memory_kb(int number, const char *field);
 
 #endif
--- a/review/common-2/gateways.c
+++ b/review/common-2/gateways.c
@@ -22,6 +22,7 @@
 	POLL_US = 20000,
 	CALL_MS = 1000,
 	PARTITIONS = 12,
+	READY_MS = 5000,
 };
 
 struct gateway {
@@ -159,8 +160,9 @@
 	gateways[number].pid = 0;
 }
 
-bool
-case_gateway_wait_ready(int number, int ms)
+/* Waits until a gateway answers its readiness probe with 200. */
+static bool
+wait_ready(int number, int ms)
 {
 	int64_t end = case_ms() + ms;
 
@@ -179,38 +181,23 @@
 	return false;
 }
 
-int
-case_gateway_port(int number)
-{
-	return gateways[number].callers;
-}
-
-pid_t
-case_gateway_pid(int number)
+void
+case_gateways_start(int count)
 {
-	return gateways[number].pid;
+	for (int i = 0; i < count; i++) {
+		if (!case_gateway_start(i))
+			case_end(CASE_NOT_RUN);
+	}
+	for (int i = 0; i < count; i++) {
+		if (!wait_ready(i, READY_MS))
+			case_end(CASE_NOT_RUN);
+	}
 }
 
-long
-case_gateway_memory_kb(int number, const char *field)
+int
+case_gateway_port(int number)
 {
-	char path[PATH_BYTES];
-	char line[PATH_BYTES];
-	size_t len = strlen(field);
-	long kb = -1;
-	FILE *file;
-
-	snprintf(
-	    path, sizeof(path), "/proc/%d/status", (int)gateways[number].pid);
-	file = fopen(path, "re");
-	if (file == NULL)
-		return -1;
-	while (kb < 0 && fgets(line, sizeof(line), file) != NULL) {
-		if (strncmp(line, field, len) == 0 && line[len] == ':')
-			kb = strtol(line + len + 1, NULL, 10);
-	}
-	fclose(file);
-	return kb;
+	return gateways[number].callers;
 }
 
 void case_gateways_kill(void);
--- a/review/common-2/store.c
+++ b/review/common-2/store.c
@@ -25,7 +25,7 @@
 	NAME_BYTES_ = 160,
 	RECORD_MAX_BYTES = 256 << 10,
 	CALL_MAX_BYTES = 2 << 20,
-	USUAL_MS = 4, /* of an answer */
+	ANSWER_MS = 4,
 	MS_PER_S = 1000,
 	NS_PER_MS = 1000000,
 	US_PER_MS_ = 1000,
@@ -61,7 +61,6 @@
 	uint64_t generation;
 	int holder[PARTITIONS]; /* member, or NO_MEMBER */
 	int wanted[PARTITIONS]; /* who shall hold it */
-	unsigned deal;
 };
 
 struct case_store {
@@ -69,7 +68,6 @@
 	pthread_cond_t appended;
 	struct case_store_options options;
 	int port;
-	int delay_ms;
 	size_t bytes;
 	unsigned full_count;
 	struct topic topics[TOPICS_MAX];
@@ -108,20 +106,14 @@
 	return value[0] == '\0' ? otherwise : strtoull(value, NULL, 10);
 }
 
-static void
-wait_answer(const struct case_store *store)
-{
-	usleep((useconds_t)(USUAL_MS + store->delay_ms) * US_PER_MS_);
-}
-
 static bool
-reply(struct case_store *store, struct case_request *request, int status,
-    const char *type, const struct buf *body)
+reply(struct case_request *request, int status, const char *type,
+    const struct buf *body)
 {
 	struct buf out = {0};
 	bool ok;
 
-	wait_answer(store);
+	usleep(ANSWER_MS * US_PER_MS_);
 	buf_printf(&out,
 	    "HTTP/1.1 %d X\r\nContent-Type: %s\r\nContent-Length: %zu\r\n\r\n",
 	    status, type, body->len);
@@ -132,15 +124,14 @@
 }
 
 static bool
-reply_json(struct case_store *store, struct case_request *request, int status,
-    json_t *root)
+reply_json(struct case_request *request, int status, json_t *root)
 {
 	char *text = json_dumps(root, JSON_COMPACT);
 	struct buf body = {0};
 	bool ok;
 
 	buf_append_text(&body, text);
-	ok = reply(store, request, status, "application/json", &body);
+	ok = reply(request, status, "application/json", &body);
 	buf_reset(&body);
 	free(text);
 	json_decref(root);
@@ -243,7 +234,7 @@
 	query(request, "topic", topic, sizeof(topic));
 	if (!records_are_valid(&request->body))
 		return reply_json(
-		    store, request, 400, json_pack("{s:s}", "why", "records"));
+		    request, 400, json_pack("{s:s}", "why", "records"));
 	pthread_mutex_lock(&store->lock);
 	partition =
 	    partition_of(store, topic, query_number(request, "part", 0));
@@ -254,7 +245,7 @@
 		store->full_count++;
 		pthread_mutex_unlock(&store->lock);
 		return reply_json(
-		    store, request, 507, json_pack("{s:s}", "why", "full"));
+		    request, 507, json_pack("{s:s}", "why", "full"));
 	}
 	first = partition->count;
 	for (size_t at = 0; at < request->body.len;) {
@@ -267,7 +258,7 @@
 	end = partition->count;
 	pthread_cond_broadcast(&store->appended);
 	pthread_mutex_unlock(&store->lock);
-	return reply_json(store, request, 200,
+	return reply_json(request, 200,
 	    json_pack("{s:I, s:I}", "offset", (json_int_t)first, "end",
 		(json_int_t)end));
 }
@@ -334,10 +325,10 @@
 	pthread_mutex_unlock(&store->lock);
 	if (from < first) {
 		buf_reset(&body);
-		return reply_json(store, request, 410,
+		return reply_json(request, 410,
 		    json_pack("{s:I}", "first", (json_int_t)first));
 	}
-	ok = reply(store, request, 200, "application/octet-stream", &body);
+	ok = reply(request, 200, "application/octet-stream", &body);
 	buf_reset(&body);
 	return ok;
 }
@@ -354,7 +345,7 @@
 	if (json_unpack(body, "{s:s, s:i, s:I}", "topic", &topic, "part", &part,
 		"before", &before) != 0) {
 		json_decref(body);
-		return reply_json(store, request, 400, json_object());
+		return reply_json(request, 400, json_object());
 	}
 	pthread_mutex_lock(&store->lock);
 	struct partition *partition =
@@ -365,7 +356,7 @@
 		drop_oldest(store, partition);
 	pthread_mutex_unlock(&store->lock);
 	json_decref(body);
-	return reply_json(store, request, 200, json_object());
+	return reply_json(request, 200, json_object());
 }
 
 static bool
@@ -419,7 +410,7 @@
 	}
 	end = partition->count;
 	pthread_mutex_unlock(&store->lock);
-	return reply_json(store, request, 200,
+	return reply_json(request, 200,
 	    json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", 0, "end",
 		(json_int_t)end));
 }
@@ -448,8 +439,7 @@
 			live[count++] = i;
 	}
 	for (unsigned i = 0; i < PARTITIONS; i++)
-		group->wanted[i] =
-		    count > 0 ? live[(i + group->deal) % count] : NO_MEMBER;
+		group->wanted[i] = count > 0 ? live[i % count] : NO_MEMBER;
 }
 
 static void
@@ -524,13 +514,13 @@
 		"member", &member, "topics", &topic, "ttlMs", &ttl_ms,
 		"generation", &generation) != 0) {
 		json_decref(body);
-		return reply_json(store, request, 400, json_object());
+		return reply_json(request, 400, json_object());
 	}
 	pthread_mutex_lock(&store->lock);
 	root = join(&store->group, member, topic, ttl_ms, (uint64_t)generation);
 	pthread_mutex_unlock(&store->lock);
 	json_decref(body);
-	return reply_json(store, request, 200, root);
+	return reply_json(request, 200, root);
 }
 
 static bool
@@ -549,7 +539,7 @@
 		remove_member(&store->group, found);
 	pthread_mutex_unlock(&store->lock);
 	json_decref(body);
-	return reply_json(store, request, 200, json_object());
+	return reply_json(request, 200, json_object());
 }
 
 static bool
@@ -568,8 +558,7 @@
 				store->group.members[holder].name, 0));
 	}
 	pthread_mutex_unlock(&store->lock);
-	return reply_json(
-	    store, request, 200, json_pack("{s:o}", "rows", rows));
+	return reply_json(request, 200, json_pack("{s:o}", "rows", rows));
 }
 
 static bool
@@ -591,14 +580,14 @@
 	const char *call = strstr(request->target, "/v1/log-");
 	size_t len = call != NULL ? strcspn(call + 8, "?") : 0;
 
-	if (request->body_length > 0 && !case_read_body(request, 0))
+	if (request->body_length > 0 && !case_read_body(request))
 		return false;
 	for (size_t i = 0; i < sizeof(calls) / sizeof(calls[0]); i++) {
 		if (call != NULL && len == strlen(calls[i].call) &&
 		    strncmp(call + 8, calls[i].call, len) == 0)
 			return calls[i].handle(store, request);
 	}
-	return reply_json(store, request, 404, json_object());
+	return reply_json(request, 404, json_object());
 }
 
 struct case_store *
@@ -613,7 +602,7 @@
 	pthread_cond_init(&store->appended, NULL);
 	for (int i = 0; i < PARTITIONS; i++)
 		store->group.holder[i] = NO_MEMBER;
-	store->port = case_serve(handle, store, 0);
+	store->port = case_serve(handle, store);
 	if (store->port == 0)
 		case_end(CASE_NOT_RUN);
 	return store;
@@ -625,23 +614,6 @@
 	return store->port;
 }
 
-void
-case_store_set_delay(struct case_store *store, int ms)
-{
-	store->delay_ms = ms;
-}
-
-void
-case_store_rebalance(struct case_store *store)
-{
-	pthread_mutex_lock(&store->lock);
-	store->group.deal++;
-	deal(&store->group);
-	for (int i = 0; i < PARTITIONS; i++)
-		store->group.holder[i] = NO_MEMBER;
-	pthread_mutex_unlock(&store->lock);
-}
-
 void
 case_store_put(struct case_store *store, const char *topic, const char *key,
     const char *value)
