--- a/h1/client.c
+++ b/h1/client.c
@@ -2,13 +2,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <http_parser.h>
 #include <uthash.h>
 
 #include "common/clock.h"
 #include "common/list.h"
 #include "common/memory.h"
 #include "h1/client.h"
+#include "h1/response_parser.h"
 #include "h1/socket.h"
 
 enum {
@@ -37,8 +37,8 @@
 	struct h1_client *client;
 	uv_tcp_t tcp;
 	uv_connect_t connect;
-	http_parser parser;
-	struct h1_call *call; /**< NULL while idle */
+	struct h1_response_parser parser; /**< of the call's response */
+	struct h1_call *call;             /**< NULL while idle */
 	char address[H1_ADDRESS_BYTES];
 	bool connected;
 	bool closing;
@@ -58,13 +58,9 @@
 	struct h1_connection *connection;
 	struct h1_call_params params; /**< texts and body are not valid */
 	struct buf request;           /**< encoded request, until sent */
-	struct h1_head head;
 	bool sent;
-	bool skipping;         /**< discards a response to another call */
-	bool complete;         /**< the whole response has been parsed */
 	size_t overhead_bytes; /**< received since the last byte of the body */
 	bool head_method;      /**< HEAD: the response has no body */
-	enum h1_body_end body_end;
 	int64_t connect_deadline_us;
 	uv_timer_t *start_failure_timer; /**< NULL unless starting failed */
 };
@@ -108,6 +104,7 @@
 	struct h1_connection *connection = handle->data;
 	struct h1_client *client = connection->client;
 
+	h1_response_parser_reset(&connection->parser);
 	free(connection);
 	client->connection_count--;
 	client_free_if_closed(client);
@@ -144,7 +141,6 @@
 {
 	list_remove(&call->link);
 	buf_reset(&call->request);
-	h1_head_reset(&call->head);
 	free(call);
 }
 
@@ -170,6 +166,7 @@
 	    pool_get(connection->client, connection->address);
 
 	connection_resume(connection);
+	h1_response_parser_reset(&connection->parser);
 	connection->read_size = 0;
 	connection->call = NULL;
 	connection->served = true;
@@ -206,12 +203,19 @@
 	done(context, outcome);
 }
 
+static enum h1_body_end
+call_body_end(const struct h1_call *call)
+{
+	return call->connection != NULL ? call->connection->parser.body_end
+					: H1_BODY_END_UNKNOWN;
+}
+
 static void
 call_fail(struct h1_call *call, enum h1_result result, int code)
 {
 	struct h1_outcome outcome = {
 	    .result = result,
-	    .body_end = call->body_end,
+	    .body_end = call_body_end(call),
 	    .reused = call->connection != NULL && call->connection->served,
 	    .refused = result == H1_CONNECT_FAILED && code == UV_ECONNREFUSED,
 	    .reset = result == H1_CONNECTION_LOST && code != UV_EOF,
@@ -220,24 +224,6 @@
 	call_finish(call, &outcome);
 }
 
-static int
-handle_header_field(http_parser *parser, const char *at, size_t len)
-{
-	struct h1_connection *connection = parser->data;
-
-	h1_head_add_name(&connection->call->head, at, len);
-	return 0;
-}
-
-static int
-handle_header_value(http_parser *parser, const char *at, size_t len)
-{
-	struct h1_connection *connection = parser->data;
-
-	h1_head_add_value(&connection->call->head, at, len);
-	return 0;
-}
-
 /* Returns how long a connection may stay idle: the timeout of the server's
  * Keep-Alive field less a margin, or default_us if that is shorter. */
 static int64_t
@@ -255,82 +241,39 @@
 	return max_idle_us < default_us ? max_idle_us : default_us;
 }
 
-static enum h1_body_end
-body_end_of(const struct h1_call *call, const http_parser *parser)
-{
-	if (call->head_method || parser->status_code == 204 ||
-	    parser->status_code == 304)
-		return H1_BODY_END_LENGTH;
-	if ((parser->flags & F_CHUNKED) != 0)
-		return H1_BODY_END_CHUNK;
-	return (parser->flags & F_CONTENTLENGTH) != 0 ? H1_BODY_END_LENGTH
-						      : H1_BODY_END_CONNECTION;
-}
-
-static int
-handle_headers_complete(http_parser *parser)
+static enum h1_parse_action
+handle_head(void *context, const struct h1_head *head)
 {
-	struct h1_connection *connection = parser->data;
+	struct h1_connection *connection = context;
 	struct h1_call *call = connection->call;
 	enum h1_head_action action;
 
-	h1_head_end_field(&call->head);
-	call->head.status = (int)parser->status_code;
-	if (parser->status_code / 100 == 1)
-		return 0;
-	call->body_end = body_end_of(call, parser);
 	connection->max_idle_us = max_idle_time(
-	    &call->head.headers, connection->client->options.idle_timeout_us);
+	    &head->headers, connection->client->options.idle_timeout_us);
 	action = call->params.on_head == NULL
 	    ? H1_HEAD_ACCEPT
-	    : call->params.on_head(call->params.context, &call->head);
+	    : call->params.on_head(call->params.context, head);
 	/* The callback may have cancelled the call. */
 	if (connection->call == NULL)
-		return -1;
-	call->skipping = action == H1_HEAD_SKIP;
-	if (call->skipping)
-		connection->reusable = false;
-	return call->head_method ? 1 : 0;
+		return H1_PARSE_STOP;
+	return action == H1_HEAD_SKIP ? H1_PARSE_SKIP : H1_PARSE_ON;
 }
 
-static int
-handle_body(http_parser *parser, const char *at, size_t len)
+static enum h1_parse_action
+handle_data(void *context, const char *data, size_t len)
 {
-	struct h1_connection *connection = parser->data;
+	struct h1_connection *connection = context;
 	struct h1_call *call = connection->call;
 
-	if (call->skipping)
-		return 0;
 	call->overhead_bytes = 0;
 	if (call->params.on_data != NULL)
-		call->params.on_data(call->params.context, at, len);
-	return connection->call == NULL ? -1 : 0;
+		call->params.on_data(call->params.context, data, len);
+	return connection->call == NULL ? H1_PARSE_STOP : H1_PARSE_ON;
 }
 
-static int
-handle_message_complete(http_parser *parser)
-{
-	struct h1_connection *connection = parser->data;
-	struct h1_call *call = connection->call;
-
-	if (parser->status_code / 100 == 1 || call->skipping) {
-		h1_head_reset(&call->head);
-		call->skipping = false;
-		return 0;
-	}
-	if (http_should_keep_alive(parser) == 0)
-		connection->reusable = false;
-	call->complete = true;
-	http_parser_pause(parser, 1);
-	return 0;
-}
-
-static const http_parser_settings parser_settings = {
-    .on_header_field = handle_header_field,
-    .on_header_value = handle_header_value,
-    .on_headers_complete = handle_headers_complete,
-    .on_body = handle_body,
-    .on_message_complete = handle_message_complete,
+static const struct h1_response_events response_events = {
+    .on_head = handle_head,
+    .on_data = handle_data,
 };
 
 static void
@@ -338,10 +281,12 @@
 {
 	const struct h1_outcome outcome = {
 	    .result = H1_COMPLETE,
-	    .body_end = call->body_end,
+	    .body_end = call_body_end(call),
 	    .reused = call->connection->served,
 	};
 
+	if (!call->connection->parser.keep_alive)
+		call->connection->reusable = false;
 	call_finish(call, &outcome);
 }
 
@@ -352,22 +297,22 @@
 	size_t used;
 
 	call->overhead_bytes += len;
-	used = http_parser_execute(
-	    &connection->parser, &parser_settings, data, len);
-	call = connection->call;
-
-	if (call == NULL) /* cancelled by a callback */
+	switch (
+	    h1_response_parser_execute(&connection->parser, data, len, &used)) {
+	case H1_PARSE_STOPPED: /* the call is cancelled */
 		return;
-	if (call->complete) {
-		http_parser_pause(&connection->parser, 0);
+	case H1_PARSE_COMPLETE:
 		connection->extra_data = used < len;
 		call_complete(call);
 		return;
-	}
-	if (HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK ||
-	    connection->parser.upgrade ||
-	    call->overhead_bytes > OVERHEAD_MAX_BYTES)
+	case H1_PARSE_MALFORMED:
 		call_fail(call, H1_MALFORMED, 0);
+		return;
+	case H1_PARSE_INCOMPLETE:
+		if (call->overhead_bytes > OVERHEAD_MAX_BYTES)
+			call_fail(call, H1_MALFORMED, 0);
+		return;
+	}
 }
 
 /* A response without a length ends with an orderly close of its connection; a
@@ -384,12 +329,8 @@
 	connection->reusable = false;
 	if (code == UV_EOF && !h1_socket_closed_in_order(&connection->tcp))
 		code = UV_ECONNRESET;
-	if (code == UV_EOF)
-		http_parser_execute(
-		    &connection->parser, &parser_settings, NULL, 0);
-	if (connection->call == NULL)
-		return;
-	if (call->complete)
+	if (code == UV_EOF &&
+	    h1_response_parser_finish(&connection->parser) == H1_PARSE_COMPLETE)
 		call_complete(call);
 	else
 		call_fail(call, H1_CONNECTION_LOST, code);
@@ -457,8 +398,8 @@
 {
 	struct h1_connection *connection = call->connection;
 
-	http_parser_init(&connection->parser, HTTP_RESPONSE);
-	connection->parser.data = connection;
+	h1_response_parser_begin(&connection->parser, call->head_method,
+	    &response_events, connection);
 	connection->reusable = true;
 	call->sent = true;
 	/* The read callback reports a broken connection. */
--- /dev/null
+++ b/h1/response_parser.h
@@ -0,0 +1,72 @@
+/** @file
+ * Incremental parser of the responses on a client connection, around
+ * http_parser.
+ */
+#ifndef H1_RESPONSE_PARSER_H
+#define H1_RESPONSE_PARSER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include <http_parser.h>
+
+#include "h1/client.h"
+#include "h1/message.h"
+
+/** What to do after an event. */
+enum h1_parse_action {
+	H1_PARSE_ON,
+	/** Parses on, but reports neither data nor the end of this response. */
+	H1_PARSE_SKIP,
+	/** Stops; the parser may be freed after the callback. */
+	H1_PARSE_STOP,
+};
+
+/** Callbacks for what was parsed. Interim responses are not reported. */
+struct h1_response_events {
+	enum h1_parse_action (*on_head)(
+	    void *context, const struct h1_head *head);
+	/** A piece of the body. H1_PARSE_SKIP counts as H1_PARSE_ON. */
+	enum h1_parse_action (*on_data)(
+	    void *context, const char *data, size_t len);
+};
+
+enum h1_parse_result {
+	H1_PARSE_INCOMPLETE, /**< the response has not ended */
+	H1_PARSE_COMPLETE,   /**< a response that is not skipped has ended */
+	H1_PARSE_STOPPED,    /**< a callback has stopped the parser */
+	H1_PARSE_MALFORMED,  /**< the bytes are no HTTP response */
+};
+
+struct h1_response_parser {
+	http_parser http;
+	const struct h1_response_events *events;
+	void *context;
+	struct h1_head head; /**< of the response that is being parsed */
+	enum h1_body_end body_end;
+	bool head_method; /**< HEAD: the response has no body */
+	bool skipping;
+	bool stopped;
+	bool complete;
+	/** With H1_PARSE_COMPLETE: the server keeps the connection open, and
+	 * no response before this one was skipped. */
+	bool keep_alive;
+};
+
+/** Expects the response to a new request. The parser must be zeroed, or reset.
+ * head_method: the request has the method HEAD. */
+void h1_response_parser_begin(struct h1_response_parser *parser,
+    bool head_method, const struct h1_response_events *events, void *context);
+/** Frees what the parser holds. */
+void h1_response_parser_reset(struct h1_response_parser *parser);
+/** Parses bytes, at most up to the end of the response. Sets *used to their
+ * number, unless the parser was stopped. */
+enum h1_parse_result
+h1_response_parser_execute(struct h1_response_parser *parser, const char *data,
+    size_t len, size_t *used);
+/** Handles an orderly end of the connection, which completes a response without
+ * a length. */
+enum h1_parse_result
+h1_response_parser_finish(struct h1_response_parser *parser);
+
+#endif
