Reject responses whose status code does not exist

What callers saw: a server in trouble sent a response with status 000, and its caller got it, signed and whole.

Cause: http_parser takes any number below 1000 for a status code, with any number of digits, and any version; Debian builds it without its strict checks, so that any byte ends a status line after a carriage return. Nothing after it looked at the line: a signed response of any status was passed on.

Change: h1/response_parser.c gives lines to the library only once they are whole and checks them first: a status line is "HTTP/1.x", a blank, three digits from 100 to 599, and what follows has no control byte. Such a response ends its attempt like any other bytes that are no HTTP: 502, or another attempt where the request may be repeated. All who read responses use this parser, so the store's, other gateways' and interim responses are judged by it too. The logs name what was wrong (response_fault).

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -341,7 +341,7 @@
 		return reason;
 	switch (outcome->result) {
 	case H1_MALFORMED:
-		return "malformed answer";
+		return "malformed response";
 	case H1_CONNECTION_LOST:
 		return outcome->reset ? "connection reset"
 				      : "connection closed";
@@ -506,6 +506,7 @@
 
 	attempt->call = NULL;
 	request->body_end = outcome->body_end;
+	request->response_fault = outcome->fault;
 	request->kept_connection = outcome->reused;
 	request->unfinished_event_bytes = request->events.pending.len;
 	if (outcome->result == H1_CONNECT_FAILED) {
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -132,6 +132,7 @@
 
 	request->relay.call = NULL;
 	request->body_end = outcome->body_end;
+	request->response_fault = outcome->fault;
 	if (complete && request->response_started) {
 		request_complete(request);
 		return;
@@ -144,7 +145,9 @@
 		trace_failed(request, "no connection");
 		try_another(request);
 	} else {
-		trace_failed(request, "connection lost");
+		trace_failed(request,
+		    outcome->fault != NULL ? outcome->fault
+					   : "connection lost");
 		request_handle_lost_response(request);
 	}
 }
--- a/gateway/request.c
+++ b/gateway/request.c
@@ -73,6 +73,7 @@
 trace_body_end(struct trace *trace, const struct request *request)
 {
 	trace_text(trace, "body_end", h1_body_end_name(request->body_end));
+	trace_text(trace, "response_fault", request->response_fault);
 	if (request->unfinished_event_bytes > 0)
 		trace_number(trace, "unfinished_event_bytes",
 		    (int64_t)request->unfinished_event_bytes);
--- a/h1/client.c
+++ b/h1/client.c
@@ -276,6 +276,19 @@
     .on_data = handle_data,
 };
 
+static void
+call_fail_malformed(struct h1_call *call, const char *fault)
+{
+	const struct h1_outcome outcome = {
+	    .result = H1_MALFORMED,
+	    .body_end = call_body_end(call),
+	    .reused = call->connection->served,
+	    .fault = fault,
+	};
+
+	call_finish(call, &outcome);
+}
+
 static void
 call_complete(struct h1_call *call)
 {
@@ -306,11 +319,11 @@
 		call_complete(call);
 		return;
 	case H1_PARSE_MALFORMED:
-		call_fail(call, H1_MALFORMED, 0);
+		call_fail_malformed(call, connection->parser.fault);
 		return;
 	case H1_PARSE_INCOMPLETE:
 		if (call->overhead_bytes > OVERHEAD_MAX_BYTES)
-			call_fail(call, H1_MALFORMED, 0);
+			call_fail_malformed(call, "too long a head");
 		return;
 	}
 }
--- a/h1/response_parser.c
+++ b/h1/response_parser.c
@@ -1,5 +1,24 @@
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
 #include "h1/response_parser.h"
 
+enum {
+	STATUS_MIN = 100,
+	STATUS_MAX = 599,
+	STATUS_DIGITS = 3,
+};
+
+static int
+handle_message_begin(http_parser *http)
+{
+	struct h1_response_parser *parser = http->data;
+
+	parser->part = H1_PART_FIELD_LINE;
+	return 0;
+}
+
 static int
 handle_header_field(http_parser *http, const char *at, size_t len)
 {
@@ -53,6 +72,7 @@
 	struct h1_response_parser *parser = http->data;
 	enum h1_parse_action action;
 
+	parser->part = H1_PART_BODY;
 	h1_head_end_field(&parser->head);
 	parser->head.status = (int)http->status_code;
 	if (is_interim(http))
@@ -83,6 +103,8 @@
 {
 	struct h1_response_parser *parser = http->data;
 
+	http_parser_pause(http, 1);
+	parser->part = H1_PART_STATUS_LINE;
 	if (is_interim(http) || parser->skipping) {
 		h1_head_reset(&parser->head);
 		parser->skipping = false;
@@ -91,11 +113,11 @@
 	if (http_should_keep_alive(http) == 0)
 		parser->keep_alive = false;
 	parser->complete = true;
-	http_parser_pause(http, 1);
 	return 0;
 }
 
 static const http_parser_settings settings = {
+    .on_message_begin = handle_message_begin,
     .on_header_field = handle_header_field,
     .on_header_value = handle_header_value,
     .on_headers_complete = handle_headers_complete,
@@ -121,19 +143,134 @@
 h1_response_parser_reset(struct h1_response_parser *parser)
 {
 	h1_head_reset(&parser->head);
+	buf_reset(&parser->line);
+}
+
+/* Returns whether a line, without its end, has the form "HTTP/1.1 200 OK" with
+ * any minor version. The blank and the phrase may be absent. */
+static bool
+is_status_line(const char *line, size_t len)
+{
+	static const char version[] = "HTTP/1.";
+	const size_t code = sizeof(version) + 1;
+
+	if (len < code + STATUS_DIGITS ||
+	    memcmp(line, version, sizeof(version) - 1) != 0 ||
+	    !isdigit((unsigned char)line[code - 2]) || line[code - 1] != ' ')
+		return false;
+	for (size_t i = code; i < code + STATUS_DIGITS; i++) {
+		if (!isdigit((unsigned char)line[i]))
+			return false;
+	}
+	return len == code + STATUS_DIGITS || line[code + STATUS_DIGITS] == ' ';
+}
+
+static bool
+is_existing_status(const char *line)
+{
+	long status = strtol(line + sizeof("HTTP/1.1"), NULL, 10);
+
+	return status >= STATUS_MIN && status <= STATUS_MAX;
+}
+
+/* Returns whether a line has control bytes other than tabs. */
+static bool
+has_control_bytes(const char *line, size_t len)
+{
+	for (size_t i = 0; i < len; i++) {
+		if (iscntrl((unsigned char)line[i]) && line[i] != '\t')
+			return true;
+	}
+	return false;
+}
+
+/* Returns what is wrong with a line that ends with a line feed, or NULL. */
+static const char *
+find_line_fault(
+    const struct h1_response_parser *parser, const char *line, size_t len)
+{
+	len--;
+	if (len > 0 && line[len - 1] == '\r')
+		len--;
+	if (has_control_bytes(line, len))
+		return "control byte in the head";
+	/* http_parser skips empty lines before a response. */
+	if (parser->part != H1_PART_STATUS_LINE || len == 0)
+		return NULL;
+	if (!is_status_line(line, len))
+		return "malformed status line";
+	return is_existing_status(line) ? NULL
+					: "the status code does not exist";
+}
+
+/* Gives bytes to http_parser. Returns how many it has parsed. */
+static size_t
+feed(struct h1_response_parser *parser, const char *data, size_t len)
+{
+	size_t used = http_parser_execute(&parser->http, &settings, data, len);
+	enum http_errno code = HTTP_PARSER_ERRNO(&parser->http);
+
+	if (parser->stopped)
+		return used;
+	if (code == HPE_PAUSED)
+		http_parser_pause(&parser->http, 0);
+	else if (code != HPE_OK)
+		parser->fault = http_errno_description(code);
+	if (parser->http.upgrade)
+		parser->fault = "change to another protocol";
+	return used;
+}
+
+/* Checks a line and gives it to http_parser. */
+static void
+feed_line(struct h1_response_parser *parser, const char *line, size_t len)
+{
+	parser->fault = find_line_fault(parser, line, len);
+	if (parser->fault == NULL)
+		feed(parser, line, len);
+}
+
+/* Parses the next line, or keeps the start of one. Returns how many bytes it
+ * has taken. */
+static size_t
+take_line(struct h1_response_parser *parser, const char *data, size_t len)
+{
+	const char *end = memchr(data, '\n', len);
+
+	if (end != NULL)
+		len = (size_t)(end - data) + 1;
+	if (end != NULL && parser->line.len == 0) {
+		feed_line(parser, data, len);
+		return len;
+	}
+	buf_append(&parser->line, data, len);
+	if (end != NULL) {
+		feed_line(
+		    parser, (const char *)parser->line.data, parser->line.len);
+		parser->line.len = 0;
+	}
+	return len;
 }
 
 enum h1_parse_result
 h1_response_parser_execute(struct h1_response_parser *parser, const char *data,
     size_t len, size_t *used)
 {
-	*used = http_parser_execute(&parser->http, &settings, data, len);
-	if (parser->stopped)
-		return H1_PARSE_STOPPED;
-	if (parser->complete)
-		return H1_PARSE_COMPLETE;
-	if (HTTP_PARSER_ERRNO(&parser->http) != HPE_OK || parser->http.upgrade)
-		return H1_PARSE_MALFORMED;
+	*used = 0;
+	while (*used < len) {
+		const char *at = data + *used;
+		size_t left = len - *used;
+
+		*used += parser->part == H1_PART_BODY
+		    ? feed(parser, at, left)
+		    : take_line(parser, at, left);
+		if (parser->stopped)
+			return H1_PARSE_STOPPED;
+		if (parser->fault != NULL)
+			return H1_PARSE_MALFORMED;
+		if (parser->complete)
+			return H1_PARSE_COMPLETE;
+	}
 	return H1_PARSE_INCOMPLETE;
 }
 
--- a/h1/response_parser.h
+++ b/h1/response_parser.h
@@ -1,6 +1,7 @@
 /** @file
  * Incremental parser of the responses on a client connection, around
- * http_parser.
+ * http_parser. The library accepts bytes that are no HTTP response, so each
+ * line is checked before the library gets it.
  */
 #ifndef H1_RESPONSE_PARSER_H
 #define H1_RESPONSE_PARSER_H
@@ -10,6 +11,7 @@
 
 #include <http_parser.h>
 
+#include "common/buf.h"
 #include "h1/client.h"
 #include "h1/message.h"
 
@@ -38,10 +40,19 @@
 	H1_PARSE_MALFORMED,  /**< the bytes are no HTTP response */
 };
 
+/** Which part of a response the next byte belongs to. */
+enum h1_response_part {
+	H1_PART_STATUS_LINE,
+	H1_PART_FIELD_LINE,
+	H1_PART_BODY,
+};
+
 struct h1_response_parser {
 	http_parser http;
 	const struct h1_response_events *events;
 	void *context;
+	enum h1_response_part part;
+	struct buf line;     /**< start of a line whose end has not arrived */
 	struct h1_head head; /**< of the response that is being parsed */
 	enum h1_body_end body_end;
 	bool head_method; /**< HEAD: the response has no body */
@@ -51,6 +62,7 @@
 	/** With H1_PARSE_COMPLETE: the server keeps the connection open, and
 	 * no response before this one was skipped. */
 	bool keep_alive;
+	const char *fault; /**< with H1_PARSE_MALFORMED: what is wrong */
 };
 
 /** Expects the response to a new request. The parser must be zeroed, or reset.
--- a/include/gateway/request.h
+++ b/include/gateway/request.h
@@ -109,6 +109,8 @@
 				  its end; 0: not yet */
 	/** What marked the end of the latest attempt's response. */
 	enum h1_body_end body_end;
+	/** What made that response malformed; NULL: nothing. */
+	const char *response_fault;
 	/** Bytes after the last complete event of the latest attempt. */
 	size_t unfinished_event_bytes;
 	char last_backend[NAME_BYTES]; /**< id of the server of the latest
--- a/include/h1/client.h
+++ b/include/h1/client.h
@@ -49,9 +49,10 @@
 struct h1_outcome {
 	enum h1_result result;
 	enum h1_body_end body_end;
-	bool reused;  /**< the connection had served an earlier call */
-	bool refused; /**< with H1_CONNECT_FAILED: connection refused */
-	bool reset;   /**< with H1_CONNECTION_LOST: not an orderly close */
+	bool reused;       /**< the connection had served an earlier call */
+	bool refused;      /**< with H1_CONNECT_FAILED: connection refused */
+	bool reset;        /**< with H1_CONNECTION_LOST: not an orderly close */
+	const char *fault; /**< with H1_MALFORMED: what is wrong */
 };
 
 /** What to do with a response whose head has arrived. */
--- /dev/null
+++ b/tests/test_broken_responses.c
@@ -0,0 +1,235 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "tests/raw_server.h"
+#include "tests/runner.h"
+
+/* A server in trouble sends bytes that are no HTTP response, or a response that
+ * is reset on the way. Its caller must not get it for a whole one. */
+
+enum {
+	REQUEST_BYTES = 8192,
+	RESPONSE_BYTES = 1024,
+	RETRY_MS = 50,
+	TRIES_MAX = 40,
+};
+
+/** What the server sends before it closes the connection. The number of the row
+ * is the last part of the request's path. */
+struct row {
+	const char *name;
+	const char *response; /**< %s stands for the request's id */
+	int status;           /**< that the caller gets */
+};
+
+#define SIGNED "Request-Id: %s\r\nResponse-Signature: raw-0\r\n"
+#define OK     "HTTP/1.1 200 OK\r\n" SIGNED
+#define LENGTH "Content-Length: 5\r\n"
+#define BODY   "\r\nhello"
+#define BROKEN 502
+
+static struct cluster cluster;
+static struct raw_server server;
+static const char *build_dir;
+
+static void
+serve_row(int fd, const void *script)
+{
+	const struct row *rows = script;
+	char request[REQUEST_BYTES] = {0};
+	char response[RESPONSE_BYTES];
+	char id[CALL_REQUEST_BYTES] = "";
+	const char *at;
+	int row = 0;
+
+	if (recv(fd, request, sizeof(request) - 1, 0) <= 0)
+		return;
+	at = strstr(request, "Request-Id: ");
+	if (at == NULL || sscanf(request, "POST /%*[a-z]/%d", &row) != 1)
+		return;
+	sscanf(at + strlen("Request-Id: "), "%31[^\r]", id);
+	/* The text is a constant of this file.
+	 * NOLINTNEXTLINE(clang-diagnostic-format-nonliteral) */
+	snprintf(response, sizeof(response), rows[row].response, id);
+	raw_server_send(fd, response, strlen(response));
+}
+
+static void
+setup(void)
+{
+	ck_assert(cluster_start(&cluster, build_dir));
+	cluster_publish(&cluster, "");
+	ck_assert_int_ge(cluster_add_gateway(&cluster), 0);
+	ck_assert(cluster_wait_ready(&cluster, 0));
+}
+
+static void
+teardown(void)
+{
+	raw_server_stop(&server);
+	cluster_stop(&cluster);
+}
+
+/* Sends the request of a row until the gateway does not refuse it because the
+ * only server has just failed. */
+static void
+call_row(const char *route, int row, struct http_reply *reply)
+{
+	char target[CALL_REQUEST_BYTES];
+
+	snprintf(target, sizeof(target), "/%s/%d", route, row);
+	for (int i = 0; i < TRIES_MAX; i++) {
+		char request[CALL_REQUEST_BYTES];
+		struct http_caller caller =
+		    call_start(&cluster, 0, target, NULL, request);
+
+		http_caller_read(&caller, CALL_MS, reply);
+		http_caller_close(&caller);
+		if (reply->status != 503)
+			return;
+		http_reply_reset(reply);
+		usleep(RETRY_MS * US_PER_MS);
+	}
+	ck_abort_msg("%s: no server is available", target);
+}
+
+/* Returns whether the caller of a row got what it should. */
+static bool
+check_row(const char *route, const struct row *rows, int row)
+{
+	struct http_reply reply;
+	bool right;
+
+	call_row(route, row, &reply);
+	right = reply.status == rows[row].status && reply.complete;
+	if (reply.status == 200)
+		right = right && strcmp(buf_text(&reply.body), "hello") == 0;
+	if (!right)
+		printf("%s: status %d, %s, body '%s'\n", rows[row].name,
+		    reply.status, reply.complete ? "complete" : "incomplete",
+		    buf_text(&reply.body));
+	http_reply_reset(&reply);
+	return right;
+}
+
+/* Checks what the callers of all rows get. */
+static void
+check_rows(const struct row *rows, size_t count)
+{
+	int wrong = 0;
+
+	server = raw_server_start(&cluster, "tools", serve_row, rows);
+	for (size_t i = 0; i < count; i++)
+		wrong += !check_row("once", rows, (int)i);
+	ck_assert_int_eq(wrong, 0);
+}
+
+#define CHECK_ROWS(rows) check_rows(rows, sizeof(rows) / sizeof((rows)[0]))
+
+START_TEST(status_codes_that_do_not_exist_are_not_passed_on)
+{
+	static const struct row rows[] = {
+	    {"000", "HTTP/1.1 000 OK\r\n" SIGNED LENGTH BODY, BROKEN},
+	    {"099", "HTTP/1.1 099 OK\r\n" SIGNED LENGTH BODY, BROKEN},
+	    {"600", "HTTP/1.1 600 OK\r\n" SIGNED LENGTH BODY, BROKEN},
+	    {"999", "HTTP/1.1 999 OK\r\n" SIGNED LENGTH BODY, BROKEN},
+	    {"two digits", "HTTP/1.1 20 OK\r\n" SIGNED LENGTH BODY, BROKEN},
+	    {"four digits", "HTTP/1.1 0200 OK\r\n" SIGNED LENGTH BODY, BROKEN},
+	    {"no digits", "HTTP/1.1 OK\r\n" SIGNED LENGTH BODY, BROKEN},
+	    {"signed", "HTTP/1.1 -200 OK\r\n" SIGNED LENGTH BODY, BROKEN},
+	    {"another version", "HTTP/3.7 200 OK\r\n" SIGNED LENGTH BODY,
+		BROKEN},
+	    {"a control byte", "HTTP/1.1 200 O\001K\r\n" SIGNED LENGTH BODY,
+		BROKEN},
+	    {"a line that does not end",
+		"HTTP/1.1 200 OK\rx" SIGNED LENGTH BODY, BROKEN},
+	    {"interim", "HTTP/1.1 0100 Continue\r\n\r\n" OK LENGTH BODY,
+		BROKEN},
+	};
+
+	CHECK_ROWS(rows);
+}
+END_TEST
+
+#define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
+
+START_TEST(sound_responses_are_passed_on)
+{
+	static const struct row rows[] = {
+	    {"length", OK LENGTH BODY, 200},
+	    {"no length", OK BODY, 200},
+	    {"HTTP/1.0", "HTTP/1.0 200 OK\r\n" SIGNED BODY, 200},
+	    {"HTTP/1.0 with a length", "HTTP/1.0 200 OK\r\n" SIGNED LENGTH BODY,
+		200},
+	    {"no phrase", "HTTP/1.1 200 \r\n" SIGNED LENGTH BODY, 200},
+	    {"no phrase and no blank", "HTTP/1.1 200\r\n" SIGNED LENGTH BODY,
+		200},
+	    {"phrase that is no ASCII",
+		"HTTP/1.1 200 Tr\303\250s bien\r\n" SIGNED LENGTH BODY, 200},
+	    {"blank line first", "\r\n" OK LENGTH BODY, 200},
+	    {"line feeds",
+		"HTTP/1.1 200 OK\nRequest-Id: %s\nResponse-Signature: s\n"
+		"Content-Length: 5\n\nhello",
+		200},
+	    {"no blank before a value", OK "Content-Length:5\r\n" BODY, 200},
+	    {"blanks around a length", OK "Content-Length: \t5 \r\n" BODY, 200},
+	    {"leading zeros", OK "Content-Length: 005\r\n" BODY, 200},
+	    {"empty value", OK "X-Field:\r\nX-Other: \r\n" LENGTH BODY, 200},
+	    {"value that is no ASCII", OK "X-Field: \344\t\366\r\n" LENGTH BODY,
+		200},
+	    {"all signs in a name", OK "X!#$%%&'*+-.^_`|~9: a\r\n" LENGTH BODY,
+		200},
+	    {"interim responses",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+		"Link: a\r\n\r\n" OK LENGTH BODY,
+		200},
+	    {"skipped response",
+		"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n" LENGTH BODY OK LENGTH
+		    BODY,
+		200},
+	    {"skipped chunks",
+		"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n"
+		"X-Field: a\r\n\r\n" OK LENGTH BODY,
+		200},
+	    {"bytes after the response", OK LENGTH BODY "more", 200},
+	    {"chunk", CHUNKED "5\r\nhello\r\n0\r\n\r\n", 200},
+	    {"chunks", CHUNKED "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n", 200},
+	    {"zeros before a size", CHUNKED "005\r\nhello\r\n000\r\n\r\n", 200},
+	    {"extensions", CHUNKED "5;a=b;c=\"d e\"\r\nhello\r\n0 ; a\r\n\r\n",
+		200},
+	    {"trailers",
+		CHUNKED "5\r\nhello\r\n0\r\nX-Field: a\r\nX-Other:\r\n\r\n",
+		200},
+	    {"coding in capitals",
+		OK "TRANSFER-ENCODING: CHUNKED\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		200},
+	    {"204", "HTTP/1.1 204 No\r\n" SIGNED "\r\n", 204},
+	    {"204 with a length of zero",
+		"HTTP/1.1 204 No\r\n" SIGNED "Content-Length: 0\r\n\r\n", 204},
+	    {"404", "HTTP/1.1 404 Not Found\r\n" SIGNED LENGTH BODY, 404},
+	    {"599", "HTTP/1.1 599 Trouble\r\n" SIGNED LENGTH BODY, 599},
+	};
+
+	CHECK_ROWS(rows);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+	const TTest *tests[] = {
+	    status_codes_that_do_not_exist_are_not_passed_on,
+	    sound_responses_are_passed_on,
+	};
+
+	build_dir = argc > 1 ? argv[1] : "build";
+	signal(SIGPIPE, SIG_IGN);
+	return run_tests_in("broken-responses", tests,
+	    sizeof(tests) / sizeof(tests[0]), setup, teardown);
+}
