A response reset while its request is being written is incomplete

What callers saw: a server responded to a long upload at once with 200 and no length, sent part of the body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the end of the connection ends a response without a length, unless it was reset. A reset is known from the read's error, or from the error that the socket keeps (SO_ERROR). But a socket tells its error once, and when the reset arrives while the gateway writes, the write gets it; the reads after it find an orderly end, and the failed write was ignored. Two more ways, found while looking: what was read of SO_ERROR was not kept; and a server that dies before it has read the whole upload closes in order at first, and its kernel resets the connection when more of the upload arrives, after the response was taken for complete.

Change: the client keeps that a write has failed, and that the socket had an error. A response without a length that ends while the server has not acknowledged the whole request waits until it has, or until the connection fails: its deadline and TCP_USER_TIMEOUT bound the wait. So a server that responds early, closes its side and reads on is still served. The timer for this is that of connections being opened, which no longer starts anew with each connection. Every reader of responses uses this client.

--- a/h1/client.c
+++ b/h1/client.c
@@ -13,8 +13,9 @@
 
 enum {
 	READ_BYTES = 65536,
-	/* The sweep runs only while connections are being opened. */
-	CONNECT_SWEEP_MS = 10,
+	/* The sweep runs only while connections are being opened, or responses
+	 * wait for the end of their requests. */
+	SWEEP_MS = 10,
 	IDLE_SWEEP_MS = 250,
 	/* Subtracted from the time in a server's Keep-Alive field, so that no
 	 * request is sent while the server closes the connection. */
@@ -33,7 +34,8 @@
 };
 
 struct h1_connection {
-	struct list link; /**< in h1_pool.idle or h1_client.connecting */
+	struct list link; /**< in h1_pool.idle, h1_client.connecting, or
+			     h1_client.ended */
 	struct h1_client *client;
 	uv_tcp_t tcp;
 	uv_connect_t connect;
@@ -48,6 +50,8 @@
 	bool served;      /**< an earlier call has completed */
 	bool reusable;    /**< another call may use the connection */
 	bool extra_data;  /**< bytes arrived after the response */
+	bool ended;       /**< the server has closed it in order */
+	bool broken;      /**< it was reset, or a write has failed */
 	int64_t idle_since_us;
 	int64_t max_idle_us; /**< longest time that it may stay idle */
 };
@@ -71,7 +75,10 @@
 	struct h1_pool *pools; /**< hash table by address */
 	struct list calls;
 	struct list connecting;
-	uv_timer_t connect_sweep;
+	/** Connections that the server has closed, where a part of the request
+	 * is not acknowledged. */
+	struct list ended;
+	uv_timer_t sweep;
 	uv_timer_t idle_sweep;
 	size_t connection_count;
 	uint64_t opened_count;
@@ -328,6 +335,51 @@
 	}
 }
 
+static bool
+connection_is_broken(struct h1_connection *connection)
+{
+	/* The socket tells its error once. */
+	if (!h1_socket_closed_in_order(&connection->tcp))
+		connection->broken = true;
+	return connection->broken;
+}
+
+/* Ends the call of a connection that the server has closed. */
+static void
+connection_finish(struct h1_connection *connection)
+{
+	struct h1_call *call = connection->call;
+
+	if (connection_is_broken(connection))
+		call_fail(call, H1_CONNECTION_LOST, UV_ECONNRESET);
+	else if (h1_response_parser_finish(&connection->parser) ==
+	    H1_PARSE_COMPLETE)
+		call_complete(call);
+	else
+		call_fail(call, H1_CONNECTION_LOST, UV_EOF);
+}
+
+static void handle_sweep(uv_timer_t *timer);
+
+static void
+client_start_sweep(struct h1_client *client)
+{
+	if (!uv_is_active((uv_handle_t *)&client->sweep))
+		uv_timer_start(
+		    &client->sweep, handle_sweep, SWEEP_MS, SWEEP_MS);
+}
+
+/* Returns whether it is known how the response ended. The server may have died
+ * while a part of the request was on its way. Its kernel closes the connection
+ * in order then, and resets it when that part arrives. */
+static bool
+connection_is_settled(struct h1_connection *connection)
+{
+	return connection->parser.body_end != H1_BODY_END_CONNECTION ||
+	    connection_is_broken(connection) ||
+	    !h1_socket_has_unacknowledged(&connection->tcp);
+}
+
 /* A response without a length ends with an orderly close of its connection; a
  * reset leaves it incomplete. */
 static void
@@ -340,13 +392,17 @@
 		return;
 	}
 	connection->reusable = false;
-	if (code == UV_EOF && !h1_socket_closed_in_order(&connection->tcp))
-		code = UV_ECONNRESET;
-	if (code == UV_EOF &&
-	    h1_response_parser_finish(&connection->parser) == H1_PARSE_COMPLETE)
-		call_complete(call);
-	else
+	if (code != UV_EOF) {
 		call_fail(call, H1_CONNECTION_LOST, code);
+		return;
+	}
+	if (connection_is_settled(connection)) {
+		connection_finish(connection);
+		return;
+	}
+	connection->ended = true;
+	list_append(&connection->client->ended, &connection->link);
+	client_start_sweep(connection->client);
 }
 
 static size_t
@@ -415,9 +471,8 @@
 	    &response_events, connection);
 	connection->reusable = true;
 	call->sent = true;
-	/* The read callback reports a broken connection. */
-	(void)h1_socket_write(
-	    &connection->tcp, call->request.data, call->request.len);
+	h1_socket_write(&connection->tcp, call->request.data, call->request.len,
+	    &connection->broken);
 	buf_reset(&call->request);
 }
 
@@ -441,11 +496,24 @@
 	call_send(connection->call);
 }
 
+/* Returns a connection that the server has closed and whose response is known
+ * to be complete or not, or NULL. */
+static struct h1_connection *
+find_settled(struct h1_client *client)
+{
+	list_for_each (connection, &client->ended, struct h1_connection, link) {
+		if (connection_is_settled(connection))
+			return connection;
+	}
+	return NULL;
+}
+
 static void
-handle_connect_sweep(uv_timer_t *timer)
+handle_sweep(uv_timer_t *timer)
 {
 	struct h1_client *client = timer->data;
 	int64_t now_us = clock_monotonic_us();
+	struct h1_connection *settled;
 
 	list_for_each_safe (
 	    connection, tmp, &client->connecting, struct h1_connection, link) {
@@ -454,7 +522,10 @@
 			call_fail(
 			    connection->call, H1_CONNECT_FAILED, UV_ETIMEDOUT);
 	}
-	if (list_empty(&client->connecting))
+	/* The callback of a call may cancel others. */
+	while ((settled = find_settled(client)) != NULL)
+		connection_finish(settled);
+	if (list_empty(&client->connecting) && list_empty(&client->ended))
 		uv_timer_stop(timer);
 }
 
@@ -483,8 +554,7 @@
 	if (uv_tcp_connect(&connection->connect, &connection->tcp,
 		(const struct sockaddr *)&target, handle_connected) != 0)
 		return false;
-	uv_timer_start(&client->connect_sweep, handle_connect_sweep,
-	    CONNECT_SWEEP_MS, CONNECT_SWEEP_MS);
+	client_start_sweep(client);
 	return true;
 }
 
@@ -574,7 +644,8 @@
 {
 	struct h1_connection *connection = call->connection;
 
-	if (connection == NULL || !connection->connected || connection->paused)
+	if (connection == NULL || !connection->connected ||
+	    connection->paused || connection->ended)
 		return;
 	connection->paused = true;
 	uv_read_stop((uv_stream_t *)&connection->tcp);
@@ -668,10 +739,11 @@
 	client->read_size = READ_BYTES;
 	list_init(&client->calls);
 	list_init(&client->connecting);
+	list_init(&client->ended);
 	client->open_handles = 2;
-	uv_timer_init(loop, &client->connect_sweep);
+	uv_timer_init(loop, &client->sweep);
 	uv_timer_init(loop, &client->idle_sweep);
-	client->connect_sweep.data = client;
+	client->sweep.data = client;
 	client->idle_sweep.data = client;
 	uv_timer_start(&client->idle_sweep, handle_idle_sweep, IDLE_SWEEP_MS,
 	    IDLE_SWEEP_MS);
@@ -717,7 +789,7 @@
 	HASH_ITER (hh, client->pools, pool, next)
 		pool_close_expired(pool, INT64_MAX);
 	client->destroyed = true;
-	uv_close((uv_handle_t *)&client->connect_sweep, handle_timer_closed);
+	uv_close((uv_handle_t *)&client->sweep, handle_timer_closed);
 	uv_close((uv_handle_t *)&client->idle_sweep, handle_timer_closed);
 }
 
--- a/h1/socket.c
+++ b/h1/socket.c
@@ -1,11 +1,14 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include <linux/sockios.h>
+
 #include "common/clock.h"
 #include "common/diag.h"
 #include "common/memory.h"
@@ -22,6 +25,7 @@
 struct queued_write {
 	uv_write_t request;
 	size_t *held_bytes; /**< counts the memory; NULL: not counted */
+	bool *failed;       /**< set if the write fails; NULL: not told */
 	size_t len;
 	char data[];
 };
@@ -74,12 +78,15 @@
 static void
 handle_written(uv_write_t *request, int status)
 {
-	(void)status; /* the read callback reports a broken connection */
-	queued_free(request->data);
+	struct queued_write *queued = request->data;
+
+	if (status != 0 && queued->failed != NULL)
+		*queued->failed = true;
+	queued_free(queued);
 }
 
 static struct queued_write *
-queued_create(const void *data, size_t len, size_t *held_bytes)
+queued_create(const void *data, size_t len, size_t *held_bytes, bool *failed)
 {
 	struct queued_write *queued = xcalloc(1, sizeof(*queued) + len);
 
@@ -87,14 +94,15 @@
 	queued->len = len;
 	queued->request.data = queued;
 	queued->held_bytes = held_bytes;
+	queued->failed = failed;
 	if (held_bytes != NULL)
 		*held_bytes += queued_bytes(queued);
 	return queued;
 }
 
-bool
-h1_socket_write_counted(
-    uv_tcp_t *tcp, const void *data, size_t len, size_t *held_bytes)
+static bool
+write_or_queue(uv_tcp_t *tcp, const void *data, size_t len, size_t *held_bytes,
+    bool *failed)
 {
 	uv_buf_t buffer = uv_buf_init((char *)data, (unsigned int)len);
 	struct queued_write *queued;
@@ -109,8 +117,8 @@
 		written = 0;
 	if ((size_t)written == len)
 		return true;
-	queued = queued_create(
-	    (const char *)data + written, len - (size_t)written, held_bytes);
+	queued = queued_create((const char *)data + written,
+	    len - (size_t)written, held_bytes, failed);
 	buffer = uv_buf_init(queued->data, (unsigned int)queued->len);
 	if (uv_write(&queued->request, (uv_stream_t *)tcp, &buffer, 1,
 		handle_written) == 0)
@@ -120,9 +128,29 @@
 }
 
 bool
-h1_socket_write(uv_tcp_t *tcp, const void *data, size_t len)
+h1_socket_write_counted(
+    uv_tcp_t *tcp, const void *data, size_t len, size_t *held_bytes)
 {
-	return h1_socket_write_counted(tcp, data, len, NULL);
+	return write_or_queue(tcp, data, len, held_bytes, NULL);
+}
+
+void
+h1_socket_write(uv_tcp_t *tcp, const void *data, size_t len, bool *failed)
+{
+	if (!write_or_queue(tcp, data, len, NULL, failed))
+		*failed = true;
+}
+
+bool
+h1_socket_has_unacknowledged(const uv_tcp_t *tcp)
+{
+	uv_os_fd_t fd;
+	int unacknowledged = 0;
+
+	if (uv_stream_get_write_queue_size((const uv_stream_t *)tcp) > 0)
+		return true;
+	return uv_fileno((const uv_handle_t *)tcp, &fd) == 0 &&
+	    ioctl(fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
 }
 
 bool
--- a/tests/test_broken_responses.c
+++ b/tests/test_broken_responses.c
@@ -17,6 +17,8 @@
 	RESPONSE_BYTES = 1024,
 	RETRY_MS = 50,
 	TRIES_MAX = 40,
+	UPLOAD_BYTES = 8 << 20,
+	UPLOADS = 90,
 };
 
 /** What the server sends before it closes the connection. The number of the row
@@ -158,6 +160,104 @@
 
 #define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
 
+/** What the server does after the head of an upload and the start of its
+ * response. */
+struct upload {
+	int read_ms; /**< how long it reads on, at first */
+	bool resets; /**< it resets the connection then */
+};
+
+static void
+read_for_ms(int fd, int ms)
+{
+	static char space[REQUEST_BYTES];
+	int64_t until_us = clock_monotonic_us() + (int64_t)ms * US_PER_MS;
+
+	while (clock_monotonic_us() < until_us) {
+		if (recv(fd, space, sizeof(space), MSG_DONTWAIT) == 0)
+			return;
+	}
+}
+
+static void
+serve_upload(int fd, const void *script)
+{
+	static int calls;
+	const struct upload *upload = script;
+	const struct linger reset = {.l_onoff = 1};
+	char id[CALL_REQUEST_BYTES];
+	char response[RESPONSE_BYTES];
+
+	raw_server_read_id(fd, id);
+	snprintf(response, sizeof(response), OK BODY, id);
+	raw_server_send(fd, response, strlen(response));
+	if (upload->resets) {
+		read_for_ms(fd, calls++ % upload->read_ms);
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		return;
+	}
+	shutdown(fd, SHUT_WR);
+	read_for_ms(fd, upload->read_ms);
+}
+
+/* Sends a long request, and reads its response at the same time. */
+static void
+call_upload(struct http_reply *reply)
+{
+	static char body[UPLOAD_BYTES];
+	static int calls;
+	char fields[RESPONSE_BYTES];
+
+	snprintf(fields, sizeof(fields),
+	    "Host: h.example\r\nRequest-Id: upload-%d\r\n", ++calls);
+	for (int i = 0; i < TRIES_MAX; i++) {
+		http_call_once(cluster.gateways[0].process.port, "POST",
+		    "/once/upload", fields, body, sizeof(body), CALL_MS, reply);
+		if (reply->status != 503)
+			return;
+		http_reply_reset(reply);
+		usleep(RETRY_MS * US_PER_MS);
+	}
+	ck_abort_msg("no server is available");
+}
+
+static void
+start_upload_server(const struct upload *upload)
+{
+	cluster_publish_with(&cluster, "",
+	    ",\"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":10000000,"
+	    "\"headerTimeoutMs\":1000,\"idleTimeoutMs\":5000}");
+	server = raw_server_start(&cluster, "tools", serve_upload, upload);
+}
+
+/* When the reset arrives while the gateway writes, the write takes the error of
+ * the socket. */
+START_TEST(responses_reset_during_an_upload_are_not_complete)
+{
+	struct http_reply reply;
+
+	start_upload_server(&(struct upload){.read_ms = 9, .resets = true});
+	for (int i = 0; i < UPLOADS; i++) {
+		call_upload(&reply);
+		ck_assert_int_eq(reply.status, BROKEN);
+		http_reply_reset(&reply);
+	}
+}
+END_TEST
+
+START_TEST(responses_that_end_before_the_upload_are_passed_on)
+{
+	struct http_reply reply;
+
+	start_upload_server(&(struct upload){.read_ms = 200});
+	call_upload(&reply);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert(reply.complete);
+	ck_assert_str_eq(buf_text(&reply.body), "hello");
+	http_reply_reset(&reply);
+}
+END_TEST
+
 START_TEST(sound_responses_are_passed_on)
 {
 	static const struct row rows[] = {
@@ -225,6 +325,8 @@
 {
 	const TTest *tests[] = {
 	    status_codes_that_do_not_exist_are_not_passed_on,
+	    responses_reset_during_an_upload_are_not_complete,
+	    responses_that_end_before_the_upload_are_passed_on,
 	    sound_responses_are_passed_on,
 	};
 
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +16,7 @@
 
 enum {
 	STEPS_MAX = 8,
+	SCRIPT_READ_BYTES = 65536,
 	WAIT_MS = 3000,
 	ACK_TIMEOUT_US = 2L * US_PER_S,
 	IDLE_US = 1L * US_PER_S,
@@ -63,7 +65,7 @@
 static void
 handle_script_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buffer)
 {
-	static char space[65536];
+	static char space[SCRIPT_READ_BYTES];
 
 	(void)handle;
 	(void)size;
@@ -462,6 +464,105 @@
 }
 END_TEST
 
+enum {
+	UPLOAD_BYTES = 32 << 20,
+	SETTLE_MS = 20,
+};
+
+/* Starts an upload to a peer that stops reading once it has the head, and waits
+ * until the head of the response has arrived. The steps respond to it. */
+static struct h1_call *
+start_upload(
+    struct h1_client *client, const char *address, struct result *result)
+{
+	char *body = xcalloc(1, UPLOAD_BYTES);
+	struct h1_call *started =
+	    start_call(client, address, body, UPLOAD_BYTES, result);
+
+	free(body);
+	while (script.next == 0)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	uv_read_stop((uv_stream_t *)script.connection);
+	run_for_ms(SETTLE_MS);
+	ck_assert_int_eq(result->heads, 1);
+	return started;
+}
+
+static void
+end_upload(struct h1_client *client, struct result *result)
+{
+	buf_reset(&result->body);
+	end_client(client);
+}
+
+#define NO_LENGTH "HTTP/1.1 200 OK\r\n\r\nab"
+
+/* A write that fails takes the socket's error, and the reads after it find the
+ * end of the connection. */
+START_TEST(responses_reset_during_an_upload_are_incomplete)
+{
+	const struct step step = {.bytes = NO_LENGTH};
+	const char *address = script_start(&step, 1);
+	struct h1_client *client = new_client();
+	struct result result = {0};
+	struct h1_call *started = start_upload(client, address, &result);
+
+	h1_call_pause(started);
+	uv_tcp_close_reset(script.connection, handle_script_closed);
+	run_for_ms(SETTLE_MS);
+	h1_call_resume(started);
+	run_until(&result.done);
+	ck_assert_int_eq(result.outcome.result, H1_CONNECTION_LOST);
+	ck_assert(result.outcome.reset);
+	end_upload(client, &result);
+}
+END_TEST
+
+/* A server that dies before it has got the whole request closes the connection
+ * in order, and its kernel resets it when the rest of the request arrives. */
+START_TEST(responses_reset_after_their_end_are_incomplete)
+{
+	const struct step step = {.bytes = NO_LENGTH};
+	const char *address = script_start(&step, 1);
+	struct h1_client *client = new_client();
+	struct result result = {0};
+	uv_shutdown_t shutdown;
+
+	start_upload(client, address, &result);
+	uv_shutdown(&shutdown, (uv_stream_t *)script.connection, NULL);
+	run_for_ms(SETTLE_MS);
+	ck_assert(!result.done);
+	uv_close((uv_handle_t *)script.connection, handle_script_closed);
+	run_until(&result.done);
+	ck_assert_int_eq(result.outcome.result, H1_CONNECTION_LOST);
+	ck_assert(result.outcome.reset);
+	end_upload(client, &result);
+}
+END_TEST
+
+START_TEST(responses_that_end_before_the_upload_are_complete)
+{
+	const struct step steps[STEPS_MAX] = {{.bytes = NO_LENGTH}};
+	const char *address = script_start(steps, STEPS_MAX);
+	struct h1_client *client = new_client();
+	struct result result = {0};
+	uv_shutdown_t shutdown;
+
+	start_upload(client, address, &result);
+	uv_shutdown(&shutdown, (uv_stream_t *)script.connection, NULL);
+	run_for_ms(SETTLE_MS);
+	uv_read_start((uv_stream_t *)script.connection, handle_script_alloc,
+	    handle_script_read);
+	run_until(&result.done);
+	ck_assert_int_eq(result.outcome.result, H1_COMPLETE);
+	ck_assert_str_eq(buf_text(&result.body), "ab");
+	run_for_ms(SETTLE_MS);
+	/* What came with the head is not kept. */
+	ck_assert_uint_ge(script.in.len + SCRIPT_READ_BYTES, UPLOAD_BYTES);
+	end_upload(client, &result);
+}
+END_TEST
+
 START_TEST(cancelled_calls_run_no_callback)
 {
 	const struct step steps[] = {{0}, {.bytes = OK_RESPONSE}};
@@ -850,6 +951,9 @@
 	    malformed_responses_are_reported,
 	    refused_connections_are_reported,
 	    a_response_before_the_body_is_sent_prevents_reuse,
+	    responses_reset_during_an_upload_are_incomplete,
+	    responses_reset_after_their_end_are_incomplete,
+	    responses_that_end_before_the_upload_are_complete,
 	    cancelled_calls_run_no_callback,
 	    keep_alive_timeouts_of_servers_are_observed,
 	    pipelined_requests_are_handled_in_order,
@@ -863,6 +967,7 @@
 	};
 	int status;
 
+	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&loop);
 	status = run_tests("h1", tests, sizeof(tests) / sizeof(tests[0]));
 	uv_loop_close(&loop);
