Reject heads with folded lines, and codings other than chunked

What callers saw: a server in trouble sent a head that was spoilt where it tells the length of the body, or that held a line that is no field. The caller got a complete response, with a body that was not the server's: up to the connection's end, or the chunks' own lines.

Cause: http_parser takes a body in a Transfer-Encoding that it does not know for one that ends with its connection, and joins a line that begins with a blank to the field before it, so that a length on such a line is lost. The first line of a head may begin with a blank as well. Requests were checked for their coding, responses were not.

Change: h1/response_parser.c rejects a field line that begins with a blank or a tab, and a Transfer-Encoding that is anything but one `chunked`, or that comes with HTTP/1.0. RFC 9112 leaves a gateway the choice to join folded lines or to reject the response; a length that was spoilt by a blank is read as another body if they are joined. Callers ask for no coding, so chunked is all that a sound server sends.

--- a/h1/response_parser.c
+++ b/h1/response_parser.c
@@ -66,6 +66,26 @@
 	return parser->stopped ? -1 : 0;
 }
 
+/* Returns what is wrong with a head, or NULL. http_parser takes a body in a
+ * coding that it doesn't know for one that ends with the connection. */
+static const char *
+find_head_fault(const struct h1_response_parser *parser)
+{
+	static const char name[] = "transfer-encoding";
+	const struct h1_headers *headers = &parser->head.headers;
+	const char *coding = h1_headers_find(headers, name);
+
+	if (coding == NULL)
+		return NULL;
+	if ((parser->http.flags & F_CHUNKED) == 0 ||
+	    h1_headers_count(headers, name) > 1 ||
+	    strchr(coding, ',') != NULL ||
+	    !h1_headers_has_token(headers, name, "chunked"))
+		return "Transfer-Encoding is not chunked";
+	return parser->http.http_minor == 0 ? "Transfer-Encoding in HTTP/1.0"
+					    : NULL;
+}
+
 static int
 handle_headers_complete(http_parser *http)
 {
@@ -74,6 +94,9 @@
 
 	parser->part = H1_PART_BODY;
 	h1_head_end_field(&parser->head);
+	parser->fault = find_head_fault(parser);
+	if (parser->fault != NULL)
+		return -1;
 	parser->head.status = (int)http->status_code;
 	if (is_interim(http))
 		return 0;
@@ -173,6 +196,15 @@
 	return status >= STATUS_MIN && status <= STATUS_MAX;
 }
 
+static const char *
+find_status_fault(const char *line, size_t len)
+{
+	if (!is_status_line(line, len))
+		return "malformed status line";
+	return is_existing_status(line) ? NULL
+					: "the status code does not exist";
+}
+
 /* Returns whether a line has control bytes other than tabs. */
 static bool
 has_control_bytes(const char *line, size_t len)
@@ -195,12 +227,11 @@
 	if (has_control_bytes(line, len))
 		return "control byte in the head";
 	/* http_parser skips empty lines before a response. */
-	if (parser->part != H1_PART_STATUS_LINE || len == 0)
+	if (len == 0)
 		return NULL;
-	if (!is_status_line(line, len))
-		return "malformed status line";
-	return is_existing_status(line) ? NULL
-					: "the status code does not exist";
+	if (parser->part == H1_PART_STATUS_LINE)
+		return find_status_fault(line, len);
+	return line[0] == ' ' || line[0] == '\t' ? "folded field line" : NULL;
 }
 
 /* Gives bytes to http_parser. Returns how many it has parsed. */
@@ -214,7 +245,7 @@
 		return used;
 	if (code == HPE_PAUSED)
 		http_parser_pause(&parser->http, 0);
-	else if (code != HPE_OK)
+	else if (code != HPE_OK && parser->fault == NULL)
 		parser->fault = http_errno_description(code);
 	if (parser->http.upgrade)
 		parser->fault = "change to another protocol";
--- a/tests/test_broken_responses.c
+++ b/tests/test_broken_responses.c
@@ -158,6 +158,87 @@
 }
 END_TEST
 
+START_TEST(bodies_whose_length_is_spoilt_are_not_passed_on)
+{
+	static const struct row rows[] = {
+	    {"no number", OK "Content-Length: five\r\n" BODY, BROKEN},
+	    {"empty", OK "Content-Length:\r\n" BODY, BROKEN},
+	    {"sign", OK "Content-Length: +5\r\n" BODY, BROKEN},
+	    {"negative", OK "Content-Length: -5\r\n" BODY, BROKEN},
+	    {"list", OK "Content-Length: 5, 5\r\n" BODY, BROKEN},
+	    {"two numbers", OK "Content-Length: 5 5\r\n" BODY, BROKEN},
+	    {"two lengths", OK LENGTH "Content-Length: 4\r\n" BODY, BROKEN},
+	    {"too long a number",
+		OK "Content-Length: 99999999999999999999\r\n" BODY, BROKEN},
+	    {"length and chunks",
+		OK LENGTH "Transfer-Encoding: chunked\r\n\r\n"
+			  "5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"misspelt coding",
+		OK "Transfer-Encoding: chunkd\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"empty coding",
+		OK "Transfer-Encoding:\r\n\r\n5\r\nhello\r\n0\r\n\r\n", BROKEN},
+	    {"gzip",
+		OK "Transfer-Encoding: gzip\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"chunked, gzip",
+		OK "Transfer-Encoding: chunked, gzip\r\n\r\n"
+		   "5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"gzip, chunked",
+		OK "Transfer-Encoding: gzip, chunked\r\n\r\n"
+		   "5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"identity", OK "Transfer-Encoding: identity\r\n" LENGTH BODY,
+		BROKEN},
+	    {"identity without a length",
+		OK "Transfer-Encoding: identity\r\n" BODY, BROKEN},
+	    {"two codings",
+		OK "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"
+		   "\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"coding in HTTP/1.0",
+		"HTTP/1.0 200 OK\r\n" SIGNED
+		"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	};
+
+	CHECK_ROWS(rows);
+}
+END_TEST
+
+START_TEST(heads_with_lines_that_are_no_fields_are_not_passed_on)
+{
+	static const struct row rows[] = {
+	    {"no colon", OK "Content-Length 5\r\n" BODY, BROKEN},
+	    {"garbage", OK "\377\376garbage\r\n" LENGTH BODY, BROKEN},
+	    {"no name", OK ": 5\r\n" BODY, BROKEN},
+	    {"folded first line",
+		"HTTP/1.1 200 OK\r\n Content-Length: 5\r\n" SIGNED BODY,
+		BROKEN},
+	    {"folded line", OK "X-Field: a\r\n Content-Length: 5\r\n" BODY,
+		BROKEN},
+	    {"folded with a tab", OK "X-Field: a\r\n\tb\r\n" LENGTH BODY,
+		BROKEN},
+	    {"folded empty value", OK "X-Field:\r\n b\r\n" LENGTH BODY, BROKEN},
+	    {"folded length", OK "Content-Length:\r\n 5\r\n" BODY, BROKEN},
+	    {"folded coding",
+		OK "Transfer-Encoding: chu\r\n nked\r\n\r\n"
+		   "5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"line that does not end", OK "X-Field:\rx" LENGTH BODY, BROKEN},
+	    {"line that does not end, with a value",
+		OK "X-Field: a\rx" LENGTH BODY, BROKEN},
+	    {"head that does not end", OK LENGTH "\rxhello", BROKEN},
+	    {"control byte in a value", OK "X-Field: a\001b\r\n" LENGTH BODY,
+		BROKEN},
+	};
+
+	CHECK_ROWS(rows);
+}
+END_TEST
+
 #define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
 
 /** What the server does after the head of an upload and the start of its
@@ -325,6 +406,8 @@
 {
 	const TTest *tests[] = {
 	    status_codes_that_do_not_exist_are_not_passed_on,
+	    bodies_whose_length_is_spoilt_are_not_passed_on,
+	    heads_with_lines_that_are_no_fields_are_not_passed_on,
 	    responses_reset_during_an_upload_are_not_complete,
 	    responses_that_end_before_the_upload_are_passed_on,
 	    sound_responses_are_passed_on,
--- a/tests/test_response_parser.c
+++ b/tests/test_response_parser.c
@@ -161,12 +161,35 @@
 }
 END_TEST
 
+START_TEST(heads_that_are_malformed_are_recognized)
+{
+	static const struct row rows[] = {
+	    {OK "Content-Length: 2\r\nno field\r\n\r\nab", H1_PARSE_MALFORMED},
+	    {OK "X-Field: a\r\n b\r\nContent-Length: 2\r\n\r\nab",
+		H1_PARSE_MALFORMED},
+	    {OK "X-Field:\r\n\tb\r\nContent-Length: 2\r\n\r\nab",
+		H1_PARSE_MALFORMED},
+	    {OK " X-Field: a\r\nContent-Length: 2\r\n\r\nab",
+		H1_PARSE_MALFORMED},
+	    {OK "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		H1_PARSE_MALFORMED},
+	    {OK "Transfer-Encoding: chunked\t\r\n\r\n0\r\n\r\n",
+		H1_PARSE_MALFORMED},
+	    {OK "Transfer-Encoding: chunked \r\n\r\n0\r\n\r\n",
+		H1_PARSE_COMPLETE, 200, ""},
+	};
+
+	CHECK_ROWS(rows);
+}
+END_TEST
+
 int
 main(void)
 {
 	const TTest *tests[] = {
 	    responses_are_read_alike_however_they_are_split,
 	    status_lines_that_are_malformed_are_recognized,
+	    heads_that_are_malformed_are_recognized,
 	};
 
 	return run_tests(
