Reject responses with field names that are no tokens

What callers saw: a server in trouble sent a head in which the name of a field held a blank or a control byte. The caller got it as a response, with that line passed on, or with a body that was not the server's.

Cause: http_parser, as Debian builds it, takes a blank for a part of a name. "Content Length: 5" is an unknown field then, and the body lasts until the connection ends; "Content-Length : 5" counts as a length. Requests were checked for it, responses were not.

Change: the check of names moves from the parser of requests to h1/message.c (h1_is_token), and h1/response_parser.c applies it to each line of a head, interim and skipped ones too.

--- a/h1/message.c
+++ b/h1/message.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -207,6 +208,18 @@
 	*head = (struct h1_head){0};
 }
 
+bool
+h1_is_token(const char *text, size_t len)
+{
+	for (size_t i = 0; i < len; i++) {
+		if (!isalnum((unsigned char)text[i]) &&
+		    (text[i] == '\0' ||
+			strchr("!#$%&'*+-.^_`|~", text[i]) == NULL))
+			return false;
+	}
+	return len > 0;
+}
+
 bool
 h1_is_hop_by_hop(const struct h1_headers *headers, const char *name)
 {
--- a/h1/response_parser.c
+++ b/h1/response_parser.c
@@ -205,6 +205,20 @@
 					: "the status code does not exist";
 }
 
+static const char *
+find_field_fault(const char *line, size_t len)
+{
+	const char *colon = memchr(line, ':', len);
+
+	if (line[0] == ' ' || line[0] == '\t')
+		return "folded field line";
+	if (colon == NULL)
+		return "a line of the head is no field";
+	return h1_is_token(line, (size_t)(colon - line))
+	    ? NULL
+	    : "the name of a field is not a token";
+}
+
 /* Returns whether a line has control bytes other than tabs. */
 static bool
 has_control_bytes(const char *line, size_t len)
@@ -231,7 +245,7 @@
 		return NULL;
 	if (parser->part == H1_PART_STATUS_LINE)
 		return find_status_fault(line, len);
-	return line[0] == ' ' || line[0] == '\t' ? "folded field line" : NULL;
+	return find_field_fault(line, len);
 }
 
 /* Gives bytes to http_parser. Returns how many it has parsed. */
--- a/h1/server_parse.c
+++ b/h1/server_parse.c
@@ -1,4 +1,3 @@
-#include <ctype.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
@@ -83,19 +82,6 @@
 	return count_head_bytes(connection, len);
 }
 
-static bool
-is_token(const char *name)
-{
-	if (*name == '\0')
-		return false;
-	for (; *name != '\0'; name++) {
-		if (!isalnum((unsigned char)*name) &&
-		    strchr("!#$%&'*+-.^_`|~", *name) == NULL)
-			return false;
-	}
-	return true;
-}
-
 /* Returns what makes a request ambiguous, or NULL. The parser accepts these
  * requests, but another HTTP implementation may find their end elsewhere, which
  * allows request smuggling: a second request hidden in the body. */
@@ -106,7 +92,9 @@
 	const char *coding = h1_headers_find(headers, "transfer-encoding");
 
 	for (size_t i = 0; i < headers->count; i++) {
-		if (!is_token(h1_headers_name(headers, i)))
+		const char *name = h1_headers_name(headers, i);
+
+		if (!h1_is_token(name, strlen(name)))
 			return "a header field's name is not a token";
 	}
 	if (h1_headers_count(headers, "host") != 1)
--- a/include/h1/message.h
+++ b/include/h1/message.h
@@ -72,6 +72,9 @@
 void h1_head_end_field(struct h1_head *head);
 void h1_head_reset(struct h1_head *head);
 
+/** Returns whether a text has the form of a field's name: not empty, and only
+ * letters, digits and some signs. */
+bool h1_is_token(const char *text, size_t len);
 /** Returns whether a field concerns one connection only and must not be
  * forwarded. headers are the message's fields, whose Connection field may list
  * more such names. */
--- a/tests/test_broken_responses.c
+++ b/tests/test_broken_responses.c
@@ -239,6 +239,42 @@
 }
 END_TEST
 
+START_TEST(field_names_that_are_no_tokens_are_not_passed_on)
+{
+	static const struct row rows[] = {
+	    {"blank", OK "X Field: a\r\n" LENGTH BODY, BROKEN},
+	    {"blank at the end", OK "X-Field : a\r\n" LENGTH BODY, BROKEN},
+	    {"blank in the length", OK "Content Length: 5\r\n" BODY, BROKEN},
+	    {"blank after the length", OK "Content-Length : 5\r\n" BODY,
+		BROKEN},
+	    {"blank in the coding",
+		OK "Transfer Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"blank after the coding",
+		OK "Transfer-Encoding : chunked\r\n\r\n"
+		   "5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"tab", OK "X\tField: a\r\n" LENGTH BODY, BROKEN},
+	    {"control byte", OK "X\001Field: a\r\n" LENGTH BODY, BROKEN},
+	    {"control byte in the length", OK "Content-\001Length: 5\r\n" BODY,
+		BROKEN},
+	    {"delete", OK "X\177Field: a\r\n" LENGTH BODY, BROKEN},
+	    {"no ASCII", OK "X\344Field: a\r\n" LENGTH BODY, BROKEN},
+	    {"separator", OK "X(Field: a\r\n" LENGTH BODY, BROKEN},
+	    {"quotes", OK "\"X-Field\": a\r\n" LENGTH BODY, BROKEN},
+	    {"interim",
+		"HTTP/1.1 100 Continue\r\nX Field: a\r\n\r\n" OK LENGTH BODY,
+		BROKEN},
+	    {"skipped response",
+		"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nX Field: a\r\n" LENGTH
+		    BODY OK LENGTH BODY,
+		BROKEN},
+	};
+
+	CHECK_ROWS(rows);
+}
+END_TEST
+
 #define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
 
 /** What the server does after the head of an upload and the start of its
@@ -408,6 +444,7 @@
 	    status_codes_that_do_not_exist_are_not_passed_on,
 	    bodies_whose_length_is_spoilt_are_not_passed_on,
 	    heads_with_lines_that_are_no_fields_are_not_passed_on,
+	    field_names_that_are_no_tokens_are_not_passed_on,
 	    responses_reset_during_an_upload_are_not_complete,
 	    responses_that_end_before_the_upload_are_passed_on,
 	    sound_responses_are_passed_on,
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -938,6 +938,19 @@
 }
 END_TEST
 
+START_TEST(tokens_are_recognized)
+{
+	ck_assert(h1_is_token("a", 1));
+	ck_assert(h1_is_token("X!#$%&'*+-.^_`|~9", 17));
+	ck_assert(!h1_is_token("", 0));
+	ck_assert(!h1_is_token("a b", 3));
+	ck_assert(!h1_is_token("a\0b", 3));
+	ck_assert(!h1_is_token("a\tb", 3));
+	ck_assert(!h1_is_token("a:", 2));
+	ck_assert(!h1_is_token("\344", 1));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -964,6 +977,7 @@
 	    slow_heads_and_idle_connections_time_out,
 	    a_draining_server_closes_after_its_responses,
 	    fields_keep_their_order_and_spelling,
+	    tokens_are_recognized,
 	};
 	int status;
 
