Reject bodies whose chunks are malformed

What callers saw (found while looking for the cause of spoilt lengths, not in the users' report): a body in chunks whose framing was broken reached the caller as a complete one, with bytes that belong to no chunk dropped; a stream too.

Cause: http_parser, as Debian builds it, accepts any two bytes after a chunk's data, any byte after a carriage return, and ignores all that follows a blank or a semicolon in the line of a chunk's size. The lines after the last chunk were not checked as those of the head are.

Evidence, with the stand-in of test-broken-responses on: 7 of 16 spoilt bodies reached the caller complete (two sizes, a size or the end without its line feed, a control byte in an extension, other bytes after a chunk, a folded trailer, a trailer's name that is no token); so did a stream with other bytes after a chunk.

Change: h1/response_parser.c knows where chunks begin and end from the library's callbacks. The line of a size is hexadecimal digits, blanks, and nothing or extensions; CRLF follows the size and the data; trailers are checked as fields of the head are. What has been passed on of a longer body or a stream ends without its last chunk, as for other broken responses.

After: 16 of 16; streams are cut at the fault on routes with and without retained turns, and the sound one is complete; sound responses as before, with extensions, trailers and leading zeros. h1, net, endless, forward, late-responses, response-parser, fleet and standins-http pass (1 run each).

--- a/h1/response_parser.c
+++ b/h1/response_parser.c
@@ -10,6 +10,9 @@
 	STATUS_DIGITS = 3,
 };
 
+static const char CHUNK_END[] = "\r\n";
+static const size_t CHUNK_END_BYTES = sizeof(CHUNK_END) - 1;
+
 static int
 handle_message_begin(http_parser *http)
 {
@@ -92,7 +95,8 @@
 	struct h1_response_parser *parser = http->data;
 	enum h1_parse_action action;
 
-	parser->part = H1_PART_BODY;
+	parser->part =
+	    (http->flags & F_CHUNKED) != 0 ? H1_PART_CHUNK_SIZE : H1_PART_BODY;
 	h1_head_end_field(&parser->head);
 	parser->fault = find_head_fault(parser);
 	if (parser->fault != NULL)
@@ -121,6 +125,26 @@
 	    parser, parser->events->on_data(parser->context, at, len));
 }
 
+static int
+handle_chunk_header(http_parser *http)
+{
+	struct h1_response_parser *parser = http->data;
+
+	parser->chunk_left = http->content_length;
+	parser->part =
+	    parser->chunk_left > 0 ? H1_PART_CHUNK_DATA : H1_PART_FIELD_LINE;
+	return 0;
+}
+
+static int
+handle_chunk_complete(http_parser *http)
+{
+	struct h1_response_parser *parser = http->data;
+
+	parser->part = H1_PART_CHUNK_SIZE;
+	return 0;
+}
+
 static int
 handle_message_complete(http_parser *http)
 {
@@ -146,6 +170,8 @@
     .on_headers_complete = handle_headers_complete,
     .on_body = handle_body,
     .on_message_complete = handle_message_complete,
+    .on_chunk_header = handle_chunk_header,
+    .on_chunk_complete = handle_chunk_complete,
 };
 
 void
@@ -219,6 +245,22 @@
 	    : "the name of a field is not a token";
 }
 
+/* http_parser ignores what follows a blank after the size. */
+static const char *
+find_chunk_size_fault(const char *line, size_t len)
+{
+	size_t at = 0;
+
+	while (at < len && isxdigit((unsigned char)line[at]))
+		at++;
+	if (at == 0)
+		return "malformed size of a chunk";
+	while (at < len && (line[at] == ' ' || line[at] == '\t'))
+		at++;
+	return at == len || line[at] == ';' ? NULL
+					    : "malformed size of a chunk";
+}
+
 /* Returns whether a line has control bytes other than tabs. */
 static bool
 has_control_bytes(const char *line, size_t len)
@@ -235,17 +277,26 @@
 find_line_fault(
     const struct h1_response_parser *parser, const char *line, size_t len)
 {
-	len--;
-	if (len > 0 && line[len - 1] == '\r')
-		len--;
+	bool ends_with_crlf = len > 1 && line[len - 2] == '\r';
+
+	len -= ends_with_crlf ? 2 : 1;
 	if (has_control_bytes(line, len))
-		return "control byte in the head";
-	/* http_parser skips empty lines before a response. */
-	if (len == 0)
-		return NULL;
-	if (parser->part == H1_PART_STATUS_LINE)
-		return find_status_fault(line, len);
-	return find_field_fault(line, len);
+		return "control byte in a line";
+	switch (parser->part) {
+	case H1_PART_STATUS_LINE:
+		/* http_parser skips empty lines before a response. */
+		return len == 0 ? NULL : find_status_fault(line, len);
+	case H1_PART_FIELD_LINE:
+		return len == 0 ? NULL : find_field_fault(line, len);
+	case H1_PART_CHUNK_SIZE:
+		return ends_with_crlf ? find_chunk_size_fault(line, len)
+				      : "malformed end of a chunk's size";
+	case H1_PART_BODY:
+	case H1_PART_CHUNK_DATA:
+	case H1_PART_CHUNK_END:
+		break;
+	}
+	return NULL;
 }
 
 /* Gives bytes to http_parser. Returns how many it has parsed. */
@@ -297,18 +348,59 @@
 	return len;
 }
 
+/* Parses data of a chunk. Returns how many bytes it has taken. */
+static size_t
+take_chunk_data(struct h1_response_parser *parser, const char *data, size_t len)
+{
+	if (len > parser->chunk_left)
+		len = parser->chunk_left;
+	parser->chunk_left -= len;
+	if (parser->chunk_left == 0) {
+		parser->part = H1_PART_CHUNK_END;
+		parser->chunk_left = CHUNK_END_BYTES;
+	}
+	return feed(parser, data, len);
+}
+
+/* Parses what follows the data of a chunk. http_parser accepts any bytes there.
+ * Returns how many bytes it has taken. */
+static size_t
+take_chunk_end(struct h1_response_parser *parser, const char *data)
+{
+	if (*data != CHUNK_END[CHUNK_END_BYTES - parser->chunk_left]) {
+		parser->fault = "a chunk is not as long as its size";
+		return 0;
+	}
+	parser->chunk_left--;
+	return feed(parser, data, 1);
+}
+
+/* Parses some bytes. Returns how many. */
+static size_t
+take_part(struct h1_response_parser *parser, const char *data, size_t len)
+{
+	switch (parser->part) {
+	case H1_PART_STATUS_LINE:
+	case H1_PART_FIELD_LINE:
+	case H1_PART_CHUNK_SIZE:
+		return take_line(parser, data, len);
+	case H1_PART_CHUNK_DATA:
+		return take_chunk_data(parser, data, len);
+	case H1_PART_CHUNK_END:
+		return take_chunk_end(parser, data);
+	case H1_PART_BODY:
+		break;
+	}
+	return feed(parser, data, len);
+}
+
 enum h1_parse_result
 h1_response_parser_execute(struct h1_response_parser *parser, const char *data,
     size_t len, size_t *used)
 {
 	*used = 0;
 	while (*used < len) {
-		const char *at = data + *used;
-		size_t left = len - *used;
-
-		*used += parser->part == H1_PART_BODY
-		    ? feed(parser, at, left)
-		    : take_line(parser, at, left);
+		*used += take_part(parser, data + *used, len - *used);
 		if (parser->stopped)
 			return H1_PARSE_STOPPED;
 		if (parser->fault != NULL)
--- a/h1/response_parser.h
+++ b/h1/response_parser.h
@@ -8,6 +8,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include <http_parser.h>
 
@@ -43,8 +44,11 @@
 /** Which part of a response the next byte belongs to. */
 enum h1_response_part {
 	H1_PART_STATUS_LINE,
-	H1_PART_FIELD_LINE,
-	H1_PART_BODY,
+	H1_PART_FIELD_LINE, /**< of the head, or after the last chunk */
+	H1_PART_BODY,       /**< without chunks */
+	H1_PART_CHUNK_SIZE, /**< with extensions */
+	H1_PART_CHUNK_DATA,
+	H1_PART_CHUNK_END,
 };
 
 struct h1_response_parser {
@@ -53,6 +57,7 @@
 	void *context;
 	enum h1_response_part part;
 	struct buf line;     /**< start of a line whose end has not arrived */
+	uint64_t chunk_left; /**< bytes of the chunk's data, or of its end */
 	struct h1_head head; /**< of the response that is being parsed */
 	enum h1_body_end body_end;
 	bool head_method; /**< HEAD: the response has no body */
--- a/tests/test_broken_responses.c
+++ b/tests/test_broken_responses.c
@@ -277,6 +277,78 @@
 
 #define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
 
+START_TEST(bodies_whose_chunks_are_spoilt_are_not_passed_on)
+{
+	static const struct row rows[] = {
+	    {"no size", CHUNKED "\r\nhello\r\n0\r\n\r\n", BROKEN},
+	    {"no number", CHUNKED "x\r\nhello\r\n0\r\n\r\n", BROKEN},
+	    {"negative size", CHUNKED "-5\r\nhello\r\n0\r\n\r\n", BROKEN},
+	    {"prefixed size", CHUNKED "0x5\r\nhello\r\n0\r\n\r\n", BROKEN},
+	    {"two sizes", CHUNKED "5 5\r\nhello\r\n0\r\n\r\n", BROKEN},
+	    {"too large a size",
+		CHUNKED "fffffffffffffffff\r\nhello\r\n0\r\n\r\n", BROKEN},
+	    {"size without a line's end", CHUNKED "5\rxhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"extension without a line's end",
+		CHUNKED "5;a\nhello\r\n0\r\n\r\n", BROKEN},
+	    {"control byte in an extension",
+		CHUNKED "5;a\001\r\nhello\r\n0\r\n\r\n", BROKEN},
+	    {"other bytes after a chunk", CHUNKED "5\r\nhelloXY0\r\n\r\n",
+		BROKEN},
+	    {"line feed after a chunk", CHUNKED "5\r\nhello\n0\r\n\r\n",
+		BROKEN},
+	    {"longer chunk than its size", CHUNKED "3\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"shorter chunk than its size", CHUNKED "7\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"end without a line's end", CHUNKED "5\r\nhello\r\n0\r\n\rx",
+		BROKEN},
+	    {"trailer whose name is no token",
+		CHUNKED "5\r\nhello\r\n0\r\nX Field: a\r\n\r\n", BROKEN},
+	    {"folded trailer",
+		CHUNKED "5\r\nhello\r\n0\r\nX-Field: a\r\n b\r\n\r\n", BROKEN},
+	};
+
+	CHECK_ROWS(rows);
+}
+END_TEST
+
+#define EVENT "f\r\nid: 1\ndata: x\n\n"
+#define STREAM \
+	OK "Content-Type: text/event-stream\r\n" \
+	   "Transfer-Encoding: chunked\r\n\r\n" EVENT
+
+static void
+check_stream(const char *route, const struct row *rows, int row)
+{
+	struct http_reply reply;
+
+	call_row(route, row, &reply);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert_msg(reply.complete == (rows[row].status == 200),
+	    "%s, %s: complete is %d", route, rows[row].name, reply.complete);
+	ck_assert_str_eq(buf_text(&reply.body), "id: 1\ndata: x\n\n");
+	http_reply_reset(&reply);
+}
+
+/* Events are passed on at once, so the end of the stream has to tell. */
+START_TEST(streams_whose_chunks_are_spoilt_are_cut)
+{
+	static const struct row rows[] = {
+	    {"sound", STREAM "\r\n0\r\n\r\n", 200},
+	    {"other bytes after a chunk", STREAM "XY0\r\n\r\n", BROKEN},
+	    {"two sizes", STREAM "\r\n0 0\r\n\r\n", BROKEN},
+	    {"end without a line's end", STREAM "\r\n0\r\n\rx", BROKEN},
+	};
+
+	server = raw_server_start(&cluster, "models", serve_row, rows);
+	for (int i = 0; i < (int)(sizeof(rows) / sizeof(rows[0])); i++) {
+		check_stream("stream", rows, i);
+		check_stream("turn", rows, i);
+	}
+}
+END_TEST
+
 /** What the server does after the head of an upload and the start of its
  * response. */
 struct upload {
@@ -445,6 +517,8 @@
 	    bodies_whose_length_is_spoilt_are_not_passed_on,
 	    heads_with_lines_that_are_no_fields_are_not_passed_on,
 	    field_names_that_are_no_tokens_are_not_passed_on,
+	    bodies_whose_chunks_are_spoilt_are_not_passed_on,
+	    streams_whose_chunks_are_spoilt_are_cut,
 	    responses_reset_during_an_upload_are_not_complete,
 	    responses_that_end_before_the_upload_are_passed_on,
 	    sound_responses_are_passed_on,
--- a/tests/test_response_parser.c
+++ b/tests/test_response_parser.c
@@ -190,6 +190,31 @@
 }
 END_TEST
 
+START_TEST(chunks_that_are_malformed_are_recognized)
+{
+	static const struct row rows[] = {
+	    {CHUNKED "2 2\r\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "2;x\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "2\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "2;\001\r\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED ";x\r\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "2\r\nabXY0\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "2\r\nab\n0\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "2\r\nab\rX0\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "1\r\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "0\r\nX Field: a\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "0\r\nX-Field: a\r\n b\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "0\r\n\rX", H1_PARSE_INCOMPLETE},
+	    {CHUNKED "2 \t; x\r\nab\r\n00\r\n\r\n", H1_PARSE_COMPLETE, 200,
+		"ab"},
+	    {CHUNKED "A\r\n0123456789\r\n0\r\nX-Field:\r\n\r\nmore",
+		H1_PARSE_COMPLETE, 200, "0123456789", .unused = 4},
+	};
+
+	CHECK_ROWS(rows);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -197,6 +222,7 @@
 	    responses_are_read_alike_however_they_are_split,
 	    status_lines_that_are_malformed_are_recognized,
 	    heads_that_are_malformed_are_recognized,
+	    chunks_that_are_malformed_are_recognized,
 	};
 
 	return run_tests(
