Read no body where a response can't have one

Cause: http_parser reads a body of the announced length after any status but takes the length of a 204, a 304 and an interim response for true. Such bytes belong to no response, or begin the next one. By the same mistake a sound 304, which may tell the length of what the caller has cached, waited for a body that does not come, and ended with 502.

Change: h1/response_parser.c rejects a 204 or an interim response that announces a body, and reads none after a 304. A 204 with a length of zero is still sound.

--- a/h1/response_parser.c
+++ b/h1/response_parser.c
@@ -46,13 +46,22 @@
 	return http->status_code / 100 == 1;
 }
 
+/* Returns whether the response has no body, whatever its head says. */
+static bool
+has_no_body(const struct h1_response_parser *parser)
+{
+	unsigned int status = parser->http.status_code;
+
+	return parser->head_method || is_interim(&parser->http) ||
+	    status == 204 || status == 304;
+}
+
 static enum h1_body_end
 body_end_of(const struct h1_response_parser *parser)
 {
 	const http_parser *http = &parser->http;
 
-	if (parser->head_method || http->status_code == 204 ||
-	    http->status_code == 304)
+	if (has_no_body(parser))
 		return H1_BODY_END_LENGTH;
 	if ((http->flags & F_CHUNKED) != 0)
 		return H1_BODY_END_CHUNK;
@@ -69,6 +78,17 @@
 	return parser->stopped ? -1 : 0;
 }
 
+/* Returns whether a response that must not have a body announces one. A 304 may
+ * tell the length of what the caller has cached. */
+static bool
+announces_forbidden_body(const http_parser *http)
+{
+	if (!is_interim(http) && http->status_code != 204)
+		return false;
+	return (http->flags & F_CHUNKED) != 0 ||
+	    ((http->flags & F_CONTENTLENGTH) != 0 && http->content_length > 0);
+}
+
 /* Returns what is wrong with a head, or NULL. http_parser takes a body in a
  * coding that it doesn't know for one that ends with the connection. */
 static const char *
@@ -78,6 +98,8 @@
 	const struct h1_headers *headers = &parser->head.headers;
 	const char *coding = h1_headers_find(headers, name);
 
+	if (announces_forbidden_body(&parser->http))
+		return "a body in a response that has none";
 	if (coding == NULL)
 		return NULL;
 	if ((parser->http.flags & F_CHUNKED) == 0 ||
@@ -111,7 +133,7 @@
 	parser->skipping = action == H1_PARSE_SKIP;
 	if (parser->skipping)
 		parser->keep_alive = false;
-	return parser->head_method ? 1 : 0;
+	return has_no_body(parser) ? 1 : 0;
 }
 
 static int
--- a/tests/test_broken_responses.c
+++ b/tests/test_broken_responses.c
@@ -349,6 +349,23 @@
 }
 END_TEST
 
+START_TEST(bodies_of_responses_that_have_none_are_not_passed_on)
+{
+	static const struct row rows[] = {
+	    {"204 with a length", "HTTP/1.1 204 No\r\n" SIGNED LENGTH BODY,
+		BROKEN},
+	    {"204 with chunks",
+		"HTTP/1.1 204 No\r\n" SIGNED
+		"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		BROKEN},
+	    {"interim response with a length",
+		"HTTP/1.1 100 Continue\r\n" LENGTH BODY OK LENGTH BODY, BROKEN},
+	};
+
+	CHECK_ROWS(rows);
+}
+END_TEST
+
 /** What the server does after the head of an upload and the start of its
  * response. */
 struct upload {
@@ -501,6 +518,8 @@
 	    {"204", "HTTP/1.1 204 No\r\n" SIGNED "\r\n", 204},
 	    {"204 with a length of zero",
 		"HTTP/1.1 204 No\r\n" SIGNED "Content-Length: 0\r\n\r\n", 204},
+	    {"304 with the length of what is cached",
+		"HTTP/1.1 304 Not Modified\r\n" SIGNED LENGTH "\r\n", 304},
 	    {"404", "HTTP/1.1 404 Not Found\r\n" SIGNED LENGTH BODY, 404},
 	    {"599", "HTTP/1.1 599 Trouble\r\n" SIGNED LENGTH BODY, 599},
 	};
@@ -519,6 +538,7 @@
 	    field_names_that_are_no_tokens_are_not_passed_on,
 	    bodies_whose_chunks_are_spoilt_are_not_passed_on,
 	    streams_whose_chunks_are_spoilt_are_cut,
+	    bodies_of_responses_that_have_none_are_not_passed_on,
 	    responses_reset_during_an_upload_are_not_complete,
 	    responses_that_end_before_the_upload_are_passed_on,
 	    sound_responses_are_passed_on,
--- a/tests/test_response_parser.c
+++ b/tests/test_response_parser.c
@@ -215,6 +215,31 @@
 }
 END_TEST
 
+START_TEST(bodies_of_responses_that_have_none_are_recognized)
+{
+	static const struct row rows[] = {
+	    {"HTTP/1.1 204 No\r\nContent-Length: 2\r\n\r\nab",
+		H1_PARSE_MALFORMED},
+	    {"HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "0\r\n\r\n",
+		H1_PARSE_MALFORMED},
+	    {"HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nab" LENGTH,
+		H1_PARSE_MALFORMED},
+	    {"HTTP/1.1 204 No\r\nContent-Length: 0\r\n\r\n", H1_PARSE_COMPLETE,
+		204, ""},
+	    {"HTTP/1.1 204 No\r\n\r\nab", H1_PARSE_COMPLETE, 204, "",
+		.unused = 2},
+	    {"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+		H1_PARSE_COMPLETE, 304, ""},
+	    {"HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n"
+	     "\r\n",
+		H1_PARSE_COMPLETE, 304, ""},
+	};
+
+	CHECK_ROWS(rows);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -223,6 +248,7 @@
 	    status_lines_that_are_malformed_are_recognized,
 	    heads_that_are_malformed_are_recognized,
 	    chunks_that_are_malformed_are_recognized,
+	    bodies_of_responses_that_have_none_are_recognized,
 	};
 
 	return run_tests(
