--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -348,6 +348,8 @@
 
 	call(client, address, &result);
 	ck_assert_int_eq(result.outcome.result, expected);
+	ck_assert_int_eq(
+	    result.outcome.fault != NULL, expected == H1_MALFORMED);
 	buf_reset(&result.body);
 	end_client(client);
 }
@@ -409,9 +411,16 @@
 
 START_TEST(malformed_responses_are_reported)
 {
-	const struct step step = {.bytes = "\x16\x03\x01 what\r\n\r\n"};
+	const struct step steps[] = {
+	    {.bytes = "\x16\x03\x01 what\r\n\r\n"},
+	    {.bytes = "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok"},
+	    {.bytes = "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nok"},
+	    {.bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		      "2\r\nokXY0\r\n\r\n"},
+	};
 
-	check_outcome(&step, H1_MALFORMED);
+	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++)
+		check_outcome(&steps[i], H1_MALFORMED);
 }
 END_TEST
 
--- a/tests/test_response_parser.c
+++ b/tests/test_response_parser.c
@@ -195,6 +195,7 @@
 	static const struct row rows[] = {
 	    {CHUNKED "2 2\r\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
 	    {CHUNKED "2;x\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
+	    {CHUNKED "2;x\n5\r\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
 	    {CHUNKED "2\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
 	    {CHUNKED "2;\001\r\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
 	    {CHUNKED ";x\r\nab\r\n0\r\n\r\n", H1_PARSE_MALFORMED},
