h1/response_parser: names and positions for a newcomer

Positions in a status line and status codes have names, the length of a chunk's end has a field of its own, and H1_PARSE_CONTINUE says what it does.

--- a/h1/client.c
+++ b/h1/client.c
@@ -263,7 +263,7 @@
 	/* The callback may have cancelled the call. */
 	if (connection->call == NULL)
 		return H1_PARSE_STOP;
-	return action == H1_HEAD_SKIP ? H1_PARSE_SKIP : H1_PARSE_ON;
+	return action == H1_HEAD_SKIP ? H1_PARSE_SKIP : H1_PARSE_CONTINUE;
 }
 
 static enum h1_parse_action
@@ -275,7 +275,7 @@
 	call->overhead_bytes = 0;
 	if (call->params.on_data != NULL)
 		call->params.on_data(call->params.context, data, len);
-	return connection->call == NULL ? H1_PARSE_STOP : H1_PARSE_ON;
+	return connection->call == NULL ? H1_PARSE_STOP : H1_PARSE_CONTINUE;
 }
 
 static const struct h1_response_events response_events = {
--- a/h1/response_parser.c
+++ b/h1/response_parser.c
@@ -7,11 +7,13 @@
 enum {
 	STATUS_MIN = 100,
 	STATUS_MAX = 599,
-	STATUS_DIGITS = 3,
+	/* Positions in "HTTP/1.1 200 OK". */
+	MINOR_VERSION_AT = 7,
+	STATUS_AT = 9,
+	STATUS_END = 12,
 };
 
 static const char CHUNK_END[] = "\r\n";
-static const size_t CHUNK_END_BYTES = sizeof(CHUNK_END) - 1;
 
 static int
 handle_message_begin(http_parser *http)
@@ -53,7 +55,8 @@
 	unsigned int status = parser->http.status_code;
 
 	return parser->head_method || is_interim(&parser->http) ||
-	    status == 204 || status == 304;
+	    status == HTTP_STATUS_NO_CONTENT ||
+	    status == HTTP_STATUS_NOT_MODIFIED;
 }
 
 static enum h1_body_end
@@ -83,7 +86,7 @@
 static bool
 announces_forbidden_body(const http_parser *http)
 {
-	if (!is_interim(http) && http->status_code != 204)
+	if (!is_interim(http) && http->status_code != HTTP_STATUS_NO_CONTENT)
 		return false;
 	return (http->flags & F_CHUNKED) != 0 ||
 	    ((http->flags & F_CONTENTLENGTH) != 0 && http->content_length > 0);
@@ -153,6 +156,7 @@
 	struct h1_response_parser *parser = http->data;
 
 	parser->chunk_left = http->content_length;
+	parser->chunk_end_len = 0;
 	parser->part =
 	    parser->chunk_left > 0 ? H1_PART_CHUNK_DATA : H1_PART_FIELD_LINE;
 	return 0;
@@ -222,24 +226,22 @@
 static bool
 is_status_line(const char *line, size_t len)
 {
-	static const char version[] = "HTTP/1.";
-	const size_t code = sizeof(version) + 1;
-
-	if (len < code + STATUS_DIGITS ||
-	    memcmp(line, version, sizeof(version) - 1) != 0 ||
-	    !isdigit((unsigned char)line[code - 2]) || line[code - 1] != ' ')
+	if (len < STATUS_END ||
+	    memcmp(line, "HTTP/1.", MINOR_VERSION_AT) != 0 ||
+	    !isdigit((unsigned char)line[MINOR_VERSION_AT]) ||
+	    line[STATUS_AT - 1] != ' ')
 		return false;
-	for (size_t i = code; i < code + STATUS_DIGITS; i++) {
+	for (size_t i = STATUS_AT; i < STATUS_END; i++) {
 		if (!isdigit((unsigned char)line[i]))
 			return false;
 	}
-	return len == code + STATUS_DIGITS || line[code + STATUS_DIGITS] == ' ';
+	return len == STATUS_END || line[STATUS_END] == ' ';
 }
 
 static bool
-is_existing_status(const char *line)
+status_exists(const char *line)
 {
-	long status = strtol(line + sizeof("HTTP/1.1"), NULL, 10);
+	long status = strtol(line + STATUS_AT, NULL, 10);
 
 	return status >= STATUS_MIN && status <= STATUS_MAX;
 }
@@ -249,8 +251,7 @@
 {
 	if (!is_status_line(line, len))
 		return "malformed status line";
-	return is_existing_status(line) ? NULL
-					: "the status code does not exist";
+	return status_exists(line) ? NULL : "the status code does not exist";
 }
 
 static const char *
@@ -377,29 +378,27 @@
 	if (len > parser->chunk_left)
 		len = parser->chunk_left;
 	parser->chunk_left -= len;
-	if (parser->chunk_left == 0) {
+	if (parser->chunk_left == 0)
 		parser->part = H1_PART_CHUNK_END;
-		parser->chunk_left = CHUNK_END_BYTES;
-	}
 	return feed(parser, data, len);
 }
 
-/* Parses what follows the data of a chunk. http_parser accepts any bytes there.
+/* Parses the next byte of a chunk's end. http_parser accepts any bytes there.
  * Returns how many bytes it has taken. */
 static size_t
 take_chunk_end(struct h1_response_parser *parser, const char *data)
 {
-	if (*data != CHUNK_END[CHUNK_END_BYTES - parser->chunk_left]) {
+	if (*data != CHUNK_END[parser->chunk_end_len]) {
 		parser->fault = "a chunk is not as long as its size";
 		return 0;
 	}
-	parser->chunk_left--;
+	parser->chunk_end_len++;
 	return feed(parser, data, 1);
 }
 
-/* Parses some bytes. Returns how many. */
+/* Parses bytes of one part of the response. Returns how many it has taken. */
 static size_t
-take_part(struct h1_response_parser *parser, const char *data, size_t len)
+take_bytes(struct h1_response_parser *parser, const char *data, size_t len)
 {
 	switch (parser->part) {
 	case H1_PART_STATUS_LINE:
@@ -422,7 +421,7 @@
 {
 	*used = 0;
 	while (*used < len) {
-		*used += take_part(parser, data + *used, len - *used);
+		*used += take_bytes(parser, data + *used, len - *used);
 		if (parser->stopped)
 			return H1_PARSE_STOPPED;
 		if (parser->fault != NULL)
--- a/h1/response_parser.h
+++ b/h1/response_parser.h
@@ -18,10 +18,10 @@
 
 /** What to do after an event. */
 enum h1_parse_action {
-	H1_PARSE_ON,
-	/** Parses on, but reports neither data nor the end of this response. */
+	H1_PARSE_CONTINUE,
+	/** Goes on, but reports neither data nor the end of this response. */
 	H1_PARSE_SKIP,
-	/** Stops; the parser may be freed after the callback. */
+	/** Stops. The parser must live until its function returns. */
 	H1_PARSE_STOP,
 };
 
@@ -29,7 +29,7 @@
 struct h1_response_events {
 	enum h1_parse_action (*on_head)(
 	    void *context, const struct h1_head *head);
-	/** A piece of the body. H1_PARSE_SKIP counts as H1_PARSE_ON. */
+	/** A piece of the body. H1_PARSE_SKIP counts as H1_PARSE_CONTINUE. */
 	enum h1_parse_action (*on_data)(
 	    void *context, const char *data, size_t len);
 };
@@ -56,9 +56,10 @@
 	const struct h1_response_events *events;
 	void *context;
 	enum h1_response_part part;
-	struct buf line;     /**< start of a line whose end has not arrived */
-	uint64_t chunk_left; /**< bytes of the chunk's data, or of its end */
-	struct h1_head head; /**< of the response that is being parsed */
+	struct buf line;      /**< start of a line whose end has not arrived */
+	uint64_t chunk_left;  /**< bytes of the chunk's data to come */
+	size_t chunk_end_len; /**< bytes of the chunk's end that have come */
+	struct h1_head head;  /**< of the response that is being parsed */
 	enum h1_body_end body_end;
 	bool head_method; /**< HEAD: the response has no body */
 	bool skipping;
--- a/tests/test_response_parser.c
+++ b/tests/test_response_parser.c
@@ -21,7 +21,7 @@
 	parsed->skip_next = false;
 	parsed->heads++;
 	parsed->status = head->status;
-	return skip ? H1_PARSE_SKIP : H1_PARSE_ON;
+	return skip ? H1_PARSE_SKIP : H1_PARSE_CONTINUE;
 }
 
 static enum h1_parse_action
@@ -30,7 +30,7 @@
 	struct parsed *parsed = context;
 
 	buf_append(&parsed->body, data, len);
-	return H1_PARSE_ON;
+	return H1_PARSE_CONTINUE;
 }
 
 static const struct h1_response_events events = {
