--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -484,13 +484,15 @@
 start_upload(
     struct h1_client *client, const char *address, struct result *result)
 {
+	int64_t until_us = clock_monotonic_us() + (int64_t)WAIT_MS * US_PER_MS;
 	char *body = xcalloc(1, UPLOAD_BYTES);
 	struct h1_call *started =
 	    start_call(client, address, body, UPLOAD_BYTES, result);
 
 	free(body);
-	while (script.next == 0)
+	while (script.next == 0 && clock_monotonic_us() < until_us)
 		uv_run(&loop, UV_RUN_NOWAIT);
+	ck_assert_int_eq(script.next, 1);
 	uv_read_stop((uv_stream_t *)script.connection);
 	run_for_ms(SETTLE_MS);
 	ck_assert_int_eq(result->heads, 1);
@@ -556,10 +558,15 @@
 	struct h1_client *client = new_client();
 	struct result result = {0};
 	uv_shutdown_t shutdown;
+	struct h1_call *started = start_upload(client, address, &result);
 
-	start_upload(client, address, &result);
 	uv_shutdown(&shutdown, (uv_stream_t *)script.connection, NULL);
 	run_for_ms(SETTLE_MS);
+	/* The end must not be read a second time. */
+	h1_call_pause(started);
+	h1_call_resume(started);
+	run_for_ms(SETTLE_MS);
+	ck_assert(!result.done);
 	uv_read_start((uv_stream_t *)script.connection, handle_script_alloc,
 	    handle_script_read);
 	run_until(&result.done);
