Log the sizes of appends that the store rejects

The log said only that the store rejects records of turns, which fits a record that is too long, a call that is too long and a malformed record alike. The line append_rejected has the number of records, their bytes and the longest one.

--- a/gateway/recorder.c
+++ b/gateway/recorder.c
@@ -2,8 +2,8 @@
 #include <string.h>
 
 #include "common/clock.h"
-#include "common/diag.h"
 #include "common/memory.h"
+#include "common/trace.h"
 #include "gateway/dependency.h"
 #include "gateway/peer_gateways.h"
 #include "gateway/recorder.h"
@@ -192,6 +192,29 @@
 		    ((double)elapsed_us - recorder->average_us);
 }
 
+/* Tells the sizes of an append that the store has rejected as invalid. */
+static void
+trace_rejected(const struct batch *batch)
+{
+	size_t bytes = 0;
+	size_t longest = 0;
+	struct trace trace;
+
+	list_for_each (
+	    pending_record, &batch->records, struct pending_record, link) {
+		bytes += pending_record->data.len;
+		if (pending_record->data.len > longest)
+			longest = pending_record->data.len;
+	}
+	trace_begin(&trace, "append_rejected");
+	trace_text(&trace, "topic", TOPIC_TURNS);
+	trace_number(&trace, "partition", batch->partition);
+	trace_number(&trace, "records", (int64_t)list_length(&batch->records));
+	trace_number(&trace, "bytes", (int64_t)bytes);
+	trace_number(&trace, "longest_record_bytes", (int64_t)longest);
+	trace_end(&trace);
+}
+
 static void
 handle_appended(void *context, const struct store_appended *appended)
 {
@@ -209,7 +232,7 @@
 		return;
 	}
 	if (appended->status == STORE_INVALID) {
-		diag(LOG_ERR, NULL, "the store rejects records of turns");
+		trace_rejected(batch);
 		batch_finish(batch, false, 0);
 		return;
 	}
