--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -13,6 +13,7 @@
 #include "common/clock.h"
 #include "common/hash.h"
 #include "standins/cluster.h"
+#include "tests/conversation.h"
 #include "tests/runner.h"
 
 enum {
@@ -75,79 +76,12 @@
 	    fields, body, body != NULL ? strlen(body) : 0, CALL_MS, reply);
 }
 
-/** A chain of turns as its caller knows it. */
-struct conversation {
-	char program[32];
-	char previous_turn[32];
-	struct buf transcript; /**< all inputs and outputs so far */
-};
-
-/* Sends a turn and checks, by the hash in the response, that the server
- * received the whole conversation. Returns the HTTP status. */
-static int
-send_turn(struct conversation *conversation, int gateway, const char *request,
-    const char *input, unsigned long budget)
-{
-	struct http_reply reply;
-	char fields[TEXT_BYTES];
-	char hash[32];
-	struct buf body = {0};
-	const char *cursor;
-	int status;
-
-	snprintf(fields, sizeof(fields),
-	    "Program-Id: %s\r\nSession-Id: %s\r\nToken-Budget: %lu\r\n"
-	    "Token-Usage: 100,50\r\n%s%s%s",
-	    conversation->program, conversation->program, budget,
-	    conversation->previous_turn[0] != '\0' ? "Previous-Turn: " : "",
-	    conversation->previous_turn,
-	    conversation->previous_turn[0] != '\0' ? "\r\n" : "");
-	send_request(gateway, "/turn/x", request, fields, input, &reply);
-	status = reply.status;
-	if (status != 200) {
-		http_reply_reset(&reply);
-		return status;
-	}
-	ck_assert(reply.complete);
-	ck_assert_ptr_nonnull(http_reply_field(&reply, "response-signature"));
-	buf_append(
-	    &body, conversation->transcript.data, conversation->transcript.len);
-	buf_append_text(&body, input);
-	snprintf(hash, sizeof(hash), "%016" PRIx64,
-	    hash_bytes(body.data, body.len, 0));
-	ck_assert_ptr_nonnull(strstr(buf_text(&reply.body), hash));
-	buf_append_text(&conversation->transcript, input);
-	for (cursor = buf_text(&reply.body);
-	     (cursor = strstr(cursor, "data: ")) != NULL;) {
-		cursor += strlen("data: ");
-		buf_append(
-		    &conversation->transcript, cursor, strcspn(cursor, "\n"));
-		buf_append(&conversation->transcript, "\n", 1);
-	}
-	snprintf(conversation->previous_turn,
-	    sizeof(conversation->previous_turn), "%s", request);
-	buf_reset(&body);
-	http_reply_reset(&reply);
-	return status;
-}
-
-/* Sends a turn, and repeats it with new request ids while it is refused with
- * 503 or gets no response. Returns the last status. */
 static int
 send_turn_with_retries(struct conversation *conversation, int gateway,
     const char *request, const char *input, unsigned long budget)
 {
-	char attempt_id[32];
-	int status = 503;
-
-	for (int i = 0; i < 20 && (status == 503 || status == 0); i++) {
-		snprintf(attempt_id, sizeof(attempt_id), "%s-%d", request, i);
-		status =
-		    send_turn(conversation, gateway, attempt_id, input, budget);
-		if (status == 503 || status == 0)
-			usleep(300 * US_PER_MS);
-	}
-	return status;
+	return conversation_send_with_retries(
+	    conversation, port_of(gateway), request, input, budget);
 }
 
 START_TEST(history_is_available_at_any_gateway)
