Record the content of long turns in parts

Cause: a retained turn is one record with its whole input and output. The store takes records of 262,144 bytes at most and rejects the whole append otherwise; the recorder then gives its records up, and the turn fails. No test met it, as the stand-in store checked no lengths; the longest turns, 4 MiB, fit neither a record nor a call.

Change: what does not fit a record goes to a topic of its own, 'contents', in parts; when all are durable the turn's record follows, with their offsets in place of the content, and makes the turn count. Readers get the parts by the offsets of the record. A gateway that the store refuses has the parts appended by others, with a message of its own: an earlier version would append them to the wrong topic, and ignores it. Records of turns in parts have a type of their own for the same reason: earlier versions refuse turns that continue them, and never send a prompt without its content. The limits come from the platform's settings (record_max, append_max). The stand-in store now rejects what the platform's does.

Why it works: no record is longer than record_max for any length of input, output and chain, as what a record holds besides the content is below 64 KiB. A gateway that dies in between leaves parts without a record, which nobody reads.

--- a/config/settings.c
+++ b/config/settings.c
@@ -46,6 +46,8 @@
 	    .gateway_store_readers = 2,
 	    .gateway_config_apply_us = (int64_t)2500 * US_PER_MS,
 	    .gateway_lease_us = US_PER_S,
+	    .gateway_record_max_bytes = (size_t)256 << 10,
+	    .gateway_append_max_bytes = (size_t)2 << 20,
 	};
 }
 
--- a/config/settings_table.c
+++ b/config/settings_table.c
@@ -8,6 +8,9 @@
 	MAX_STORE_READERS = 16,
 	MAX_CONNECTIONS = 1 << 20,
 	MAX_SIZE_BYTES = 1 << 30,
+	MIN_RECORD_BYTES = 64 << 10,  /* a turn's longest chain fits */
+	MIN_APPEND_BYTES = 512 << 10, /* full batches of the ledger fit */
+	MAX_RECORD_BYTES = 64 << 20,
 };
 
 #define MAX_RETENTION_US ((int64_t)365 * 24 * 3600 * US_PER_S)
@@ -96,6 +99,12 @@
 	SETTING_OPTIONAL),
     [GATEWAY_LEASE] = SETTING("gateway", "lease", SETTING_DURATION,
 	gateway_lease_us, US_PER_MS, MAX_DURATION_US, SETTING_OPTIONAL),
+    [GATEWAY_RECORD_MAX] =
+	SETTING("gateway", "record_max", SETTING_SIZE, gateway_record_max_bytes,
+	    MIN_RECORD_BYTES, MAX_RECORD_BYTES, SETTING_OPTIONAL),
+    [GATEWAY_APPEND_MAX] =
+	SETTING("gateway", "append_max", SETTING_SIZE, gateway_append_max_bytes,
+	    MIN_APPEND_BYTES, MAX_SIZE_BYTES, SETTING_OPTIONAL),
     [CAPACITY_MEMORY] = SETTING("capacity", "memory", SETTING_SIZE,
 	capacity_memory_bytes, 1, MAX_MEMORY_BYTES, SETTING_OPTIONAL),
 };
--- a/gateway/peer_gateways.c
+++ b/gateway/peer_gateways.c
@@ -375,6 +375,7 @@
 		quarantine_handle_message(gateway->quarantine, message);
 		return;
 	case MESSAGE_STORE_APPEND:
+	case MESSAGE_CONTENT_APPEND:
 	case MESSAGE_STORE_APPEND_REPLY:
 		recorder_handle_message(gateway->recorder, message);
 		return;
--- a/gateway/recorder.c
+++ b/gateway/recorder.c
@@ -15,6 +15,8 @@
 	 * connection is silent. The delay stays between the two bounds. */
 	HEDGE_FACTOR = 4,
 	HEDGE_MIN_US = 80 * US_PER_MS,
+	/* A full batch of contents takes this long on a slow link. */
+	HEDGE_CONTENTS_MIN_US = 400 * US_PER_MS,
 	HEDGE_MAX_US = 700 * US_PER_MS,
 	DIRECT_APPENDS_MAX = 3,       /* of one batch in flight at a time */
 	RETRY_US = 60 * US_PER_MS,    /* after a failed append */
@@ -30,10 +32,20 @@
 static const double AVERAGE_WEIGHT = 0.1;
 
 const char TOPIC_TURNS[] = "turns";
+const char TOPIC_CONTENTS[] = "contents";
+
+/** Names of the topics, and the messages that ask for appends to them. */
+static const struct {
+	const char *name;
+	enum message_type append;
+} topics[RECORDER_TOPIC_COUNT] = {
+    [RECORDER_TURNS] = {TOPIC_TURNS, MESSAGE_STORE_APPEND},
+    [RECORDER_CONTENTS] = {TOPIC_CONTENTS, MESSAGE_CONTENT_APPEND},
+};
 
 /** A record that the store has not acknowledged yet. */
 struct pending_record {
-	struct list link; /**< in recorder.queues or in batch.records */
+	struct list link; /**< in record_queue.records or in batch.records */
 	struct buf data;
 	void (*done)(void *context, bool ok, uint64_t offset); /**< or NULL */
 	void *context;
@@ -50,6 +62,7 @@
 struct batch {
 	struct list link; /**< in recorder.batches */
 	struct recorder *recorder;
+	enum recorder_topic topic;
 	uint32_t partition;  /**< number of the partition */
 	uint64_t number;     /**< identifies the batch in messages */
 	struct list records; /**< of struct pending_record */
@@ -67,11 +80,16 @@
 	uint64_t number;
 };
 
+/** Records of a partition that are in no batch yet. */
+struct record_queue {
+	struct list records; /**< of struct pending_record */
+	bool busy;           /**< a batch is in flight */
+};
+
 struct recorder {
 	struct gateway *gateway;
-	/** Records without a batch, of struct pending_record. */
-	struct list queues[SETTINGS_PARTITIONS_MAX];
-	bool busy[SETTINGS_PARTITIONS_MAX]; /**< a batch is in flight */
+	struct record_queue queues[RECORDER_TOPIC_COUNT]
+				  [SETTINGS_PARTITIONS_MAX];
 	struct list batches;
 	struct list relayed_appends; /**< for other gateways */
 	uint64_t next_batch_number;
@@ -80,7 +98,8 @@
 	int64_t unreachable_since_us;
 	/** Time of the last failed direct append; a success resets it to 0. */
 	int64_t last_failure_us;
-	double average_us; /**< moving average of append times; 0: none yet */
+	/** Moving averages of append times; 0: none yet. */
+	double average_us[RECORDER_TOPIC_COUNT];
 };
 
 static void handle_timer(uv_timer_t *timer);
@@ -143,7 +162,8 @@
 	free(pending_record);
 }
 
-static void start_batch(struct recorder *recorder, uint32_t partition);
+static void start_batch(
+    struct recorder *recorder, enum recorder_topic topic, uint32_t partition);
 
 static void
 batch_free(struct batch *batch)
@@ -162,6 +182,7 @@
 batch_finish(struct batch *batch, bool ok, uint64_t first)
 {
 	struct recorder *recorder = batch->recorder;
+	enum recorder_topic topic = batch->topic;
 	uint32_t partition = batch->partition;
 	struct list *item;
 
@@ -177,19 +198,19 @@
 		first++;
 	}
 	batch_free(batch);
-	recorder->busy[partition] = false;
-	start_batch(recorder, partition);
+	recorder->queues[topic][partition].busy = false;
+	start_batch(recorder, topic, partition);
 	arm_timer(recorder);
 }
 
 static void
-update_average(struct recorder *recorder, int64_t elapsed_us)
+update_average(double *average_us, int64_t elapsed_us)
 {
-	if (recorder->average_us <= 0)
-		recorder->average_us = (double)elapsed_us;
+	if (*average_us <= 0)
+		*average_us = (double)elapsed_us;
 	else
-		recorder->average_us += AVERAGE_WEIGHT *
-		    ((double)elapsed_us - recorder->average_us);
+		*average_us +=
+		    AVERAGE_WEIGHT * ((double)elapsed_us - *average_us);
 }
 
 /* Tells the sizes of an append that the store has rejected as invalid. */
@@ -207,7 +228,7 @@
 			longest = pending_record->data.len;
 	}
 	trace_begin(&trace, "append_rejected");
-	trace_text(&trace, "topic", TOPIC_TURNS);
+	trace_text(&trace, "topic", topics[batch->topic].name);
 	trace_number(&trace, "partition", batch->partition);
 	trace_number(&trace, "records", (int64_t)list_length(&batch->records));
 	trace_number(&trace, "bytes", (int64_t)bytes);
@@ -226,7 +247,8 @@
 	direct_append->call = NULL;
 	if (appended->status == STORE_OK) {
 		mark_reachable(recorder);
-		update_average(recorder, now_us - direct_append->sent_us);
+		update_average(&recorder->average_us[batch->topic],
+		    now_us - direct_append->sent_us);
 		recorder->last_failure_us = 0;
 		batch_finish(batch, true, appended->first_offset);
 		return;
@@ -271,7 +293,7 @@
 	size_t count = list_length(&batch->records);
 	struct wire_bytes *records = xcalloc(count, sizeof(*records));
 	struct message message = {
-	    .type = MESSAGE_STORE_APPEND,
+	    .type = topics[batch->topic].append,
 	    .store_append =
 		{
 		    .number = batch->number,
@@ -312,19 +334,21 @@
 	list_records(batch, records);
 	direct_append->sent_us = clock_monotonic_us();
 	direct_append->call = store_append(recorder->gateway->store,
-	    TOPIC_TURNS, batch->partition, records, count, APPEND_TIMEOUT_US,
-	    handle_appended, direct_append);
+	    topics[batch->topic].name, batch->partition, records, count,
+	    APPEND_TIMEOUT_US, handle_appended, direct_append);
 	free(records);
 	return true;
 }
 
 static int64_t
-hedge_delay_us(const struct recorder *recorder)
+hedge_delay_us(const struct recorder *recorder, enum recorder_topic topic)
 {
-	int64_t us = (int64_t)(recorder->average_us * HEDGE_FACTOR);
+	int64_t us = (int64_t)(recorder->average_us[topic] * HEDGE_FACTOR);
+	int64_t min_us =
+	    topic == RECORDER_CONTENTS ? HEDGE_CONTENTS_MIN_US : HEDGE_MIN_US;
 
-	if (us < HEDGE_MIN_US)
-		return HEDGE_MIN_US;
+	if (us < min_us)
+		return min_us;
 	return us < HEDGE_MAX_US ? us : HEDGE_MAX_US;
 }
 
@@ -346,7 +370,7 @@
 		return;
 	}
 	append_directly(batch);
-	batch->due_us = now_us + hedge_delay_us(recorder);
+	batch->due_us = now_us + hedge_delay_us(recorder, batch->topic);
 }
 
 static struct batch *
@@ -372,38 +396,40 @@
 }
 
 static void
-start_batch(struct recorder *recorder, uint32_t partition)
+start_batch(
+    struct recorder *recorder, enum recorder_topic topic, uint32_t partition)
 {
-	struct list *queue = &recorder->queues[partition];
+	struct record_queue *queue = &recorder->queues[topic][partition];
 	struct batch *batch;
 	size_t bytes = 0;
 
-	if (recorder->busy[partition] || list_empty(queue))
+	if (queue->busy || list_empty(&queue->records))
 		return;
 	batch = xcalloc(1, sizeof(*batch));
 	batch->recorder = recorder;
+	batch->topic = topic;
 	batch->partition = partition;
 	batch->number = ++recorder->next_batch_number;
 	for (size_t i = 0; i < DIRECT_APPENDS_MAX; i++)
 		batch->direct_appends[i].batch = batch;
 	list_init(&batch->records);
 	list_append(&recorder->batches, &batch->link);
-	while (!list_empty(queue) && bytes < BATCH_MAX_BYTES) {
-		struct pending_record *pending_record =
-		    list_entry(queue->next, struct pending_record, link);
+	while (!list_empty(&queue->records) && bytes < BATCH_MAX_BYTES) {
+		struct pending_record *pending_record = list_entry(
+		    queue->records.next, struct pending_record, link);
 
 		list_remove(&pending_record->link);
 		list_append(&batch->records, &pending_record->link);
 		bytes += pending_record->data.len;
 	}
-	recorder->busy[partition] = true;
+	queue->busy = true;
 	batch_append(batch);
 }
 
 struct pending_record *
-recorder_append(struct recorder *recorder, uint32_t partition,
-    struct buf *record, void (*done)(void *context, bool ok, uint64_t offset),
-    void *context)
+recorder_append(struct recorder *recorder, enum recorder_topic topic,
+    uint32_t partition, struct buf *record,
+    void (*done)(void *context, bool ok, uint64_t offset), void *context)
 {
 	struct pending_record *pending_record =
 	    xcalloc(1, sizeof(*pending_record));
@@ -412,8 +438,9 @@
 	*record = (struct buf){0};
 	pending_record->done = done;
 	pending_record->context = context;
-	list_append(&recorder->queues[partition], &pending_record->link);
-	start_batch(recorder, partition);
+	list_append(
+	    &recorder->queues[topic][partition].records, &pending_record->link);
+	start_batch(recorder, topic, partition);
 	arm_timer(recorder);
 	return pending_record;
 }
@@ -453,7 +480,8 @@
 }
 
 static void
-relay_append(struct recorder *recorder, const struct message *message)
+relay_append(struct recorder *recorder, enum recorder_topic topic,
+    const struct message *message)
 {
 	const struct message_store_append *append = &message->store_append;
 	struct relayed_append *relayed_append;
@@ -470,9 +498,10 @@
 	records = xcalloc(append->record_count, sizeof(*records));
 	for (size_t i = 0; i < append->record_count; i++)
 		records[i] = append->records[i].data;
-	relayed_append->call = store_append(recorder->gateway->store,
-	    TOPIC_TURNS, append->partition, records, append->record_count,
-	    APPEND_TIMEOUT_US, handle_relayed_append, relayed_append);
+	relayed_append->call =
+	    store_append(recorder->gateway->store, topics[topic].name,
+		append->partition, records, append->record_count,
+		APPEND_TIMEOUT_US, handle_relayed_append, relayed_append);
 	free(records);
 }
 
@@ -499,7 +528,9 @@
     struct recorder *recorder, const struct message *message)
 {
 	if (message->type == MESSAGE_STORE_APPEND)
-		relay_append(recorder, message);
+		relay_append(recorder, RECORDER_TURNS, message);
+	else if (message->type == MESSAGE_CONTENT_APPEND)
+		relay_append(recorder, RECORDER_CONTENTS, message);
 	else if (message->type == MESSAGE_STORE_APPEND_REPLY)
 		handle_relay_reply(recorder, &message->store_append_reply);
 }
@@ -511,8 +542,10 @@
 
 	recorder->gateway = gateway;
 	recorder->next_batch_number = rng_next(&gateway->rng) >> 1;
-	for (size_t i = 0; i < SETTINGS_PARTITIONS_MAX; i++)
-		list_init(&recorder->queues[i]);
+	for (int topic = 0; topic < RECORDER_TOPIC_COUNT; topic++) {
+		for (size_t i = 0; i < SETTINGS_PARTITIONS_MAX; i++)
+			list_init(&recorder->queues[topic][i].records);
+	}
 	list_init(&recorder->batches);
 	list_init(&recorder->relayed_appends);
 	recorder->timer = xcalloc(1, sizeof(*recorder->timer));
@@ -548,8 +581,10 @@
 		free_records(&batch->records);
 		batch_free(batch);
 	}
-	for (size_t i = 0; i < SETTINGS_PARTITIONS_MAX; i++)
-		free_records(&recorder->queues[i]);
+	for (int topic = 0; topic < RECORDER_TOPIC_COUNT; topic++) {
+		for (size_t i = 0; i < SETTINGS_PARTITIONS_MAX; i++)
+			free_records(&recorder->queues[topic][i].records);
+	}
 	while ((item = list_pop(&recorder->relayed_appends)) != NULL) {
 		struct relayed_append *relayed_append =
 		    list_entry(item, struct relayed_append, link);
--- a/gateway/settings_reload.c
+++ b/gateway/settings_reload.c
@@ -62,6 +62,10 @@
 	settings->gateway_drain_us = new_settings->gateway_drain_us;
 	settings->gateway_config_apply_us =
 	    new_settings->gateway_config_apply_us;
+	settings->gateway_record_max_bytes =
+	    new_settings->gateway_record_max_bytes;
+	settings->gateway_append_max_bytes =
+	    new_settings->gateway_append_max_bytes;
 	memcpy(settings->domains, new_settings->domains,
 	    sizeof(settings->domains));
 	settings->domain_count = new_settings->domain_count;
--- a/gateway/turn.c
+++ b/gateway/turn.c
@@ -286,15 +286,28 @@
 	request_complete(request);
 }
 
-static void
-turn_append_record(struct turn *turn)
+struct turn_content
+turn_content_of(const struct turn *turn)
 {
-	struct request *request = turn->request;
-	const struct attributes *attributes = &request->attributes;
+	const struct request *request = turn->request;
 	const struct buf *input =
 	    turn->chain_count > 0 ? &turn->input : &request->body;
 	const struct buf *output = &request->events.data;
-	struct turn_record record = {
+
+	return (struct turn_content){
+	    .input = {.data = input->data, .len = input->len},
+	    .output = {.data = output->data, .len = output->len},
+	};
+}
+
+/* Fills in all of the turn's record but its content. */
+static void
+fill_record(const struct turn *turn, struct turn_record *record)
+{
+	const struct request *request = turn->request;
+	const struct attributes *attributes = &request->attributes;
+
+	*record = (struct turn_record){
 	    .type = TURN_RECORD_RETAINED,
 	    .epoch = turn->epoch,
 	    .spent = turn_tokens_spent(request),
@@ -302,22 +315,68 @@
 	    .budget = attributes->budget_tokens,
 	    .ancestors = turn->chain,
 	    .ancestor_count = turn->chain_count,
-	    .input = {.data = input->data, .len = input->len},
-	    .output = {.data = output->data, .len = output->len},
 	};
+	memcpy(record->turn, turn->id, NAME_BYTES);
+	memcpy(record->program, turn->program, NAME_BYTES);
+	memcpy(record->previous, turn->previous, NAME_BYTES);
+	snprintf(record->vm, NAME_BYTES, "%.63s",
+	    request->gateway->settings.vm_name);
+	memcpy(record->server, request->last_backend, NAME_BYTES);
+}
+
+static void
+turn_append_encoded(struct turn *turn, struct buf *encoded)
+{
+	struct request *request = turn->request;
+
+	request->record_bytes = (uint32_t)encoded->len;
+	turn->pending_record =
+	    recorder_append(request->gateway->recorder, RECORDER_TURNS,
+		turn->partition, encoded, handle_record_appended, turn);
+}
+
+static void
+turn_append_record(struct turn *turn)
+{
+	const struct turn_content content = turn_content_of(turn);
+	size_t record_max =
+	    turn->request->gateway->settings.gateway_record_max_bytes;
+	struct turn_record record;
 	struct buf encoded = {0};
 
-	memcpy(record.turn, turn->id, NAME_BYTES);
-	memcpy(record.program, turn->program, NAME_BYTES);
-	memcpy(record.previous, turn->previous, NAME_BYTES);
-	snprintf(
-	    record.vm, NAME_BYTES, "%.63s", request->gateway->settings.vm_name);
-	memcpy(record.server, request->last_backend, NAME_BYTES);
-	turn_record_encode(&record, &encoded);
-	request->record_bytes = (uint32_t)encoded.len;
 	turn->state = TURN_COMMITTING;
-	turn->pending_record = recorder_append(request->gateway->recorder,
-	    turn->partition, &encoded, handle_record_appended, turn);
+	if (content.input.len + content.output.len < record_max) {
+		fill_record(turn, &record);
+		record.input = content.input;
+		record.output = content.output;
+		turn_record_encode(&record, &encoded);
+		if (encoded.len <= record_max) {
+			turn_append_encoded(turn, &encoded);
+			return;
+		}
+		buf_reset(&encoded);
+	}
+	turn_append_content(turn);
+}
+
+void
+turn_append_record_in_parts(struct turn *turn)
+{
+	struct turn_part *parts = xcalloc(turn->part_count, sizeof(*parts));
+	struct turn_record record;
+	struct buf encoded = {0};
+
+	for (size_t i = 0; i < turn->part_count; i++)
+		parts[i] = turn->parts[i].location;
+	fill_record(turn, &record);
+	record.type = TURN_RECORD_RETAINED_IN_PARTS;
+	record.parts = parts;
+	record.part_count = turn->part_count;
+	record.input_bytes = turn_content_of(turn).input.len;
+	turn_record_encode(&record, &encoded);
+	free(parts);
+	turn->request->gateway->counters.turns_in_parts_total++;
+	turn_append_encoded(turn, &encoded);
 }
 
 void
@@ -349,13 +408,8 @@
 		turn_report_spent(turn, turn_tokens_spent(request));
 	if (turns_find(turns, turn->id) == turn)
 		HASH_DEL(turns->by_id, turn);
-	for (size_t i = 0; turn->chain_turns != NULL && i < turn->chain_count;
-	     i++) {
-		if (turn->chain_turns[i].read_call != NULL)
-			store_cancel(turn->chain_turns[i].read_call);
-		buf_reset(&turn->chain_turns[i].content);
-	}
-	free(turn->chain_turns);
+	turn_drop_parts(turn);
+	turn_drop_history(turn);
 	free(turn->chain);
 	buf_reset(&turn->input);
 	free(turn);
--- a/gateway/turn_history.c
+++ b/gateway/turn_history.c
@@ -14,6 +14,8 @@
 	/* Added to a record's size for the size limit of a read, as the store
 	 * returns only whole records. */
 	READ_SLACK_BYTES = 2048,
+	/* Parts that are read at a time. */
+	READ_PARTS_MAX_BYTES = 1 << 20,
 };
 
 static void chain_turn_read(struct chain_turn *chain_turn);
@@ -34,6 +36,7 @@
 {
 	if (chain_turn->loaded)
 		return;
+	chain_turn->content.len = 0;
 	buf_append(&chain_turn->content, input->data, input->len);
 	buf_append(&chain_turn->content, output->data, output->len);
 	chain_turn->loaded = true;
@@ -53,6 +56,27 @@
 	}
 }
 
+static void
+chain_turn_reset(struct chain_turn *chain_turn)
+{
+	if (chain_turn->read_call != NULL)
+		store_cancel(chain_turn->read_call);
+	chain_turn->read_call = NULL;
+	buf_reset(&chain_turn->content);
+	free(chain_turn->parts);
+	chain_turn->parts = NULL;
+}
+
+void
+turn_drop_history(struct turn *turn)
+{
+	for (size_t i = 0; turn->chain_turns != NULL && i < turn->chain_count;
+	     i++)
+		chain_turn_reset(&turn->chain_turns[i]);
+	free(turn->chain_turns);
+	turn->chain_turns = NULL;
+}
+
 /* Puts the contents of the chain in front of the caller's input in the request
  * body, and sends the turn to a server. */
 static void
@@ -64,12 +88,9 @@
 	for (size_t i = 0; i < turn->chain_count; i++) {
 		struct chain_turn *chain_turn = &turn->chain_turns[i];
 
-		if (chain_turn->read_call != NULL)
-			store_cancel(chain_turn->read_call);
-		chain_turn->read_call = NULL;
 		buf_append(
 		    &body, chain_turn->content.data, chain_turn->content.len);
-		buf_reset(&chain_turn->content);
+		chain_turn_reset(chain_turn);
 	}
 	turn->input = request->body;
 	buf_append(&body, turn->input.data, turn->input.len);
@@ -77,19 +98,120 @@
 	turn_dispatch(turn);
 }
 
+static const struct turn_ref *
+chain_turn_ref(const struct chain_turn *chain_turn)
+{
+	const struct turn *turn = chain_turn->turn;
+
+	return &turn->chain[(size_t)(chain_turn - turn->chain_turns)];
+}
+
+static void
+dispatch_if_loaded(struct turn *turn)
+{
+	if (turn_history_is_loaded(turn))
+		turn_dispatch_with_history(turn);
+}
+
+static void
+chain_turn_finish_parts(struct chain_turn *chain_turn)
+{
+	const struct buf *content = &chain_turn->content;
+	size_t input_len = chain_turn->input_bytes < content->len
+	    ? chain_turn->input_bytes
+	    : content->len;
+	const struct history_turn found = {
+	    .ref = *chain_turn_ref(chain_turn),
+	    .previous = chain_turn->previous,
+	    .input = {.data = content->data, .len = input_len},
+	    .output =
+		{
+		    .data = content->data + input_len,
+		    .len = content->len - input_len,
+		},
+	};
+
+	chain_turn->loaded = true;
+	history_put(turns_of(chain_turn->turn)->history, &found);
+	dispatch_if_loaded(chain_turn->turn);
+}
+
+static void
+handle_parts_read(void *context, const struct store_read *read)
+{
+	struct chain_turn *chain_turn = context;
+	const char *id = chain_turn_ref(chain_turn)->turn;
+	size_t before = chain_turn->parts_read;
+
+	chain_turn->read_call = NULL;
+	/* Parts of other turns may lie between those of this one. */
+	for (size_t i = 0;
+	     i < read->count && chain_turn->parts_read < chain_turn->part_count;
+	     i++) {
+		size_t number = chain_turn->parts_read;
+
+		if (read->records_offset + i ==
+			chain_turn->parts[number].offset &&
+		    turn_content_decode_part(&read->records[i], id,
+			(uint32_t)number, &chain_turn->content))
+			chain_turn->parts_read++;
+	}
+	if (chain_turn->parts_read == chain_turn->part_count)
+		chain_turn_finish_parts(chain_turn);
+	else if (chain_turn->parts_read > before)
+		chain_turn_read(chain_turn);
+}
+
+static void
+chain_turn_read_parts(struct chain_turn *chain_turn)
+{
+	const struct turn *turn = chain_turn->turn;
+	const struct turn_part *next =
+	    &chain_turn->parts[chain_turn->parts_read];
+	size_t bytes = READ_SLACK_BYTES;
+
+	for (size_t i = chain_turn->parts_read;
+	     i < chain_turn->part_count && bytes < READ_PARTS_MAX_BYTES; i++)
+		bytes += chain_turn->parts[i].bytes;
+	if (bytes > READ_PARTS_MAX_BYTES)
+		bytes = READ_PARTS_MAX_BYTES;
+	chain_turn->read_call = store_read(turn->request->gateway->store,
+	    TOPIC_CONTENTS, chain_turn_ref(chain_turn)->partition, next->offset,
+	    bytes, 0, READ_TIMEOUT_US, handle_parts_read, chain_turn);
+}
+
+/* Takes over where the content of a turn is. */
+static void
+chain_turn_set_parts(
+    struct chain_turn *chain_turn, const struct turn_record *record)
+{
+	if (record->part_count == 0 || chain_turn->parts != NULL)
+		return;
+	chain_turn->part_count = record->part_count;
+	chain_turn->parts =
+	    xcalloc(record->part_count, sizeof(*chain_turn->parts));
+	memcpy(chain_turn->parts, record->parts,
+	    record->part_count * sizeof(*record->parts));
+	chain_turn->input_bytes = record->input_bytes;
+	memcpy(chain_turn->previous, record->previous, NAME_BYTES);
+	chain_turn_read_parts(chain_turn);
+}
+
 static void
 handle_record_read(void *context, const struct store_read *read)
 {
 	struct chain_turn *chain_turn = context;
 	struct turn *turn = chain_turn->turn;
-	size_t index = (size_t)(chain_turn - turn->chain_turns);
-	const struct turn_ref *ref = &turn->chain[index];
+	const struct turn_ref *ref = chain_turn_ref(chain_turn);
 	struct turn_record record;
 
 	chain_turn->read_call = NULL;
-	if (read->status == STORE_OK && read->count > 0 &&
-	    turn_record_decode(
-		read->records[0].data, read->records[0].len, &record, NULL)) {
+	if (read->status != STORE_OK || read->count == 0 ||
+	    !turn_record_decode(
+		read->records[0].data, read->records[0].len, &record, NULL))
+		return;
+	if (record.type == TURN_RECORD_RETAINED &&
+	    strcmp(record.turn, ref->turn) == 0) {
 		const struct history_turn found = {
 		    .ref = *ref,
 		    .previous = record.previous,
@@ -97,25 +219,27 @@
 		    .output = record.output,
 		};
 
-		if (record.type == TURN_RECORD_RETAINED &&
-		    strcmp(record.turn, ref->turn) == 0) {
-			chain_turn_set_content(
-			    chain_turn, &record.input, &record.output);
-			history_put(turns_of(turn)->history, &found);
-		}
-		turn_record_reset(&record);
+		chain_turn_set_content(
+		    chain_turn, &record.input, &record.output);
+		history_put(turns_of(turn)->history, &found);
+	} else if (record.type == TURN_RECORD_RETAINED_IN_PARTS &&
+	    strcmp(record.turn, ref->turn) == 0) {
+		chain_turn_set_parts(chain_turn, &record);
 	}
-	if (turn_history_is_loaded(turn))
-		turn_dispatch_with_history(turn);
+	turn_record_reset(&record);
+	dispatch_if_loaded(turn);
 }
 
 static void
 chain_turn_read(struct chain_turn *chain_turn)
 {
 	struct turn *turn = chain_turn->turn;
-	const struct turn_ref *ref =
-	    &turn->chain[(size_t)(chain_turn - turn->chain_turns)];
+	const struct turn_ref *ref = chain_turn_ref(chain_turn);
 
+	if (chain_turn->parts != NULL) {
+		chain_turn_read_parts(chain_turn);
+		return;
+	}
 	chain_turn->read_call =
 	    store_read(turn->request->gateway->store, TOPIC_TURNS,
 		ref->partition, ref->offset, ref->bytes + READ_SLACK_BYTES, 0,
@@ -171,17 +295,14 @@
 void
 turn_cache_history(struct turn *turn, uint64_t offset, uint32_t bytes)
 {
-	const struct request *request = turn->request;
-	const struct buf *input =
-	    turn->chain_count > 0 ? &turn->input : &request->body;
-	const struct buf *output = &request->events.data;
+	const struct turn_content content = turn_content_of(turn);
 	struct history_turn entry = {
 	    .ref = {.partition = turn->partition,
 		.offset = offset,
 		.bytes = bytes},
 	    .previous = turn->previous,
-	    .input = {.data = input->data, .len = input->len},
-	    .output = {.data = output->data, .len = output->len},
+	    .input = content.input,
+	    .output = content.output,
 	};
 
 	memcpy(entry.ref.turn, turn->id, NAME_BYTES);
--- a/include/common/counter.h
+++ b/include/common/counter.h
@@ -18,6 +18,7 @@
 	X(programs_begun_total, "Programs begun") \
 	X(programs_ended_total, "Programs ended") \
 	X(turns_total, "Turns recorded") \
+	X(turns_in_parts_total, "Turns recorded with their content in parts") \
 	X(prompt_tokens_total, "Prompt tokens sent to engines") \
 	X(cached_tokens_total, "Prompt tokens that engines had cached") \
 	X(recomputed_tokens_total, "Prompt tokens computed again") \
--- a/include/config/settings.h
+++ b/include/config/settings.h
@@ -78,6 +78,8 @@
 	int64_t gateway_config_apply_us; /**< longest time until a published
 					    version is applied */
 	int64_t gateway_lease_us;        /**< shortest lease of partitions */
+	size_t gateway_record_max_bytes; /**< longest record of the store */
+	size_t gateway_append_max_bytes; /**< longest append to the store */
 	/* [capacity] */
 	size_t capacity_memory_bytes; /**< memory of the VM; 0: not stated */
 	/* [failure_domains] */
--- a/include/gateway/recorder.h
+++ b/include/gateway/recorder.h
@@ -1,8 +1,9 @@
 /** @file
- * Appends records to the topic "turns". A record is appended again until the
- * store acknowledges it, through other gateways if the store does not serve
- * this one. The same record may thus be in the log more than once; readers
- * ignore the duplicates.
+ * Appends records to the topics "turns" and "contents", which holds the content
+ * of long turns in parts. A record is appended again until the store
+ * acknowledges it, through other gateways if the store does not serve this one.
+ * The same record may thus be in the log more than once; readers ignore the
+ * duplicates.
  */
 #ifndef GATEWAY_RECORDER_H
 #define GATEWAY_RECORDER_H
@@ -14,16 +15,23 @@
 #include "peer/message.h"
 
 extern const char TOPIC_TURNS[];
+extern const char TOPIC_CONTENTS[];
+
+enum recorder_topic {
+	RECORDER_TURNS,
+	RECORDER_CONTENTS,
+	RECORDER_TOPIC_COUNT,
+};
 
 struct pending_record;
 
 struct recorder *recorder_create(struct gateway *gateway);
 void recorder_destroy(struct recorder *recorder);
-/** Appends an encoded record to a partition, and takes ownership of its memory.
- * done is called once, with the record's offset; ok is false when the store
- * rejects the record for good. */
+/** Appends an encoded record to a partition of a topic, and takes ownership of
+ * its memory. done is called once, with the record's offset; ok is false when
+ * the store rejects the record for good. */
 struct pending_record *recorder_append(struct recorder *recorder,
-    uint32_t partition, struct buf *record,
+    enum recorder_topic topic, uint32_t partition, struct buf *record,
     void (*done)(void *context, bool ok, uint64_t offset), void *context);
 /** Drops the callback of a record. The record may still be appended. */
 void recorder_detach(struct pending_record *pending_record);
--- a/include/gateway/turn_internal.h
+++ b/include/gateway/turn_internal.h
@@ -7,6 +7,7 @@
 #include <uthash.h>
 
 #include "gateway/turn.h"
+#include "turn/content.h"
 #include "turn/history.h"
 
 enum turn_state {
@@ -26,7 +27,20 @@
 	struct turn *turn;            /**< turn that continues the chain */
 	struct store_call *read_call; /**< read in progress, or NULL */
 	bool loaded;
-	struct buf content; /**< input and output; empty until loaded */
+	struct buf content; /**< input and output, as far as they were read */
+	/** Where its content is, if that is in parts. */
+	struct turn_part *parts;
+	size_t part_count;
+	size_t parts_read;
+	size_t input_bytes;        /**< of content that is in parts */
+	char previous[NAME_BYTES]; /**< the same: turn that it continues */
+};
+
+/** A part of the content of a turn that is being made durable. */
+struct content_part {
+	struct turn *turn;
+	struct turn_part location; /**< offset: once it is durable */
+	struct pending_record *pending_record; /**< in progress, or NULL */
 };
 
 /** A turn of a program. It lives as long as its request. */
@@ -63,6 +77,12 @@
 	bool fetching_from_peer;
 	/** Append in progress, or NULL. */
 	struct pending_record *pending_record;
+	/** Content that goes into records of its own; NULL: none does. */
+	struct content_part *parts;
+	size_t part_count;
+	size_t parts_begun;     /**< parts whose append has begun */
+	size_t parts_durable;   /**< parts that have been appended */
+	size_t part_record_max; /**< bound on the size of their records */
 	struct buf input; /**< caller's input, when the request body includes
 			     the history */
 };
@@ -92,6 +112,17 @@
 /** Returns an estimate of the tokens sent to the caller: the events times the
  * service's tokens per event. */
 uint64_t turn_tokens_spent(const struct request *request);
+/** Returns the caller's input and the output. They belong to the turn. */
+struct turn_content turn_content_of(const struct turn *turn);
+/** Appends the record that makes the turn count, after its parts are durable.
+ */
+void turn_append_record_in_parts(struct turn *turn);
+
+/* turn_content.c */
+/** Appends the content of a turn in parts, and then its record. */
+void turn_append_content(struct turn *turn);
+/** Frees the parts. Appends in progress go on. */
+void turn_drop_parts(struct turn *turn);
 
 /* turn_owner.c */
 /** Queries the partition owners from the store; does nothing if a query is in
@@ -144,6 +175,8 @@
 void turn_load_history(struct turn *turn);
 /** Reads missing contents of the chain from the store. */
 void turn_read_history(struct turn *turn);
+/** Cancels reads of the chain and frees what has been read. */
+void turn_drop_history(struct turn *turn);
 /** Adds the input and output of a turn to the history cache, for turns that
  * continue it. */
 void turn_cache_history(struct turn *turn, uint64_t offset, uint32_t bytes);
--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -70,6 +70,8 @@
 	MESSAGE_DOMAIN_LOADS = 33,
 	/** Runs of requests at backend servers, and how they end. */
 	MESSAGE_RUNS = 34,
+	/** As MESSAGE_STORE_APPEND, for parts of the content of turns. */
+	MESSAGE_CONTENT_APPEND = 35,
 };
 
 /** Description of a daemon, given by itself or by a relay. */
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -27,6 +27,11 @@
 extern const char STORE_TOPIC_SERVERS[];  /**< keyed by server id */
 extern const char STORE_KEY_CONFIG[];
 
+enum {
+	/** Added by the store to the length of each record of an append. */
+	STORE_RECORD_OVERHEAD_BYTES = 4,
+};
+
 enum store_status {
 	STORE_OK,
 	STORE_REFUSED,  /**< no effect; may be retried */
--- a/include/turn/record.h
+++ b/include/turn/record.h
@@ -28,6 +28,18 @@
 	TURN_RECORD_STARTED = 3,
 	/** Checkpoint, in the index only; see turn_record.offset. */
 	TURN_RECORD_INDEX_CHECKPOINT = 4,
+	/** As TURN_RECORD_RETAINED, but the content is in other records, which
+	 * are durable before this one. Versions that can't read those ignore
+	 * it. */
+	TURN_RECORD_RETAINED_IN_PARTS = 5,
+	/** Part of the content of a turn; in the topic of contents only. */
+	TURN_RECORD_CONTENT = 6,
+};
+
+/** Location of a record with a part of a turn's content. */
+struct turn_part {
+	uint64_t offset; /**< in the topic of contents */
+	uint32_t bytes;  /**< size of the record */
 };
 
 /** Location of a retained turn's record in the log. */
@@ -56,7 +68,8 @@
 	/** TURN_RECORD_ENDED: the end was not reported in time, and spent is
 	 * the limit on the turn's tokens. */
 	bool end_timed_out;
-	/* From previous to output: set in a TURN_RECORD_RETAINED only. */
+	/* From previous to output: set in a TURN_RECORD_RETAINED only. One in
+	 * parts has no input and output. */
 	char previous[NAME_BYTES];  /**< turn that it continues, or "" */
 	char vm[NAME_BYTES];        /**< VM that served the turn */
 	char server[NAME_BYTES];    /**< backend server whose KV cache has it */
@@ -69,6 +82,14 @@
 	 * all records of the log before this offset. */
 	uint64_t offset;
 	uint32_t bytes; /**< in the index: size of the turn's record */
+	/** TURN_RECORD_RETAINED_IN_PARTS: where the input is, followed by the
+	 * output. */
+	struct turn_part *parts;
+	size_t part_count;
+	uint64_t input_bytes; /**< the same: length of the input */
+	/** TURN_RECORD_CONTENT: number of the part, from 0. */
+	uint32_t part_number;
+	struct wire_bytes part; /**< the same: its bytes */
 };
 
 /** Appends the encoded form of a record. */
--- a/peer/message.c
+++ b/peer/message.c
@@ -462,6 +462,7 @@
     [MESSAGE_CAP] = SPARSE("cap", cap_fields),
     [MESSAGE_DOMAIN_LOADS] = SPARSE("domain_loads", domain_loads_fields),
     [MESSAGE_RUNS] = SPARSE("runs", runs_fields),
+    [MESSAGE_CONTENT_APPEND] = SPARSE("store_content", store_append_fields),
 };
 
 static const struct wire_layout *
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -298,6 +298,7 @@
 	case MESSAGE_CAP:
 	case MESSAGE_DOMAIN_LOADS:
 	case MESSAGE_RUNS:
+	case MESSAGE_CONTENT_APPEND:
 		break;
 	}
 }
--- a/standins/cluster.c
+++ b/standins/cluster.c
@@ -606,7 +606,7 @@
 	    "\"kvCapacity\":100000,\"tokensPerEvent\":10}},"
 	    "{\"name\":\"tools\",\"healthPath\":\"/healthz\","
 	    "\"maxConnections\":100}],"
-	    "\"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":100000,"
+	    "\"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":4194304,"
 	    "\"headerTimeoutMs\":1000,\"idleTimeoutMs\":5000}%s}",
 	    cluster->config_version, more_routes, more_members);
 	append_keyed(
--- a/standins/runner.c
+++ b/standins/runner.c
@@ -48,7 +48,7 @@
 enum {
 	HEARTBEAT_MS = 300,
 	STORE_TIMEOUT_US = 2 * US_PER_S,
-	BODY_MAX_BYTES = 4 << 20,
+	BODY_MAX_BYTES = 64 << 20, /* a chain of long turns */
 	HEADER_MAX_BYTES = 32 << 10,
 	IDLE_TIMEOUT_US = 10 * US_PER_S,
 	RUNS_MAX = 4096, /**< runs that GET /stand-in/runs can list */
@@ -100,11 +100,12 @@
 	int port; /**< to listen on; 0: any */
 	bool model;
 	int events;
-	int work_ms;   /**< duration of a response, or of each event */
-	int slots;     /**< most requests at a time */
-	bool draining; /**< reports in the list that it leaves */
-	bool leaving;  /**< reports in its responses that it leaves */
-	bool stopping; /**< ends after the requests in progress */
+	int event_bytes; /**< of padding in each event */
+	int work_ms;     /**< duration of a response, or of each event */
+	int slots;       /**< most requests at a time */
+	bool draining;   /**< reports in the list that it leaves */
+	bool leaving;    /**< reports in its responses that it leaves */
+	bool stopping;   /**< ends after the requests in progress */
 } options = {
     .id = "runner-1",
     .service = "models",
@@ -279,6 +280,8 @@
 		buf_printf(&event, "data: %016" PRIx64, run->body_hash);
 	else
 		buf_printf(&event, "data: %s-%d", run->id, run->events);
+	for (int i = 0; i < options.event_bytes; i++)
+		buf_append_text(&event, "-");
 	buf_append_text(&event, "\n\n");
 	begin_next_event(run, &event);
 	h1_respond_data(run->exchange, event.data, event.len);
@@ -626,6 +629,7 @@
     {"port", 'l', "PORT", 0, "Port to listen on", 0},
     {"model", 'm', NULL, 0, "Respond with streams of events", 0},
     {"events", 'e', "N", 0, "Events of a response", 0},
+    {"event-bytes", 'b', "N", 0, "Padding of each event", 0},
     {"work-ms", 'w', "MS", 0, "Duration of a response, or of each event", 0},
     {"slots", 'n', "N", 0, "Most requests at a time", 0},
     {0},
@@ -657,6 +661,9 @@
 	case 'e':
 		options.events = (int)strtol(arg, NULL, 10);
 		return 0;
+	case 'b':
+		options.event_bytes = (int)strtol(arg, NULL, 10);
+		return 0;
 	case 'w':
 		options.work_ms = (int)strtol(arg, NULL, 10);
 		return 0;
--- a/standins/store.c
+++ b/standins/store.c
@@ -109,7 +109,7 @@
 	}
 	if (!topics_append(topics, topic, part, request->body.data,
 		request->body.len, &first, &end)) {
-		standin_reply_error(request, 400, "malformed records");
+		standin_reply_error(request, 400, "invalid records");
 		return;
 	}
 	standin_reply(request, 200,
--- a/standins/topics.c
+++ b/standins/topics.c
@@ -103,14 +103,17 @@
 	return ntohl(length);
 }
 
-/* Returns whether a body consists of whole records. */
+/* Returns whether a body consists of whole records and keeps the limits. */
 static bool
-is_well_formed(const uint8_t *at, size_t len)
+is_valid(const uint8_t *at, size_t len)
 {
+	if (len > TOPICS_APPEND_MAX_BYTES)
+		return false;
 	while (len >= sizeof(uint32_t)) {
 		size_t used = sizeof(uint32_t) + read_length(at);
 
-		if (used > len)
+		if (used > len ||
+		    used > sizeof(uint32_t) + TOPICS_RECORD_MAX_BYTES)
 			return false;
 		at += used;
 		len -= used;
@@ -140,7 +143,7 @@
 	    get_or_create_partition(topics, topic, part);
 	const uint8_t *at = body;
 
-	if (!is_well_formed(at, len))
+	if (!is_valid(at, len))
 		return false;
 	*first = partition->count;
 	while (len > 0) {
--- a/standins/topics.h
+++ b/standins/topics.h
@@ -15,6 +15,10 @@
 enum {
 	TOPICS_NAME_BYTES = 128,
 	TOPICS_PARTITIONS = 12,
+	/** Limits of the platform's store on a record, and on the records of an
+	 * append with their lengths. */
+	TOPICS_RECORD_MAX_BYTES = 256 << 10,
+	TOPICS_APPEND_MAX_BYTES = 2 << 20,
 };
 
 struct topics;
@@ -23,7 +27,8 @@
 void topics_destroy(struct topics *topics);
 /** Appends the records of a body, each preceded by its length in 4 bytes. Sets
  * *first to the offset of the first one and *end to that after the last one.
- * Returns false if the body is malformed. */
+ * Returns false if the body is malformed or exceeds a limit; then nothing is
+ * appended. */
 bool topics_append(struct topics *topics, const char *topic, uint32_t part,
     const void *body, size_t len, uint64_t *first, uint64_t *end);
 /** Returns the offset after the last record of a partition. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -369,7 +369,7 @@
 		      "Request-Id: s-5\r\nDeadline-Ms: soon\r\n\r\n",
 	    400);
 	check_refused("POST /once/a HTTP/1.1\r\nHost: h.example\r\n"
-		      "Request-Id: s-6\r\nContent-Length: 100001\r\n\r\n",
+		      "Request-Id: s-6\r\nContent-Length: 4194305\r\n\r\n",
 	    413);
 	check_refused("GET /nowhere/a HTTP/1.1\r\nHost: h.example\r\n"
 		      "Request-Id: s-7\r\n\r\n",
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -142,10 +142,13 @@
 	int port;
 
 	ck_assert(load(GATEWAY_SETTINGS "partitions = 24\nlease = 1500 ms\n"
+					"record_max = 128 KiB\n"
 					"[failure_domains]\na = r\nb = r\n",
 	    &settings, &findings));
 	ck_assert_int_eq(settings.gateway_partitions, 24);
 	ck_assert_int_eq(settings.gateway_lease_us, INT64_C(1500000));
+	ck_assert_uint_eq(settings.gateway_record_max_bytes, 128 << 10);
+	ck_assert_uint_eq(settings.gateway_append_max_bytes, 2 << 20);
 	settings_split_endpoint(settings.gateway_store, address, &port);
 	ck_assert_str_eq(address, "10.0.0.9");
 	ck_assert_int_eq(port, 9);
--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -1,9 +1,12 @@
 #include <check.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/memory.h"
 #include "tests/runner.h"
+#include "turn/content.h"
 #include "turn/history.h"
 #include "turn/ledger.h"
 #include "turn/offsets.h"
@@ -125,6 +128,85 @@
 }
 END_TEST
 
+static void
+check_parts(size_t input_len, size_t output_len, size_t record_max)
+{
+	uint8_t *bytes = xcalloc(1, input_len + output_len + 1);
+	const struct turn_content content = {
+	    .input = {.data = bytes, .len = input_len},
+	    .output = {.data = bytes + input_len, .len = output_len},
+	};
+	size_t count = turn_content_part_count(&content, record_max);
+	struct buf joined = {0};
+
+	for (size_t i = 0; i < input_len + output_len; i++)
+		bytes[i] = (uint8_t)(i * 7 + i / 251);
+	for (size_t i = 0; i < count; i++) {
+		struct buf data = {0};
+		struct wire_bytes record;
+
+		turn_content_encode_part(
+		    &content, "t", (uint32_t)i, record_max, &data);
+		ck_assert_uint_le(data.len, record_max);
+		record = (struct wire_bytes){data.data, data.len};
+		ck_assert(!turn_content_decode_part(
+		    &record, "other", (uint32_t)i, &joined));
+		ck_assert(!turn_content_decode_part(
+		    &record, "t", (uint32_t)i + 1, &joined));
+		ck_assert(turn_content_decode_part(
+		    &record, "t", (uint32_t)i, &joined));
+		buf_reset(&data);
+	}
+	ck_assert_uint_eq(joined.len, input_len + output_len);
+	ck_assert(memcmp(joined.data, bytes, joined.len) == 0);
+	buf_reset(&joined);
+	free(bytes);
+}
+
+START_TEST(content_in_parts_fits_records)
+{
+	static const size_t record_max = 64 << 10;
+
+	for (size_t len = 1; len < 5 * record_max; len += 30011) {
+		check_parts(len, 0, record_max);
+		check_parts(0, len, record_max);
+		check_parts(len, 70001, record_max);
+		check_parts(1, len, record_max);
+	}
+	check_parts((size_t)4 << 20, 200, (size_t)256 << 10);
+}
+END_TEST
+
+START_TEST(turn_in_parts_counts_and_can_be_found)
+{
+	struct ledger *ledger = create_owned_ledger();
+	struct turn_part parts[2] = {
+	    {.offset = 4, .bytes = 100}, {.offset = 9, .bytes = 50}};
+	struct turn_record record =
+	    make_record(TURN_RECORD_RETAINED_IN_PARTS, "p", "t", 40);
+	struct turn_record decoded;
+	struct ledger_retained_turn retained;
+	struct buf data = {0};
+
+	record.parts = parts;
+	record.part_count = 2;
+	record.input_bytes = 120;
+	turn_record_encode(&record, &data);
+	ck_assert(turn_record_decode(data.data, data.len, &decoded, NULL));
+	ck_assert_uint_eq(decoded.part_count, 2);
+	ck_assert_uint_eq(decoded.parts[1].offset, 9);
+	ck_assert_uint_eq(decoded.parts[1].bytes, 50);
+	ck_assert_uint_eq(decoded.input_bytes, 120);
+	ledger_apply(ledger, 10, (uint32_t)data.len, &decoded, 0);
+	ck_assert_uint_eq(ledger_spent(ledger, "p"), 40);
+	ck_assert(ledger_find_retained_turn(ledger, "t", &retained));
+	ck_assert_uint_eq(retained.ref.offset, 10);
+	turn_record_reset(&decoded);
+	buf_reset(&data);
+	ledger_destroy(ledger);
+}
+END_TEST
+
 START_TEST(concurrent_turns_need_a_record)
 {
 	struct ledger *ledger = create_owned_ledger();
@@ -726,6 +808,8 @@
 {
 	const TTest *tests[] = {
 	    record_round_trip,
+	    content_in_parts_fits_records,
+	    turn_in_parts_counts_and_can_be_found,
 	    concurrent_turns_need_a_record,
 	    running_turns_count_with_max_tokens,
 	    overdue_turns_hold_no_budget_beyond_the_promised_overrun,
--- a/turn/ledger.c
+++ b/turn/ledger.c
@@ -314,6 +314,7 @@
 
 	switch (record->type) {
 	case TURN_RECORD_RETAINED:
+	case TURN_RECORD_RETAINED_IN_PARTS:
 		sample_offset(ledger, offset, now_us);
 		turn = apply_end(ledger, record, DURABILITY_DURABLE, now_us);
 		set_retained(ledger, turn, record, offset, bytes);
@@ -327,6 +328,7 @@
 		apply_start(ledger, record, now_us);
 		return;
 	case TURN_RECORD_INDEX_CHECKPOINT:
+	case TURN_RECORD_CONTENT:
 		return;
 	}
 }
--- a/turn/record.c
+++ b/turn/record.c
@@ -14,6 +14,9 @@
 _Static_assert(offsetof(struct turn_record, ancestor_count) ==
 	offsetof(struct turn_record, ancestors) + sizeof(void *),
     "a list's count follows its items");
+_Static_assert(offsetof(struct turn_record, part_count) ==
+	offsetof(struct turn_record, parts) + sizeof(void *),
+    "a list's count follows its items");
 
 static const struct wire_field ref_fields[] = {
     WIRE_FIELD(struct turn_ref, 1, WIRE_TEXT, turn),
@@ -24,6 +27,13 @@
 static const struct wire_layout ref_layout = {
     "turn_ref", ref_fields, sizeof(ref_fields) / sizeof(ref_fields[0]), true};
 
+static const struct wire_field part_fields[] = {
+    WIRE_FIELD(struct turn_part, 1, WIRE_UNSIGNED, offset),
+    WIRE_FIELD(struct turn_part, 2, WIRE_UNSIGNED, bytes),
+};
+static const struct wire_layout part_layout = {"turn_part", part_fields,
+    sizeof(part_fields) / sizeof(part_fields[0]), true};
+
 #define F(key, kind, member) WIRE_FIELD(struct turn_record, key, kind, member)
 static const struct wire_field fields[] = {
     F(1, WIRE_TEXT, turn),
@@ -44,6 +54,11 @@
     F(15, WIRE_UNSIGNED, remaining_us),
     F(16, WIRE_BOOL, allows_unrecorded),
     F(17, WIRE_BOOL, end_timed_out),
+    {18, WIRE_LIST, offsetof(struct turn_record, parts),
+	sizeof(struct wire_list), &part_layout, sizeof(struct turn_part)},
+    F(19, WIRE_UNSIGNED, input_bytes),
+    F(20, WIRE_UNSIGNED, part_number),
+    F(21, WIRE_BYTES, part),
 };
 static const struct wire_layout layout = {
     "turn", fields, sizeof(fields) / sizeof(fields[0]), true};
@@ -71,7 +86,7 @@
 	    parts[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
 	    parts[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
 	    parts[1].via.u64 < TURN_RECORD_RETAINED ||
-	    parts[1].via.u64 > TURN_RECORD_INDEX_CHECKPOINT)
+	    parts[1].via.u64 > TURN_RECORD_CONTENT)
 		return error_set(err, ERROR_INVALID, "not a turn record");
 	record->type = (enum turn_record_type)parts[1].via.u64;
 	return wire_unpack(&parts[2], &layout, record, err);
@@ -103,4 +118,6 @@
 	wire_free(&layout, record);
 	record->ancestors = NULL;
 	record->ancestor_count = 0;
+	record->parts = NULL;
+	record->part_count = 0;
 }
