A record that the store rejects fails its own turn only

Cause: records of a partition that wait go to the store in one append, which it rejects whole; the recorder gave up all of them.

Change: the records of a rejected append are appended again, each on its own, and only one that is rejected alone fails.

test-long-turns, rejected_records_fail_their_own_turns_only: the stand-in store takes no records over 50,000 bytes, and one turn of eight has more.

--- a/gateway/recorder.c
+++ b/gateway/recorder.c
@@ -49,6 +49,7 @@
 	struct buf data;
 	void (*done)(void *context, bool ok, uint64_t offset); /**< or NULL */
 	void *context;
+	bool alone; /**< to be appended in a batch of its own */
 };
 
 /** An append of a batch by this gateway itself. */
@@ -203,16 +204,6 @@
 	arm_timer(recorder);
 }
 
-static void
-update_average(double *average_us, int64_t elapsed_us)
-{
-	if (*average_us <= 0)
-		*average_us = (double)elapsed_us;
-	else
-		*average_us +=
-		    AVERAGE_WEIGHT * ((double)elapsed_us - *average_us);
-}
-
 /* Tells the sizes of an append that the store has rejected as invalid. */
 static void
 trace_rejected(const struct batch *batch)
@@ -236,6 +227,51 @@
 	trace_end(&trace);
 }
 
+/* Appends each record of a batch on its own, so that a record which the store
+ * rejects fails without the others. */
+static void
+batch_split(struct batch *batch)
+{
+	struct recorder *recorder = batch->recorder;
+	enum recorder_topic topic = batch->topic;
+	uint32_t partition = batch->partition;
+	struct record_queue *queue = &recorder->queues[topic][partition];
+
+	while (!list_empty(&batch->records)) {
+		struct pending_record *last = list_entry(
+		    batch->records.prev, struct pending_record, link);
+
+		last->alone = true;
+		list_remove(&last->link);
+		list_insert(&queue->records, &last->link);
+	}
+	batch_free(batch);
+	queue->busy = false;
+	start_batch(recorder, topic, partition);
+	arm_timer(recorder);
+}
+
+/* Handles that the store has rejected a batch as invalid. */
+static void
+batch_reject(struct batch *batch)
+{
+	trace_rejected(batch);
+	if (list_length(&batch->records) > 1)
+		batch_split(batch);
+	else
+		batch_finish(batch, false, 0);
+}
+
+static void
+update_average(double *average_us, int64_t elapsed_us)
+{
+	if (*average_us <= 0)
+		*average_us = (double)elapsed_us;
+	else
+		*average_us +=
+		    AVERAGE_WEIGHT * ((double)elapsed_us - *average_us);
+}
+
 static void
 handle_appended(void *context, const struct store_appended *appended)
 {
@@ -254,8 +290,7 @@
 		return;
 	}
 	if (appended->status == STORE_INVALID) {
-		trace_rejected(batch);
-		batch_finish(batch, false, 0);
+		batch_reject(batch);
 		return;
 	}
 	mark_unreachable(recorder, appended->status);
@@ -418,9 +453,13 @@
 		struct pending_record *pending_record = list_entry(
 		    queue->records.next, struct pending_record, link);
 
+		if (pending_record->alone && !list_empty(&batch->records))
+			break;
 		list_remove(&pending_record->link);
 		list_append(&batch->records, &pending_record->link);
 		bytes += pending_record->data.len;
+		if (pending_record->alone)
+			break;
 	}
 	queue->busy = true;
 	batch_append(batch);
--- a/standins/store.c
+++ b/standins/store.c
@@ -32,6 +32,8 @@
 
 static struct topics *topics;
 static struct list waiters = {&waiters, &waiters}; /**< list of struct waiter */
+static int64_t record_max_bytes; /**< fault; 0: the platform's limit */
+static int64_t append_max_bytes; /**< the same */
 static int64_t append_count;
 static int64_t read_count;
 
@@ -294,6 +296,19 @@
 	topics_destroy(topics);
 }
 
+static void
+handle_faults_changed(struct standin *standin)
+{
+	(void)standin;
+	topics_set_limits(
+	    topics, (size_t)record_max_bytes, (size_t)append_max_bytes);
+}
+
+static const struct field fault_fields[] = {
+    {"record_max_bytes", "", "", FIELD_INTEGER, {.integer = &record_max_bytes}},
+    {"append_max_bytes", "", "", FIELD_INTEGER, {.integer = &append_max_bytes}},
+};
+
 const struct standin_program store_program = {
     .name = "standin-store",
     .summary = "Stands in for the platform's store.",
@@ -301,4 +316,7 @@
     .stop = stop,
     .handle = handle,
     .stats = stats,
+    .faults = fault_fields,
+    .fault_count = sizeof(fault_fields) / sizeof(fault_fields[0]),
+    .faults_changed = handle_faults_changed,
 };
--- a/standins/topics.c
+++ b/standins/topics.c
@@ -45,12 +45,27 @@
 struct topics {
 	struct topic_partition *partitions; /**< hash table by key */
 	struct group *groups;               /**< hash table by name */
+	size_t record_max_bytes;
+	size_t append_max_bytes;
 };
 
 struct topics *
 topics_create(void)
 {
-	return xcalloc(1, sizeof(struct topics));
+	struct topics *topics = xcalloc(1, sizeof(*topics));
+
+	topics_set_limits(topics, 0, 0);
+	return topics;
+}
+
+void
+topics_set_limits(
+    struct topics *topics, size_t record_max_bytes, size_t append_max_bytes)
+{
+	topics->record_max_bytes =
+	    record_max_bytes > 0 ? record_max_bytes : TOPICS_RECORD_MAX_BYTES;
+	topics->append_max_bytes =
+	    append_max_bytes > 0 ? append_max_bytes : TOPICS_APPEND_MAX_BYTES;
 }
 
 void
@@ -105,15 +120,15 @@
 
 /* Returns whether a body consists of whole records and keeps the limits. */
 static bool
-is_valid(const uint8_t *at, size_t len)
+is_valid(const struct topics *topics, const uint8_t *at, size_t len)
 {
-	if (len > TOPICS_APPEND_MAX_BYTES)
+	if (len > topics->append_max_bytes)
 		return false;
 	while (len >= sizeof(uint32_t)) {
 		size_t used = sizeof(uint32_t) + read_length(at);
 
 		if (used > len ||
-		    used > sizeof(uint32_t) + TOPICS_RECORD_MAX_BYTES)
+		    used > sizeof(uint32_t) + topics->record_max_bytes)
 			return false;
 		at += used;
 		len -= used;
@@ -143,7 +158,7 @@
 	    get_or_create_partition(topics, topic, part);
 	const uint8_t *at = body;
 
-	if (!is_valid(at, len))
+	if (!is_valid(topics, at, len))
 		return false;
 	*first = partition->count;
 	while (len > 0) {
--- a/standins/topics.h
+++ b/standins/topics.h
@@ -25,6 +25,9 @@
 
 struct topics *topics_create(void);
 void topics_destroy(struct topics *topics);
+/** Lowers the limits on a record and on an append; 0: the platform's. */
+void topics_set_limits(
+    struct topics *topics, size_t record_max_bytes, size_t append_max_bytes);
 /** Appends the records of a body, each preceded by its length in 4 bytes. Sets
  * *first to the offset of the first one and *end to that after the last one.
  * Returns false if the body is malformed or exceeds a limit; then nothing is
--- a/tests/test_long_turns.c
+++ b/tests/test_long_turns.c
@@ -16,9 +16,11 @@
 
 enum {
 	GATEWAYS = 3,
+	CALL_MS = 5000,
 	BUDGET = 100000,
 	USUAL_BYTES = 17000,
 	LONG_BYTES = 300000,
+	REJECTED_BYTES = 60000,
 	LONGEST_BYTES = 4 << 20, /* of a request's body */
 	RECORD_BYTES = 256 << 10,
 	PARALLEL_TURNS = 8,
@@ -231,6 +233,55 @@
 	buf_reset(&conversation.transcript);
 }
 
+/* Runs turns at a time of which the store rejects the record of one. */
+static void
+run_with_rejected_turn(struct conversation *conversations, int round)
+{
+	struct http_caller callers[PARALLEL_TURNS];
+	char requests[PARALLEL_TURNS][32];
+	struct http_reply reply;
+	int rejected = round % PARALLEL_TURNS;
+
+	for (int i = 0; i < PARALLEL_TURNS; i++) {
+		snprintf(requests[i], sizeof(requests[i]), "rejected-%d-%d",
+		    round, i);
+		conversation_start(&conversations[i], port_of(0), requests[i],
+		    input_of(i == rejected ? REJECTED_BYTES : USUAL_BYTES),
+		    BUDGET, &callers[i]);
+	}
+	for (int i = 0; i < PARALLEL_TURNS; i++) {
+		if (i != rejected) {
+			ck_assert_int_eq(
+			    conversation_finish(&conversations[i], requests[i],
+				input_of(USUAL_BYTES), &callers[i]),
+			    200);
+			continue;
+		}
+		http_caller_read(&callers[i], CALL_MS, &reply);
+		ck_assert(!reply.complete);
+		http_reply_reset(&reply);
+		http_caller_close(&callers[i]);
+	}
+}
+
+/* An append that the store rejects for one record cut the turns of all its
+ * records. */
+START_TEST(rejected_records_fail_their_own_turns_only)
+{
+	struct conversation conversations[PARALLEL_TURNS] = {0};
+
+	for (int i = 0; i < PARALLEL_TURNS; i++)
+		snprintf(conversations[i].program,
+		    sizeof(conversations[i].program), "p-rejected");
+	cluster_set_store_faults(
+	    &cluster, "{\"delay_ms\": 30, \"record_max_bytes\": 50000}");
+	for (int round = 0; round < 6; round++)
+		run_with_rejected_turn(conversations, round);
+	for (int i = 0; i < PARALLEL_TURNS; i++)
+		buf_reset(&conversations[i].transcript);
+}
+END_TEST
+
 static void
 stop_gateway(void)
 {
@@ -294,6 +345,7 @@
 	    chains_of_long_turns_are_continued,
 	    turns_with_long_outputs_are_kept,
 	    long_turns_do_not_cut_others,
+	    rejected_records_fail_their_own_turns_only,
 	    planned_stop_cuts_no_long_turn,
 	    long_turns_wait_for_the_store,
 	    long_turns_survive_lost_responses_of_the_store,
