--- a/gateway/recorder.c
+++ b/gateway/recorder.c
@@ -430,6 +430,15 @@
 	arm_timer(recorder);
 }
 
+static size_t
+batch_max_bytes(const struct recorder *recorder)
+{
+	size_t append_max =
+	    recorder->gateway->settings.gateway_append_max_bytes;
+
+	return append_max < BATCH_MAX_BYTES ? append_max : BATCH_MAX_BYTES;
+}
+
 static void
 start_batch(
     struct recorder *recorder, enum recorder_topic topic, uint32_t partition)
@@ -449,15 +458,17 @@
 		batch->direct_appends[i].batch = batch;
 	list_init(&batch->records);
 	list_append(&recorder->batches, &batch->link);
-	while (!list_empty(&queue->records) && bytes < BATCH_MAX_BYTES) {
+	while (!list_empty(&queue->records)) {
 		struct pending_record *pending_record = list_entry(
 		    queue->records.next, struct pending_record, link);
 
-		if (pending_record->alone && !list_empty(&batch->records))
+		bytes += STORE_RECORD_OVERHEAD_BYTES + pending_record->data.len;
+		if (!list_empty(&batch->records) &&
+		    (pending_record->alone ||
+			bytes > batch_max_bytes(recorder)))
 			break;
 		list_remove(&pending_record->link);
 		list_append(&batch->records, &pending_record->link);
-		bytes += pending_record->data.len;
 		if (pending_record->alone)
 			break;
 	}
--- a/include/gateway/recorder.h
+++ b/include/gateway/recorder.h
@@ -29,7 +29,7 @@
 void recorder_destroy(struct recorder *recorder);
 /** Appends an encoded record to a partition of a topic, and takes ownership of
  * its memory. done is called once, with the record's offset; ok is false when
- * the store rejects the record for good. */
+ * the store rejects the record for good, which fails no other record. */
 struct pending_record *recorder_append(struct recorder *recorder,
     enum recorder_topic topic, uint32_t partition, struct buf *record,
     void (*done)(void *context, bool ok, uint64_t offset), void *context);
--- a/tests/test_long_turns.c
+++ b/tests/test_long_turns.c
@@ -21,9 +21,11 @@
 	USUAL_BYTES = 17000,
 	LONG_BYTES = 300000,
 	REJECTED_BYTES = 60000,
+	FILLING_BYTES = 200000,  /* three are longer than an append may be */
 	LONGEST_BYTES = 4 << 20, /* of a request's body */
 	RECORD_BYTES = 256 << 10,
 	PARALLEL_TURNS = 8,
+	LOG_US = 300 * US_PER_MS,    /* until lines are in the log */
 	STREAM_US = 100 * US_PER_MS, /* until a turn's events have been sent */
 };
 
@@ -165,10 +167,12 @@
 }
 END_TEST
 
-/* Runs turns of one program at a time, the first one of them with a long input,
- * while the store is slow: their records wait and go to it in common. */
+/* Runs turns of one program at a time; the first one has an input of another
+ * length. While the store is slow, their records wait and go to it in common.
+ */
 static void
-run_parallel_turns(struct conversation *conversations, int round)
+run_parallel_turns(
+    struct conversation *conversations, int round, size_t first_len, size_t len)
 {
 	struct http_caller callers[PARALLEL_TURNS];
 	char requests[PARALLEL_TURNS][32];
@@ -177,14 +181,12 @@
 		snprintf(requests[i], sizeof(requests[i]), "parallel-%d-%d",
 		    round, i);
 		conversation_start(&conversations[i], port_of(0), requests[i],
-		    input_of(i == 0 ? LONG_BYTES : USUAL_BYTES), BUDGET,
-		    &callers[i]);
+		    input_of(i == 0 ? first_len : len), BUDGET, &callers[i]);
 	}
 	for (int i = 0; i < PARALLEL_TURNS; i++)
 		ck_assert_int_eq(
 		    conversation_finish(&conversations[i], requests[i],
-			input_of(i == 0 ? LONG_BYTES : USUAL_BYTES),
-			&callers[i]),
+			input_of(i == 0 ? first_len : len), &callers[i]),
 		    200);
 }
 
@@ -197,10 +199,11 @@
 	for (int i = 0; i < PARALLEL_TURNS; i++)
 		snprintf(conversations[i].program,
 		    sizeof(conversations[i].program), "p-parallel");
-	run_parallel_turns(conversations, 0);
+	run_parallel_turns(conversations, 0, LONG_BYTES, USUAL_BYTES);
 	cluster_set_store_faults(&cluster, "{\"delay_ms\": 30}");
 	for (int round = 1; round < 4; round++)
-		run_parallel_turns(conversations, round);
+		run_parallel_turns(
+		    conversations, round, LONG_BYTES, USUAL_BYTES);
 	for (int i = 0; i < PARALLEL_TURNS; i++)
 		buf_reset(&conversations[i].transcript);
 }
@@ -282,6 +285,34 @@
 }
 END_TEST
 
+/* Appends may not exceed the store's limit with their last record. */
+START_TEST(appends_keep_to_the_limit_of_the_store)
+{
+	struct conversation conversations[PARALLEL_TURNS] = {0};
+
+	for (int i = 0; i < GATEWAYS; i++)
+		cluster_signal(&cluster.gateways[i].process, SIGKILL);
+	cluster.more_settings = "[gateway]\nappend_max = 512 KiB\n";
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert(cluster_restart_gateway(&cluster, i));
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert(cluster_wait_ready(&cluster, i));
+	for (int i = 0; i < PARALLEL_TURNS; i++)
+		snprintf(conversations[i].program,
+		    sizeof(conversations[i].program), "p-append");
+	cluster_set_store_faults(
+	    &cluster, "{\"delay_ms\": 30, \"append_max_bytes\": 524288}");
+	for (int round = 0; round < 3; round++)
+		run_parallel_turns(
+		    conversations, round, FILLING_BYTES, FILLING_BYTES);
+	usleep(LOG_US);
+	for (int i = 0; i < GATEWAYS; i++)
+		ck_assert(!cluster_has_logged(&cluster, i, "append_rejected"));
+	for (int i = 0; i < PARALLEL_TURNS; i++)
+		buf_reset(&conversations[i].transcript);
+}
+END_TEST
+
 static void
 stop_gateway(void)
 {
@@ -346,6 +377,7 @@
 	    turns_with_long_outputs_are_kept,
 	    long_turns_do_not_cut_others,
 	    rejected_records_fail_their_own_turns_only,
+	    appends_keep_to_the_limit_of_the_store,
 	    planned_stop_cuts_no_long_turn,
 	    long_turns_wait_for_the_store,
 	    long_turns_survive_lost_responses_of_the_store,
