Bound the appends of the index

No caller has seen it; programs whose chains are that long are not in today's deployments.

An append takes only records that fit into append_max, and ends with a checkpoint when none are left.

test-turn, index_records_keep_to_a_size: with the bound taken out 20 records of 512 ancestors come to more than the 100,000 bytes asked for; passes with it.

--- a/gateway/partition.c
+++ b/gateway/partition.c
@@ -26,6 +26,7 @@
 	 * this time, which is longer than the time between two joins. */
 	HANDOVER_US = 320 * US_PER_MS,
 	BATCH_MAX = 256, /* records per append */
+	CHECKPOINT_MAX_BYTES = 64,
 };
 
 static const char TOPIC_INDEX[] = "index";
@@ -292,13 +293,16 @@
 	    .offset = partition->known_offsets.contiguous_end,
 	};
 	struct buf *batch = xcalloc(BATCH_MAX, sizeof(*batch));
+	size_t left_bytes =
+	    partition->gateway->settings.gateway_append_max_bytes -
+	    BATCH_MAX * STORE_RECORD_OVERHEAD_BYTES - CHECKPOINT_MAX_BYTES;
 	size_t count = 0;
 
 	while (count < BATCH_MAX - 1 &&
-	    ledger_next_index_record(partition->ledger, &batch[count]))
-		count++;
-	/* No checkpoint after a full batch, which may have left records out. */
-	if (count > 0 && count < BATCH_MAX - 1)
+	    ledger_next_index_record(
+		partition->ledger, left_bytes, &batch[count]))
+		left_bytes -= batch[count++].len;
+	if (count > 0 && !ledger_has_index_records(partition->ledger))
 		turn_record_encode(&checkpoint, &batch[count++]);
 	partition->index_batch = batch;
 	partition->index_count = count;
--- a/include/turn/ledger.h
+++ b/include/turn/ledger.h
@@ -117,8 +117,12 @@
  * append failed; the records are queued again. */
 void ledger_batch_done(struct ledger *ledger, bool durable);
 /** Appends the encoded form of the next durable record that the index lacks,
- * without the turn's content. Returns false if there is none. */
-bool ledger_next_index_record(struct ledger *ledger, struct buf *out);
+ * without the turn's content. Returns false if there is none, or if it is
+ * longer than max_bytes. */
+bool ledger_next_index_record(
+    struct ledger *ledger, size_t max_bytes, struct buf *out);
+/** Returns whether the index lacks durable records. */
+bool ledger_has_index_records(const struct ledger *ledger);
 /** Ends turns whose end was not reported in time, counting them with their
  * max_tokens, and drops turns and programs that are past the retention. */
 void ledger_expire(struct ledger *ledger, int64_t now_us);
--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -677,7 +677,7 @@
 	ledger_apply(ledger, 11, 20, &record, 0);
 	record = make_record(TURN_RECORD_STARTED, "p", "t3", 0);
 	ledger_apply(ledger, 12, 20, &record, 0);
-	while (ledger_next_index_record(ledger, &data)) {
+	while (ledger_next_index_record(ledger, SIZE_MAX, &data)) {
 		ck_assert(
 		    turn_record_decode(data.data, data.len, &record, NULL));
 		ledger_apply(copy, record.offset, record.bytes, &record, 0);
@@ -696,6 +696,47 @@
 }
 END_TEST
 
+/* Appends of the index that were longer than the store takes were rejected each
+ * time, and the index was never written again. */
+START_TEST(index_records_keep_to_a_size)
+{
+	static struct turn_ref ancestors[TURN_CHAIN_MAX];
+	static const size_t max_bytes = 100000;
+	struct ledger *ledger = create_owned_ledger();
+	struct buf data = {0};
+	size_t count = 0;
+
+	for (size_t i = 0; i < TURN_CHAIN_MAX; i++)
+		snprintf(ancestors[i].turn, NAME_BYTES, "ancestor-%zu", i);
+	for (int i = 0; i < 20; i++) {
+		char turn[16];
+		struct turn_record record;
+
+		snprintf(turn, sizeof(turn), "t%d", i);
+		record = make_record(TURN_RECORD_RETAINED, "p", turn, 1);
+		snprintf(record.previous, NAME_BYTES, "elsewhere");
+		record.ancestors = ancestors;
+		record.ancestor_count = TURN_CHAIN_MAX;
+		ledger_apply(ledger, (uint64_t)i, 100, &record, 0);
+	}
+	while (ledger_has_index_records(ledger)) {
+		size_t before = count;
+		size_t bytes = 0;
+
+		while (ledger_next_index_record(
+		    ledger, max_bytes - bytes, &data)) {
+			bytes += data.len;
+			buf_reset(&data);
+			count++;
+		}
+		ck_assert_uint_le(bytes, max_bytes);
+		ck_assert_uint_gt(count, before);
+	}
+	ck_assert_uint_eq(count, 20);
+	ledger_destroy(ledger);
+}
+END_TEST
+
 START_TEST(session_servers_are_remembered)
 {
 	struct ledger *ledger = create_owned_ledger();
@@ -831,6 +872,7 @@
 	    chain_includes_turn_with_unknown_end,
 	    chain_is_kept_as_long_as_its_newest_turn,
 	    index_reproduces_the_ledger,
+	    index_records_keep_to_a_size,
 	    session_servers_are_remembered,
 	    offsets_are_added_in_any_order,
 	    history_assembles_a_chain,
--- a/turn/ledger_records.c
+++ b/turn/ledger_records.c
@@ -92,20 +92,14 @@
 	return true;
 }
 
-bool
-ledger_next_index_record(struct ledger *ledger, struct buf *out)
+static void
+encode_index_record(const struct ledger_turn *turn, struct buf *out)
 {
-	struct ledger_turn *turn;
 	struct turn_record record;
 
-	if (list_empty(&ledger->to_index))
-		return false;
-	turn =
-	    list_entry(ledger->to_index.next, struct ledger_turn, index_link);
-	list_remove(&turn->index_link);
 	if (!turn->retained) {
 		encode_record(turn, out);
-		return true;
+		return;
 	}
 	record = (struct turn_record){
 	    .type = TURN_RECORD_RETAINED,
@@ -125,7 +119,34 @@
 	memcpy(record.vm, turn->vm, sizeof(record.vm));
 	memcpy(record.server, turn->server, sizeof(record.server));
 	turn_record_encode(&record, out);
-	return true;
+}
+
+bool
+ledger_has_index_records(const struct ledger *ledger)
+{
+	return !list_empty(&ledger->to_index);
+}
+
+bool
+ledger_next_index_record(
+    struct ledger *ledger, size_t max_bytes, struct buf *out)
+{
+	struct ledger_turn *turn;
+	struct buf encoded = {0};
+	bool fits;
+
+	if (list_empty(&ledger->to_index))
+		return false;
+	turn =
+	    list_entry(ledger->to_index.next, struct ledger_turn, index_link);
+	encode_index_record(turn, &encoded);
+	fits = encoded.len <= max_bytes;
+	if (fits) {
+		list_remove(&turn->index_link);
+		buf_append(out, encoded.data, encoded.len);
+	}
+	buf_reset(&encoded);
+	return fits;
 }
 
 static void
