Histories sent to other gateways fit into a message

The gateway that asked waits 80 ms in vain before it reads the chain from the store.

It now sends those turns of the chain that fit, or none, and the other gateway reads the rest from the store at once.

--- a/gateway/turn_history.c
+++ b/gateway/turn_history.c
@@ -6,6 +6,7 @@
 #include "gateway/peer_gateways.h"
 #include "gateway/recorder.h"
 #include "gateway/turn_internal.h"
+#include "peer/peer.h"
 
 enum {
 	PEER_HISTORY_TIMEOUT_US = 80 * US_PER_MS,
@@ -14,6 +15,9 @@
 	/* Added to a record's size for the size limit of a read, as the store
 	 * returns only whole records. */
 	READ_SLACK_BYTES = 2048,
+	/* Bounds on what a message has besides the contents of its turns. */
+	MESSAGE_OVERHEAD_BYTES = 512,
+	MESSAGE_TURN_OVERHEAD_BYTES = 256,
 	/* Parts that are read at a time. */
 	READ_PARTS_MAX_BYTES = 1 << 20,
 };
@@ -315,19 +319,26 @@
 	struct turn_ref chain[TURN_CHAIN_MAX];
 	size_t count = history_chain(
 	    turns->history, message->history_get.turn, chain, TURN_CHAIN_MAX);
-	struct message reply = {
-	    .type = MESSAGE_HISTORY,
-	    .history = {.turn_count = count},
-	};
+	size_t left_bytes = PEER_MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES;
+	struct message reply = {.type = MESSAGE_HISTORY};
 	struct history_turn found;
 
 	memcpy(reply.history.turn, message->history_get.turn, NAME_BYTES);
 	reply.history.turns = xcalloc(count + 1, sizeof(*reply.history.turns));
 	for (size_t i = 0; i < count; i++) {
-		struct message_history_turn *turn = &reply.history.turns[i];
+		struct message_history_turn *turn =
+		    &reply.history.turns[reply.history.turn_count];
+		size_t bytes;
 
 		if (!history_get(turns->history, chain[i].turn, &found))
 			continue;
+		/* The other gateway reads what does not fit from the store. */
+		bytes = MESSAGE_TURN_OVERHEAD_BYTES + found.input.len +
+		    found.output.len;
+		if (bytes > left_bytes)
+			continue;
+		left_bytes -= bytes;
+		reply.history.turn_count++;
 		memcpy(turn->turn, found.ref.turn, NAME_BYTES);
 		memcpy(turn->previous, found.previous, NAME_BYTES);
 		turn->partition = found.ref.partition;
--- a/tests/test_long_turns.c
+++ b/tests/test_long_turns.c
@@ -147,6 +147,28 @@
 }
 END_TEST
 
+/* A history that is too long for a message was never sent, and the gateway that
+ * asked for it waited in vain. */
+START_TEST(long_histories_fit_into_messages)
+{
+	struct conversation conversation = {.program = "p-message"};
+	char request[32];
+	long dropped;
+
+	for (int i = 0; i < 5; i++) {
+		snprintf(request, sizeof(request), "message-%d", i);
+		ck_assert_int_eq(
+		    send_turn(&conversation, 0, request, LONG_BYTES), 200);
+	}
+	dropped = cluster_counter(&cluster, 0, "peer_dropped_total");
+	ck_assert_int_eq(
+	    send_turn(&conversation, 1, "message-z", USUAL_BYTES), 200);
+	ck_assert_int_eq(
+	    cluster_counter(&cluster, 0, "peer_dropped_total"), dropped);
+	buf_reset(&conversation.transcript);
+}
+END_TEST
+
 START_TEST(turns_with_long_outputs_are_kept)
 {
 	struct conversation conversation = {.program = "p-output"};
@@ -374,6 +396,7 @@
 	const TTest *tests[] = {
 	    turns_longer_than_a_record_are_kept,
 	    chains_of_long_turns_are_continued,
+	    long_histories_fit_into_messages,
 	    turns_with_long_outputs_are_kept,
 	    long_turns_do_not_cut_others,
 	    rejected_records_fail_their_own_turns_only,
