--- a/gateway/recorder.c
+++ b/gateway/recorder.c
@@ -520,6 +520,7 @@
 		    .number = relayed_append->number,
 		    .ok = appended->status == STORE_OK,
 		    .first_offset = appended->first_offset,
+		    .rejected = appended->status == STORE_INVALID,
 		},
 	};
 
@@ -567,6 +568,10 @@
 			batch_finish(batch, true, reply->first_offset);
 			return;
 		}
+		if (reply->rejected) {
+			batch_reject(batch);
+			return;
+		}
 		batch->due_us = clock_monotonic_us() + RETRY_US;
 		arm_timer(recorder);
 		return;
--- a/include/peer/message.h
+++ b/include/peer/message.h
@@ -506,6 +506,7 @@
 	uint64_t number;
 	bool ok; /**< whether the records were appended */
 	uint64_t first_offset;
+	bool rejected; /**< as invalid, so that it is no use to try again */
 };
 
 struct message {
--- a/peer/message.c
+++ b/peer/message.c
@@ -335,6 +335,7 @@
     FIELD(1, WIRE_UNSIGNED, store_append_reply.number),
     FIELD(2, WIRE_BOOL, store_append_reply.ok),
     FIELD(3, WIRE_UNSIGNED, store_append_reply.first_offset),
+    FIELD(4, WIRE_BOOL, store_append_reply.rejected),
 };
 
 #define LIMIT_FIELDS(limit) \
--- a/tests/test_long_turns.c
+++ b/tests/test_long_turns.c
@@ -260,7 +260,8 @@
 
 /* Runs turns at a time of which the store rejects the record of one. */
 static void
-run_with_rejected_turn(struct conversation *conversations, int round)
+run_with_rejected_turn(
+    struct conversation *conversations, int gateway, int round)
 {
 	struct http_caller callers[PARALLEL_TURNS];
 	char requests[PARALLEL_TURNS][32];
@@ -270,7 +271,8 @@
 	for (int i = 0; i < PARALLEL_TURNS; i++) {
 		snprintf(requests[i], sizeof(requests[i]), "rejected-%d-%d",
 		    round, i);
-		conversation_start(&conversations[i], port_of(0), requests[i],
+		conversation_start(&conversations[i], port_of(gateway),
+		    requests[i],
 		    input_of(i == rejected ? REJECTED_BYTES : USUAL_BYTES),
 		    BUDGET, &callers[i]);
 	}
@@ -301,7 +303,7 @@
 	cluster_set_store_faults(
 	    &cluster, "{\"delay_ms\": 30, \"record_max_bytes\": 50000}");
 	for (int round = 0; round < 6; round++)
-		run_with_rejected_turn(conversations, round);
+		run_with_rejected_turn(conversations, 0, round);
 	for (int i = 0; i < PARALLEL_TURNS; i++)
 		buf_reset(&conversations[i].transcript);
 }
@@ -379,7 +381,7 @@
 static void
 cut_from_store(void)
 {
-	cluster_set_store_path(&cluster, CUT_GATEWAY, "refuse");
+	cluster_set_store_path(&cluster, CUT_GATEWAY, "reset");
 }
 
 START_TEST(long_turns_are_recorded_through_other_gateways)
@@ -390,6 +392,29 @@
 }
 END_TEST
 
+/* A record that the store rejects through other gateways held up all others of
+ * its partition. */
+START_TEST(records_rejected_through_other_gateways_hold_up_no_others)
+{
+	struct conversation conversations[PARALLEL_TURNS] = {0};
+
+	ck_assert_int_eq(cluster_add_gateway_with_paths(&cluster), CUT_GATEWAY);
+	ck_assert(cluster_wait_ready(&cluster, CUT_GATEWAY));
+	for (int i = 0; i < PARALLEL_TURNS; i++) {
+		snprintf(conversations[i].program,
+		    sizeof(conversations[i].program), "p-held-up");
+	}
+	ck_assert_int_eq(
+	    send_turn(&conversations[1], CUT_GATEWAY, "before", USUAL_BYTES),
+	    200);
+	cluster_set_store_faults(&cluster, "{\"record_max_bytes\": 50000}");
+	cut_from_store();
+	run_with_rejected_turn(conversations, CUT_GATEWAY, 0);
+	for (int i = 0; i < PARALLEL_TURNS; i++)
+		buf_reset(&conversations[i].transcript);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -405,6 +430,7 @@
 	    long_turns_wait_for_the_store,
 	    long_turns_survive_lost_responses_of_the_store,
 	    long_turns_are_recorded_through_other_gateways,
+	    records_rejected_through_other_gateways_hold_up_no_others,
 	};
 
 	build_dir = argc > 1 ? argv[1] : "build";
