Soak: turns that are longer than a record of the store

One turn of 24 has an input of 300,000 bytes, which is recorded in parts, among kills, freezes, cut paths and an unreliable store. The hash in each response shows whether a server got the whole chain.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -30,7 +30,9 @@
 	/* Of so many turns, the server breaks the stream of one off. */
 	TURNS_PER_BROKEN_STREAM = 16,
 	NAME_MAX_BYTES = 32,
-	INPUT_BYTES = 48,
+	/* Of so many turns, one is longer than a record of the store. */
+	TURNS_PER_LONG_INPUT = 24,
+	LONG_INPUT_BYTES = 300000,
 	FIELD_BYTES = 96,
 	BODY_MAX_BYTES = 4096,
 };
@@ -62,7 +64,7 @@
 	struct h1_call *call; /**< NULL: none in progress */
 	enum call_kind kind;
 	char request[NAME_MAX_BYTES];
-	char input[INPUT_BYTES];
+	struct buf input;
 	struct buf response;
 	int status;
 	int gateway;
@@ -105,6 +107,7 @@
 {
 	buf_reset(&program->history);
 	buf_reset(&program->response);
+	buf_reset(&program->input);
 	*program = (struct program){
 	    .callers = callers,
 	    .recovered = callers->recovering,
@@ -150,7 +153,7 @@
 	char hash[NAME_MAX_BYTES];
 	const char *pos = buf_text(&program->response);
 
-	buf_append_text(&program->history, program->input);
+	buf_append(&program->history, program->input.data, program->input.len);
 	snprintf(hash, sizeof(hash), "%016" PRIx64,
 	    hash_bytes(program->history.data, program->history.len, 0));
 	if (strstr(pos, hash) == NULL ||
@@ -366,6 +369,17 @@
 	return id % 2 == 0 ? "/turn/unframed" : "/turn/x";
 }
 
+static void
+make_input(struct program *program)
+{
+	buf_reset(&program->input);
+	buf_printf(&program->input, "in %s;", program->request);
+	while (program->kind == CALL_TURN &&
+	    program->callers->last_id % TURNS_PER_LONG_INPUT == 0 &&
+	    program->input.len < LONG_INPUT_BYTES)
+		buf_printf(&program->input, "%zu;", program->input.len);
+}
+
 static void
 start_call(struct program *program)
 {
@@ -393,8 +407,7 @@
 	buf_reset(&program->response);
 	snprintf(program->request, sizeof(program->request), "r%07" PRIu64,
 	    ++callers->last_id);
-	snprintf(
-	    program->input, sizeof(program->input), "in %s;", program->request);
+	make_input(program);
 	snprintf(address, sizeof(address), "127.0.0.1:%d",
 	    soak->cluster.gateways[program->gateway].process.port);
 	params.method = program->kind == CALL_SAFE ? "GET" : "POST";
@@ -410,8 +423,8 @@
 	h1_headers_add_number(&headers, "Deadline-Ms", DEADLINE_MS);
 	if (program->kind == CALL_TURN) {
 		add_turn_headers(program, &headers);
-		params.body = program->input;
-		params.body_len = strlen(program->input);
+		params.body = program->input.data;
+		params.body_len = program->input.len;
 	}
 	program->call = h1_call_start(soak->client, &params);
 	program->due_us =
@@ -475,6 +488,7 @@
 			h1_call_cancel(program->call);
 		buf_reset(&program->history);
 		buf_reset(&program->response);
+		buf_reset(&program->input);
 	}
 	uv_close((uv_handle_t *)callers->timer, handle_timer_closed);
 	free(callers);
