--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -30,7 +30,7 @@
 	/* Wait for the rest of a response whose head tells that the request was
 	 * not executed. */
 	DECLINED_BODY_US = 100 * US_PER_MS,
-	/* Longest event, as long as the longest record of a turn. */
+	/* A longer event counts as bytes without end. */
 	EVENT_MAX_BYTES = 256 << 10,
 	/* Data of a retained turn, many times what a turn generates. */
 	TURN_DATA_MAX_BYTES = 1 << 20,
