Lint: sizes are multiplied as such

tools/lint on: three implicit widenings, in the bound on appends of the index and in test-long-turns. No value changes. Also a clearer comment on the parts that are read of a turn.

--- a/gateway/partition.c
+++ b/gateway/partition.c
@@ -295,7 +295,8 @@
 	struct buf *batch = xcalloc(BATCH_MAX, sizeof(*batch));
 	size_t left_bytes =
 	    partition->gateway->settings.gateway_append_max_bytes -
-	    BATCH_MAX * STORE_RECORD_OVERHEAD_BYTES - CHECKPOINT_MAX_BYTES;
+	    (size_t)BATCH_MAX * STORE_RECORD_OVERHEAD_BYTES -
+	    CHECKPOINT_MAX_BYTES;
 	size_t count = 0;
 
 	while (count < BATCH_MAX - 1 &&
--- a/gateway/turn_history.c
+++ b/gateway/turn_history.c
@@ -184,7 +184,7 @@
 	    bytes, 0, READ_TIMEOUT_US, handle_parts_read, chain_turn);
 }
 
-/* Takes over where the content of a turn is. */
+/* Notes where the parts of a turn are, and starts to read them. */
 static void
 chain_turn_set_parts(
     struct chain_turn *chain_turn, const struct turn_record *record)
--- a/tests/test_long_turns.c
+++ b/tests/test_long_turns.c
@@ -98,7 +98,7 @@
 	    RECORD_BYTES - 100,
 	    RECORD_BYTES,
 	    RECORD_BYTES + 1,
-	    2 * RECORD_BYTES,
+	    (size_t)2 * RECORD_BYTES,
 	    LONG_BYTES,
 	    1000000,
 	    LONGEST_BYTES,
@@ -184,7 +184,8 @@
 		ck_assert_int_eq(
 		    send_turn(&conversation, i, request, 100), 200);
 	}
-	ck_assert_uint_gt(conversation.transcript.len, 3 * RECORD_BYTES);
+	ck_assert_uint_gt(
+	    conversation.transcript.len, (size_t)3 * RECORD_BYTES);
 	buf_reset(&conversation.transcript);
 }
 END_TEST
