--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -128,14 +128,6 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
-    def resident_bytes(self):
-        try:
-            with open("/proc/%d/statm" % self.process.pid) as statm:
-                return int(statm.read().split()[1]) * os.sysconf(
-                    "SC_PAGESIZE")
-        except (OSError, IndexError):
-            return 0
-
     async def is_ready(self):
         client = Client(self.fields["listen.readiness"])
         answer = await client.request("GET", "/v1/readyz",
