--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -11,6 +11,7 @@
 import re
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -27,6 +28,9 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+started = []  # all processes
+
+
 class CannotRun(Exception):
     pass
 
@@ -77,6 +81,7 @@
 class Gateway:
     def __init__(self, deployment, number, zone, fields):
         ip = deployment.address()
+        ports = deployment.ports
         self.deployment = deployment
         self.name = "edge-%s-%d" % (zone, number)
         self.fields = dict(FIELDS, **fields)
@@ -85,14 +90,14 @@
             "zone": zone,
             "region": self.fields["zones"][zone],
             "ip": ip,
-            "listen.http": ip + ":8149",
-            "listen.readiness": ip + ":8141",
-            "listen.control": ip + ":8144",
-            "listen.directory": ip + ":8143",
-            "portRange.0": 7380,
+            "listen.http": "%s:%d" % (ip, ports["http"]),
+            "listen.readiness": "%s:%d" % (ip, ports["readiness"]),
+            "listen.control": "%s:%d" % (ip, ports["control"]),
+            "listen.directory": "%s:%d" % (ip, ports["directory"]),
+            "portRange.0": ports["relay"],
             "platform.address": deployment.store_address,
         })
-        self.callers = ip + ":8149"
+        self.callers = self.fields["listen.http"]
         self.process = None
         self.starts = 0
 
@@ -114,6 +119,7 @@
              path], stdout=log, stderr=subprocess.STDOUT, cwd=ROOT,
             env={"PATH": os.environ.get("PATH", ""),
                  "GUAVAKEEL_BOOT": path})
+        started.append(self.process)
         log.close()
 
     def signal(self, number):
@@ -136,6 +142,21 @@
         return answer.status == 200
 
 
+def free_ports(host, names):
+    """Returns a free port for each name; all machines use the same ones."""
+    ports = {}
+    while len(ports) < len(names):
+        port = random.randint(20000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+        if port not in ports.values():
+            ports[names[len(ports)]] = port
+    return ports
+
+
 class Deployment:
     def __init__(self, record, **store_options):
         self.record = record
@@ -145,7 +166,10 @@
                                   random.randint(1, 250))
         self.used = 9
         self.store = Store(**store_options)
-        self.store_address = self.address() + ":8142"
+        self.ports = free_ports(self.net + ".9", (
+            "http", "readiness", "control", "directory", "relay", "store",
+            "server"))
+        self.store_address = "%s:%d" % (self.address(), self.ports["store"])
         self.version = 0
 
     def address(self):
@@ -214,6 +238,7 @@
         self.slots = slots
         self.id = "i-%08x" % random.getrandbits(32)
         self.host = deployment.address()
+        self.port = deployment.ports["server"]
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.tasks = []
@@ -224,7 +249,7 @@
                 self.handle, sock=sock, limit=1 << 16)
         else:
             self.server = await asyncio.start_server(
-                self.handle, self.host, 8080, backlog=256, limit=1 << 16)
+                self.handle, self.host, self.port, backlog=256, limit=1 << 16)
         self.tasks.append(asyncio.ensure_future(self.register()))
 
     async def handle(self, reader, writer):
@@ -240,7 +265,7 @@
         while True:
             self.sequence += 1
             self.deployment.store.put("keyed.servers", self.id, json.dumps({
-                "service": self.service, "address": self.host + ":8080",
+                "service": self.service, "address": "%s:%d" % (self.host, self.port),
                 "zone": self.zone, "version": "v1", "maxBatch": self.slots,
                 "state": "ready", "coldLeftMs": 0, "born": self.born,
                 "sequence": self.sequence}).encode())
@@ -260,14 +285,23 @@
 
 
 def run_case(main, folder):
-    """Runs a case and exits with 0, 1 or 2."""
+    """Runs a case and exits with 0, 1 or 2. All else than a broken or kept rule
+    is a 2: the case could not run."""
     record = Record(os.path.join(folder, "record.txt"))
     record.tell("trouble: %s" % ("yes" if trouble() else "no"))
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         code = asyncio.run(main(record))
-    except CannotRun as err:
-        record.tell("the case can't run: %s" % err)
+    except SystemExit:
+        record.tell("the case was ended from outside")
+        code = 2
+    except Exception as err:
+        record.tell("the case can't run: %s: %s" % (type(err).__name__, err))
         code = 2
+    for process in started:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
     record.tell("exit: %d" % code)
     sys.stdout.flush()
     os._exit(code)
